--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,367 @@
+//! Starting a daemon, and stopping it without cutting a request off.
+
+use crate::bounded;
+use crate::claims::{self, Claims};
+use crate::clock::Clock;
+use crate::connections::Connections;
+use crate::duty::{self, Duty};
+use crate::follow;
+use crate::front::Front;
+use crate::membership::{self, Addresses};
+use crate::metrics::{Counter, Metrics};
+use crate::node::{Node, Wake};
+use crate::operator::Operator;
+use crate::owner;
+use crate::peers::{self, Peers};
+use crate::router::Router;
+use crate::settings::Settings;
+use crate::table::Counted;
+use crate::timeline::Timeline;
+use async_std::net::{TcpListener, TcpStream};
+use celerythread_http::server::{self, Handler, Limits, Stop};
+use celerythread_model::event::Kind;
+use celerythread_model::id;
+use celerythread_platform::Platform;
+use celerythread_policy::view::View;
+use celerythread_wire::endpoint;
+use celerythread_wire::{Endpoint, Identity};
+use parking_lot::{Mutex, RwLock};
+use snafu::{ResultExt, Snafu};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+use stop_token::StopSource;
+use strum::VariantArray;
+
+/// Time between two looks at whether a stop is complete.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// Time between two ticks of the pause detector, and the gap that counts as a pause.
+const TICK: Duration = Duration::from_millis(100);
+const PAUSE: Duration = Duration::from_secs(2);
+
+/// Most connections of callers at once; each can hold one request body in memory.
+const MAX_CONNECTIONS: usize = 4096;
+
+/// Why a daemon could not start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// An address cannot be listened at.
+    #[snafu(display("cannot listen at {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The error of the operating system.
+        source: std::io::Error,
+    },
+    /// The peers' socket cannot be opened.
+    #[snafu(display("cannot open the peers' socket: {source}"))]
+    Peers {
+        /// Why.
+        source: celerythread_wire::Error,
+    },
+}
+
+/// A running daemon.
+pub struct Daemon {
+    node: Arc<Node>,
+    addresses: Addresses,
+    callers: SocketAddr,
+    endpoint: Arc<Endpoint>,
+    stop: StopSource,
+    closing: StopSource,
+    ended: StopSource,
+    connections: Arc<AtomicUsize>,
+}
+
+/// How a graceful stop went.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Report {
+    /// Callers' connections that were still being answered at the bound.
+    pub unanswered: usize,
+    /// Settlements of keyed requests that were not committed at the bound.
+    pub unsettled: usize,
+    /// Whether slots were handed back and the registry left.
+    pub left: bool,
+}
+
+impl Daemon {
+    /// Starts a daemon.  It serves once it is registered and has a view.
+    ///
+    /// # Errors
+    /// When an address cannot be listened at.
+    pub async fn start(
+        settings: Settings,
+        platform: Platform,
+        identity: &Identity,
+    ) -> Result<Self, Error> {
+        let callers = listen(settings.caller_listen).await?;
+        let operators = listen(settings.operator_listen).await?;
+        let endpoint =
+            Endpoint::bind(settings.peer_listen, identity, &endpoint::Settings::default())
+                .context(PeersSnafu)?;
+        let endpoint = Arc::new(endpoint);
+        let addresses = Addresses {
+            peer: endpoint.local_address().context(PeersSnafu)?,
+            operator: local(&operators, settings.operator_listen)?,
+        };
+        let caller_address = local(&callers, settings.caller_listen)?;
+        let (stop, closing, ended) = (StopSource::new(), StopSource::new(), StopSource::new());
+        let node = Arc::new(build(settings, platform, &stop));
+        let daemon = Self {
+            node,
+            addresses,
+            callers: caller_address,
+            endpoint,
+            stop,
+            closing,
+            ended,
+            connections: Arc::default(),
+        };
+        daemon.serve_operators(operators);
+        daemon.serve_callers(callers);
+        daemon.spawn_tasks();
+        Ok(daemon)
+    }
+
+    /// This process's id.
+    pub fn id(&self) -> &id::Entry {
+        &self.node.me
+    }
+
+    /// Where callers reach it.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Where operators reach it.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.addresses.operator
+    }
+
+    /// Where peers reach it.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.addresses.peer
+    }
+
+    /// Its counters.
+    pub fn metrics(&self) -> &Arc<Metrics> {
+        &self.node.metrics
+    }
+
+    /// Waits until it serves.
+    pub async fn ready(&self) {
+        while !self.node.ready.load(Ordering::SeqCst) {
+            async_std::task::sleep(STOP_POLL).await;
+        }
+    }
+
+    fn serve_callers(&self, listener: TcpListener) {
+        let handler = Arc::new(Front::new(self.node.clone()));
+        let limits = self.node.settings.caller_limits.clone();
+        let stop = Stop { closing: self.closing.token(), ended: self.ended.token() };
+        let connections = self.connections.clone();
+        async_std::task::spawn(accept(listener, handler, limits, stop, connections));
+    }
+
+    /// Operators are served until the process ends, so that a stop can be watched.
+    fn serve_operators(&self, listener: TcpListener) {
+        let handler = Arc::new(Operator::new(self.node.clone()));
+        let limits = Limits::default();
+        let stop = Stop { closing: self.stop.token(), ended: self.stop.token() };
+        async_std::task::spawn(accept(listener, handler, limits, stop, Arc::default()));
+    }
+
+    fn spawn_tasks(&self) {
+        let node = &self.node;
+        async_std::task::spawn(peers::accept_forever(node.clone(), self.endpoint.clone()));
+        async_std::task::spawn(claims::commit_forever(node.clone()));
+        async_std::task::spawn(send_metrics(node.clone()));
+        async_std::task::spawn(watch_pauses(node.clone()));
+        async_std::task::spawn(join(node.clone(), self.addresses, self.endpoint.clone()));
+    }
+
+    /// Stops gracefully: first the balancer sees that it is not ready, then no new work is
+    /// taken, then what is in flight is finished, then slots are handed back and the registry
+    /// is left.
+    pub async fn stop(self) -> Report {
+        let node = &self.node;
+        let bound = node.settings.stop_bound.0;
+        let began = node.clock.now();
+        node.note(Kind::Stopping);
+        node.ready.store(false, Ordering::SeqCst);
+        drop(self.closing);
+        async_std::task::sleep(node.settings.stop_notice.0).await;
+        node.stopping.store(true, Ordering::SeqCst);
+        membership::announce_stop(node, self.addresses).await;
+        drop(self.ended);
+        let left = || bound.saturating_sub(node.clock.now().since(began));
+        let busy = || {
+            self.connections.load(Ordering::SeqCst) > 0
+                || node.flying.load(Ordering::SeqCst) > 0
+                || node.claims.unsettled() > 0
+        };
+        while busy() && !left().is_zero() {
+            async_std::task::sleep(STOP_POLL).await;
+        }
+        let mut report = Report {
+            unanswered: self.connections.load(Ordering::SeqCst),
+            unsettled: node.claims.unsettled(),
+            left: false,
+        };
+        while !left().is_zero() && !report.left {
+            report.left = owner::hand_back_all(node).await && membership::leave(node).await;
+            if !report.left {
+                async_std::task::sleep(STOP_POLL * 5).await;
+            }
+        }
+        self.endpoint.close();
+        drop(self.stop);
+        report
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
+
+fn local(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, Error> {
+    listener.local_addr().context(ListenSnafu { address })
+}
+
+/// An id that no process before or after has.
+fn new_id(name: &str) -> id::Entry {
+    let id = format!("{name}.{:08x}", rand::random::<u32>());
+    id.parse().expect("a checked name with hexadecimal digits is an id")
+}
+
+fn build(settings: Settings, platform: Platform, stop: &StopSource) -> Node {
+    let clock = Clock::new();
+    let me = new_id(&settings.name);
+    let metrics = Arc::new(Metrics::new(&settings));
+    let timeline = Arc::new(Timeline::new(me.clone(), settings.events));
+    let table = Counted {
+        inner: platform.table.clone(),
+        metrics: metrics.clone(),
+        timeline: timeline.clone(),
+        clock,
+        reachable: AtomicBool::new(true),
+    };
+    Node {
+        me,
+        memory: bounded::Pool::new(settings.memory.0),
+        settings,
+        clock,
+        platform: Platform { table: Arc::new(table), ..platform },
+        view: RwLock::new(View::default()),
+        router: Mutex::new(Router::default()),
+        peers: RwLock::new(Peers::default()),
+        holding: Mutex::default(),
+        connections: Connections::default(),
+        claims: Claims::new(),
+        timeline,
+        metrics,
+        ready: AtomicBool::new(false),
+        stopping: AtomicBool::new(false),
+        flying: AtomicUsize::new(0),
+        wake: Wake::new(),
+        stop: stop.token(),
+    }
+}
+
+/// Registers, takes the first view, and starts everything that needs both.
+async fn join(node: Arc<Node>, addresses: Addresses, endpoint: Arc<Endpoint>) {
+    while follow::once(&node).await.is_err() {
+        if !node.pause(node.settings.poll.0).await {
+            return;
+        }
+    }
+    if !membership::register(&node, addresses).await {
+        return;
+    }
+    // The rows are read after the registration: whoever changes the fleet from now on can see
+    // that this entry must be reckoned with.
+    while follow::once(&node).await.is_err() {
+        if !node.pause(node.settings.poll.0).await {
+            return;
+        }
+    }
+    async_std::task::spawn(follow::follow_forever(node.clone()));
+    async_std::task::spawn(peers::beat_forever(node.clone(), endpoint));
+    async_std::task::spawn(owner::own_forever(node.clone()));
+    for duty in Duty::VARIANTS {
+        async_std::task::spawn(duty::carry_forever(node.clone(), *duty));
+    }
+    node.note(Kind::Started);
+    node.ready.store(true, Ordering::SeqCst);
+}
+
+/// A connection counted until it ends.
+struct Counting(Arc<AtomicUsize>);
+
+impl Drop for Counting {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    limits: Limits,
+    stop: Stop,
+    connections: Arc<AtomicUsize>,
+) {
+    use stop_token::future::FutureExt;
+    while let Ok(accepted) = listener.accept().timeout_at(stop.ended.clone()).await {
+        let Ok((stream, _)) = accepted else {
+            // Out of descriptors, most likely; they come back as connections end.
+            async_std::task::sleep(TICK).await;
+            continue;
+        };
+        if connections.load(Ordering::SeqCst) >= MAX_CONNECTIONS {
+            continue;
+        }
+        connections.fetch_add(1, Ordering::SeqCst);
+        let counting = Counting(connections.clone());
+        async_std::task::spawn(serve(
+            stream,
+            handler.clone(),
+            limits.clone(),
+            stop.clone(),
+            counting,
+        ));
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    handler: Arc<dyn Handler>,
+    limits: Limits,
+    stop: Stop,
+    _counting: Counting,
+) {
+    let _ = stream.set_nodelay(true);
+    server::serve(stream, handler, &limits, &stop).await;
+}
+
+async fn send_metrics(node: Arc<Node>) {
+    while node.pause(node.settings.metrics_interval.0).await {
+        node.metrics.send();
+    }
+}
+
+/// Notices that this process was paused, and brings the view up to date at once: what it knew
+/// may be long out of date.
+async fn watch_pauses(node: Arc<Node>) {
+    let mut last = node.clock.now();
+    while node.pause(TICK).await {
+        let now = node.clock.now();
+        if now.since(last) >= PAUSE {
+            node.count(Counter::Pauses);
+            node.wake.wake();
+        }
+        last = now;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drive/jobs.rs
@@ -0,0 +1,260 @@
+//! The jobs' holder: settles what runs, starts what waits, puts patient work aside.
+
+mod board;
+mod settle;
+
+use super::fenced;
+use super::roster::Roster;
+use crate::duty::Duty;
+use crate::node::Node;
+use board::Board;
+use celerythread_model::event::Kind;
+use celerythread_model::fleet;
+use celerythread_model::id;
+use celerythread_model::job::{Job, Size, Stage};
+use celerythread_model::request::{Class, Idempotence};
+use celerythread_model::table::Space;
+use celerythread_model::unit::{Accelerators, Bytes, Revision};
+use celerythread_platform::Error;
+use celerythread_platform::message::{Order, Role, Task};
+use celerythread_policy::health::{Health, State};
+use celerythread_policy::learning::Estimates;
+use celerythread_policy::lease::Held;
+use celerythread_policy::placement::{self, Allowance, Need, Patient, Placement, Room};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// Most rows in one transaction: a wave of cancellations or starts is a few writes.
+const BATCH: usize = 100;
+
+/// Attempts at an idempotent job before it counts as failed.
+const MAX_ATTEMPTS: u32 = 5;
+
+/// What the holder remembers between two steps.
+#[derive(Default)]
+pub(crate) struct Jobs {
+    board: Board,
+    roster: Roster,
+    estimates: Estimates,
+    health: HashMap<id::Worker, Health>,
+    avoid: HashMap<id::Job, id::Worker>,
+}
+
+/// A decided change of a job's row, and what follows once it is committed.
+struct Change {
+    old: Revision,
+    job: Job,
+    then: Option<(id::Worker, Order)>,
+}
+
+impl Jobs {
+    /// One round.  Nothing new is started while the platform does not answer.
+    pub(crate) async fn step(&mut self, node: &Arc<Node>, held: Held) {
+        if !self.board.follow(node).await || !self.roster.refresh(node).await {
+            return;
+        }
+        let Ok(tasks) = node.platform.workers.tasks().await else { return };
+        self.learn(&tasks);
+        let settled = self.settle(node, &tasks).await;
+        self.commit(node, held, settled).await;
+        self.stop_cancelled(node, &tasks).await;
+        let placed = self.place(node, held, &tasks);
+        self.commit(node, held, placed).await;
+    }
+
+    fn learn(&mut self, tasks: &[Task]) {
+        for task in tasks {
+            if let Some((_, job)) = self.board.get(&task.job)
+                && job.attempts == task.attempt
+            {
+                let (kind, declared) = (&job.spec.kind, &job.spec.size);
+                self.estimates.learn_use(kind, declared, task.cpu, task.memory);
+            }
+        }
+    }
+
+    /// Commits changes in a few transactions, and gives the orders that follow from them.
+    ///
+    /// The row goes first: an order whose row was refused is never given, and one whose row
+    /// was written is given again by the next holder, with the same attempt, which the worker
+    /// carries out once.
+    async fn commit(&mut self, node: &Arc<Node>, held: Held, changes: Vec<Change>) {
+        let mut changes = changes;
+        while !changes.is_empty() {
+            let rest = changes.split_off(changes.len().min(BATCH));
+            let batch = std::mem::replace(&mut changes, rest);
+            let mut transaction = fenced(Duty::Jobs, held);
+            for change in &batch {
+                let key = fleet::key::<Job>(&change.job.spec.job);
+                transaction = transaction.replace(Space::Job, key, change.old, &change.job);
+            }
+            match node.platform.table.commit(transaction).await {
+                Ok(last) => self.committed(node, batch, last).await,
+                // Another has changed one of the rows, or nobody knows: look again first.
+                Err(_) => {
+                    self.board.follow(node).await;
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn committed(&mut self, node: &Arc<Node>, batch: Vec<Change>, last: Revision) {
+        let first = last.0 + 1 - batch.len() as u64;
+        for (index, change) in batch.into_iter().enumerate() {
+            let (job, stage) = (change.job.spec.job.clone(), change.job.stage);
+            self.board.put(change.job, Revision(first + index as u64));
+            node.note(Kind::Job { job: job.clone(), stage });
+            if let Some((worker, order)) = change.then {
+                self.order(node, &job, worker, order).await;
+            }
+        }
+    }
+
+    async fn order(&mut self, node: &Node, job: &id::Job, worker: id::Worker, order: Order) {
+        if let Err(Error::Refused { .. }) = node.platform.workers.order(&worker, order).await {
+            // The worker will not run it; the next round finds no task and settles it.
+            self.avoid.insert(job.clone(), worker);
+        }
+    }
+
+    /// Stops tasks whose job was cancelled.
+    async fn stop_cancelled(&self, node: &Node, tasks: &[Task]) {
+        for task in tasks.iter().filter(|task| settle::occupies(task)) {
+            let cancelled = self.board.get(&task.job);
+            if cancelled.is_some_and(|(_, job)| job.stage == Stage::Cancelled) {
+                let order = Order::Stop { job: task.job.clone() };
+                let _ = node.platform.workers.order(&task.worker, order).await;
+            }
+        }
+    }
+
+    fn place(&mut self, node: &Node, held: Held, tasks: &[Task]) -> Vec<Change> {
+        let document = node.view.read().document().clone();
+        let mut rooms = self.rooms(node, tasks);
+        let mut used = self.used_by_team();
+        let mut changes = Vec::new();
+        for (revision, job) in self.board.waiting() {
+            let team = document.teams.get(&job.spec.team);
+            let allowance = team.map(|team| Allowance {
+                quota: Size {
+                    cpu: team.cpu,
+                    memory: Bytes(u64::MAX),
+                    accelerators: Accelerators(team.accelerators),
+                },
+                used: used.get(&job.spec.team).copied().unwrap_or_default(),
+            });
+            let need = Need {
+                size: self.estimates.size(&job.spec.kind, &job.spec.size),
+                class: job.spec.class,
+                avoid: self.avoid.get(&job.spec.job).cloned(),
+            };
+            match placement::place(&need, &rooms, allowance) {
+                Placement::Start(worker) => {
+                    take_room(&mut rooms, &worker, &need.size);
+                    *used.entry(job.spec.team.clone()).or_default() += need.size;
+                    changes.push(start(revision, job, worker, held, need.size));
+                }
+                Placement::PutAside(worker, jobs) => {
+                    for name in jobs {
+                        changes.extend(self.put_aside(&name, &worker));
+                        forget_patient(&mut rooms, &worker, &name);
+                    }
+                }
+                Placement::Wait => {}
+                Placement::Impossible(reason) => {
+                    let job = Job { stage: Stage::Failed, reason, ..job.clone() };
+                    changes.push(Change { old: revision, job, then: None });
+                }
+            }
+        }
+        changes
+    }
+
+    fn put_aside(&self, name: &id::Job, worker: &id::Worker) -> Option<Change> {
+        let (revision, job) = self.board.get(name)?;
+        let reason = "put aside for urgent work".into();
+        let job = Job { stage: Stage::Suspended, worker: None, reason, ..job.clone() };
+        let order = Order::Checkpoint { job: name.clone() };
+        Some(Change { old: revision, job, then: Some((worker.clone(), order)) })
+    }
+
+    /// What each worker has left, by what is learnt of the jobs that run on it.
+    fn rooms(&self, node: &Node, tasks: &[Task]) -> Vec<Room> {
+        let now = node.clock.now();
+        let mut rooms: BTreeMap<id::Worker, Room> = BTreeMap::new();
+        for instance in self.roster.of(Role::Worker).filter(|instance| !instance.leaving) {
+            let Ok(worker) = instance.name.parse::<id::Worker>() else { continue };
+            let resting = self.health.get(&worker).is_some_and(|health| match health.state(now) {
+                State::Trusted => false,
+                State::Resting(_) => true,
+                // Tried again gently: one task at a time.
+                State::Probing => tasks.iter().any(|t| t.worker == worker && settle::occupies(t)),
+            });
+            let room = Room {
+                worker: worker.clone(),
+                zone: instance.zone.clone(),
+                rack: instance.rack.clone(),
+                total: instance.size,
+                free: instance.size,
+                resting,
+                patient: Default::default(),
+            };
+            rooms.insert(worker, room);
+        }
+        for job in self.board.running() {
+            let Some(room) = job.worker.as_ref().and_then(|worker| rooms.get_mut(worker)) else {
+                continue;
+            };
+            let size = self.estimates.size(&job.spec.kind, &job.spec.size);
+            room.free -= size;
+            if job.spec.class == Class::Patient {
+                room.patient.push(Patient { job: job.spec.job.clone(), size });
+            }
+        }
+        rooms.into_values().collect()
+    }
+
+    fn used_by_team(&self) -> HashMap<id::Team, Size> {
+        let mut used: HashMap<id::Team, Size> = HashMap::new();
+        for job in self.board.running() {
+            let size = self.estimates.size(&job.spec.kind, &job.spec.size);
+            *used.entry(job.spec.team.clone()).or_default() += size;
+        }
+        used
+    }
+}
+
+fn start(old: Revision, job: &Job, worker: id::Worker, held: Held, size: Size) -> Change {
+    let attempts = job.attempts + 1;
+    let order =
+        Order::Start { job: job.spec.job.clone(), attempt: attempts, token: held.token.0, size };
+    let job = Job {
+        stage: Stage::Running,
+        worker: Some(worker.clone()),
+        attempts,
+        token: held.token,
+        reason: String::new(),
+        ..job.clone()
+    };
+    Change { old, job, then: Some((worker, order)) }
+}
+
+fn take_room(rooms: &mut [Room], worker: &id::Worker, size: &Size) {
+    if let Some(room) = rooms.iter_mut().find(|room| room.worker == *worker) {
+        room.free -= *size;
+    }
+}
+
+/// A job that is being put aside cannot be put aside for a second urgent one, and what it frees
+/// is already spoken for.
+fn forget_patient(rooms: &mut [Room], worker: &id::Worker, job: &id::Job) {
+    if let Some(room) = rooms.iter_mut().find(|room| room.worker == *worker) {
+        room.patient.retain(|patient| patient.job != *job);
+    }
+}
+
+/// Whether another attempt may be made.
+fn may_repeat(job: &Job) -> bool {
+    job.spec.idempotence == Idempotence::Idempotent && job.attempts < MAX_ATTEMPTS
+}
--- /dev/null
+++ b/crates/entry/src/drive/jobs/board.rs
@@ -0,0 +1,84 @@
+//! The jobs' rows, followed from the table.
+
+use crate::node::Node;
+use celerythread_model::fleet::Row as _;
+use celerythread_model::id;
+use celerythread_model::job::{Job, Stage};
+use celerythread_model::table::{Row, Space};
+use celerythread_model::unit::Revision;
+use std::collections::BTreeMap;
+
+/// All jobs that are not settled, with their rows' revisions.
+#[derive(Default)]
+pub(crate) struct Board {
+    jobs: BTreeMap<id::Job, (Revision, Job)>,
+    upto: Revision,
+}
+
+impl Board {
+    /// Reads what changed.  Tells whether the table answered.
+    pub(crate) async fn follow(&mut self, node: &Node) -> bool {
+        loop {
+            let Ok(changes) = node.platform.table.changes(Space::Job, self.upto).await else {
+                return false;
+            };
+            for row in &changes.rows {
+                self.take(row);
+            }
+            self.upto = changes.upto;
+            if !changes.more {
+                return true;
+            }
+        }
+    }
+
+    fn take(&mut self, row: &Row) {
+        let Some(Ok(name)) = row.key.strip_prefix(Job::PREFIX).map(str::parse::<id::Job>) else {
+            return;
+        };
+        match row.decode::<Job>() {
+            Some(job) => self.put(job, row.revision),
+            None => {
+                self.jobs.remove(&name);
+            }
+        }
+    }
+
+    /// Takes a row in that this process has written or read; an older one is ignored.
+    pub(crate) fn put(&mut self, job: Job, revision: Revision) {
+        let name = job.spec.job.clone();
+        let held = self.jobs.get(&name).map_or(Revision(0), |(held, _)| *held);
+        if revision <= held {
+            return;
+        }
+        // A cancelled job stays known so that its task is stopped; the others are settled.
+        if job.stage.is_final() && job.stage != Stage::Cancelled {
+            self.jobs.remove(&name);
+        } else {
+            self.jobs.insert(name, (revision, job));
+        }
+    }
+
+    /// A job with its row's revision.
+    pub(crate) fn get(&self, name: &id::Job) -> Option<(Revision, &Job)> {
+        self.jobs.get(name).map(|(revision, job)| (*revision, job))
+    }
+
+    /// Jobs that run.
+    pub(crate) fn running(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values().map(|(_, job)| job).filter(|job| job.stage == Stage::Running)
+    }
+
+    /// Jobs that wait for a worker: urgent first, then by submission.
+    pub(crate) fn waiting(&self) -> Vec<(Revision, &Job)> {
+        let waits = |stage| matches!(stage, Stage::Queued | Stage::Suspended);
+        let mut waiting: Vec<(Revision, &Job)> = self
+            .jobs
+            .values()
+            .filter(|(_, job)| waits(job.stage))
+            .map(|(revision, job)| (*revision, job))
+            .collect();
+        waiting.sort_by_key(|(_, job)| (job.spec.class, job.submitted_at));
+        waiting
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drive/jobs/settle.rs
@@ -0,0 +1,134 @@
+//! What became of the jobs that were started.
+
+use super::{Change, Jobs, may_repeat};
+use crate::node::Node;
+use celerythread_model::id;
+use celerythread_model::job::{Job, Stage};
+use celerythread_model::request::Idempotence;
+use celerythread_model::unit::Revision;
+use celerythread_platform::message::{Order, Phase, Task};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Whether a task takes room on its worker.
+pub(super) fn occupies(task: &Task) -> bool {
+    matches!(task.phase, Phase::Running | Phase::Throttled)
+}
+
+impl Jobs {
+    /// Decides about every running job by the reports, which lag, and by asking the worker
+    /// where they say nothing.
+    pub(super) async fn settle(&mut self, node: &Node, tasks: &[Task]) -> Vec<Change> {
+        let reported: HashMap<(&id::Worker, &id::Job), &Task> =
+            tasks.iter().map(|task| ((&task.worker, &task.job), task)).collect();
+        let running: Vec<(Revision, Job)> = self
+            .board
+            .running()
+            .filter_map(|job| self.board.get(&job.spec.job))
+            .map(|(revision, job)| (revision, job.clone()))
+            .collect();
+        let mut changes = Vec::new();
+        for (revision, job) in running {
+            let Some(worker) = job.worker.clone() else { continue };
+            let task = reported.get(&(&worker, &job.spec.job)).copied();
+            let next = match task.filter(|task| task.attempt == job.attempts) {
+                Some(task) => self.by_report(node, &job, &worker, task),
+                None => self.without_report(node, &job, &worker).await,
+            };
+            if let Some(job) = next {
+                changes.push(Change { old: revision, job, then: None });
+            }
+        }
+        changes
+    }
+
+    fn by_report(
+        &mut self,
+        node: &Node,
+        job: &Job,
+        worker: &id::Worker,
+        task: &Task,
+    ) -> Option<Job> {
+        match task.phase {
+            Phase::Running | Phase::Throttled => None,
+            Phase::Checkpointed => Some(Job {
+                stage: Stage::Suspended,
+                worker: None,
+                reason: "the worker put it aside".into(),
+                ..job.clone()
+            }),
+            Phase::Done => {
+                self.health.entry(worker.clone()).or_default().succeed(Duration::from_millis(1));
+                Some(Job { stage: Stage::Done, ..job.clone() })
+            }
+            Phase::Failed => {
+                self.note_failure(node, worker);
+                self.avoid.insert(job.spec.job.clone(), worker.clone());
+                Some(retried(job, &format!("attempt {} failed on {worker}", job.attempts)))
+            }
+        }
+    }
+
+    /// Judges a worker by its siblings: one that fails everything it starts is set aside, and
+    /// tried again later with one task.
+    fn note_failure(&mut self, node: &Node, worker: &id::Worker) {
+        let others = self.health.iter().filter(|(name, _)| *name != worker);
+        let rates: Vec<f64> = others.map(|(_, health)| health.failure_rate()).collect();
+        let siblings = rates.iter().sum::<f64>() / rates.len().max(1) as f64;
+        let health = self.health.entry(worker.clone()).or_default();
+        health.fail(node.clock.now(), siblings, true);
+    }
+
+    /// The reports say nothing of the attempt: it was never started, or its worker is gone.
+    async fn without_report(&mut self, node: &Node, job: &Job, worker: &id::Worker) -> Option<Job> {
+        if self.roster.is_gone(worker.as_str(), node.clock.now()) {
+            let reason = format!("{worker} is gone with attempt {}", job.attempts);
+            return Some(lost(job, reason));
+        }
+        let inspected = node.platform.workers.inspect(worker, &job.spec.job).await.ok()?;
+        match inspected {
+            Some(task) if task.attempt == job.attempts => self.by_report(node, job, worker, &task),
+            // The order was lost, or its giver was before it gave it.  The worker carries an
+            // attempt out once however often it is ordered, so it is ordered again.
+            _ => {
+                let order = Order::Start {
+                    job: job.spec.job.clone(),
+                    attempt: job.attempts,
+                    token: job.token.0,
+                    size: self.estimates.size(&job.spec.kind, &job.spec.size),
+                };
+                let refused = node.platform.workers.order(worker, order).await;
+                match refused {
+                    Err(celerythread_platform::Error::Refused { reason }) => {
+                        // Refused for good and no task to show for it: it was not run.
+                        Some(Job { stage: Stage::Queued, worker: None, reason, ..job.clone() })
+                    }
+                    _ => None,
+                }
+            }
+        }
+    }
+}
+
+/// A job whose attempt is over without success, and certainly so.
+fn retried(job: &Job, reason: &str) -> Job {
+    let stage = match (job.spec.idempotence, may_repeat(job)) {
+        (Idempotence::Idempotent, true) => Stage::Queued,
+        // A failed non-idempotent step has run; it is not run a second time.
+        _ => Stage::Failed,
+    };
+    let worker = if stage == Stage::Queued { None } else { job.worker.clone() };
+    Job { stage, worker, reason: reason.into(), ..job.clone() }
+}
+
+/// A job whose worker is gone: an idempotent one goes elsewhere, of another nobody can tell.
+fn lost(job: &Job, reason: String) -> Job {
+    if may_repeat(job) {
+        return Job { stage: Stage::Queued, worker: None, reason, ..job.clone() };
+    }
+    let stage = match job.spec.idempotence {
+        Idempotence::Idempotent => Stage::Failed,
+        Idempotence::NonIdempotent => Stage::Unknown,
+    };
+    Job { stage, reason, ..job.clone() }
+}
--- /dev/null
+++ b/crates/entry/src/drive/roster.rs
@@ -0,0 +1,53 @@
+//! What the platform's lagging list says, remembered long enough to be certain.
+
+use crate::node::Node;
+use celerythread_platform::message::{Instance, Role};
+use celerythread_policy::time::Moment;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+/// Added to the list's lag before an absent instance counts as gone.
+const MARGIN: Duration = Duration::from_millis(500);
+
+/// The list as last read, with since when each known name has been absent.
+#[derive(Default)]
+pub(crate) struct Roster {
+    instances: BTreeMap<String, Instance>,
+    absent_since: HashMap<String, Moment>,
+    lag: Duration,
+    read: bool,
+}
+
+impl Roster {
+    /// Reads the list.  Tells whether it could be read.
+    pub(crate) async fn refresh(&mut self, node: &Node) -> bool {
+        let Ok(listing) = node.platform.roster.list().await else { return false };
+        self.lag = Duration::from_millis(listing.lag_ms);
+        self.instances = listing.instances.into_iter().map(|i| (i.name.clone(), i)).collect();
+        self.read = true;
+        true
+    }
+
+    /// The instance, if it is listed.
+    pub(crate) fn get(&self, name: &str) -> Option<&Instance> {
+        self.instances.get(name)
+    }
+
+    /// Listed instances of a role.
+    pub(crate) fn of(&self, role: Role) -> impl Iterator<Item = &Instance> {
+        self.instances.values().filter(move |instance| instance.role == role)
+    }
+
+    /// Whether an instance is gone for certain: absent for longer than the list lags.
+    ///
+    /// A new instance is not listed yet for as long as the list lags, so absence alone proves
+    /// nothing; it must have lasted, by our own clock, since we first looked for the name.
+    pub(crate) fn is_gone(&mut self, name: &str, now: Moment) -> bool {
+        if !self.read || self.instances.contains_key(name) {
+            self.absent_since.remove(name);
+            return false;
+        }
+        let since = *self.absent_since.entry(name.into()).or_insert(now);
+        now.since(since) > self.lag + MARGIN
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drive/waves.rs
@@ -0,0 +1,150 @@
+//! Running declared waves.
+
+use super::fenced;
+use super::fleet::{Fleet, commit, is_open};
+use crate::duty::Duty;
+use crate::node::Node;
+use celerythread_model::event::Kind;
+use celerythread_model::fleet::{self, Errand, Minion, Progress, State, Wave};
+use celerythread_model::id;
+use celerythread_model::table::Space;
+use celerythread_policy::lease::Held;
+use celerythread_policy::movement;
+use celerythread_policy::view::View;
+use celerythread_policy::wave::{self, Target};
+use std::sync::Arc;
+
+/// Carries every open wave one step on, the earliest deadline first.
+pub(crate) async fn step(fleet: &mut Fleet, node: &Arc<Node>, held: Held) {
+    let mut waves: Vec<Wave> = node.view.read().waves().values().cloned().collect();
+    waves.retain(is_open);
+    waves.sort_by_key(|wave| (wave.deadline.unwrap_or(u64::MAX), wave.declared_at));
+    for wave in waves {
+        let wave = note_returned(node, held, wave).await;
+        if is_open(&wave) {
+            advance(fleet, node, held, &wave).await;
+        }
+    }
+}
+
+/// What is left of a wave, as targets; minions that are gone need no maintenance.
+pub(crate) fn targets(view: &View, wave: &Wave) -> Vec<Target> {
+    let minions = wave.remaining.iter().filter_map(|name| view.minions().get(name));
+    minions.map(target).collect()
+}
+
+pub(crate) fn target(minion: &Minion) -> Target {
+    Target {
+        minion: minion.minion.clone(),
+        service: minion.pool.clone(),
+        zone: minion.zone.clone(),
+        rack: minion.rack.clone(),
+    }
+}
+
+/// Ends a wave of which nothing is left and nothing is out.
+async fn note_returned(node: &Arc<Node>, held: Held, wave: Wave) -> Wave {
+    let (left, out) = {
+        let view = node.view.read();
+        let out = view.minions().values().filter(|m| belongs(m, &wave.wave)).count();
+        (targets(&view, &wave).len(), out)
+    };
+    if left > 0 || out > 0 {
+        return wave;
+    }
+    let done = Wave { progress: Progress::Done, waiting_for: String::new(), ..wave.clone() };
+    if write(node, held, &done).await { done } else { wave }
+}
+
+fn belongs(minion: &Minion, wave: &id::Wave) -> bool {
+    minion.errand.as_ref().is_some_and(|errand| errand.wave.as_ref() == Some(wave))
+}
+
+/// Takes out what may go now, or notes what the wave waits for.
+async fn advance(fleet: &mut Fleet, node: &Arc<Node>, held: Held, wave: &Wave) {
+    let (targets, begun, weight, out) = {
+        let view = node.view.read();
+        let out: Vec<&Minion> =
+            view.minions().values().filter(|m| m.state != State::Active).collect();
+        let begun: Vec<id::Rack> = out.iter().map(|m| m.rack.clone()).collect();
+        let targets: Vec<Target> = targets(&view, wave)
+            .into_iter()
+            .filter(|t| !out.iter().any(|minion| minion.minion == t.minion))
+            .collect();
+        (targets, begun, view.document().rollout_weight, out.len())
+    };
+    let standings = fleet.standings(node);
+    let next = wave::next(&targets, &standings, weight, &begun);
+    if next.is_empty() && out == 0 && !targets.is_empty() {
+        let services = wave::waiting_for(&targets, &standings);
+        let names: Vec<String> = services.iter().map(ToString::to_string).collect();
+        let waiting_for = format!("at the floor: {}", names.join(", "));
+        set_progress(node, held, wave, Progress::Paused, waiting_for).await;
+        return;
+    }
+    if !next.is_empty() && wave.progress == Progress::Paused {
+        set_progress(node, held, wave, Progress::Running, String::new()).await;
+    }
+    for name in next {
+        if !take_out(fleet, node, held, &wave.wave, &name).await {
+            // Something changed under us; the next round decides anew.
+            return;
+        }
+    }
+}
+
+/// Drains one minion and moves it from `remaining` to `done`, in one transaction with the
+/// disruption's row.
+async fn take_out(
+    fleet: &Fleet,
+    node: &Arc<Node>,
+    held: Held,
+    wave: &id::Wave,
+    name: &id::Minion,
+) -> bool {
+    let (old, current) = {
+        let view = node.view.read();
+        let Some(old) = view.minions().get(name).cloned() else { return false };
+        let Some(current) = view.waves().get(wave).cloned() else { return false };
+        (old, current)
+    };
+    if old.state != State::Active || !is_open(&current) {
+        return false;
+    }
+    let boot = fleet.roster.get(name.as_str()).map_or(old.boot, |instance| instance.boot);
+    let errand = Errand { wave: Some(wave.clone()), target: old.pool.clone() };
+    let row = movement::drain(&old, Some(errand), boot);
+    let mut next = current.clone();
+    next.remaining.retain(|left| left != name);
+    next.done.push(name.clone());
+    let taken = fleet.replace(node, held, &old, &row, Some((&current, next))).await;
+    if taken {
+        node.note(Kind::DrainBegun { minion: row.minion, epoch: row.epoch });
+    }
+    taken
+}
+
+async fn set_progress(
+    node: &Arc<Node>,
+    held: Held,
+    wave: &Wave,
+    progress: Progress,
+    waiting_for: String,
+) {
+    if wave.progress == progress && wave.waiting_for == waiting_for {
+        return;
+    }
+    let row = Wave { progress, waiting_for, ..wave.clone() };
+    write(node, held, &row).await;
+}
+
+async fn write(node: &Arc<Node>, held: Held, wave: &Wave) -> bool {
+    let key = fleet::key::<Wave>(&wave.wave);
+    let revision = node.view.read().revision(&key);
+    let transaction = fenced(Duty::Fleet, held).replace(Space::Fleet, key, revision, wave);
+    let written = commit(node, transaction).await;
+    if written {
+        node.note(Kind::Wave { wave: wave.wave.clone(), progress: wave.progress });
+    }
+    written
+}
--- /dev/null
+++ b/crates/entry/src/duty.rs
@@ -0,0 +1,118 @@
+//! Duties that one entry carries at a time, under leases in the table.
+
+use crate::drive;
+use crate::node::Node;
+use celerythread_model::event::Kind;
+use celerythread_model::fleet::{Lease, Row as _};
+use celerythread_model::table::Space;
+use celerythread_platform::Error;
+use celerythread_platform::message::Transaction;
+use celerythread_policy::lease::{Action, Held, Observer};
+use std::sync::Arc;
+use std::time::Duration;
+use strum::{Display, VariantArray};
+
+/// Time between two steps of a duty.
+const STEP: Duration = Duration::from_millis(500);
+
+/// Renewals in a term.
+const RENEWALS: u32 = 4;
+
+/// What one entry does for all.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, VariantArray)]
+#[strum(serialize_all = "lowercase")]
+pub(crate) enum Duty {
+    /// Keeps the minions' rows, runs waves and moves.
+    Fleet,
+    /// Places jobs on workers.
+    Jobs,
+}
+
+impl Duty {
+    /// The key of its lease.
+    pub(crate) fn key(self) -> String {
+        format!("{}{self}", Lease::PREFIX)
+    }
+}
+
+/// Tries to carry a duty, and carries it while the lease lasts.
+pub(crate) async fn carry_forever(node: Arc<Node>, duty: Duty) {
+    let mut observer = Observer::default();
+    let mut held: Option<Held> = None;
+    let mut driver = drive::Driver::new(duty);
+    let renewal = node.settings.lease_term.0 / RENEWALS;
+    let mut looked = None;
+    loop {
+        let now = node.clock.now();
+        if looked.is_none_or(|at| now.since(at) >= renewal) {
+            looked = Some(now);
+            let before = held;
+            held = look(&node, duty, &mut observer, held).await;
+            note_change(&node, duty, before, held);
+            if before.map(|held| held.token) != held.map(|held| held.token) {
+                // What was remembered belongs to a time that others have acted in since.
+                driver = drive::Driver::new(duty);
+            }
+        }
+        let term = node.settings.lease_term.0;
+        if let Some(held) = held.filter(|held| held.is_fresh(node.clock.now(), term)) {
+            driver.step(&node, held).await;
+        }
+        if !node.pause(STEP.min(renewal)).await || node.is_stopping() {
+            break;
+        }
+    }
+    if let Some(held) = held {
+        give_back(&node, duty, held).await;
+    }
+}
+
+/// Reads the lease, and renews or takes it.
+async fn look(
+    node: &Arc<Node>,
+    duty: Duty,
+    observer: &mut Observer,
+    held: Option<Held>,
+) -> Option<Held> {
+    if !node.view.read().entries().contains_key(&node.me) {
+        return None;
+    }
+    let key = duty.key();
+    let rows = node.platform.table.read(Space::Lease, std::slice::from_ref(&key)).await;
+    let Ok(Some(row)) = rows.map(|rows| rows.into_iter().next()) else { return held };
+    let now = node.clock.now();
+    let lease: Option<Lease> = row.decode();
+    let term = node.settings.lease_term.0;
+    let next = match observer.observe(&node.me, lease.as_ref(), row.revision, now, term) {
+        Action::Stand => return None,
+        Action::Renew(next) | Action::Take(next) => next,
+    };
+    // An absent row is conditional on being absent; a deleted one has a revision of its own.
+    let transaction = Transaction::new().replace(Space::Lease, key, row.revision, &next);
+    match node.platform.table.commit(transaction).await {
+        Ok(revision) => Some(Held { token: next.token, revision, confirmed: now }),
+        // Whether it was written shows at the next look.
+        Err(Error::Lost { .. } | Error::Unavailable { .. }) => held,
+        Err(_) => None,
+    }
+}
+
+fn note_change(node: &Node, duty: Duty, before: Option<Held>, after: Option<Held>) {
+    let (before, after) = (before.map(|held| held.token), after.map(|held| held.token));
+    if before == after {
+        return;
+    }
+    if let Some(token) = before {
+        node.note(Kind::LeaseLost { duty: duty.to_string(), token });
+    }
+    if let Some(token) = after {
+        node.note(Kind::LeaseTaken { duty: duty.to_string(), token });
+    }
+}
+
+async fn give_back(node: &Arc<Node>, duty: Duty, held: Held) {
+    let row = Lease { holder: None, token: held.token, beat: 0 };
+    let transaction = Transaction::new().replace(Space::Lease, duty.key(), held.revision, &row);
+    let _ = node.platform.table.commit(transaction).await;
+    note_change(node, duty, Some(held), None);
+}
--- /dev/null
+++ b/crates/entry/src/follow.rs
@@ -0,0 +1,88 @@
+//! Keeping the view: from the table, or in an outage from peers.
+
+use crate::node::Node;
+use crate::peers;
+use celerythread_model::event::Kind;
+use celerythread_model::fleet::State;
+use celerythread_model::table::{Row, Space};
+use celerythread_model::unit::Revision;
+use celerythread_policy::queue::Bounds;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// Follows the table until the process ends.
+pub(crate) async fn follow_forever(node: Arc<Node>) {
+    loop {
+        if once(&node).await.is_err() {
+            peers::relay(&node).await;
+        }
+        node.wake.wait(node.settings.poll.0).await;
+        if !node.pause(std::time::Duration::ZERO).await {
+            return;
+        }
+    }
+}
+
+/// Reads all changes since the last time.
+///
+/// # Errors
+/// The platform's.
+pub(crate) async fn once(node: &Arc<Node>) -> Result<(), celerythread_platform::Error> {
+    loop {
+        let since = node.view.read().upto();
+        let changes = node.platform.table.changes(Space::Fleet, since).await?;
+        apply(node, &changes.rows, changes.upto);
+        if !changes.more {
+            return Ok(());
+        }
+    }
+}
+
+/// Takes rows into the view and acts on what changed.
+pub(crate) fn apply(node: &Node, rows: &[Row], upto: Revision) {
+    node.timeline.witness(upto.0);
+    let before = node.view.read().config_number();
+    let changed = node.view.write().apply(rows, upto);
+    if changed.config {
+        put_in_force(node, before);
+    }
+    if changed.fleet || changed.config {
+        refresh_slots(node);
+    }
+}
+
+fn put_in_force(node: &Node, before: Revision) {
+    let document = node.view.read().document().clone();
+    let bounds: HashMap<_, _> = document
+        .services
+        .values()
+        .map(|service| {
+            let limit = service.queue_per_slot as usize;
+            (service.service.clone(), Bounds { limit, patient_share: service.patient_share })
+        })
+        .collect();
+    node.router.lock().set_bounds(bounds);
+    let number = node.view.read().config_number();
+    if number > before {
+        node.note(Kind::ConfigInForce { number });
+    }
+}
+
+/// Brings the slots of owned minions up to the view: state, epoch, pool, address and count.
+pub(crate) fn refresh_slots(node: &Node) {
+    let view = node.view.read();
+    let mut router = node.router.lock();
+    let owned: Vec<_> = router.ledger.owned().cloned().collect();
+    for name in owned {
+        let ours = view.owners().get(&name).is_some_and(|row| row.owner.as_ref() == Some(&node.me));
+        match view.minions().get(&name) {
+            Some(minion) if ours => {
+                let active = minion.state == State::Active;
+                let spec = crate::owner::spec(&view, minion, active);
+                router.ledger.own(name, spec, None);
+            }
+            _ => router.ledger.disown(&name),
+        }
+    }
+    router.tick(node.clock.now());
+}
--- /dev/null
+++ b/crates/entry/src/membership.rs
@@ -0,0 +1,103 @@
+//! The registry of entries that may route.
+//!
+//! An entry registers before it routes and reads the fleet's rows after that.  It leaves by its
+//! own graceful stop, or is cleared away once the platform's list has shown its instance gone
+//! for longer than the list's lag: then the process is gone for certain, and no clock of a
+//! paused one is trusted.
+
+use crate::node::Node;
+use celerythread_model::fleet::{self, Registration};
+use celerythread_model::id;
+use celerythread_model::table::Space;
+use celerythread_model::unit::Revision;
+use celerythread_platform::Error;
+use celerythread_platform::message::Transaction;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Wait between two tries to register.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// Where this entry is reached.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Addresses {
+    pub(crate) peer: SocketAddr,
+    pub(crate) operator: SocketAddr,
+}
+
+fn row(node: &Node, addresses: Addresses, stopping: bool) -> Registration {
+    Registration {
+        entry: node.me.clone(),
+        zone: node.settings.zone.clone(),
+        peer_address: addresses.peer,
+        operator_address: addresses.operator,
+        stopping,
+    }
+}
+
+/// Registers this process, trying until it succeeds.  Tells whether it did before the stop.
+pub(crate) async fn register(node: &Arc<Node>, addresses: Addresses) -> bool {
+    let key = fleet::key::<Registration>(&node.me);
+    let row = row(node, addresses, false);
+    loop {
+        let mut transaction = Transaction::new().replace(Space::Fleet, &*key, Revision(0), &row);
+        for (stale, revision) in replaced(node, addresses.peer) {
+            transaction = transaction.check(Space::Fleet, &*stale, revision);
+            transaction = transaction.delete(Space::Fleet, stale);
+        }
+        match node.platform.table.commit(transaction).await {
+            Ok(_) => return true,
+            // A lost answer shows as a conflict with our own row on the next try.
+            Err(Error::Conflict { rows }) => {
+                let ours = rows.iter().any(|standing| standing.key == key);
+                if ours {
+                    return true;
+                }
+            }
+            Err(_) => {}
+        }
+        if !node.pause(RETRY).await {
+            return false;
+        }
+        let _ = crate::follow::once(node).await;
+    }
+}
+
+/// Rows of earlier processes at our own peer address: we could not have bound it while they
+/// lived.
+fn replaced(node: &Node, peer: SocketAddr) -> Vec<(String, Revision)> {
+    let view = node.view.read();
+    let stale = view.entries().values().filter(|row| row.peer_address == peer);
+    let stale = stale.filter(|row| row.entry != node.me);
+    stale
+        .map(|row| {
+            let key = fleet::key::<Registration>(&row.entry);
+            let revision = view.revision(&key);
+            (key, revision)
+        })
+        .collect()
+}
+
+/// Says in the registry that this entry takes no new work.
+pub(crate) async fn announce_stop(node: &Arc<Node>, addresses: Addresses) {
+    let key = fleet::key::<Registration>(&node.me);
+    let revision = node.view.read().revision(&key);
+    let row = row(node, addresses, true);
+    let transaction = Transaction::new().replace(Space::Fleet, key, revision, &row);
+    // Best effort: peers also learn it from the beats.
+    let _ = node.platform.table.commit(transaction).await;
+    let _ = crate::follow::once(node).await;
+}
+
+/// Removes this entry from the registry.  Only called when it holds no work and no slots.
+pub(crate) async fn leave(node: &Arc<Node>) -> bool {
+    let key = fleet::key::<Registration>(&node.me);
+    let transaction = Transaction::new().delete(Space::Fleet, key);
+    node.platform.table.commit(transaction).await.is_ok()
+}
+
+/// The instance of an entry: its id without the part that is new with every start.
+pub(crate) fn instance(entry: &id::Entry) -> &str {
+    entry.as_str().rsplit_once('.').map_or(entry.as_str(), |(instance, _)| instance)
+}
--- /dev/null
+++ b/crates/entry/src/operator/config.rs
@@ -0,0 +1,173 @@
+//! Configuration: checked, applied against a base, shown, and its history.
+
+use super::{platform, wrong};
+use crate::node::Node;
+use crate::problem::{Problem, body, json};
+use celerythread_http::server::Request;
+use celerythread_model::code::Code;
+use celerythread_model::config::Document;
+use celerythread_model::event::Kind;
+use celerythread_model::fleet::{self, Config};
+use celerythread_model::id;
+use celerythread_model::ini::Mistake;
+use celerythread_model::table::Space;
+use celerythread_model::unit::Revision;
+use celerythread_platform::Error;
+use celerythread_platform::message::Transaction;
+use http_types::Response;
+use serde::Deserialize;
+use similar::TextDiff;
+use std::sync::Arc;
+
+/// Configurations told by `history` unless more are asked for.
+const HISTORY: u64 = 20;
+
+/// Tries of an apply whose answer was lost.
+const TRIES: u32 = 5;
+
+/// An operator's change.
+#[derive(Deserialize)]
+struct Change {
+    /// The same id again is the same change.
+    change: id::Change,
+    author: String,
+    /// The number of the configuration that the operator changed.
+    base: Revision,
+    template: String,
+    parameters: String,
+}
+
+#[derive(Deserialize)]
+struct Files {
+    template: String,
+    parameters: String,
+}
+
+pub(crate) async fn show(node: &Arc<Node>) -> Result<Response, Problem> {
+    let config = node.view.read().config().cloned();
+    let config = config.ok_or_else(|| Problem::new(Code::NotFound, "no configuration yet"))?;
+    Ok(json(config.as_ref()))
+}
+
+pub(crate) async fn history(node: &Arc<Node>, request: &Request) -> Result<Response, Problem> {
+    let most = request.query("most").map_or(Ok(HISTORY), |text| text.parse()).map_err(wrong)?;
+    let current = node.view.read().config_number().0;
+    let first = current.saturating_sub(most) + 1;
+    let keys: Vec<String> = (first..=current).rev().map(|n| history_key(Revision(n))).collect();
+    let rows = node.platform.table.read(Space::History, &keys).await;
+    let rows = rows.map_err(|error| platform(&error))?;
+    let configs: Vec<Config> = rows.iter().filter_map(|row| row.decode()).collect();
+    Ok(json(&configs))
+}
+
+pub(crate) fn check(request: &Request) -> Result<Response, Problem> {
+    let files: Files = body(request)?;
+    let document =
+        Document::read(&files.template, &files.parameters).map_err(|found| mistakes(&found))?;
+    Ok(json(&document))
+}
+
+fn mistakes(found: &[Mistake]) -> Problem {
+    let code = found.first().map_or(Code::BadRequest, |mistake| mistake.code);
+    let detail = format!("{} mistakes", found.len());
+    let extra = serde_json::to_value(found).unwrap_or_default();
+    Problem::new(code, detail).extra(extra)
+}
+
+fn history_key(number: Revision) -> String {
+    format!("config/{:010}", number.0)
+}
+
+fn change_key(change: &id::Change) -> String {
+    format!("change/{change}")
+}
+
+/// Applies a change.
+///
+/// One transaction writes the current configuration against its revision, the history, and the
+/// change's id against there being none: so racing operators are told apart, and a change whose
+/// answer was lost is found again under its id instead of being made twice.
+pub(crate) async fn apply(node: &Arc<Node>, request: &Request) -> Result<Response, Problem> {
+    let change: Change = body(request)?;
+    Document::read(&change.template, &change.parameters).map_err(|found| mistakes(&found))?;
+    for _ in 0..TRIES {
+        if let Some(config) = made_before(node, &change).await? {
+            return accepted(node, config).await;
+        }
+        crate::follow::once(node).await.map_err(|error| platform(&error))?;
+        let standing = node.view.read().config_number();
+        if standing != change.base {
+            return Err(stale(node, &change).await);
+        }
+        let config = Config {
+            number: standing.next(),
+            change: change.change.clone(),
+            author: change.author.clone(),
+            template: change.template.clone(),
+            parameters: change.parameters.clone(),
+        };
+        let transaction = transaction(node, &config);
+        match node.platform.table.commit(transaction).await {
+            Ok(revision) => {
+                let (number, change) = (config.number, config.change.clone());
+                let kind = Kind::ConfigAccepted { number, change };
+                node.timeline.note_at(node.clock.wall_ms(), revision, kind);
+                return accepted(node, config).await;
+            }
+            // Somebody was faster, or nobody knows: the next round finds out which.
+            Err(Error::Conflict { .. } | Error::Lost { .. }) => {}
+            Err(error) => return Err(platform(&error)),
+        }
+    }
+    Err(Problem::new(Code::PlatformUnknown, "apply it again under the same change id"))
+}
+
+fn transaction(node: &Node, config: &Config) -> Transaction {
+    let revision = node.view.read().revision(fleet::CONFIG_KEY);
+    Transaction::new()
+        .replace(Space::Fleet, fleet::CONFIG_KEY, revision, config)
+        .put(Space::History, history_key(config.number), config)
+        .replace(Space::History, change_key(&config.change), Revision(0), config)
+}
+
+/// The configuration that this change id has made already.
+async fn made_before(node: &Arc<Node>, change: &Change) -> Result<Option<Config>, Problem> {
+    let keys = [change_key(&change.change)];
+    let rows = node.platform.table.read(Space::History, &keys).await;
+    let rows = rows.map_err(|error| platform(&error))?;
+    let Some(config) = rows.first().and_then(|row| row.decode::<Config>()) else {
+        return Ok(None);
+    };
+    let same = config.template == change.template && config.parameters == change.parameters;
+    if !same {
+        let detail = format!("change {} made another configuration", change.change);
+        return Err(Problem::new(Code::ChangeReused, detail));
+    }
+    Ok(Some(config))
+}
+
+async fn accepted(node: &Arc<Node>, config: Config) -> Result<Response, Problem> {
+    // In force here before the operator is answered.
+    let _ = crate::follow::once(node).await;
+    node.wake.wake();
+    Ok(json(&config))
+}
+
+/// The refusal of a change that was made against an older configuration, with what has changed
+/// since.
+async fn stale(node: &Arc<Node>, change: &Change) -> Problem {
+    let current = node.view.read().config().cloned();
+    let keys = [history_key(change.base)];
+    let rows = node.platform.table.read(Space::History, &keys).await.unwrap_or_default();
+    let base: Option<Config> = rows.first().and_then(|row| row.decode());
+    let text = |config: Option<&Config>| {
+        config.map_or_else(String::new, |c| format!("{}\n{}", c.template, c.parameters))
+    };
+    let (old, new) = (text(base.as_ref()), text(current.as_deref()));
+    let diff = TextDiff::from_lines(&old, &new).unified_diff().to_string();
+    let number = current.as_ref().map_or(Revision(0), |config| config.number);
+    let author = current.as_ref().map_or("", |config| config.author.as_str());
+    let detail = format!("the current configuration is {number} by {author}, not {}", change.base);
+    let extra = serde_json::json!({ "current": number, "author": author, "diff": diff });
+    Problem::new(Code::StaleBase, detail).extra(extra)
+}
--- /dev/null
+++ b/crates/entry/src/operator/maintenance.rs
@@ -0,0 +1,220 @@
+//! Declaring, listing and cancelling maintenance.
+
+use super::{platform, wrong};
+use crate::drive;
+use crate::node::Node;
+use crate::problem::{Problem, body, json};
+use celerythread_http::server::Request;
+use celerythread_model::code::Code;
+use celerythread_model::event::Kind;
+use celerythread_model::fleet::{self, Minion, Progress, Wave};
+use celerythread_model::id;
+use celerythread_model::table::Space;
+use celerythread_model::unit::{Revision, Span};
+use celerythread_platform::Error;
+use celerythread_platform::message::Transaction;
+use celerythread_policy::availability::Standing;
+use celerythread_policy::wave::{self, Forecast, Target};
+use http_types::Response;
+use serde::Deserialize;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Time that draining adds to a reboot in the forecast.
+const DRAIN: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// The row whose revision orders declarations: two of them never overlook each other.
+const DECLARATIONS: &str = "declarations";
+
+/// Tries of a declaration that raced another one.
+const TRIES: u32 = 5;
+
+/// What an operator declares; an empty list means all.
+#[derive(Deserialize)]
+struct Declaration {
+    wave: id::Wave,
+    author: String,
+    #[serde(default)]
+    zones: BTreeSet<id::Zone>,
+    #[serde(default)]
+    racks: BTreeSet<id::Rack>,
+    #[serde(default)]
+    services: BTreeSet<id::Service>,
+    #[serde(default)]
+    minions: BTreeSet<id::Minion>,
+    /// How long from now it may take.
+    within: Option<Span>,
+}
+
+impl Declaration {
+    fn covers(&self, minion: &Minion) -> bool {
+        fn picks<T: Ord>(set: &BTreeSet<T>, value: &T) -> bool {
+            set.is_empty() || set.contains(value)
+        }
+        picks(&self.zones, &minion.zone)
+            && picks(&self.racks, &minion.rack)
+            && picks(&self.services, &minion.pool)
+            && picks(&self.minions, &minion.minion)
+    }
+}
+
+#[derive(Deserialize)]
+struct Cancellation {
+    wave: id::Wave,
+}
+
+pub(crate) fn list(node: &Node) -> Vec<Wave> {
+    node.view.read().waves().values().cloned().collect()
+}
+
+/// Declares a wave, or refuses it with the reason.
+pub(crate) async fn declare(node: &Arc<Node>, request: &Request) -> Result<Response, Problem> {
+    let declaration: Declaration = body(request)?;
+    for _ in 0..TRIES {
+        crate::follow::once(node).await.map_err(|error| platform(&error))?;
+        if let Some(standing) = node.view.read().waves().get(&declaration.wave) {
+            // The same name again is the same declaration, for a lost answer.
+            return Ok(json(standing));
+        }
+        let (row, forecast) = plan(node, &declaration)?;
+        let transaction = transaction(node, &row);
+        match node.platform.table.commit(transaction).await {
+            Ok(_) => {
+                let _ = crate::follow::once(node).await;
+                node.note(Kind::Wave { wave: row.wave.clone(), progress: row.progress });
+                return Ok(json(&answer(&row, &forecast)));
+            }
+            Err(Error::Conflict { .. } | Error::Lost { .. }) => {}
+            Err(error) => return Err(platform(&error)),
+        }
+    }
+    Err(Problem::new(Code::PlatformUnknown, "declare it again under the same name"))
+}
+
+fn answer(wave: &Wave, forecast: &Forecast) -> serde_json::Value {
+    serde_json::json!({
+        "wave": wave.wave,
+        "instances": wave.remaining.len(),
+        "forecast": Span(forecast.time).to_string(),
+        "binding": forecast.binding,
+        "parallel": forecast.parallel,
+    })
+}
+
+fn transaction(node: &Node, row: &Wave) -> Transaction {
+    let view = node.view.read();
+    let order = view.revision(DECLARATIONS);
+    Transaction::new().replace(Space::Fleet, DECLARATIONS, order, &row.wave).replace(
+        Space::Fleet,
+        fleet::key::<Wave>(&row.wave),
+        Revision(0),
+        row,
+    )
+}
+
+/// The wave's row with its forecast, or why it cannot be.
+fn plan(node: &Node, declaration: &Declaration) -> Result<(Wave, Forecast), Problem> {
+    let view = node.view.read();
+    let targets: Vec<Target> =
+        view.minions().values().filter(|m| declaration.covers(m)).map(drive::target).collect();
+    if targets.is_empty() {
+        return Err(Problem::new(Code::NotFound, "no minion is covered"));
+    }
+    refuse_overlap(&view, &targets)?;
+    let document = view.document();
+    let standings: BTreeMap<id::Service, Standing> = document
+        .services
+        .values()
+        .map(|service| {
+            let disruption = view.disruption(&service.service);
+            let minions = view.pool(&service.service);
+            let standing = Standing::count(service, minions, &disruption, |_| true);
+            (service.service.clone(), standing)
+        })
+        .collect();
+    let each = document.reboot.0 + DRAIN;
+    let forecast = wave::forecast(&targets, &standings, document.rollout_weight, each);
+    if let Some(stuck) = &forecast.stuck {
+        let detail = format!("{stuck} has nothing to spare above its floor");
+        return Err(Problem::new(Code::WaveTooLate, detail));
+    }
+    refuse_late(declaration, &forecast)?;
+    let now = node.clock.wall_ms();
+    let row = Wave {
+        wave: declaration.wave.clone(),
+        author: declaration.author.clone(),
+        progress: Progress::Running,
+        remaining: targets.into_iter().map(|target| target.minion).collect(),
+        done: Vec::new(),
+        declared_at: now,
+        deadline: declaration.within.map(|within| now + within.0.as_millis() as u64),
+        forecast: Span(forecast.time),
+        waiting_for: String::new(),
+    };
+    Ok((row, forecast))
+}
+
+fn refuse_late(declaration: &Declaration, forecast: &Forecast) -> Result<(), Problem> {
+    let Some(within) = declaration.within.filter(|within| forecast.time > within.0) else {
+        return Ok(());
+    };
+    let binding = forecast.binding.as_ref().map_or("", |service| service.as_str());
+    let detail = format!(
+        "the forecast is {} and {within} was allowed; {binding} binds, with {} at once",
+        Span(forecast.time),
+        forecast.parallel
+    );
+    Err(Problem::new(Code::WaveTooLate, detail))
+}
+
+/// A minion is maintained by one wave at a time.
+fn refuse_overlap(
+    view: &celerythread_policy::view::View,
+    targets: &[Target],
+) -> Result<(), Problem> {
+    for wave in view.waves().values().filter(|wave| drive::is_open(wave)) {
+        let shared = targets.iter().find(|target| wave.remaining.contains(&target.minion));
+        if let Some(target) = shared {
+            let detail = format!("{} is part of wave {} already", target.minion, wave.wave);
+            return Err(Problem::new(Code::WaveConflict, detail));
+        }
+    }
+    Ok(())
+}
+
+/// Cancels a wave: nothing more is taken out, and what is out returns.
+pub(crate) async fn cancel(node: &Arc<Node>, request: &Request) -> Result<Response, Problem> {
+    let cancellation: Cancellation = body(request)?;
+    for _ in 0..TRIES {
+        crate::follow::once(node).await.map_err(|error| platform(&error))?;
+        let (revision, row) = {
+            let view = node.view.read();
+            let key = fleet::key::<Wave>(&cancellation.wave);
+            let row = view.waves().get(&cancellation.wave).cloned();
+            (view.revision(&key), row)
+        };
+        let name = &cancellation.wave;
+        let row =
+            row.ok_or_else(|| Problem::new(Code::NotFound, format!("there is no wave {name}")))?;
+        match row.progress {
+            Progress::Cancelled => return Ok(json(&row)),
+            Progress::Done => {
+                return Err(Problem::new(Code::WrongState, format!("wave {name} is done")));
+            }
+            Progress::Running | Progress::Paused => {}
+        }
+        let next = Wave { progress: Progress::Cancelled, ..row };
+        let key = fleet::key::<Wave>(name);
+        let transaction = Transaction::new().replace(Space::Fleet, key, revision, &next);
+        match node.platform.table.commit(transaction).await {
+            Ok(_) => {
+                let _ = crate::follow::once(node).await;
+                node.note(Kind::Wave { wave: name.clone(), progress: next.progress });
+                return Ok(json(&next));
+            }
+            Err(Error::Conflict { .. } | Error::Lost { .. }) => {}
+            Err(error) => return Err(platform(&error)),
+        }
+    }
+    Err(wrong("the wave keeps changing; try again"))
+}
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,392 @@
+//! The other entries: links, beats, and the exchanges they open.
+
+use crate::metrics::Counter;
+use crate::node::Node;
+use crate::router;
+use celerythread_model::code::Code;
+use celerythread_model::event::Kind;
+use celerythread_model::id;
+use celerythread_model::unit::Revision;
+use celerythread_policy::time::Moment;
+use celerythread_wire::frame::{Beat, Frame, Load};
+use celerythread_wire::{Channel, Endpoint, Error, Link};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A peer that was not heard for so long gets no requests for slots.
+pub(crate) const FRESH: Duration = Duration::from_secs(3);
+
+/// Longest wait for a dial, a beat or rows.
+const EXCHANGE_LIMIT: Duration = Duration::from_secs(2);
+
+/// A lost grant is settled by a beat that comes at least so long after the link was lost, so
+/// that a grant still on its way is either listed by then or was refused by the asker.
+const SETTLE_AFTER: Duration = Duration::from_secs(2);
+
+/// What is known of a peer.
+#[derive(Default)]
+pub(crate) struct Peer {
+    link: Option<Link>,
+    /// Its last beat.
+    pub(crate) beat: Option<Beat>,
+    /// When it was last heard.
+    pub(crate) heard: Moment,
+    /// When its last link was lost; none once its grants are settled.
+    lost: Option<Moment>,
+    /// Work on each of its minions, the highest of the last two beats.
+    load: HashMap<id::Minion, u32>,
+    zone: Option<id::Zone>,
+}
+
+/// All peers.
+#[derive(Default)]
+pub(crate) struct Peers {
+    all: BTreeMap<id::Entry, Peer>,
+}
+
+impl Peers {
+    /// The peer's link, if it has one.
+    pub(crate) fn link(&self, entry: &id::Entry) -> Option<Link> {
+        self.all.get(entry)?.link.clone().filter(|link| !link.is_closed())
+    }
+
+    /// What is known of a peer.
+    pub(crate) fn get(&self, entry: &id::Entry) -> Option<&Peer> {
+        self.all.get(entry)
+    }
+
+    /// All peers heard of.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&id::Entry, &Peer)> {
+        self.all.iter()
+    }
+
+    fn fresh(&self, now: Moment) -> impl Iterator<Item = (&id::Entry, &Peer, &Beat)> {
+        self.all.iter().filter_map(move |(entry, peer)| {
+            let beat = peer.beat.as_ref()?;
+            let usable = now.since(peer.heard) < FRESH && !beat.stopping;
+            usable.then_some((entry, peer, beat))
+        })
+    }
+
+    /// Peers that showed free slots of a service, those of the own zone first, then most free.
+    pub(crate) fn with_room(
+        &self,
+        service: &id::Service,
+        zone: &id::Zone,
+        now: Moment,
+    ) -> Vec<id::Entry> {
+        let mut found: Vec<(bool, u32, &id::Entry)> = self
+            .fresh(now)
+            .filter_map(|(entry, peer, beat)| {
+                let room = beat.room.iter().find(|room| room.service == *service)?;
+                let far = peer.zone.as_ref() != Some(zone);
+                (room.free > 0).then_some((far, room.free, entry))
+            })
+            .collect();
+        found.sort_by_key(|(far, free, _)| (*far, u32::MAX - free));
+        found.into_iter().map(|(_, _, entry)| entry.clone()).collect()
+    }
+
+    /// The peer that has most of a service for each request that waits there.
+    pub(crate) fn largest(&self, service: &id::Service, now: Moment) -> Option<id::Entry> {
+        let with_slots = self.fresh(now).filter_map(|(entry, _, beat)| {
+            let room = beat.room.iter().find(|room| room.service == *service)?;
+            let per_slot = (room.waiting + 1) as f64 / f64::from(room.slots.max(1));
+            (room.slots > 0).then_some((per_slot, entry))
+        });
+        with_slots.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, entry)| entry.clone())
+    }
+
+    /// A peer had no slot after all: do not ask again before its next beat.
+    pub(crate) fn note_full(&mut self, entry: &id::Entry, service: &id::Service) {
+        let Some(beat) = self.all.get_mut(entry).and_then(|peer| peer.beat.as_mut()) else {
+            return;
+        };
+        if let Some(room) = beat.room.iter_mut().find(|room| room.service == *service) {
+            room.free = 0;
+        }
+    }
+
+    /// What a peer's minion had outstanding when the peer was last heard.
+    pub(crate) fn last_load(&self, entry: &id::Entry, minion: &id::Minion) -> u32 {
+        let peer = self.all.get(entry);
+        peer.and_then(|peer| peer.load.get(minion)).copied().unwrap_or(0)
+    }
+
+    fn take_beat(&mut self, beat: Beat, link: Option<&Link>, now: Moment) -> Heard {
+        let peer = self.all.entry(beat.entry.clone()).or_default();
+        let anew = peer.beat.is_none() || now.since(peer.heard) >= FRESH;
+        let earlier: HashMap<id::Minion, u32> = peer
+            .beat
+            .iter()
+            .flat_map(|b| &b.load)
+            .map(|l| (l.minion.clone(), l.outstanding))
+            .collect();
+        peer.load = beat
+            .load
+            .iter()
+            .map(|load| {
+                let before = earlier.get(&load.minion).copied().unwrap_or(0);
+                (load.minion.clone(), load.outstanding.max(before))
+            })
+            .collect();
+        peer.heard = now;
+        peer.beat = Some(beat);
+        if let Some(link) = link {
+            let replaced = peer.link.replace(link.clone());
+            if replaced.is_some_and(|old| old.is_closed()) {
+                peer.lost.get_or_insert(now);
+            }
+        }
+        let settle = peer.lost.is_some_and(|lost| now.since(lost) >= SETTLE_AFTER);
+        if settle {
+            peer.lost = None;
+        }
+        Heard { anew, settle }
+    }
+
+    fn lose_link(&mut self, entry: &id::Entry, now: Moment) {
+        if let Some(peer) = self.all.get_mut(entry) {
+            peer.link = None;
+            peer.lost.get_or_insert(now);
+        }
+    }
+}
+
+/// What follows from a beat.
+struct Heard {
+    anew: bool,
+    settle: bool,
+}
+
+/// This entry's own beat, for one peer.
+pub(crate) fn beat(node: &Node, to: &id::Entry) -> Beat {
+    let now = node.clock.now();
+    let (config, view) = {
+        let view = node.view.read();
+        (view.config_number(), view.upto())
+    };
+    let (room, load, ejected) = {
+        let router = node.router.lock();
+        let load = router
+            .ledger
+            .owned()
+            .map(|minion| Load {
+                minion: minion.clone(),
+                outstanding: router.ledger.outstanding(minion),
+            })
+            .filter(|load| load.outstanding > 0)
+            .collect();
+        (router.rooms(now), load, router.ledger.ejected(now))
+    };
+    let holding =
+        node.holding.lock().get(to).map(|held| held.iter().copied().collect()).unwrap_or_default();
+    Beat {
+        entry: node.me.clone(),
+        clock: node.timeline.clock(),
+        config,
+        view,
+        stopping: node.is_stopping(),
+        room,
+        holding,
+        load,
+        ejected,
+    }
+}
+
+fn hear(node: &Node, beat: Beat, link: Option<&Link>) {
+    node.count(Counter::Beats);
+    node.timeline.witness(beat.clock);
+    let now = node.clock.now();
+    let entry = beat.entry.clone();
+    let held = beat.holding.clone();
+    let heard = node.peers.write().take_beat(beat, link, now);
+    if heard.settle {
+        let mut router = node.router.lock();
+        router.ledger.settle(&entry, |grant| held.contains(&grant.0));
+        router.tick(now);
+    }
+    if heard.anew {
+        node.note(Kind::Peer { peer: entry, reachable: true });
+    }
+}
+
+/// Keeps beating to every registered peer.  The lower id dials, so each pair has one link.
+pub(crate) async fn beat_forever(node: Arc<Node>, endpoint: Arc<Endpoint>) {
+    let mut last: HashMap<id::Entry, Moment> = HashMap::new();
+    let tick = node.settings.beat.0.min(Duration::from_millis(250));
+    while node.pause(tick).await {
+        let now = node.clock.now();
+        let registered = note_zones(&node);
+        last.retain(|entry, _| registered.iter().any(|(known, _, _)| known == entry));
+        for (entry, address, zone) in registered {
+            let interval = if zone == node.settings.zone {
+                node.settings.beat
+            } else {
+                node.settings.far_beat
+            };
+            let due = last.get(&entry).is_none_or(|at| now.since(*at) >= interval.0);
+            if entry > node.me && due {
+                last.insert(entry.clone(), now);
+                async_std::task::spawn(beat_once(node.clone(), endpoint.clone(), entry, address));
+            }
+        }
+        note_silent(&node, now);
+    }
+}
+
+/// The registered peers, with their zones noted.
+fn note_zones(node: &Node) -> Vec<(id::Entry, SocketAddr, id::Zone)> {
+    let view = node.view.read();
+    let mut peers = node.peers.write();
+    let entries = view.entries();
+    peers.all.retain(|entry, _| entries.contains_key(entry));
+    let others = entries.values().filter(|row| row.entry != node.me);
+    others
+        .map(|row| {
+            peers.all.entry(row.entry.clone()).or_default().zone = Some(row.zone.clone());
+            (row.entry.clone(), row.peer_address, row.zone.clone())
+        })
+        .collect()
+}
+
+/// Notes peers that have just become silent.
+fn note_silent(node: &Node, now: Moment) {
+    let mut silent = Vec::new();
+    {
+        let mut peers = node.peers.write();
+        for (entry, peer) in &mut peers.all {
+            if peer.beat.is_some() && now.since(peer.heard) >= FRESH {
+                // Its figures are worth nothing any more.
+                peer.beat = None;
+                silent.push(entry.clone());
+            }
+        }
+    }
+    for peer in silent {
+        node.note(Kind::Peer { peer, reachable: false });
+    }
+}
+
+async fn beat_once(
+    node: Arc<Node>,
+    endpoint: Arc<Endpoint>,
+    entry: id::Entry,
+    address: SocketAddr,
+) {
+    let done = async_std::future::timeout(
+        EXCHANGE_LIMIT,
+        exchange_beats(&node, &endpoint, &entry, address),
+    );
+    if !matches!(done.await, Ok(Ok(()))) {
+        // A silent link is given up and dialled anew from another socket with the next beat.
+        let link = node.peers.read().link(&entry);
+        if let Some(link) = link {
+            link.close();
+            node.count(Counter::LinksLost);
+        }
+        node.peers.write().lose_link(&entry, node.clock.now());
+    }
+}
+
+async fn exchange_beats(
+    node: &Arc<Node>,
+    endpoint: &Endpoint,
+    entry: &id::Entry,
+    address: SocketAddr,
+) -> Result<(), Error> {
+    let known = node.peers.read().link(entry);
+    let link = match known {
+        Some(link) => link,
+        None => {
+            let link = endpoint.dial(address).await?;
+            async_std::task::spawn(serve_link(node.clone(), link.clone()));
+            link
+        }
+    };
+    let mut channel = link.open().await?;
+    channel.send(&Frame::Beat(beat(node, entry))).await?;
+    channel.finish();
+    if let Frame::Beat(beat) = channel.receive().await? {
+        hear(node, beat, Some(&link));
+    }
+    Ok(())
+}
+
+/// Takes the links that peers dial.
+pub(crate) async fn accept_forever(node: Arc<Node>, endpoint: Arc<Endpoint>) {
+    while let Some(accepted) = endpoint.accept().await {
+        if let Ok(link) = accepted {
+            async_std::task::spawn(serve_link(node.clone(), link));
+        }
+    }
+}
+
+/// Answers the exchanges that a peer opens on a link.
+async fn serve_link(node: Arc<Node>, link: Link) {
+    while let Ok(channel) = link.accept().await {
+        async_std::task::spawn(serve_exchange(node.clone(), link.clone(), channel));
+    }
+}
+
+async fn serve_exchange(node: Arc<Node>, link: Link, mut channel: Channel) {
+    let first = async_std::future::timeout(EXCHANGE_LIMIT, channel.receive()).await;
+    let reply = match first {
+        Ok(Ok(Frame::Beat(theirs))) => {
+            let to = theirs.entry.clone();
+            hear(&node, theirs, Some(&link));
+            Frame::Beat(beat(&node, &to))
+        }
+        Ok(Ok(Frame::Rows { since })) => {
+            let view = node.view.read();
+            Frame::RowsReply { rows: view.rows_since(since), upto: view.upto() }
+        }
+        Ok(Ok(Frame::Ask(ask))) => return router::lend(&node, ask, channel).await,
+        Ok(Ok(_)) => refusal(Code::WireMalformed, "this does not begin an exchange"),
+        Ok(Err(error)) => refusal(error.code(), &error.to_string()),
+        Err(_) => return,
+    };
+    if channel.send(&reply).await.is_ok() {
+        channel.finish();
+    }
+}
+
+fn refusal(code: Code, text: &str) -> Frame {
+    Frame::Refusal { code, text: text.into() }
+}
+
+/// Asks the peer that knows most for the rows we lack.  Tells whether it had any.
+pub(crate) async fn relay(node: &Arc<Node>) -> bool {
+    let since = node.view.read().upto();
+    let Some((link, _)) = best_informed(node, since) else { return false };
+    let fetched = async_std::future::timeout(EXCHANGE_LIMIT, fetch_rows(&link, since)).await;
+    let Ok(Ok((rows, upto))) = fetched else { return false };
+    node.metrics.add(Counter::RelayedRows, rows.len() as u64);
+    crate::follow::apply(node, &rows, upto);
+    true
+}
+
+fn best_informed(node: &Node, since: Revision) -> Option<(Link, Revision)> {
+    let peers = node.peers.read();
+    let ahead = peers.all.iter().filter_map(|(entry, peer)| {
+        let upto = peer.beat.as_ref()?.view;
+        (upto > since).then_some(())?;
+        Some((peers.link(entry)?, upto))
+    });
+    ahead.max_by_key(|(_, upto)| *upto)
+}
+
+async fn fetch_rows(
+    link: &Link,
+    since: Revision,
+) -> Result<(Vec<celerythread_model::table::Row>, Revision), Error> {
+    let mut channel = link.open().await?;
+    channel.send(&Frame::Rows { since }).await?;
+    channel.finish();
+    match channel.receive().await? {
+        Frame::RowsReply { rows, upto } => Ok((rows, upto)),
+        _ => Err(Error::Malformed { reason: "not the rows asked for".into() }),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/router.rs
@@ -0,0 +1,460 @@
+//! Finding a slot: here, at a peer that has one free, or in the queue.
+//!
+//! Work waits at the entries, where its urgency is known, and never in a minion.  A request
+//! takes an own slot when one is free; else it borrows one from a peer whose last beat showed
+//! room; else it waits in the own queue, still looking at the peers from time to time.  An
+//! entry that owns nothing of the service waits in a peer's queue instead.
+
+use crate::metrics::Counter;
+use crate::node::Node;
+use celerythread_model::code::Code;
+use celerythread_model::id;
+use celerythread_model::request::Class;
+use celerythread_model::unit::Epoch;
+use celerythread_policy::queue::{Bounds, Queue, Refusal, Waiting};
+use celerythread_policy::slots::{Grant, Holder, Ledger, Permit, Verdict};
+use celerythread_policy::time::Moment;
+use celerythread_wire::Channel;
+use celerythread_wire::frame::{self, Frame};
+use futures::channel::oneshot;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How often a waiting request looks for a peer with room.
+const LOOK_AROUND: Duration = Duration::from_millis(100);
+
+/// Longest wait for a peer's answer when it need not queue.
+const ASK_LIMIT: Duration = Duration::from_millis(500);
+
+/// Peers asked before a request waits.
+const ASKED_PEERS: usize = 2;
+
+/// When to come back while no minion can be reached at all.
+const NO_MINION_RETRY: Duration = Duration::from_secs(1);
+
+/// What a request needs.
+#[derive(Clone, Debug)]
+pub(crate) struct Want {
+    pub(crate) service: id::Service,
+    pub(crate) class: Class,
+    pub(crate) deadline: Moment,
+    /// A minion that just failed the request.
+    pub(crate) avoid: Option<id::Minion>,
+}
+
+/// Why there is no slot.
+#[derive(Clone, Debug)]
+pub(crate) struct Denied {
+    pub(crate) code: Code,
+    pub(crate) retry_after: Option<Duration>,
+}
+
+/// The one who gets a slot when it is this request's turn.
+struct Waiter {
+    reply: oneshot::Sender<Permit>,
+    holder: Holder,
+    avoid: Option<id::Minion>,
+}
+
+/// Slots and queues of this entry.
+#[derive(Default)]
+pub(crate) struct Router {
+    pub(crate) ledger: Ledger,
+    queues: HashMap<id::Service, Queue<Waiter>>,
+    bounds: HashMap<id::Service, Bounds>,
+}
+
+impl Router {
+    /// Sets a service's bounds by the configuration in force.
+    pub(crate) fn set_bounds(&mut self, bounds: HashMap<id::Service, Bounds>) {
+        self.bounds = bounds;
+    }
+
+    fn bounds(&self, service: &id::Service) -> Bounds {
+        let fallback = Bounds { limit: 64, patient_share: celerythread_model::config::Ratio(0.1) };
+        self.bounds.get(service).copied().unwrap_or(fallback)
+    }
+
+    /// Requests that wait for a service.
+    pub(crate) fn waiting(&self, service: &id::Service) -> usize {
+        self.queues.get(service).map_or(0, Queue::len)
+    }
+
+    /// Takes a slot now, unless others wait for it already.
+    fn take(&mut self, want: &Want, holder: Holder, now: Moment) -> Option<Permit> {
+        if self.waiting(&want.service) > 0 {
+            return None;
+        }
+        self.ledger.grant(&want.service, holder, want.avoid.as_ref(), now)
+    }
+
+    /// Puts a request into the queue.
+    fn enqueue(
+        &mut self,
+        want: &Want,
+        holder: Holder,
+        now: Moment,
+    ) -> Result<oneshot::Receiver<Permit>, Refusal> {
+        let (reply, receiver) = oneshot::channel();
+        let mut bounds = self.bounds(&want.service);
+        let slots = self.ledger.room(&want.service, now).slots as usize;
+        bounds.limit *= slots.max(1);
+        let item = Waiter { reply, holder, avoid: want.avoid.clone() };
+        let waiting = Waiting { item, class: want.class, deadline: want.deadline };
+        let queue = self.queues.entry(want.service.clone()).or_default();
+        queue.push(waiting, now, bounds, rand::random())?;
+        self.pump(&want.service, now);
+        Ok(receiver)
+    }
+
+    /// Hands free slots to those who wait.
+    pub(crate) fn pump(&mut self, service: &id::Service, now: Moment) {
+        let share = self.bounds(service).patient_share;
+        let Some(queue) = self.queues.get_mut(service) else { return };
+        while !queue.is_empty() && self.ledger.room(service, now).free > 0 {
+            let Some(waiter) = queue.pop(now, share) else { return };
+            if waiter.reply.is_canceled() {
+                continue;
+            }
+            let avoid = waiter.avoid.as_ref();
+            let Some(permit) = self.ledger.grant(service, waiter.holder, avoid, now) else {
+                return;
+            };
+            if let Err(permit) = waiter.reply.send(permit) {
+                self.ledger.finish(permit.grant, Verdict::Unused, Duration::ZERO, now);
+            }
+        }
+    }
+
+    /// Clears away those who no longer wait and serves the others: slots also become free by
+    /// time alone, after a rest or a reservation.
+    pub(crate) fn tick(&mut self, now: Moment) {
+        let services: Vec<id::Service> = self.queues.keys().cloned().collect();
+        for service in services {
+            if let Some(queue) = self.queues.get_mut(&service) {
+                queue.expire(now);
+                queue.remove(|waiter| waiter.reply.is_canceled());
+            }
+            self.pump(&service, now);
+        }
+    }
+
+    /// What this entry has, for its beats.
+    pub(crate) fn rooms(&self, now: Moment) -> Vec<frame::Room> {
+        let services = self.ledger.services();
+        services
+            .map(|service| {
+                let room = self.ledger.room(service, now);
+                let waiting = self.waiting(service) as u32;
+                // What waits here has a claim on what is free here.
+                let free = room.free.saturating_sub(waiting);
+                frame::Room { service: service.clone(), slots: room.slots, free, waiting }
+            })
+            .collect()
+    }
+}
+
+/// A slot in use.  Dropping it without a verdict gives it back unused.
+pub(crate) struct Slot {
+    node: Arc<Node>,
+    pub(crate) minion: id::Minion,
+    pub(crate) address: SocketAddr,
+    #[allow(dead_code, reason = "read by the records of dispatches in tests")]
+    pub(crate) epoch: Epoch,
+    started: Moment,
+    lender: Option<Lender>,
+    grant: Grant,
+    over: bool,
+}
+
+/// The peer that lent a slot.
+struct Lender {
+    entry: id::Entry,
+    channel: Channel,
+}
+
+impl Slot {
+    /// Ends the use of the slot with what became of the dispatch.
+    pub(crate) fn finish(mut self, verdict: Verdict) {
+        self.end(verdict);
+    }
+
+    fn end(&mut self, verdict: Verdict) {
+        if self.over {
+            return;
+        }
+        self.over = true;
+        let took = self.node.clock.now().since(self.started);
+        match self.lender.take() {
+            None => finish_own(&self.node, self.grant, verdict, took),
+            Some(lender) => give_back(&self.node, lender, self.grant, verdict, took),
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.end(Verdict::Unused);
+    }
+}
+
+/// Ends an own grant and serves the next in line.
+pub(crate) fn finish_own(node: &Node, grant: Grant, verdict: Verdict, took: Duration) {
+    let now = node.clock.now();
+    let changed = {
+        let mut router = node.router.lock();
+        let changed = router.ledger.finish(grant, verdict, took, now);
+        let services: Vec<id::Service> = router.queues.keys().cloned().collect();
+        for service in services {
+            router.pump(&service, now);
+        }
+        changed
+    };
+    if let Some((minion, healthy)) = changed {
+        if !healthy {
+            node.count(Counter::Ejections);
+        }
+        node.note(celerythread_model::event::Kind::Health { minion, healthy });
+    }
+}
+
+fn give_back(node: &Arc<Node>, lender: Lender, grant: Grant, verdict: Verdict, took: Duration) {
+    let node = node.clone();
+    let verdict = match verdict {
+        Verdict::Answered => frame::Verdict::Answered,
+        Verdict::Failed => frame::Verdict::Failed,
+        Verdict::Leaving => frame::Verdict::Leaving,
+        Verdict::Unused => frame::Verdict::Unused,
+    };
+    async_std::task::spawn(async move {
+        let Lender { entry, mut channel } = lender;
+        let took_ms = took.as_millis() as u64;
+        // When this fails the link is gone, and the lender learns from our beats that the
+        // grant is not held any more.
+        if channel.send(&Frame::Finish { verdict, took_ms }).await.is_ok() {
+            channel.finish();
+        }
+        release(&node, &entry, grant.0);
+    });
+}
+
+fn release(node: &Node, owner: &id::Entry, grant: u64) {
+    if let Some(held) = node.holding.lock().get_mut(owner) {
+        held.remove(&grant);
+    }
+}
+
+/// Finds a slot.
+///
+/// # Errors
+/// `Denied` with the code: overloaded, deadline passed, or no minion.
+pub(crate) async fn acquire(node: &Arc<Node>, want: &Want) -> Result<Slot, Denied> {
+    if let Some(permit) = take_own(node, want) {
+        return Ok(permit);
+    }
+    if let Some(slot) = borrow(node, want, ASKED_PEERS).await {
+        return Ok(slot);
+    }
+    let now = node.clock.now();
+    let owned = node.router.lock().ledger.room(&want.service, now).slots;
+    if owned > 0 { wait_here(node, want).await } else { wait_there(node, want).await }
+}
+
+fn own_slot(node: &Arc<Node>, permit: Permit) -> Slot {
+    Slot {
+        node: node.clone(),
+        minion: permit.minion,
+        address: permit.address,
+        epoch: permit.epoch,
+        started: node.clock.now(),
+        lender: None,
+        grant: permit.grant,
+        over: false,
+    }
+}
+
+fn take_own(node: &Arc<Node>, want: &Want) -> Option<Slot> {
+    let now = node.clock.now();
+    let permit = node.router.lock().take(want, Holder::Own, now)?;
+    Some(own_slot(node, permit))
+}
+
+async fn wait_here(node: &Arc<Node>, want: &Want) -> Result<Slot, Denied> {
+    let queued = {
+        let now = node.clock.now();
+        node.router.lock().enqueue(want, Holder::Own, now)
+    };
+    let mut receiver = queued.map_err(|refusal| Denied {
+        code: Code::Overloaded,
+        retry_after: Some(refusal.retry_after),
+    })?;
+    loop {
+        let left = want.deadline.since(node.clock.now());
+        if left.is_zero() {
+            return Err(Denied { code: Code::DeadlinePassed, retry_after: None });
+        }
+        let turn = async_std::future::timeout(left.min(LOOK_AROUND), &mut receiver).await;
+        match turn {
+            Ok(Ok(permit)) => return Ok(own_slot(node, permit)),
+            // The service's minions were all taken elsewhere meanwhile.
+            Ok(Err(_)) => return wait_there(node, want).await,
+            Err(_) => {}
+        }
+        if let Some(slot) = borrow(node, want, 1).await {
+            // A permit that arrived in this moment goes back by itself.
+            if let Ok(Some(permit)) = receiver.try_recv() {
+                drop(own_slot(node, permit));
+            }
+            return Ok(slot);
+        }
+    }
+}
+
+/// Waits in the queue of the peer that has most of the service.
+async fn wait_there(node: &Arc<Node>, want: &Want) -> Result<Slot, Denied> {
+    let now = node.clock.now();
+    let choice = node.peers.read().largest(&want.service, now);
+    let no_minion = Denied { code: Code::NoMinion, retry_after: Some(NO_MINION_RETRY) };
+    let Some(peer) = choice else { return Err(no_minion) };
+    let left = want.deadline.since(now);
+    match async_std::future::timeout(left, ask(node, &peer, want, true)).await {
+        Ok(Reply::Granted(slot)) => Ok(slot),
+        Ok(Reply::Busy(wait)) => Err(Denied { code: Code::Overloaded, retry_after: Some(wait) }),
+        Ok(Reply::Gone) => Err(no_minion),
+        Err(_) => Err(Denied { code: Code::DeadlinePassed, retry_after: None }),
+    }
+}
+
+/// Borrows a slot from a peer that showed room.
+async fn borrow(node: &Arc<Node>, want: &Want, most: usize) -> Option<Slot> {
+    let now = node.clock.now();
+    let zone = &node.settings.zone;
+    let candidates = node.peers.read().with_room(&want.service, zone, now);
+    for peer in candidates.into_iter().take(most) {
+        let limit = want.deadline.since(node.clock.now()).min(ASK_LIMIT);
+        match async_std::future::timeout(limit, ask(node, &peer, want, false)).await {
+            Ok(Reply::Granted(slot)) => return Some(slot),
+            _ => node.peers.write().note_full(&peer, &want.service),
+        }
+    }
+    None
+}
+
+enum Reply {
+    Granted(Slot),
+    Busy(Duration),
+    Gone,
+}
+
+async fn ask(node: &Arc<Node>, peer: &id::Entry, want: &Want, wait: bool) -> Reply {
+    let Some(link) = node.peers.read().link(peer) else { return Reply::Gone };
+    let Ok(mut channel) = link.open().await else { return Reply::Gone };
+    let question = Frame::Ask(frame::Ask {
+        entry: node.me.clone(),
+        service: want.service.clone(),
+        class: want.class,
+        left_ms: want.deadline.since(node.clock.now()).as_millis() as u64,
+        wait,
+        avoid: want.avoid.clone(),
+    });
+    if channel.send(&question).await.is_err() {
+        return Reply::Gone;
+    }
+    let grant = match channel.receive().await {
+        Ok(Frame::Grant(grant)) => grant,
+        Ok(Frame::Busy { retry_after_ms }) => {
+            return Reply::Busy(Duration::from_millis(retry_after_ms));
+        }
+        _ => return Reply::Gone,
+    };
+    node.holding.lock().entry(peer.clone()).or_default().insert(grant.grant);
+    if link.is_closed() {
+        // The owner has lost this link and may already have counted the slot as free.
+        release(node, peer, grant.grant);
+        return Reply::Gone;
+    }
+    node.count(Counter::SlotsBorrowed);
+    Reply::Granted(Slot {
+        node: node.clone(),
+        minion: grant.minion,
+        address: grant.address,
+        epoch: grant.epoch,
+        started: node.clock.now(),
+        lender: Some(Lender { entry: peer.clone(), channel }),
+        grant: Grant(grant.grant),
+        over: false,
+    })
+}
+
+/// Answers a peer that asks for a slot, and holds it until the peer is done with it.
+pub(crate) async fn lend(node: &Arc<Node>, ask: frame::Ask, mut channel: Channel) {
+    let now = node.clock.now();
+    let want = Want {
+        service: ask.service,
+        class: ask.class,
+        deadline: now + Duration::from_millis(ask.left_ms),
+        avoid: ask.avoid,
+    };
+    let holder = Holder::Peer(ask.entry);
+    let permit = match grant_to_peer(node, &want, holder, ask.wait).await {
+        Ok(permit) => permit,
+        Err(retry_after) => {
+            let retry_after_ms = retry_after.as_millis() as u64;
+            if channel.send(&Frame::Busy { retry_after_ms }).await.is_ok() {
+                channel.finish();
+            }
+            return;
+        }
+    };
+    node.count(Counter::SlotsLent);
+    let grant = permit.grant;
+    let answer = Frame::Grant(frame::Grant {
+        grant: grant.0,
+        minion: permit.minion,
+        address: permit.address,
+        epoch: permit.epoch,
+    });
+    // From here on the peer may be using the slot.  If the channel breaks, nobody knows, and
+    // the grant stays counted until the peer's beats no longer list it.
+    if channel.send(&answer).await.is_err() {
+        return;
+    }
+    if let Ok(Frame::Finish { verdict, took_ms }) = channel.receive().await {
+        let verdict = match verdict {
+            frame::Verdict::Answered => Verdict::Answered,
+            frame::Verdict::Failed => Verdict::Failed,
+            frame::Verdict::Leaving => Verdict::Leaving,
+            frame::Verdict::Unused => Verdict::Unused,
+        };
+        finish_own(node, grant, verdict, Duration::from_millis(took_ms));
+    }
+}
+
+async fn grant_to_peer(
+    node: &Arc<Node>,
+    want: &Want,
+    holder: Holder,
+    wait: bool,
+) -> Result<Permit, Duration> {
+    let now = node.clock.now();
+    let queued = {
+        let mut router = node.router.lock();
+        if let Some(permit) = router.take(want, holder.clone(), now) {
+            return Ok(permit);
+        }
+        let empty = Queue::<Waiter>::default();
+        let queue = router.queues.get(&want.service).unwrap_or(&empty);
+        let retry_after = queue.retry_after(rand::random());
+        if !wait || router.ledger.room(&want.service, now).slots == 0 {
+            return Err(retry_after);
+        }
+        router.enqueue(want, holder, now).map_err(|refusal| refusal.retry_after)?
+    };
+    let left = want.deadline.since(now);
+    match async_std::future::timeout(left, queued).await {
+        Ok(Ok(permit)) => Ok(permit),
+        _ => Err(NO_MINION_RETRY),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,227 @@
+//! The daemon's settings: an INI file, checked as a whole.
+
+use celerythread_http::server::Limits;
+use celerythread_model::code::Code;
+use celerythread_model::id;
+use celerythread_model::ini::{Mistake, Reader};
+use celerythread_model::unit::{Bytes, Span};
+use celerythread_platform::http;
+use celerythread_wire::identity;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use strum::{Display, EnumString, VariantArray};
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Display, EnumString, VariantArray)]
+#[strum(serialize_all = "lowercase")]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// For programs.
+    Json,
+}
+
+/// Everything that an instance is told.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The instance's name, as the platform's list has it.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Where callers reach it.
+    pub caller_listen: SocketAddr,
+    /// Limits of callers' connections.
+    pub caller_limits: Limits,
+    /// Bytes of request bodies held in memory at once.
+    pub memory: Bytes,
+    /// Where operators reach it.
+    pub operator_listen: SocketAddr,
+    /// Where peers reach it.
+    pub peer_listen: SocketAddr,
+    /// Its keys.
+    pub keys: identity::Settings,
+    /// Time between two beats to a peer of the own availability zone.
+    pub beat: Span,
+    /// Time between two beats to a peer of another one.
+    pub far_beat: Span,
+    /// Silence after which a peer's minions are taken over.
+    pub takeover_after: Span,
+    /// How the platform is reached.
+    pub platform: http::Settings,
+    /// Time between two reads of the table's changes.
+    pub poll: Span,
+    /// Term of a duty's lease.
+    pub lease_term: Span,
+    /// How log lines are written.
+    pub log_format: LogFormat,
+    /// Least severe log lines that are written.
+    pub log_level: log::LevelFilter,
+    /// Where counters are sent by statsd; none sends none.
+    pub statsd: Option<SocketAddr>,
+    /// Time between two sendings of counters.
+    pub metrics_interval: Span,
+    /// Longest time that a graceful stop waits for work in flight.
+    pub stop_bound: Span,
+    /// Time for the balancer to see that the instance is not ready.
+    pub stop_notice: Span,
+    /// Events kept for the time line.
+    pub events: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            name: "entry".into(),
+            zone: "zone".parse().expect("a valid id"),
+            caller_listen: any_port,
+            caller_limits: Limits::default(),
+            memory: Bytes::mebi(64),
+            operator_listen: any_port,
+            peer_listen: any_port,
+            keys: identity::Settings::default(),
+            beat: Span::secs(1),
+            far_beat: Span::secs(1),
+            takeover_after: Span::secs(6),
+            platform: http::Settings::default(),
+            poll: Span::millis(500),
+            lease_term: Span::secs(8),
+            log_format: LogFormat::default(),
+            log_level: log::LevelFilter::Info,
+            statsd: None,
+            metrics_interval: Span::secs(10),
+            stop_bound: Span::secs(60),
+            stop_notice: Span::secs(2),
+            events: 4096,
+        }
+    }
+}
+
+/// The sections of the file.
+const SECTIONS: [&str; 9] =
+    ["instance", "caller", "operator", "peer", "platform", "lease", "log", "metrics", "stop"];
+
+impl Settings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    /// Every mistake at once.
+    pub fn read(text: &str) -> Result<Self, Vec<Mistake>> {
+        let mut reader = Reader::new(text);
+        let settings = Self::take(&mut reader);
+        settings.check(&mut reader);
+        let mistakes = reader.finish(|section| SECTIONS.contains(&section));
+        if mistakes.is_empty() { Ok(settings) } else { Err(mistakes) }
+    }
+
+    fn take(reader: &mut Reader) -> Self {
+        let base = Settings::default();
+        let limits = base.caller_limits.clone();
+        let second = Span::secs(1);
+        let hour = Span::secs(3600);
+        let tick = Span::millis(10);
+        Settings {
+            name: reader
+                .required::<id::Entry>("instance", "name")
+                .map_or(base.name, |name| name.to_string()),
+            zone: reader.required("instance", "zone").unwrap_or(base.zone),
+            caller_listen: reader.required("caller", "listen").unwrap_or(base.caller_listen),
+            caller_limits: Limits {
+                body: reader.ranged(
+                    "caller",
+                    "body_limit",
+                    limits.body,
+                    Bytes(1024),
+                    Bytes::mebi(64),
+                ),
+                idle: reader.ranged("caller", "idle_timeout", limits.idle, second, hour),
+                head: reader.ranged("caller", "head_timeout", limits.head, tick, hour),
+                progress: reader.ranged("caller", "progress_timeout", limits.progress, tick, hour),
+            },
+            memory: reader.ranged(
+                "caller",
+                "memory",
+                base.memory,
+                Bytes::mebi(1),
+                Bytes::mebi(1024),
+            ),
+            operator_listen: reader.required("operator", "listen").unwrap_or(base.operator_listen),
+            peer_listen: reader.required("peer", "listen").unwrap_or(base.peer_listen),
+            keys: identity::Settings {
+                authority: reader.required("peer", "authority").unwrap_or_default(),
+                certificate: reader.required("peer", "certificate").unwrap_or_default(),
+                key: reader.required::<PathBuf>("peer", "key").unwrap_or_default(),
+            },
+            beat: reader.ranged("peer", "beat", base.beat, tick, Span::secs(60)),
+            far_beat: reader.ranged("peer", "far_beat", base.far_beat, tick, Span::secs(60)),
+            takeover_after: reader.ranged(
+                "peer",
+                "takeover_after",
+                base.takeover_after,
+                Span::millis(100),
+                hour,
+            ),
+            platform: http::Settings {
+                addresses: reader.list("platform", "addresses"),
+                timeout: reader.ranged(
+                    "platform",
+                    "timeout",
+                    base.platform.timeout,
+                    tick,
+                    Span::secs(60),
+                ),
+            },
+            poll: reader.ranged("platform", "poll", base.poll, tick, Span::secs(5)),
+            lease_term: reader.ranged(
+                "lease",
+                "term",
+                base.lease_term,
+                Span::millis(100),
+                Span::secs(300),
+            ),
+            log_format: reader.value("log", "format", base.log_format),
+            log_level: reader.value("log", "level", base.log_level),
+            statsd: reader.optional("metrics", "statsd"),
+            metrics_interval: reader.ranged(
+                "metrics",
+                "interval",
+                base.metrics_interval,
+                Span::millis(100),
+                hour,
+            ),
+            stop_bound: reader.ranged("stop", "bound", base.stop_bound, second, hour),
+            stop_notice: reader.ranged("stop", "notice", base.stop_notice, Span::millis(0), hour),
+            events: reader.ranged("log", "events", base.events, 16, 1_000_000),
+        }
+    }
+
+    /// What no single key can tell.
+    fn check(&self, reader: &mut Reader) {
+        if self.platform.addresses.is_empty() {
+            let text = "at least one address must be given".into();
+            reader.note(Code::MissingKey, "platform", "addresses", text);
+        }
+        if self.takeover_after.0 < self.beat.0 * 3 {
+            let text = format!(
+                "takeover_after {} is less than three beats of {}; a healthy peer would be taken over",
+                self.takeover_after, self.beat
+            );
+            reader.note(Code::Contradiction, "peer", "takeover_after", text);
+        }
+        if self.lease_term.0 < self.poll.0 * 4 {
+            let text = format!("term {} is less than four polls of {}", self.lease_term, self.poll);
+            reader.note(Code::Contradiction, "lease", "term", text);
+        }
+        if self.memory < self.caller_limits.body {
+            let text =
+                format!("{} cannot hold one body of {}", self.memory, self.caller_limits.body);
+            reader.note(Code::Contradiction, "caller", "memory", text);
+        }
+        let tcp = [self.caller_listen, self.operator_listen];
+        if tcp[0] == tcp[1] && tcp[0].port() != 0 {
+            let text = format!("callers and operators cannot share {}", tcp[0]);
+            reader.note(Code::Contradiction, "operator", "listen", text);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/table.rs
@@ -0,0 +1,61 @@
+//! The table with its calls counted, and outages noted when they begin and end.
+
+use crate::clock::Clock;
+use crate::metrics::{Counter, Metrics};
+use crate::timeline::Timeline;
+use async_trait::async_trait;
+use celerythread_model::event::Kind;
+use celerythread_model::unit::Revision;
+use celerythread_platform::message::{Changes, Row, Space, Transaction};
+use celerythread_platform::{Error, Table};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// A table that counts.
+pub(crate) struct Counted {
+    pub(crate) inner: Arc<dyn Table>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) timeline: Arc<Timeline>,
+    pub(crate) clock: Clock,
+    pub(crate) reachable: AtomicBool,
+}
+
+impl Counted {
+    fn note<T>(&self, result: &Result<T, Error>) {
+        let failed = matches!(result, Err(Error::Unavailable { .. } | Error::Lost { .. }));
+        if failed {
+            self.metrics.count(Counter::PlatformFailures);
+        }
+        let before = self.reachable.swap(!failed, Ordering::Relaxed);
+        if before == failed {
+            self.timeline.note(self.clock.wall_ms(), Kind::Platform { reachable: !failed });
+        }
+    }
+}
+
+#[async_trait]
+impl Table for Counted {
+    async fn commit(&self, transaction: Transaction) -> Result<Revision, Error> {
+        self.metrics.count(Counter::TableWrites);
+        let result = self.inner.commit(transaction).await;
+        self.note(&result);
+        if let Ok(revision) = &result {
+            self.timeline.witness(revision.0);
+        }
+        result
+    }
+
+    async fn read(&self, space: Space, keys: &[String]) -> Result<Vec<Row>, Error> {
+        self.metrics.count(Counter::TableReads);
+        let result = self.inner.read(space, keys).await;
+        self.note(&result);
+        result
+    }
+
+    async fn changes(&self, space: Space, since: Revision) -> Result<Changes, Error> {
+        self.metrics.count(Counter::TableReads);
+        let result = self.inner.changes(space, since).await;
+        self.note(&result);
+        result
+    }
+}
--- /dev/null
+++ b/crates/http/src/body.rs
@@ -0,0 +1,171 @@
+//! Bodies: exactly the bytes that the framing promises, or an error.
+
+use crate::Fault;
+use crate::fault;
+use crate::head::Length;
+use crate::stream::Stream;
+use std::time::Duration;
+
+/// Longest chunk-size line and longest trailer section, in bytes.
+const MAX_LINE: usize = 1024;
+
+/// Largest piece handed out at once.
+const MAX_PIECE: usize = 64 * 1024;
+
+/// Reads a body piece by piece.
+pub struct Reader {
+    state: State,
+    wait: Duration,
+}
+
+enum State {
+    /// This many bytes of the body are left.
+    Exact(u64),
+    /// A chunk-size line comes next.
+    ChunkHead,
+    /// This many bytes of the present chunk are left, then its line end.
+    Chunk(u64),
+    /// The trailer section comes next.
+    Trailers,
+    /// Whatever comes until the connection closes.
+    UntilClose,
+    /// The body was read whole.
+    Done,
+}
+
+impl Reader {
+    /// A reader of a body; `wait` bounds the silence before each piece.
+    pub fn new(length: Length, wait: Duration) -> Self {
+        let state = match length {
+            Length::Exact(0) => State::Done,
+            Length::Exact(n) => State::Exact(n),
+            Length::Chunked => State::ChunkHead,
+            Length::UntilClose => State::UntilClose,
+        };
+        Self { state, wait }
+    }
+
+    /// The next piece; none once the body was read whole.
+    ///
+    /// # Errors
+    /// `Truncated` when the stream ends before the body does: without this a cut answer would
+    /// pass for a whole one.  `Malformed` for bad chunks, `Timeout` and `Io`.
+    pub async fn next(&mut self, stream: &mut Stream) -> Result<Option<Vec<u8>>, Fault> {
+        loop {
+            match self.state {
+                State::Done => return Ok(None),
+                State::Exact(left) => {
+                    let piece = self.piece(stream, left).await?;
+                    let left = left - piece.len() as u64;
+                    self.state = if left == 0 { State::Done } else { State::Exact(left) };
+                    return Ok(Some(piece));
+                }
+                State::Chunk(0) => {
+                    self.chunk_end(stream).await?;
+                    self.state = State::ChunkHead;
+                }
+                State::Chunk(left) => {
+                    let piece = self.piece(stream, left).await?;
+                    self.state = State::Chunk(left - piece.len() as u64);
+                    return Ok(Some(piece));
+                }
+                State::ChunkHead => {
+                    let size = self.chunk_size(stream).await?;
+                    self.state = if size == 0 { State::Trailers } else { State::Chunk(size) };
+                }
+                State::Trailers => {
+                    self.trailers(stream).await?;
+                    self.state = State::Done;
+                }
+                State::UntilClose => {
+                    if stream.buffered().is_empty()
+                        && stream.fill(self.wait, "reading a body").await? == 0
+                    {
+                        self.state = State::Done;
+                        return Ok(None);
+                    }
+                    return Ok(Some(stream.take(MAX_PIECE)));
+                }
+            }
+        }
+    }
+
+    /// Reads the whole body into memory.
+    ///
+    /// # Errors
+    /// As [`Reader::next`], and `BodyTooLarge` above `limit`.
+    pub async fn collect(&mut self, stream: &mut Stream, limit: u64) -> Result<Vec<u8>, Fault> {
+        if let State::Exact(length) = self.state
+            && length > limit
+        {
+            return fault::BodyTooLargeSnafu { limit }.fail();
+        }
+        let mut body = Vec::new();
+        while let Some(piece) = self.next(stream).await? {
+            if (body.len() + piece.len()) as u64 > limit {
+                return fault::BodyTooLargeSnafu { limit }.fail();
+            }
+            body.extend_from_slice(&piece);
+        }
+        Ok(body)
+    }
+
+    /// At least one and at most `left` bytes.
+    async fn piece(&self, stream: &mut Stream, left: u64) -> Result<Vec<u8>, Fault> {
+        if stream.buffered().is_empty() {
+            self.more(stream).await?;
+        }
+        let most = usize::try_from(left).unwrap_or(usize::MAX).min(MAX_PIECE);
+        Ok(stream.take(most))
+    }
+
+    async fn more(&self, stream: &mut Stream) -> Result<(), Fault> {
+        match stream.fill(self.wait, "reading a body").await? {
+            0 => fault::TruncatedSnafu.fail(),
+            _ => Ok(()),
+        }
+    }
+
+    async fn chunk_size(&self, stream: &mut Stream) -> Result<u64, Fault> {
+        loop {
+            match httparse::parse_chunk_size(stream.buffered()) {
+                Ok(httparse::Status::Complete((used, size))) => {
+                    stream.take(used);
+                    return Ok(size);
+                }
+                Ok(httparse::Status::Partial) if stream.buffered().len() <= MAX_LINE => {
+                    self.more(stream).await?;
+                }
+                _ => return fault::MalformedSnafu { reason: "bad chunk size" }.fail(),
+            }
+        }
+    }
+
+    async fn chunk_end(&self, stream: &mut Stream) -> Result<(), Fault> {
+        while stream.buffered().len() < 2 {
+            self.more(stream).await?;
+        }
+        if stream.take(2) != b"\r\n" {
+            return fault::MalformedSnafu { reason: "a chunk is longer than its size" }.fail();
+        }
+        Ok(())
+    }
+
+    /// Skips trailer fields up to the empty line.
+    async fn trailers(&self, stream: &mut Stream) -> Result<(), Fault> {
+        loop {
+            let buffered = stream.buffered();
+            match buffered.windows(2).position(|window| window == b"\r\n") {
+                Some(0) => {
+                    stream.take(2);
+                    return Ok(());
+                }
+                Some(end) => {
+                    stream.take(end + 2);
+                }
+                None if buffered.len() <= MAX_LINE => self.more(stream).await?,
+                None => return fault::MalformedSnafu { reason: "trailers too long" }.fail(),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,207 @@
+//! The asking end: one connection to a minion, to the platform or to an entry.
+
+use crate::Fault;
+use crate::body;
+use crate::fault;
+use crate::head::{self, Length};
+use crate::stream::Stream;
+use async_std::future::timeout;
+use async_std::io::Cursor;
+use async_std::io::ReadExt;
+use async_std::net::TcpStream;
+use http_types::{Method, Request, Response, Url};
+use snafu::ResultExt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Most interim answers before the final one.
+const MAX_INTERIM: usize = 8;
+
+/// How far a request had come when it failed; decides what may be said and sent again.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Phase {
+    /// There was no connection.
+    Connecting,
+    /// Connected, and not a byte of the request was written.
+    Connected,
+    /// Some of the request was written.
+    PartWritten,
+    /// All of the request was written.
+    AllWritten,
+    /// A byte of the answer has come.
+    AnswerBegun,
+}
+
+/// A failed request.
+#[derive(Debug)]
+pub struct Failure {
+    /// How far it had come.
+    pub phase: Phase,
+    /// Why it failed.
+    pub fault: Fault,
+}
+
+/// The answer's head, and its body still on the connection.
+#[derive(Debug)]
+pub struct Answer {
+    /// The head, as `async-h1` parsed it, without a body.
+    pub head: Response,
+    /// Where the body ends.
+    pub length: Length,
+    /// Whether the server keeps the connection open.
+    pub keep_alive: bool,
+}
+
+/// A connection that carries one request at a time.
+pub struct Connection {
+    stream: Stream,
+}
+
+impl Connection {
+    /// Connects.
+    ///
+    /// # Errors
+    /// `Timeout` after `wait`, `Io` when refused.
+    pub async fn open(address: SocketAddr, wait: Duration) -> Result<Self, Fault> {
+        let stream = match timeout(wait, TcpStream::connect(address)).await {
+            Ok(result) => result.context(fault::IoSnafu)?,
+            Err(_) => return fault::TimeoutSnafu { doing: "connecting" }.fail(),
+        };
+        stream.set_nodelay(true).context(fault::IoSnafu)?;
+        Ok(Self { stream: Stream::new(stream) })
+    }
+
+    /// Wraps a connection that is open already.
+    pub fn new(stream: Stream) -> Self {
+        Self { stream }
+    }
+
+    /// Sends a request and reads the head of its answer.
+    ///
+    /// `progress` bounds each silence, so a connection that something in between has forgotten
+    /// is found out however long the answer may take to compute: minions must send the head,
+    /// or an interim answer, within it.
+    ///
+    /// # Errors
+    /// The fault, with the phase at which it struck.
+    pub async fn send(&mut self, request: Request, progress: Duration) -> Result<Answer, Failure> {
+        let method = request.method();
+        let mut phase = Phase::Connected;
+        let sent = self.write(request, progress, &mut phase).await;
+        if let Err(fault) = sent {
+            // A server may answer early and close, for example to refuse a large body; its
+            // answer is worth more than our write error.
+            return match self.read_head(method, Duration::from_millis(50)).await {
+                Ok(mut answer) => {
+                    answer.keep_alive = false;
+                    Ok(answer)
+                }
+                Err(_) => Err(Failure { phase, fault }),
+            };
+        }
+        self.read_head(method, progress).await.map_err(|fault| {
+            let begun = !self.stream.buffered().is_empty()
+                || !matches!(fault, Fault::Closed | Fault::Timeout { .. } | Fault::Io { .. });
+            let phase = if begun { Phase::AnswerBegun } else { Phase::AllWritten };
+            Failure { phase, fault }
+        })
+    }
+
+    async fn write(
+        &mut self,
+        request: Request,
+        progress: Duration,
+        phase: &mut Phase,
+    ) -> Result<(), Fault> {
+        let mut encoder = async_h1::client::Encoder::new(request);
+        let mut bytes = Vec::new();
+        encoder.read_to_end(&mut bytes).await.context(fault::IoSnafu)?;
+        let mut written = 0;
+        while written < bytes.len() {
+            let count = self.stream.write_some(&bytes[written..], progress).await?;
+            written += count;
+            *phase = Phase::PartWritten;
+        }
+        *phase = Phase::AllWritten;
+        self.stream.write_all(&[], progress).await
+    }
+
+    async fn read_head(&mut self, method: Method, progress: Duration) -> Result<Answer, Fault> {
+        for _ in 0..MAX_INTERIM {
+            let bytes = head::read(&mut self.stream, progress).await?;
+            let head = head::Response::parse(bytes, method.as_ref())?;
+            // async-h1 takes an interim answer for the final one and leaves the final one to
+            // the next request on the connection; so interim answers are skipped here.
+            if head.status < 200 {
+                continue;
+            }
+            let decoded = async_h1::client::decode(Cursor::new(head.bytes)).await;
+            return match decoded {
+                Ok(mut response) => {
+                    response.set_body(http_types::Body::empty());
+                    Ok(Answer { head: response, length: head.length, keep_alive: head.keep_alive })
+                }
+                Err(error) => fault::MalformedSnafu { reason: error.to_string() }.fail(),
+            };
+        }
+        fault::MalformedSnafu { reason: "too many interim answers" }.fail()
+    }
+
+    /// Reads the answer's whole body, with the connection then ready for another request.
+    ///
+    /// # Errors
+    /// As [`body::Reader::collect`]; the connection must not be used again after an error.
+    pub async fn body(
+        &mut self,
+        length: Length,
+        progress: Duration,
+        limit: u64,
+    ) -> Result<Vec<u8>, Fault> {
+        body::Reader::new(length, progress).collect(&mut self.stream, limit).await
+    }
+
+    /// The connection itself, for reading a body piece by piece.
+    pub fn into_stream(self) -> Stream {
+        self.stream
+    }
+
+    /// Whether the server has said something, or closed, since the last answer: such a
+    /// connection must not carry another request.
+    pub async fn is_stale(&mut self) -> bool {
+        if !self.stream.buffered().is_empty() {
+            return true;
+        }
+        !matches!(
+            self.stream.fill(Duration::from_micros(1), "probing").await,
+            Err(Fault::Timeout { .. })
+        )
+    }
+}
+
+/// A request to `path` of the server at `address`.
+///
+/// # Errors
+/// `Malformed` when the path cannot be part of a URL.
+pub fn request(method: Method, address: SocketAddr, path: &str) -> Result<Request, Fault> {
+    let url = Url::parse(&format!("http://{address}{path}"));
+    let url = url.map_err(|error| Fault::Malformed { reason: error.to_string() })?;
+    Ok(Request::new(method, url))
+}
+
+/// One request on a new connection, with its whole answer.
+///
+/// # Errors
+/// The fault, with the phase at which it struck.
+pub async fn fetch(
+    address: SocketAddr,
+    request: Request,
+    wait: Duration,
+    limit: u64,
+) -> Result<(Response, Vec<u8>), Failure> {
+    let opened = Connection::open(address, wait).await;
+    let mut connection = opened.map_err(|fault| Failure { phase: Phase::Connecting, fault })?;
+    let answer = connection.send(request, wait).await?;
+    let body = connection.body(answer.length, wait, limit).await;
+    let body = body.map_err(|fault| Failure { phase: Phase::AnswerBegun, fault })?;
+    Ok((answer.head, body))
+}
--- /dev/null
+++ b/crates/http/src/fault.rs
@@ -0,0 +1,73 @@
+//! What can be wrong with a message or its connection.
+
+use celerythread_model::code::Code;
+use snafu::Snafu;
+
+/// A fault of framing or of the connection.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum Fault {
+    /// The stream ended between two messages, which is how a connection ends well.
+    #[snafu(display("the connection was closed between messages"))]
+    Closed,
+    /// The head is not valid HTTP/1.1.
+    #[snafu(display("malformed head: {reason}"))]
+    Malformed {
+        /// What is wrong.
+        reason: String,
+    },
+    /// The head exceeds the limits.
+    #[snafu(display("the head is larger than {limit} bytes or has too many headers"))]
+    HeadTooLarge {
+        /// The limit in bytes.
+        limit: usize,
+    },
+    /// The length cannot be told for certain.
+    #[snafu(display("conflicting lengths: {reason}"))]
+    ConflictingLength {
+        /// What conflicts.
+        reason: String,
+    },
+    /// A transfer coding other than chunked.
+    #[snafu(display("unsupported transfer coding {coding:?}"))]
+    UnsupportedCoding {
+        /// The coding.
+        coding: String,
+    },
+    /// The body exceeds the limit.
+    #[snafu(display("the body is larger than {limit} bytes"))]
+    BodyTooLarge {
+        /// The limit in bytes.
+        limit: u64,
+    },
+    /// The stream ended inside a message.
+    #[snafu(display("the stream ended inside a message"))]
+    Truncated,
+    /// Nothing moved for the time allowed.
+    #[snafu(display("no progress while {doing}"))]
+    Timeout {
+        /// What was being done.
+        doing: &'static str,
+    },
+    /// The connection failed.
+    #[snafu(display("the connection failed: {source}"))]
+    Io {
+        /// The error of the operating system.
+        source: std::io::Error,
+    },
+}
+
+impl Fault {
+    /// The code told to the client whose request had this fault.
+    pub fn request_code(&self) -> Code {
+        match self {
+            Fault::Malformed { .. } => Code::MalformedHead,
+            Fault::HeadTooLarge { .. } => Code::HeadTooLarge,
+            Fault::ConflictingLength { .. } => Code::ConflictingLength,
+            Fault::UnsupportedCoding { .. } => Code::UnsupportedCoding,
+            Fault::BodyTooLarge { .. } => Code::BodyTooLarge,
+            Fault::Timeout { .. } => Code::RequestTimeout,
+            Fault::Truncated | Fault::Closed | Fault::Io { .. } => Code::BodyIncomplete,
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,258 @@
+//! The serving end: one connection, one request after the other.
+
+use crate::Fault;
+use crate::body;
+use crate::head;
+use crate::stream::{Duplex, Stream};
+use async_std::io::{Read, ReadExt, Write};
+use async_trait::async_trait;
+use celerythread_model::unit::{Bytes, Span};
+use futures::FutureExt as _;
+use http_types::{Method, Response};
+use std::io::Cursor;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use stop_token::StopToken;
+use stop_token::future::FutureExt;
+
+/// Bytes of an answer written at once.
+const PIECE: usize = 64 * 1024;
+
+/// Limits of one connection.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Largest request body.
+    pub body: Bytes,
+    /// Longest wait between two requests.
+    pub idle: Span,
+    /// Longest time for a whole head.
+    pub head: Span,
+    /// Longest silence within a body, and longest stall while an answer is written.
+    pub progress: Span,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body: Bytes::mebi(8),
+            idle: Span::secs(60),
+            head: Span::secs(10),
+            progress: Span::secs(20),
+        }
+    }
+}
+
+/// A request received whole.
+pub struct Request {
+    /// The head, as `async-h1` parsed it.
+    pub head: http_types::Request,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    /// The first value of a header, as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.header(name).map(|values| values.last().as_str())
+    }
+
+    /// The path without the query.
+    pub fn path(&self) -> &str {
+        self.head.url().path()
+    }
+
+    /// A parameter of the query.
+    pub fn query(&self, name: &str) -> Option<String> {
+        let mut pairs = self.head.url().query_pairs();
+        pairs.find(|(key, _)| key == name).map(|(_, value)| value.into_owned())
+    }
+}
+
+/// What answers requests.
+#[async_trait]
+pub trait Handler: Send + Sync {
+    /// Answers one request.
+    async fn handle(&self, request: Request) -> Response;
+
+    /// Answers a request that could not be read.
+    fn refuse(&self, fault: &Fault) -> Response;
+}
+
+/// The two steps in which a server stops.
+#[derive(Clone)]
+pub struct Stop {
+    /// From then on each answer says that the connection closes after it.
+    pub closing: StopToken,
+    /// From then on no connection waits for another request.
+    pub ended: StopToken,
+}
+
+/// Serves a connection until it ends or, between two requests, until the stop.
+///
+/// A request of which a byte was received is read and answered even when the stop comes
+/// meanwhile: that is what makes a planned stop graceful.
+pub async fn serve(
+    io: impl Duplex + 'static,
+    handler: Arc<dyn Handler>,
+    limits: &Limits,
+    stop: &Stop,
+) {
+    let mut stream = Stream::new(io);
+    while serve_one(&mut stream, handler.as_ref(), limits, stop).await {}
+}
+
+/// Whether the connection can carry another request.
+async fn serve_one(
+    stream: &mut Stream,
+    handler: &dyn Handler,
+    limits: &Limits,
+    stop: &Stop,
+) -> bool {
+    if stream.buffered().is_empty() {
+        let first = stream.fill(limits.idle.0, "waiting for a request");
+        match first.timeout_at(stop.ended.clone()).await {
+            Ok(Ok(count)) if count > 0 => {}
+            _ => return false,
+        }
+    }
+    match read_request(stream, limits).await {
+        Ok((request, keep_alive)) => {
+            let method = request.head.method();
+            let answer = handler.handle(request).await;
+            // A stopping server says so on its last answer, so that the client does not send
+            // another request into a connection that is about to close.
+            let keep_alive = keep_alive && !is_closing(stop);
+            write(stream, answer, method, keep_alive, limits).await.is_ok() && keep_alive
+        }
+        Err(Fault::Closed) => false,
+        Err(fault) => {
+            // Where the next request begins is not known after a fault, so the connection ends.
+            let answer = handler.refuse(&fault);
+            let _ = write(stream, answer, Method::Get, false, limits).await;
+            false
+        }
+    }
+}
+
+fn is_closing(stop: &Stop) -> bool {
+    stop.closing.clone().now_or_never().is_some()
+}
+
+async fn read_request(stream: &mut Stream, limits: &Limits) -> Result<(Request, bool), Fault> {
+    let bytes = head::read(stream, limits.head.0).await?;
+    let head = head::Request::parse(bytes)?;
+    if head.expects_continue {
+        // async-h1 would write this after the final answer; here it comes first.
+        stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n", limits.progress.0).await?;
+    }
+    let mut reader = body::Reader::new(head.length, limits.progress.0);
+    let body = reader.collect(stream, limits.body.0).await.map_err(|fault| match fault {
+        // Ending inside the body is not ending between messages.
+        Fault::Closed => Fault::Truncated,
+        other => other,
+    })?;
+    let decoded = async_h1::server::decode(Memory::new(head.bytes)).await;
+    match decoded {
+        Ok(Some((request, _))) => Ok((Request { head: request, body }, head.keep_alive)),
+        Ok(None) => Err(Fault::Malformed { reason: "empty head".into() }),
+        Err(error) => Err(Fault::Malformed { reason: error.to_string() }),
+    }
+}
+
+/// Writes an answer.  An answer whose body fails or falls short of its declared length ends
+/// the connection, so that the client sees it broken and never takes the next head for a body.
+async fn write(
+    stream: &mut Stream,
+    mut answer: Response,
+    method: Method,
+    keep_alive: bool,
+    limits: &Limits,
+) -> Result<(), Fault> {
+    if !keep_alive {
+        answer.insert_header("connection", "close");
+    }
+    let declared = answer.len().filter(|_| method != Method::Head);
+    let mut encoder = async_h1::server::Encoder::new(answer, method);
+    let mut piece = vec![0; PIECE];
+    let mut counter = Counter::new(declared);
+    loop {
+        let count = encoder.read(&mut piece).await.map_err(|source| Fault::Io { source })?;
+        if count == 0 {
+            break;
+        }
+        counter.count(&piece[..count]);
+        stream.write_all(&piece[..count], limits.progress.0).await?;
+    }
+    if counter.is_short() { Err(Fault::Truncated) } else { Ok(()) }
+}
+
+/// Counts the body's bytes behind the head.
+struct Counter {
+    declared: Option<usize>,
+    in_head: bool,
+    tail: Vec<u8>,
+    body: usize,
+}
+
+impl Counter {
+    fn new(declared: Option<usize>) -> Self {
+        Self { declared, in_head: true, tail: Vec::new(), body: 0 }
+    }
+
+    fn count(&mut self, bytes: &[u8]) {
+        if !self.in_head {
+            self.body += bytes.len();
+            return;
+        }
+        self.tail.extend_from_slice(bytes);
+        if let Some(at) = self.tail.windows(4).position(|window| window == b"\r\n\r\n") {
+            self.in_head = false;
+            self.body = self.tail.len() - at - 4;
+            self.tail = Vec::new();
+        }
+    }
+
+    fn is_short(&self) -> bool {
+        self.declared.is_some_and(|declared| self.body < declared)
+    }
+}
+
+/// A head in memory, in the shape that `async_h1::server::decode` wants.
+#[derive(Clone)]
+struct Memory(Arc<Mutex<Cursor<Vec<u8>>>>);
+
+impl Memory {
+    fn new(bytes: Vec<u8>) -> Self {
+        Self(Arc::new(Mutex::new(Cursor::new(bytes))))
+    }
+}
+
+impl Read for Memory {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let mut cursor = self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        Poll::Ready(std::io::Read::read(&mut *cursor, buffer))
+    }
+}
+
+impl Write for Memory {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Poll::Ready(Ok(bytes.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
--- /dev/null
+++ b/crates/http/src/stream.rs
@@ -0,0 +1,100 @@
+//! A buffered connection whose every wait for the other end is bounded.
+
+use crate::Fault;
+use crate::fault;
+use async_std::future::timeout;
+use async_std::io::{Read, ReadExt, Write, WriteExt};
+use snafu::ResultExt;
+use std::time::Duration;
+
+/// Bytes read from the other end at once.
+const CHUNK: usize = 16 * 1024;
+
+/// What both ends need of a connection.
+pub trait Duplex: Read + Write + Send + Sync + Unpin {}
+
+impl<T: Read + Write + Send + Sync + Unpin> Duplex for T {}
+
+/// A connection with the bytes that were read ahead.
+///
+/// Bytes after the end of one message stay in the buffer and begin the next one, so a
+/// pipelined request is never lost.
+pub struct Stream {
+    io: Box<dyn Duplex>,
+    buffer: Vec<u8>,
+    start: usize,
+}
+
+impl Stream {
+    /// Wraps a connection.
+    pub fn new(io: impl Duplex + 'static) -> Self {
+        Self { io: Box::new(io), buffer: Vec::new(), start: 0 }
+    }
+
+    /// The bytes read ahead.
+    pub fn buffered(&self) -> &[u8] {
+        &self.buffer[self.start..]
+    }
+
+    /// Takes `n` buffered bytes out.
+    pub fn take(&mut self, n: usize) -> Vec<u8> {
+        let end = (self.start + n).min(self.buffer.len());
+        let bytes = self.buffer[self.start..end].to_vec();
+        self.start = end;
+        if self.start == self.buffer.len() {
+            self.buffer.clear();
+            self.start = 0;
+        }
+        bytes
+    }
+
+    /// Reads more bytes into the buffer and returns how many; nought at the end of the stream.
+    ///
+    /// # Errors
+    /// `Timeout` when nothing came within `wait`, `Io` when the connection failed.
+    pub async fn fill(&mut self, wait: Duration, doing: &'static str) -> Result<usize, Fault> {
+        if self.start > 0 {
+            self.buffer.drain(..self.start);
+            self.start = 0;
+        }
+        let length = self.buffer.len();
+        self.buffer.resize(length + CHUNK, 0);
+        let read = timeout(wait, self.io.read(&mut self.buffer[length..])).await;
+        let count = match &read {
+            Ok(Ok(count)) => *count,
+            _ => 0,
+        };
+        self.buffer.truncate(length + count);
+        match read {
+            Ok(result) => result.context(fault::IoSnafu),
+            Err(_) => fault::TimeoutSnafu { doing }.fail(),
+        }
+    }
+
+    /// Writes some of `bytes` and returns how many.
+    ///
+    /// # Errors
+    /// `Timeout` when nothing could be written within `wait`, `Io` when the connection failed.
+    pub async fn write_some(&mut self, bytes: &[u8], wait: Duration) -> Result<usize, Fault> {
+        match timeout(wait, self.io.write(bytes)).await {
+            Ok(Ok(0)) => fault::TruncatedSnafu.fail(),
+            Ok(result) => result.context(fault::IoSnafu),
+            Err(_) => fault::TimeoutSnafu { doing: "writing" }.fail(),
+        }
+    }
+
+    /// Writes all of `bytes`; `wait` bounds each step, not the whole.
+    ///
+    /// # Errors
+    /// As [`Stream::write_some`].
+    pub async fn write_all(&mut self, bytes: &[u8], wait: Duration) -> Result<(), Fault> {
+        let mut written = 0;
+        while written < bytes.len() {
+            written += self.write_some(&bytes[written..], wait).await?;
+        }
+        match timeout(wait, self.io.flush()).await {
+            Ok(result) => result.context(fault::IoSnafu),
+            Err(_) => fault::TimeoutSnafu { doing: "flushing" }.fail(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/config.rs
@@ -0,0 +1,287 @@
+//! An operator's configuration: a template with parameters, expanded and checked as a whole.
+//!
+//! The template is an INI file in which `${name}` stands for a parameter; the parameters are
+//! the `[parameters]` section of a second INI file, one for each workspace.
+
+mod template;
+
+use crate::code::Code;
+use crate::id;
+use crate::ini::{Mistake, Reader};
+use crate::unit::{Bytes, Millicores, Slots, Span};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::str::FromStr;
+
+pub use template::expand;
+
+/// Longest deadline that a caller may ask for, and default of the ceiling.
+pub const MAX_DEADLINE: Span = Span::secs(3600);
+
+/// A ratio between nought and one.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Ratio(pub f64);
+
+impl fmt::Display for Ratio {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Ratio {
+    type Err = std::num::ParseFloatError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Ratio)
+    }
+}
+
+/// A service and its pool of minions.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    /// Its name.
+    pub service: id::Service,
+    /// Minions its pool should have.
+    pub minions: u32,
+    /// Minions that must be in service at every moment: the availability budget.
+    pub floor: u32,
+    /// Requests a minion runs at one moment.
+    pub slots: Slots,
+    /// Connections a minion accepts.
+    pub connections: u32,
+    /// Deadline of a request that names none.
+    pub deadline: Span,
+    /// Longest silence of a minion while it works on a request.
+    pub progress: Span,
+    /// Requests that may wait at one entry for each of its slots.
+    pub queue_per_slot: u32,
+    /// Share of requests that may be sent again.
+    pub retry_ratio: Ratio,
+    /// Share of the slots that patient work is sure to get while urgent work waits.
+    pub patient_share: Ratio,
+    /// Largest request body.
+    pub body_limit: Bytes,
+    /// Whether patient minions of this pool may be lent elsewhere.
+    pub lends: bool,
+}
+
+/// A team and its quota.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Team {
+    /// Its name.
+    pub team: id::Team,
+    /// Processor time its running jobs may take together.
+    pub cpu: Millicores,
+    /// Accelerators its running jobs may take together.
+    pub accelerators: u32,
+    /// Requests it may have in flight at one entry.
+    pub requests: u32,
+}
+
+/// A recurring maintenance window.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Window {
+    /// Its name.
+    pub name: String,
+    /// Minutes after midnight, UTC, at which it opens.
+    pub opens: u32,
+    /// Minutes after midnight, UTC, at which it closes.
+    pub closes: u32,
+    /// The services it is for; none means all.
+    pub services: Vec<id::Service>,
+}
+
+/// An availability zone.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Zone {
+    /// Its name.
+    pub zone: id::Zone,
+    /// The region it lies in.
+    pub region: String,
+}
+
+/// A whole configuration, checked.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Document {
+    /// The workspace's name.
+    pub workspace: String,
+    /// What to favour: 0 the smallest buffer, 1 the shortest roll-out.
+    pub rollout_weight: Ratio,
+    /// Time a minion is expected to be away for a reboot.
+    pub reboot: Span,
+    /// Availability zones.
+    pub zones: BTreeMap<id::Zone, Zone>,
+    /// Services.
+    pub services: BTreeMap<id::Service, Service>,
+    /// Teams.
+    pub teams: BTreeMap<id::Team, Team>,
+    /// Maintenance windows.
+    pub windows: Vec<Window>,
+}
+
+impl Default for Document {
+    fn default() -> Self {
+        Document {
+            workspace: "default".into(),
+            rollout_weight: Ratio(0.5),
+            reboot: Span::secs(120),
+            zones: BTreeMap::new(),
+            services: BTreeMap::new(),
+            teams: BTreeMap::new(),
+            windows: Vec::new(),
+        }
+    }
+}
+
+impl Document {
+    /// Reads a template with parameters.
+    ///
+    /// # Errors
+    /// Every mistake of both files at once.
+    pub fn read(template: &str, parameters: &str) -> Result<Self, Vec<Mistake>> {
+        let (text, mut mistakes) = expand(template, parameters);
+        let mut reader = Reader::new(&text);
+        let document = read_document(&mut reader);
+        mistakes.extend(reader.finish(is_known_section));
+        if mistakes.is_empty() { Ok(document) } else { Err(mistakes) }
+    }
+}
+
+/// Sections that carry a name: `[service intake]`.
+const NAMED_SECTIONS: [&str; 4] = ["zone", "service", "team", "window"];
+
+fn is_known_section(section: &str) -> bool {
+    let word = section.split_once(' ').map(|(word, _)| word);
+    section == "workspace" || word.is_some_and(|word| NAMED_SECTIONS.contains(&word))
+}
+
+fn read_document(reader: &mut Reader) -> Document {
+    let defaults = Document::default();
+    let mut document = Document {
+        workspace: reader.value("workspace", "name", defaults.workspace),
+        rollout_weight: unit_ratio(reader, "workspace", "rollout_weight", defaults.rollout_weight),
+        reboot: reader.value("workspace", "reboot", defaults.reboot),
+        ..Document::default()
+    };
+    for section in reader.sections() {
+        let Some((word, name)) = section.split_once(' ') else { continue };
+        match word {
+            "zone" => read_zone(reader, &section, name, &mut document),
+            "service" => read_service(reader, &section, name, &mut document),
+            "team" => read_team(reader, &section, name, &mut document),
+            "window" => read_window(reader, &section, name, &mut document),
+            _ => {}
+        }
+    }
+    check_windows(reader, &document);
+    document
+}
+
+/// The name in a section's head, with a mistake noted where it is not an id.
+fn section_id<T: FromStr>(reader: &mut Reader, section: &str, name: &str) -> Option<T>
+where
+    T::Err: fmt::Display,
+{
+    match name.trim().parse() {
+        Ok(id) => Some(id),
+        Err(error) => {
+            reader.note(Code::BadValue, section, "", error.to_string());
+            None
+        }
+    }
+}
+
+fn unit_ratio(reader: &mut Reader, section: &str, key: &str, default: Ratio) -> Ratio {
+    reader.ranged(section, key, default, Ratio(0.0), Ratio(1.0))
+}
+
+fn read_zone(reader: &mut Reader, section: &str, name: &str, document: &mut Document) {
+    let region = reader.value(section, "region", String::from("main"));
+    if let Some(zone) = section_id::<id::Zone>(reader, section, name) {
+        document.zones.insert(zone.clone(), Zone { zone, region });
+    }
+}
+
+fn read_service(reader: &mut Reader, section: &str, name: &str, document: &mut Document) {
+    let minions = reader.required(section, "minions").unwrap_or(1);
+    let floor = reader.required(section, "floor").unwrap_or(0);
+    if floor > minions {
+        let text = format!("floor {floor} is above minions {minions}");
+        reader.note(Code::Contradiction, section, "floor", text);
+    }
+    let slots = reader.ranged(section, "slots", Slots(8), Slots(1), Slots(10_000));
+    let connections = reader.ranged(section, "connections", 64, 1, 100_000);
+    if connections < slots.0 {
+        let text = format!("connections {connections} are fewer than slots {slots}");
+        reader.note(Code::Contradiction, section, "connections", text);
+    }
+    let longest = MAX_DEADLINE;
+    let deadline = reader.ranged(section, "deadline", Span::secs(30), Span::millis(1), longest);
+    let progress = reader.ranged(section, "progress", Span::secs(10), Span::millis(50), longest);
+    let queue_per_slot = reader.ranged(section, "queue_per_slot", 8, 1, 1000);
+    let retry_ratio = unit_ratio(reader, section, "retry_ratio", Ratio(0.1));
+    let patient_share = unit_ratio(reader, section, "patient_share", Ratio(0.125));
+    let body_limit =
+        reader.ranged(section, "body_limit", Bytes::mebi(8), Bytes(1), Bytes::mebi(64));
+    let lends = reader.value(section, "lends", false);
+    let Some(service) = section_id::<id::Service>(reader, section, name) else { return };
+    let entry = Service {
+        service: service.clone(),
+        minions,
+        floor,
+        slots,
+        connections,
+        deadline,
+        progress,
+        queue_per_slot,
+        retry_ratio,
+        patient_share,
+        body_limit,
+        lends,
+    };
+    document.services.insert(service, entry);
+}
+
+fn read_team(reader: &mut Reader, section: &str, name: &str, document: &mut Document) {
+    let cpu = reader.value(section, "cpu", Millicores(u32::MAX));
+    let accelerators = reader.value(section, "accelerators", u32::MAX);
+    let requests = reader.ranged(section, "requests", u32::MAX, 1, u32::MAX);
+    if let Some(team) = section_id::<id::Team>(reader, section, name) {
+        document.teams.insert(team.clone(), Team { team, cpu, accelerators, requests });
+    }
+}
+
+fn read_window(reader: &mut Reader, section: &str, name: &str, document: &mut Document) {
+    let opens = time_of_day(reader, section, "opens");
+    let closes = time_of_day(reader, section, "closes");
+    let services = reader.list(section, "services");
+    document.windows.push(Window { name: name.trim().into(), opens, closes, services });
+}
+
+/// A time of day such as `22:30`, as minutes after midnight.
+fn time_of_day(reader: &mut Reader, section: &str, key: &str) -> u32 {
+    let Some(text) = reader.required::<String>(section, key) else { return 0 };
+    let number = |text: &str| text.parse::<u32>().ok();
+    let parts = text.split_once(':').and_then(|(h, m)| Some((number(h)?, number(m)?)));
+    match parts {
+        Some((hour, minute)) if hour < 24 && minute < 60 => hour * 60 + minute,
+        _ => {
+            reader.note(Code::BadValue, section, key, format!("{text:?} is not a time like 22:30"));
+            0
+        }
+    }
+}
+
+fn check_windows(reader: &mut Reader, document: &Document) {
+    for window in &document.windows {
+        for service in &window.services {
+            if !document.services.contains_key(service) {
+                let section = format!("window {}", window.name);
+                let text = format!("service {service} is not configured");
+                reader.note(Code::Contradiction, &section, "services", text);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/config/template.rs
@@ -0,0 +1,67 @@
+//! Expansion of `${name}` in a template.
+
+use crate::code::Code;
+use crate::ini::{Mistake, Reader};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The parameters' one section.
+const SECTION: &str = "parameters";
+
+/// Puts the parameters into the template.
+///
+/// Line numbers stay those of the template, because a value never contains a line end.
+pub fn expand(template: &str, parameters: &str) -> (String, Vec<Mistake>) {
+    let mut reader = Reader::new(parameters);
+    let mut values = BTreeMap::new();
+    for name in names(template) {
+        if let Some(value) = reader.text(SECTION, &name) {
+            values.insert(name, value);
+        }
+    }
+    let mut mistakes = reader.finish(|section| section == SECTION);
+    for mistake in &mut mistakes {
+        mistake.text = format!("in the parameters: {}", mistake.text);
+    }
+    let mut text = String::with_capacity(template.len());
+    for (index, line) in template.lines().enumerate() {
+        text.push_str(&expand_line(line, index + 1, &values, &mut mistakes));
+        text.push('\n');
+    }
+    (text, mistakes)
+}
+
+fn names(template: &str) -> BTreeSet<String> {
+    let starts = template.split("${").skip(1);
+    starts.filter_map(|rest| rest.split_once('}')).map(|(name, _)| name.trim().into()).collect()
+}
+
+fn expand_line(
+    line: &str,
+    number: usize,
+    values: &BTreeMap<String, String>,
+    mistakes: &mut Vec<Mistake>,
+) -> String {
+    let mut parts = line.split("${");
+    let mut expanded = parts.next().unwrap_or_default().to_owned();
+    for part in parts {
+        let Some((name, rest)) = part.split_once('}') else {
+            mistakes.push(missing(part, number, "${ without a closing brace"));
+            continue;
+        };
+        match values.get(name.trim()) {
+            Some(value) => expanded.push_str(value),
+            None => {
+                mistakes.push(missing(name.trim(), number, "the parameter has no value"));
+                // A digit keeps the rest of the check useful: most parameters are numbers.
+                expanded.push('1');
+            }
+        }
+        expanded.push_str(rest);
+    }
+    expanded
+}
+
+fn missing(name: &str, line: usize, text: &str) -> Mistake {
+    let (section, key, text) = (SECTION.into(), name.into(), text.into());
+    Mistake { code: Code::MissingParameter, section, key, line, text }
+}
--- /dev/null
+++ b/crates/model/src/job.rs
@@ -0,0 +1,155 @@
+//! Jobs, what they need, and the workers that run them.
+
+use crate::fleet::Row;
+use crate::id;
+use crate::request::{Class, Idempotence};
+use crate::unit::{Accelerators, Bytes, Millicores, Span, Token};
+use serde::{Deserialize, Serialize};
+use std::ops::{Add, AddAssign, SubAssign};
+use strum::{Display, EnumString, VariantArray};
+
+/// What a job needs, or a worker has.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Size {
+    /// Processor time.
+    pub cpu: Millicores,
+    /// Memory.
+    pub memory: Bytes,
+    /// Accelerators.
+    pub accelerators: Accelerators,
+}
+
+impl Size {
+    /// Whether this fits within `room` in every dimension.
+    pub fn fits(&self, room: &Size) -> bool {
+        self.cpu <= room.cpu && self.memory <= room.memory && self.accelerators <= room.accelerators
+    }
+
+    /// What is left of this after `other`, never below nought.
+    pub fn minus(&self, other: &Size) -> Size {
+        Size {
+            cpu: Millicores(self.cpu.0.saturating_sub(other.cpu.0)),
+            memory: Bytes(self.memory.0.saturating_sub(other.memory.0)),
+            accelerators: Accelerators(self.accelerators.0.saturating_sub(other.accelerators.0)),
+        }
+    }
+}
+
+impl Add for Size {
+    type Output = Size;
+
+    fn add(self, other: Size) -> Size {
+        Size {
+            cpu: Millicores(self.cpu.0 + other.cpu.0),
+            memory: Bytes(self.memory.0 + other.memory.0),
+            accelerators: Accelerators(self.accelerators.0 + other.accelerators.0),
+        }
+    }
+}
+
+impl AddAssign for Size {
+    fn add_assign(&mut self, other: Size) {
+        *self = *self + other;
+    }
+}
+
+impl SubAssign for Size {
+    fn sub_assign(&mut self, other: Size) {
+        *self = self.minus(&other);
+    }
+}
+
+/// Where a job stands.
+#[derive(
+    Clone,
+    Debug,
+    Eq,
+    PartialEq,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+    VariantArray,
+    Copy,
+    Hash,
+)]
+#[strum(serialize_all = "lowercase")]
+#[serde(rename_all = "lowercase")]
+pub enum Stage {
+    /// Waits for a worker.
+    Queued,
+    /// Runs on a worker.
+    Running,
+    /// Put aside with a checkpoint, waits for a worker.
+    Suspended,
+    /// Finished.
+    Done,
+    /// Failed for good.
+    Failed,
+    /// Cancelled.
+    Cancelled,
+    /// A non-idempotent attempt whose outcome nobody can tell; an operator decides.
+    Unknown,
+}
+
+impl Stage {
+    /// Whether nothing more happens to the job.
+    pub fn is_final(self) -> bool {
+        matches!(self, Stage::Done | Stage::Failed | Stage::Cancelled | Stage::Unknown)
+    }
+}
+
+/// What an operator or a team submits.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Spec {
+    /// The job.
+    pub job: id::Job,
+    /// Whose quota it counts against.
+    pub team: id::Team,
+    /// Urgent or patient.
+    pub class: Class,
+    /// Whether an attempt may be repeated.
+    pub idempotence: Idempotence,
+    /// The declared size, often far off.
+    pub size: Size,
+    /// The declared run time, often far off.
+    pub duration: Span,
+    /// The kind of work, by which sizes are learnt.
+    pub kind: String,
+}
+
+/// A job and its present attempt.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// What was submitted.
+    pub spec: Spec,
+    /// Where it stands.
+    pub stage: Stage,
+    /// The worker of the present attempt.
+    pub worker: Option<id::Worker>,
+    /// Attempts so far; the worker is told it and refuses lower ones.
+    pub attempts: u32,
+    /// The fencing token of the placer that started the attempt.
+    pub token: Token,
+    /// Why it failed or waits.
+    pub reason: String,
+    /// Milliseconds since the Unix epoch at submission.
+    pub submitted_at: u64,
+}
+
+impl Row for Job {
+    const PREFIX: &'static str = "job/";
+}
+
+/// A worker as the platform's list shows it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Worker {
+    /// The worker.
+    pub worker: id::Worker,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Its rack.
+    pub rack: id::Rack,
+    /// What it has in all.
+    pub size: Size,
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,285 @@
+//! The platform over HTTP, with JSON bodies.
+//!
+//! Calls carry a bounded wait.  What a failure leaves uncertain follows from the phase at which
+//! it struck: nothing written means that nothing happened; a commit of which some was written
+//! may have happened, and its caller reads back.
+
+use crate::message::{Changes, Listing, Order, Row, Space, Task, Transaction};
+use crate::{Error, Platform, traits};
+use async_trait::async_trait;
+use celerythread_http::client::{self, Connection, Phase};
+use celerythread_model::id;
+use celerythread_model::unit::{Bytes, Revision, Span};
+use http_types::Method;
+use parking_lot::Mutex;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Largest answer of the platform.
+const ANSWER_LIMIT: Bytes = Bytes::mebi(64);
+
+/// Most connections kept open between calls.
+const IDLE_CONNECTIONS: usize = 4;
+
+/// How the platform is reached.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Its addresses; the next is tried when one does not connect.
+    pub addresses: Vec<SocketAddr>,
+    /// Longest wait for each step of a call.
+    pub timeout: Span,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { addresses: Vec::new(), timeout: Span::secs(2) }
+    }
+}
+
+/// A client of the platform.
+pub struct Client {
+    settings: Settings,
+    preferred: AtomicUsize,
+    idle: Mutex<Vec<Connection>>,
+}
+
+/// The body of `POST /table/read`.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ReadQuery {
+    /// The space.
+    pub space: Space,
+    /// The keys.
+    pub keys: Vec<String>,
+}
+
+/// The body of `POST /table/changes`.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ChangesQuery {
+    /// The space.
+    pub space: Space,
+    /// After this revision.
+    pub since: Revision,
+}
+
+/// The body of `POST /roster/reboot`.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Reboot {
+    /// The instance.
+    pub name: String,
+    /// Its boot count so far.
+    pub boot: u64,
+}
+
+/// The body of `POST /workers/order`.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Command {
+    /// The worker.
+    pub worker: id::Worker,
+    /// The order.
+    pub order: Order,
+}
+
+/// The body of `POST /workers/inspect`.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Inspection {
+    /// The worker.
+    pub worker: id::Worker,
+    /// The job.
+    pub job: id::Job,
+}
+
+/// What goes wrong below the platform's own answers, by whether the call may have happened.
+enum Trouble {
+    NotSent(String),
+    MaybeSent(String),
+}
+
+impl Client {
+    /// A client that connects when it is first used.
+    pub fn new(settings: Settings) -> Self {
+        Self { settings, preferred: AtomicUsize::new(0), idle: Mutex::new(Vec::new()) }
+    }
+
+    /// The four borders over one client.
+    pub fn platform(self) -> Platform {
+        let client = Arc::new(self);
+        Platform {
+            table: client.clone(),
+            objects: client.clone(),
+            roster: client.clone(),
+            workers: client,
+        }
+    }
+
+    /// A connection that was used before only when the server has not closed it meanwhile.
+    async fn connection(&self) -> Result<Connection, Trouble> {
+        while let Some(mut connection) = self.take_idle() {
+            if !connection.is_stale().await {
+                return Ok(connection);
+            }
+        }
+        let mut reason = String::from("no address is set");
+        let first = self.preferred.load(Ordering::Relaxed);
+        let count = self.settings.addresses.len();
+        for index in (first..first + count).map(|index| index % count) {
+            let address = self.settings.addresses[index];
+            match Connection::open(address, self.settings.timeout.0).await {
+                Ok(connection) => {
+                    self.preferred.store(index, Ordering::Relaxed);
+                    return Ok(connection);
+                }
+                Err(fault) => reason = format!("{address}: {fault}"),
+            }
+        }
+        Err(Trouble::NotSent(reason))
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        self.idle.lock().pop()
+    }
+
+    fn keep(&self, connection: Connection) {
+        let mut idle = self.idle.lock();
+        if idle.len() < IDLE_CONNECTIONS {
+            idle.push(connection);
+        }
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<(u16, Vec<u8>), Trouble> {
+        let mut connection = self.connection().await?;
+        // The address is only for the Host header; the connection is open already.
+        let host = self.settings.addresses[0];
+        let mut request = client::request(method, host, path)
+            .map_err(|fault| Trouble::NotSent(fault.to_string()))?;
+        request.set_body(body);
+        let wait = self.settings.timeout.0;
+        let answer = connection.send(request, wait).await.map_err(|failure| {
+            let reason = failure.fault.to_string();
+            match failure.phase {
+                Phase::Connecting | Phase::Connected => Trouble::NotSent(reason),
+                _ => Trouble::MaybeSent(reason),
+            }
+        })?;
+        let body = connection
+            .body(answer.length, wait, ANSWER_LIMIT.0)
+            .await
+            .map_err(|fault| Trouble::MaybeSent(fault.to_string()))?;
+        if answer.keep_alive {
+            self.keep(connection);
+        }
+        Ok((answer.head.status().into(), body))
+    }
+
+    /// A call that changes something: a lost answer stays `Lost`.
+    async fn change<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        query: &impl Serialize,
+    ) -> Result<T, Error> {
+        let body = serde_json::to_vec(query).expect("messages always serialize");
+        match self.exchange(Method::Post, path, body).await {
+            Ok((status, body)) => decode(status, &body),
+            Err(Trouble::NotSent(reason)) => Err(Error::Unavailable { reason }),
+            Err(Trouble::MaybeSent(reason)) => Err(Error::Lost { reason }),
+        }
+    }
+
+    /// A call that only asks: a lost answer is no different from none.
+    async fn ask<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        query: &impl Serialize,
+    ) -> Result<T, Error> {
+        self.change(path, query).await.map_err(|error| match error {
+            Error::Lost { reason } => Error::Unavailable { reason },
+            other => other,
+        })
+    }
+}
+
+/// Takes the platform's own answer: a value, or an error that the platform vouches for.
+fn decode<T: DeserializeOwned>(status: u16, body: &[u8]) -> Result<T, Error> {
+    if status == 200 {
+        // A success that cannot be understood did happen, so it must not count as not done.
+        return serde_json::from_slice(body)
+            .map_err(|error| Error::Lost { reason: format!("unreadable answer: {error}") });
+    }
+    let error: Result<Error, _> = serde_json::from_slice(body);
+    Err(error.unwrap_or_else(|_| match status {
+        400..=499 => Error::Refused { reason: format!("status {status}") },
+        _ => Error::Lost { reason: format!("status {status}") },
+    }))
+}
+
+#[async_trait]
+impl traits::Table for Client {
+    async fn commit(&self, transaction: Transaction) -> Result<Revision, Error> {
+        self.change("/table/commit", &transaction).await
+    }
+
+    async fn read(&self, space: Space, keys: &[String]) -> Result<Vec<Row>, Error> {
+        self.ask("/table/read", &ReadQuery { space, keys: keys.to_vec() }).await
+    }
+
+    async fn changes(&self, space: Space, since: Revision) -> Result<Changes, Error> {
+        self.ask("/table/changes", &ChangesQuery { space, since }).await
+    }
+}
+
+#[async_trait]
+impl traits::Objects for Client {
+    async fn put(&self, name: &str, body: Vec<u8>) -> Result<(), Error> {
+        match self.exchange(Method::Put, &format!("/objects/{name}"), body).await {
+            Ok((200, _)) => Ok(()),
+            Ok((status, body)) => decode(status, &body),
+            Err(Trouble::NotSent(reason)) => Err(Error::Unavailable { reason }),
+            Err(Trouble::MaybeSent(reason)) => Err(Error::Lost { reason }),
+        }
+    }
+
+    async fn get(&self, name: &str) -> Result<Option<Vec<u8>>, Error> {
+        match self.exchange(Method::Get, &format!("/objects/{name}"), Vec::new()).await {
+            Ok((200, body)) => Ok(Some(body)),
+            Ok((404, _)) => Ok(None),
+            Ok((status, body)) => decode(status, &body),
+            Err(Trouble::NotSent(reason) | Trouble::MaybeSent(reason)) => {
+                Err(Error::Unavailable { reason })
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl traits::Roster for Client {
+    async fn list(&self) -> Result<Listing, Error> {
+        self.ask("/roster/list", &()).await
+    }
+
+    async fn reboot(&self, name: &str, boot: u64) -> Result<(), Error> {
+        self.change("/roster/reboot", &Reboot { name: name.into(), boot }).await
+    }
+}
+
+#[async_trait]
+impl traits::Workers for Client {
+    async fn order(&self, worker: &id::Worker, order: Order) -> Result<(), Error> {
+        self.change("/workers/order", &Command { worker: worker.clone(), order }).await
+    }
+
+    async fn tasks(&self) -> Result<Vec<Task>, Error> {
+        self.ask("/workers/tasks", &()).await
+    }
+
+    async fn inspect(&self, worker: &id::Worker, job: &id::Job) -> Result<Option<Task>, Error> {
+        let query = Inspection { worker: worker.clone(), job: job.clone() };
+        self.ask("/workers/inspect", &query).await
+    }
+}
--- /dev/null
+++ b/crates/platform/src/memory/workers.rs
@@ -0,0 +1,167 @@
+//! Workers in memory, with tasks that end by the clock.
+
+use crate::message::{Order, Phase, Task};
+use crate::{Error, traits};
+use async_trait::async_trait;
+use celerythread_model::id;
+use celerythread_model::job::Size;
+use parking_lot::Mutex;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// How a worker's tasks really behave, whatever was declared.
+#[derive(Clone, Debug)]
+pub struct Behaviour {
+    /// How long a task runs.
+    pub duration: Duration,
+    /// Whether every task fails at once.
+    pub fails: bool,
+    /// What a task really uses, as a multiple of what it was given.
+    pub usage: f64,
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Self { duration: Duration::from_millis(200), fails: false, usage: 1.0 }
+    }
+}
+
+/// Workers that record every start.
+#[derive(Default)]
+pub struct Workers {
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    behaviours: HashMap<id::Worker, Behaviour>,
+    tasks: HashMap<(id::Worker, id::Job), Running>,
+    highest_token: HashMap<id::Worker, u64>,
+    starts: Vec<(id::Worker, id::Job, u32)>,
+}
+
+struct Running {
+    attempt: u32,
+    phase: Phase,
+    size: Size,
+    ends: Instant,
+    left: Duration,
+}
+
+impl Workers {
+    /// Sets how a worker behaves.
+    pub fn set_behaviour(&self, worker: id::Worker, behaviour: Behaviour) {
+        self.state.lock().behaviours.insert(worker, behaviour);
+    }
+
+    /// Every start that a worker carried out, in order: the record that a check is made on.
+    pub fn starts(&self) -> Vec<(id::Worker, id::Job, u32)> {
+        self.state.lock().starts.clone()
+    }
+
+    /// Loses a worker with all its tasks.
+    pub fn lose(&self, worker: &id::Worker) {
+        self.state.lock().tasks.retain(|(held, _), _| held != worker);
+    }
+}
+
+impl State {
+    fn start(
+        &mut self,
+        worker: &id::Worker,
+        job: id::Job,
+        attempt: u32,
+        token: u64,
+        size: Size,
+    ) -> Result<(), Error> {
+        let refuse = |reason: &str| Err(Error::Refused { reason: reason.into() });
+        let highest = self.highest_token.entry(worker.clone()).or_default();
+        if token < *highest {
+            return refuse("the fencing token is old");
+        }
+        *highest = token;
+        let key = (worker.clone(), job.clone());
+        if self.tasks.get(&key).is_some_and(|task| task.attempt >= attempt) {
+            return refuse("the attempt is not new");
+        }
+        let behaviour = self.behaviours.get(worker).cloned().unwrap_or_default();
+        let phase = if behaviour.fails { Phase::Failed } else { Phase::Running };
+        let used = |n: u64| (n as f64 * behaviour.usage) as u64;
+        let mut real = size;
+        real.cpu.0 = used(size.cpu.0.into()) as u32;
+        real.memory.0 = used(size.memory.0);
+        let ends = Instant::now() + behaviour.duration;
+        let running = Running { attempt, phase, size: real, ends, left: behaviour.duration };
+        self.tasks.insert(key, running);
+        self.starts.push((worker.clone(), job, attempt));
+        Ok(())
+    }
+
+    fn settle(&mut self) {
+        let now = Instant::now();
+        for task in self.tasks.values_mut() {
+            if task.phase == Phase::Running && task.ends <= now {
+                task.phase = Phase::Done;
+            }
+        }
+    }
+
+    fn task(worker: &id::Worker, job: &id::Job, running: &Running) -> Task {
+        Task {
+            job: job.clone(),
+            worker: worker.clone(),
+            attempt: running.attempt,
+            phase: running.phase,
+            cpu: running.size.cpu,
+            memory: running.size.memory,
+        }
+    }
+}
+
+#[async_trait]
+impl traits::Workers for Workers {
+    async fn order(&self, worker: &id::Worker, order: Order) -> Result<(), Error> {
+        let mut state = self.state.lock();
+        state.settle();
+        match order {
+            Order::Start { job, attempt, token, size } => {
+                state.start(worker, job, attempt, token, size)
+            }
+            Order::Throttle { job } => {
+                if let Some(task) = state.tasks.get_mut(&(worker.clone(), job))
+                    && task.phase == Phase::Running
+                {
+                    task.phase = Phase::Throttled;
+                    task.left = task.ends.saturating_duration_since(Instant::now());
+                }
+                Ok(())
+            }
+            Order::Checkpoint { job } => {
+                if let Some(task) = state.tasks.get_mut(&(worker.clone(), job))
+                    && matches!(task.phase, Phase::Running | Phase::Throttled)
+                {
+                    task.phase = Phase::Checkpointed;
+                }
+                Ok(())
+            }
+            Order::Stop { job } => {
+                state.tasks.remove(&(worker.clone(), job));
+                Ok(())
+            }
+        }
+    }
+
+    async fn tasks(&self) -> Result<Vec<Task>, Error> {
+        let mut state = self.state.lock();
+        state.settle();
+        let tasks = state.tasks.iter();
+        Ok(tasks.map(|((worker, job), running)| State::task(worker, job, running)).collect())
+    }
+
+    async fn inspect(&self, worker: &id::Worker, job: &id::Job) -> Result<Option<Task>, Error> {
+        let mut state = self.state.lock();
+        state.settle();
+        let found = state.tasks.get(&(worker.clone(), job.clone()));
+        Ok(found.map(|running| State::task(worker, job, running)))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/placement.rs
@@ -0,0 +1,143 @@
+//! Finding a worker for a job.
+
+use celerythread_model::id;
+use celerythread_model::job::Size;
+use celerythread_model::request::Class;
+use smallvec::SmallVec;
+
+/// A patient task that could be put aside.
+#[derive(Clone, Debug)]
+pub struct Patient {
+    /// The job.
+    pub job: id::Job,
+    /// What it holds.
+    pub size: Size,
+}
+
+/// A worker as the decision sees it.
+#[derive(Clone, Debug)]
+pub struct Room {
+    /// The worker.
+    pub worker: id::Worker,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Its rack.
+    pub rack: id::Rack,
+    /// What it has in all.
+    pub total: Size,
+    /// What is free.
+    pub free: Size,
+    /// Whether it is set aside.
+    pub resting: bool,
+    /// Patient tasks on it, the last started first.
+    pub patient: SmallVec<[Patient; 4]>,
+}
+
+/// What a job needs.
+#[derive(Clone, Debug)]
+pub struct Need {
+    /// What to reckon with, learnt rather than declared.
+    pub size: Size,
+    /// Urgent or patient.
+    pub class: Class,
+    /// A worker that just failed it.
+    pub avoid: Option<id::Worker>,
+}
+
+/// What a team may still take.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowance {
+    /// Its quota in all.
+    pub quota: Size,
+    /// What its running jobs hold.
+    pub used: Size,
+}
+
+/// Where a job goes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Placement {
+    /// Start it there.
+    Start(id::Worker),
+    /// Put these patient jobs aside there first.
+    PutAside(id::Worker, SmallVec<[id::Job; 4]>),
+    /// No room now.
+    Wait,
+    /// It can never run, for this reason.
+    Impossible(String),
+}
+
+/// Decides where a job goes.
+///
+/// The tightest fit wins, so that large holes stay for large jobs; accelerators are not taken
+/// up by jobs that need none while others have room.  Urgent work that finds no room puts
+/// patient work aside, the least of it that suffices: the buffer for urgent work is patient
+/// work that can wait, not idle machines.
+pub fn place(need: &Need, rooms: &[Room], allowance: Option<Allowance>) -> Placement {
+    if let Some(reason) = impossible(need, rooms, allowance) {
+        return Placement::Impossible(reason);
+    }
+    if let Some(allowance) = allowance
+        && !(allowance.used + need.size).fits(&allowance.quota)
+    {
+        return Placement::Wait;
+    }
+    let open = || rooms.iter().filter(|room| !room.resting);
+    let best = open().filter(|room| need.size.fits(&room.free)).min_by_key(|room| {
+        let avoided = need.avoid.as_ref() == Some(&room.worker);
+        let wasted = need.size.accelerators.0 == 0 && room.free.accelerators.0 > 0;
+        (avoided, wasted, slack(&room.free.minus(&need.size), &room.total))
+    });
+    if let Some(room) = best {
+        return Placement::Start(room.worker.clone());
+    }
+    if need.class == Class::Patient {
+        return Placement::Wait;
+    }
+    let victims = open().filter_map(|room| Some((put_aside(need, room)?, room)));
+    match victims.min_by_key(|(jobs, _)| jobs.len()) {
+        Some((jobs, room)) => Placement::PutAside(room.worker.clone(), jobs),
+        None => Placement::Wait,
+    }
+}
+
+/// Why a job can never run, if so.
+fn impossible(need: &Need, rooms: &[Room], allowance: Option<Allowance>) -> Option<String> {
+    if let Some(allowance) = allowance
+        && !need.size.fits(&allowance.quota)
+    {
+        return Some("it needs more than its team's whole quota".into());
+    }
+    if rooms.is_empty() || rooms.iter().any(|room| need.size.fits(&room.total)) {
+        return None;
+    }
+    let most = |f: fn(&Size) -> u64| rooms.iter().map(|room| f(&room.total)).max().unwrap_or(0);
+    let short = |name: &str, f: fn(&Size) -> u64| {
+        let (needed, largest) = (f(&need.size), most(f));
+        (needed > largest)
+            .then(|| format!("it needs {needed} {name} and no worker has over {largest}"))
+    };
+    short("thousandths of a core", |size| size.cpu.0.into())
+        .or_else(|| short("bytes of memory", |size| size.memory.0))
+        .or_else(|| short("accelerators", |size| size.accelerators.0.into()))
+        .or_else(|| Some("no single worker has all that it needs together".into()))
+}
+
+/// What would be left over, in thousandths of the worker, of its tightest dimension's sibling.
+fn slack(left: &Size, total: &Size) -> u64 {
+    let part = |left: u64, total: u64| if total == 0 { 0 } else { left * 1000 / total };
+    part(left.cpu.0.into(), total.cpu.0.into()) + part(left.memory.0, total.memory.0)
+}
+
+/// The fewest patient jobs whose room, with what is free, suffices.
+fn put_aside(need: &Need, room: &Room) -> Option<SmallVec<[id::Job; 4]>> {
+    let mut freed = room.free;
+    let mut jobs = SmallVec::new();
+    for patient in &room.patient {
+        if need.size.fits(&freed) {
+            break;
+        }
+        freed += patient.size;
+        jobs.push(patient.job.clone());
+    }
+    need.size.fits(&freed).then_some(jobs)
+}
--- /dev/null
+++ b/crates/policy/src/slots.rs
@@ -0,0 +1,324 @@
+//! The slots of the minions that this entry owns.
+//!
+//! Every dispatch to a minion holds one grant of its owner, here or lent to a peer; that is
+//! why the minion's slots bound the work of all entries together, and why the owner alone can
+//! say that a draining minion holds no work.
+
+use crate::health::{Health, State};
+use crate::time::Moment;
+use celerythread_model::id;
+use celerythread_model::unit::{Epoch, Slots};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A grant's number, never used twice by one process.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Grant(pub u64);
+
+/// Who uses a grant.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Holder {
+    /// This entry.
+    Own,
+    /// A peer.
+    Peer(id::Entry),
+}
+
+/// What a grant allows.
+#[derive(Clone, Debug)]
+pub struct Permit {
+    /// Its number.
+    pub grant: Grant,
+    /// The minion.
+    pub minion: id::Minion,
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// Its epoch.
+    pub epoch: Epoch,
+}
+
+/// What became of a dispatch.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The minion answered.
+    Answered,
+    /// The minion failed it.
+    Failed,
+    /// The minion itself says that it is leaving or full.
+    Leaving,
+    /// It was not sent, for a reason that is not the minion's.
+    Unused,
+}
+
+/// What the owner knows of a minion.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// Its pool.
+    pub service: id::Service,
+    /// Its slots.
+    pub slots: Slots,
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// Its epoch.
+    pub epoch: Epoch,
+    /// Whether it gets new work.
+    pub active: bool,
+}
+
+#[derive(Debug)]
+struct Minion {
+    spec: Spec,
+    health: Health,
+    grants: BTreeMap<Grant, Holder>,
+    /// Slots that stay occupied after a failure, each until a moment.
+    penalties: Vec<Moment>,
+    /// Slots that a former owner may still use, until a moment.
+    reserved: Option<(u32, Moment)>,
+    /// The minion asked to be left alone until then.
+    leaving_until: Moment,
+}
+
+/// How long a minion that says it is leaving or full is left alone.
+const LEAVING_REST: Duration = Duration::from_millis(500);
+
+impl Minion {
+    fn occupied(&self, now: Moment) -> u32 {
+        let penalties = self.penalties.iter().filter(|until| **until > now).count();
+        let reserved = self.reserved.filter(|(_, until)| *until > now).map_or(0, |(n, _)| n);
+        (self.grants.len() + penalties) as u32 + reserved
+    }
+
+    fn free(&self, now: Moment) -> u32 {
+        if !self.spec.active || self.leaving_until > now {
+            return 0;
+        }
+        let limit = match self.health.state(now) {
+            State::Trusted => self.spec.slots.0,
+            State::Probing => 1,
+            State::Resting(_) => 0,
+        };
+        limit.saturating_sub(self.occupied(now))
+    }
+}
+
+/// A service's figures at this entry.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Room {
+    /// Slots of active minions.
+    pub slots: u32,
+    /// Of these, free now.
+    pub free: u32,
+}
+
+/// All minions that this entry owns.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    minions: BTreeMap<id::Minion, Minion>,
+    by_service: HashMap<id::Service, Vec<id::Minion>>,
+    where_is: HashMap<Grant, id::Minion>,
+    last: u64,
+}
+
+impl Ledger {
+    /// Takes a minion over, or its changed description in.  `reserved` slots may still be in
+    /// use by a former owner until the given moment.
+    pub fn own(&mut self, minion: id::Minion, spec: Spec, reserved: Option<(u32, Moment)>) {
+        let service = spec.service.clone();
+        match self.minions.get_mut(&minion) {
+            Some(known) => {
+                // A new epoch is a newly booted minion: what it did before says nothing.
+                if known.spec.epoch != spec.epoch {
+                    known.health = Health::default();
+                    known.leaving_until = Moment(0);
+                }
+                let old = std::mem::replace(&mut known.spec, spec).service;
+                if old != service {
+                    self.unlist(&old, &minion);
+                    self.by_service.entry(service).or_default().push(minion);
+                }
+            }
+            None => {
+                let entry = Minion {
+                    spec,
+                    health: Health::default(),
+                    grants: BTreeMap::new(),
+                    penalties: Vec::new(),
+                    reserved,
+                    leaving_until: Moment(0),
+                };
+                self.minions.insert(minion.clone(), entry);
+                self.by_service.entry(service).or_default().push(minion);
+            }
+        }
+    }
+
+    /// Gives a minion up.  Its grants stay known until they end.
+    pub fn disown(&mut self, minion: &id::Minion) {
+        if let Some(known) = self.minions.remove(minion) {
+            self.unlist(&known.spec.service, minion);
+            for grant in known.grants.keys() {
+                self.where_is.remove(grant);
+            }
+        }
+    }
+
+    fn unlist(&mut self, service: &id::Service, minion: &id::Minion) {
+        if let Some(list) = self.by_service.get_mut(service) {
+            list.retain(|name| name != minion);
+        }
+    }
+
+    /// Whether a minion is owned here.
+    pub fn owns(&self, minion: &id::Minion) -> bool {
+        self.minions.contains_key(minion)
+    }
+
+    /// The minions owned here.
+    pub fn owned(&self) -> impl Iterator<Item = &id::Minion> {
+        self.minions.keys()
+    }
+
+    /// Hands out a slot of the service's least occupied minion, `avoid` only when no other has
+    /// one.
+    pub fn grant(
+        &mut self,
+        service: &id::Service,
+        holder: Holder,
+        avoid: Option<&id::Minion>,
+        now: Moment,
+    ) -> Option<Permit> {
+        let names = self.by_service.get(service)?;
+        let best = names
+            .iter()
+            .filter_map(|name| Some((name, self.minions.get(name)?)))
+            .filter(|(_, minion)| minion.free(now) > 0)
+            .min_by_key(|(name, minion)| (Some(*name) == avoid, minion.occupied(now)))?;
+        let name = best.0.clone();
+        self.last += 1;
+        let grant = Grant(self.last);
+        let minion = self.minions.get_mut(&name)?;
+        minion.grants.insert(grant, holder);
+        self.where_is.insert(grant, name.clone());
+        let (address, epoch) = (minion.spec.address, minion.spec.epoch);
+        Some(Permit { grant, minion: name, address, epoch })
+    }
+
+    /// Ends a grant.  Tells whether the minion's health changed by it, and to what.
+    pub fn finish(
+        &mut self,
+        grant: Grant,
+        verdict: Verdict,
+        took: Duration,
+        now: Moment,
+    ) -> Option<(id::Minion, bool)> {
+        let name = self.where_is.remove(&grant)?;
+        let (siblings, typical, may_eject) = self.compare(&name, now);
+        let minion = self.minions.get_mut(&name)?;
+        minion.grants.remove(&grant);
+        minion.penalties.retain(|until| *until > now);
+        match verdict {
+            Verdict::Answered => minion.health.succeed(took).then_some((name, true)),
+            Verdict::Failed => {
+                let penalty = minion.health.penalty(took, typical);
+                if !penalty.is_zero() {
+                    minion.penalties.push(now + penalty);
+                }
+                let ejected = minion.health.fail(now, siblings, may_eject);
+                ejected.then_some((name, false))
+            }
+            Verdict::Leaving => {
+                minion.leaving_until = now + LEAVING_REST;
+                None
+            }
+            Verdict::Unused => None,
+        }
+    }
+
+    /// The siblings' failure rate and typical time, and whether one less still leaves another.
+    fn compare(&self, name: &id::Minion, now: Moment) -> (f64, Duration, bool) {
+        let Some(minion) = self.minions.get(name) else { return (0.0, Duration::ZERO, false) };
+        let names = self.by_service.get(&minion.spec.service);
+        let siblings = names.into_iter().flatten().filter(|other| *other != name);
+        let mut rate = 0.0;
+        let mut typical = Duration::ZERO;
+        let mut count = 0;
+        let mut trusted = 0;
+        for other in siblings.filter_map(|other| self.minions.get(other)) {
+            rate += other.health.failure_rate();
+            typical = typical.max(other.health.typical());
+            count += 1;
+            let serves = other.spec.active && other.health.state(now) == State::Trusted;
+            trusted += u32::from(serves);
+        }
+        let rate = if count == 0 { 0.0 } else { rate / f64::from(count) };
+        // An only minion of its service here can still be set aside for a short rest, since
+        // peers hold others; but one of several is never the last to go.
+        (rate, typical, count == 0 || trusted > 0)
+    }
+
+    /// Ends every grant of a peer that it no longer uses: `held` is what it says it uses.
+    ///
+    /// Called when the peer's link was lost, after which the peer cannot say `Finish`.
+    pub fn settle(&mut self, peer: &id::Entry, held: impl Fn(Grant) -> bool) -> usize {
+        let mut settled = 0;
+        for minion in self.minions.values_mut() {
+            let holder = Holder::Peer(peer.clone());
+            let over: Vec<Grant> = minion
+                .grants
+                .iter()
+                .filter(|(grant, by)| **by == holder && !held(**grant))
+                .map(|(grant, _)| *grant)
+                .collect();
+            for grant in over {
+                minion.grants.remove(&grant);
+                self.where_is.remove(&grant);
+                settled += 1;
+            }
+        }
+        settled
+    }
+
+    /// What a service has here.
+    pub fn room(&self, service: &id::Service, now: Moment) -> Room {
+        let mut room = Room::default();
+        for name in self.by_service.get(service).into_iter().flatten() {
+            if let Some(minion) = self.minions.get(name).filter(|minion| minion.spec.active) {
+                room.slots += minion.spec.slots.0;
+                room.free += minion.free(now);
+            }
+        }
+        room
+    }
+
+    /// Services of which minions are owned here.
+    pub fn services(&self) -> impl Iterator<Item = &id::Service> {
+        self.by_service.iter().filter(|(_, list)| !list.is_empty()).map(|(service, _)| service)
+    }
+
+    /// Minions that are set aside now.
+    pub fn ejected(&self, now: Moment) -> Vec<id::Minion> {
+        let aside = |minion: &&Minion| minion.health.state(now) != State::Trusted;
+        let names = self.minions.iter().filter(|(_, minion)| aside(minion));
+        names.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Grants outstanding on a minion.
+    pub fn outstanding(&self, minion: &id::Minion) -> u32 {
+        self.minions.get(minion).map_or(0, |minion| minion.grants.len() as u32)
+    }
+
+    /// Whether no work of any entry is on the minion, as far as its owner can know.
+    pub fn is_idle(&self, minion: &id::Minion, now: Moment) -> bool {
+        self.minions.get(minion).is_some_and(|minion| {
+            minion.grants.is_empty() && minion.reserved.is_none_or(|(_, until)| until <= now)
+        })
+    }
+
+    /// Lifts the reservation for a former owner that is gone for certain.
+    pub fn release_reserved(&mut self, minion: &id::Minion) {
+        if let Some(minion) = self.minions.get_mut(minion) {
+            minion.reserved = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/wave.rs
@@ -0,0 +1,125 @@
+//! Maintenance waves: how many at once, which next, and when it will be finished.
+
+use crate::availability::Standing;
+use celerythread_model::config::Ratio;
+use celerythread_model::id;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A minion that a wave still has to maintain.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// The minion.
+    pub minion: id::Minion,
+    /// Its pool.
+    pub service: id::Service,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Its rack.
+    pub rack: id::Rack,
+}
+
+/// How many minions of a service may be out at once, for the roll-out weight.
+///
+/// All that the floor leaves can be used for the shortest roll-out; for the smallest buffer
+/// the rest is kept for failures: as much as the largest rack would cost.  One may always go
+/// while the service is above its floor, since a wave must finish.
+pub fn parallel(standing: &Standing, weight: Ratio) -> u32 {
+    let spare = standing.spare();
+    let kept = f64::from(standing.largest_rack()) * (1.0 - weight.0);
+    let allowed = spare.saturating_sub(kept.round() as u32);
+    allowed.max(u32::from(spare > 0))
+}
+
+/// The minions to drain now.
+///
+/// A rack is emptied before the next is begun, and a zone's racks before the next zone's: what
+/// is out together then fails together, and a rack or zone that is lost during the wave costs
+/// the services less.  `begun` are racks with something out already.
+pub fn next(
+    remaining: &[Target],
+    standings: &BTreeMap<id::Service, Standing>,
+    weight: Ratio,
+    begun: &[id::Rack],
+) -> Vec<id::Minion> {
+    let mut left: BTreeMap<&id::Service, u32> = standings
+        .iter()
+        .map(|(service, standing)| {
+            // What is out already has used its part of what may be out at once.
+            let at_once = parallel(&restored(standing), weight);
+            (service, at_once.saturating_sub(standing.out).min(standing.spare()))
+        })
+        .collect();
+    let mut order: Vec<&Target> = remaining.iter().collect();
+    order.sort_by_key(|t| (!begun.contains(&t.rack), &t.zone, &t.rack, &t.minion));
+    let mut chosen = Vec::new();
+    for target in order {
+        if let Some(count) = left.get_mut(&target.service).filter(|count| **count > 0) {
+            *count -= 1;
+            chosen.push(target.minion.clone());
+        }
+    }
+    chosen
+}
+
+/// The standing as it would be with everything back that is out by intent.
+fn restored(standing: &Standing) -> Standing {
+    Standing { serving: standing.serving + standing.out, out: 0, ..standing.clone() }
+}
+
+/// When a wave will be finished, and what decides it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Forecast {
+    /// Time to finish.
+    pub time: Duration,
+    /// The service that takes longest; none when nothing is to be done.
+    pub binding: Option<id::Service>,
+    /// How many of it may be out at once.
+    pub parallel: u32,
+    /// A service that has nothing to spare, so that its minions must wait for others to return.
+    pub stuck: Option<id::Service>,
+}
+
+/// Forecasts a wave; `each` is the time that a minion is out.
+pub fn forecast(
+    targets: &[Target],
+    standings: &BTreeMap<id::Service, Standing>,
+    weight: Ratio,
+    each: Duration,
+) -> Forecast {
+    let mut counts: BTreeMap<&id::Service, u32> = BTreeMap::new();
+    for target in targets {
+        *counts.entry(&target.service).or_default() += 1;
+    }
+    let mut forecast = Forecast { time: Duration::ZERO, binding: None, parallel: 0, stuck: None };
+    for (service, count) in counts {
+        let standing = standings.get(service).cloned().unwrap_or_default();
+        let at_once = parallel(&restored(&standing), weight);
+        if at_once == 0 {
+            forecast.stuck = Some(service.clone());
+            continue;
+        }
+        let time = each * count.div_ceil(at_once);
+        if time > forecast.time {
+            forecast.time = time;
+            forecast.binding = Some(service.clone());
+            forecast.parallel = at_once;
+        }
+    }
+    forecast
+}
+
+/// The services of which something is left to do but nothing may be taken out now.
+pub fn waiting_for(
+    remaining: &[Target],
+    standings: &BTreeMap<id::Service, Standing>,
+) -> Vec<id::Service> {
+    let mut services: Vec<id::Service> = remaining
+        .iter()
+        .filter(|target| standings.get(&target.service).is_none_or(|s| s.spare() == 0))
+        .map(|target| target.service.clone())
+        .collect();
+    services.sort();
+    services.dedup();
+    services
+}
