--- /dev/null
+++ b/crates/standin/src/faulty.rs
@@ -0,0 +1,235 @@
+//! A platform whose calls are counted and can fail at a chosen one.
+
+use crate::fault::{Fault, SLOW_MS};
+use async_std::task;
+use async_trait::async_trait;
+use celerythread_model::id;
+use celerythread_model::unit::Revision;
+use celerythread_platform::message::{Changes, Listing, Order, Row, Space, Task, Transaction};
+use celerythread_platform::{Error, Objects, Platform, Roster, Table, Workers};
+use parking_lot::Mutex;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+use strum::{Display, VariantArray};
+
+/// How long the caller of a hanging call is kept before it counts as timed out.
+const HANG: Duration = Duration::from_millis(200);
+
+/// A call at the border.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, VariantArray)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Call {
+    /// `Table::commit`.
+    Commit,
+    /// `Table::read`.
+    Read,
+    /// `Table::changes`.
+    Changes,
+    /// `Objects::put`.
+    PutObject,
+    /// `Objects::get`.
+    GetObject,
+    /// `Roster::list`.
+    List,
+    /// `Roster::reboot`.
+    Reboot,
+    /// `Workers::order`.
+    Order,
+    /// `Workers::tasks`.
+    Tasks,
+    /// `Workers::inspect`.
+    Inspect,
+}
+
+/// When a fault strikes.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Which call.
+    pub call: Call,
+    /// The first of its occurrences that is struck, counted from nought.
+    pub from: u64,
+    /// How many are struck.
+    pub count: u64,
+    /// How.
+    pub fault: Fault,
+}
+
+/// The switchboard: counts calls and holds the plans.
+#[derive(Default)]
+pub struct Switch {
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    counts: BTreeMap<Call, u64>,
+    plans: Vec<Plan>,
+    down: bool,
+}
+
+impl Switch {
+    /// Adds a plan.
+    pub fn plan(&self, plan: Plan) {
+        self.state.lock().plans.push(plan);
+    }
+
+    /// Forgets plans and counts.
+    pub fn clear(&self) {
+        *self.state.lock() = State::default();
+    }
+
+    /// Takes the whole platform down, or up again.
+    pub fn set_down(&self, down: bool) {
+        self.state.lock().down = down;
+    }
+
+    /// Calls so far.
+    pub fn count(&self, call: Call) -> u64 {
+        self.state.lock().counts.get(&call).copied().unwrap_or(0)
+    }
+
+    fn strike(&self, call: Call) -> Fault {
+        let mut state = self.state.lock();
+        let count = state.counts.entry(call).or_default();
+        let at = *count;
+        *count += 1;
+        if state.down {
+            return Fault::FailBefore;
+        }
+        let due = |plan: &&Plan| {
+            plan.call == call && at >= plan.from && at < plan.from.saturating_add(plan.count)
+        };
+        state.plans.iter().find(due).map_or(Fault::None, |plan| plan.fault)
+    }
+}
+
+/// A platform behind a switchboard.
+#[derive(Clone)]
+pub struct Faulty {
+    inner: Platform,
+    switch: Arc<Switch>,
+}
+
+impl Faulty {
+    /// Puts `switch` before `inner`.
+    pub fn platform(inner: Platform, switch: Arc<Switch>) -> Platform {
+        let faulty = Arc::new(Self { inner, switch });
+        Platform {
+            table: faulty.clone(),
+            objects: faulty.clone(),
+            roster: faulty.clone(),
+            workers: faulty,
+        }
+    }
+
+    async fn call<T, F>(&self, call: Call, run: F) -> Result<T, Error>
+    where
+        T: Send + 'static,
+        F: Future<Output = Result<T, Error>> + Send + 'static,
+    {
+        let unavailable = || Error::Unavailable { reason: "planned fault".into() };
+        let lost = || Error::Lost { reason: "planned fault".into() };
+        match self.switch.strike(call) {
+            Fault::None => run.await,
+            Fault::FailBefore => Err(unavailable()),
+            Fault::LoseAnswer => match run.await {
+                // A refusal has no effect either way, so losing it is an outage.
+                Ok(_) => Err(lost()),
+                Err(_) => Err(unavailable()),
+            },
+            Fault::Hang => {
+                task::sleep(HANG).await;
+                Err(lost())
+            }
+            Fault::Slow => {
+                task::sleep(Duration::from_millis(SLOW_MS)).await;
+                run.await
+            }
+            Fault::LateEffect => {
+                task::spawn(async move {
+                    task::sleep(HANG * 2).await;
+                    let _ = run.await;
+                });
+                task::sleep(HANG / 2).await;
+                Err(lost())
+            }
+        }
+    }
+
+    /// A read whose answer is lost is no different from one that was not made.
+    async fn ask<T, F>(&self, call: Call, run: F) -> Result<T, Error>
+    where
+        T: Send + 'static,
+        F: Future<Output = Result<T, Error>> + Send + 'static,
+    {
+        self.call(call, run).await.map_err(|error| match error {
+            Error::Lost { reason } => Error::Unavailable { reason },
+            other => other,
+        })
+    }
+}
+
+#[async_trait]
+impl Table for Faulty {
+    async fn commit(&self, transaction: Transaction) -> Result<Revision, Error> {
+        let table = self.inner.table.clone();
+        self.call(Call::Commit, async move { table.commit(transaction).await }).await
+    }
+
+    async fn read(&self, space: Space, keys: &[String]) -> Result<Vec<Row>, Error> {
+        let (table, keys) = (self.inner.table.clone(), keys.to_vec());
+        self.ask(Call::Read, async move { table.read(space, &keys).await }).await
+    }
+
+    async fn changes(&self, space: Space, since: Revision) -> Result<Changes, Error> {
+        let table = self.inner.table.clone();
+        self.ask(Call::Changes, async move { table.changes(space, since).await }).await
+    }
+}
+
+#[async_trait]
+impl Objects for Faulty {
+    async fn put(&self, name: &str, body: Vec<u8>) -> Result<(), Error> {
+        let (objects, name) = (self.inner.objects.clone(), name.to_owned());
+        self.call(Call::PutObject, async move { objects.put(&name, body).await }).await
+    }
+
+    async fn get(&self, name: &str) -> Result<Option<Vec<u8>>, Error> {
+        let (objects, name) = (self.inner.objects.clone(), name.to_owned());
+        self.ask(Call::GetObject, async move { objects.get(&name).await }).await
+    }
+}
+
+#[async_trait]
+impl Roster for Faulty {
+    async fn list(&self) -> Result<Listing, Error> {
+        let roster = self.inner.roster.clone();
+        self.ask(Call::List, async move { roster.list().await }).await
+    }
+
+    async fn reboot(&self, name: &str, boot: u64) -> Result<(), Error> {
+        let (roster, name) = (self.inner.roster.clone(), name.to_owned());
+        self.call(Call::Reboot, async move { roster.reboot(&name, boot).await }).await
+    }
+}
+
+#[async_trait]
+impl Workers for Faulty {
+    async fn order(&self, worker: &id::Worker, order: Order) -> Result<(), Error> {
+        let (workers, worker) = (self.inner.workers.clone(), worker.clone());
+        self.call(Call::Order, async move { workers.order(&worker, order).await }).await
+    }
+
+    async fn tasks(&self) -> Result<Vec<Task>, Error> {
+        let workers = self.inner.workers.clone();
+        self.ask(Call::Tasks, async move { workers.tasks().await }).await
+    }
+
+    async fn inspect(&self, worker: &id::Worker, job: &id::Job) -> Result<Option<Task>, Error> {
+        let workers = self.inner.workers.clone();
+        let (worker, job) = (worker.clone(), job.clone());
+        self.ask(Call::Inspect, async move { workers.inspect(&worker, &job).await }).await
+    }
+}
--- /dev/null
+++ b/crates/wire/src/authority.rs
@@ -0,0 +1,54 @@
+//! A small certificate authority for the entry instances of one workspace.
+
+use crate::Error;
+use rcgen::{
+    BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
+    KeyUsagePurpose,
+};
+
+/// The name in every instance's certificate: peers are addressed by number and trusted by the
+/// authority, so they share one.
+pub const SERVER_NAME: &str = "entry.celerythread";
+
+/// A certificate and its key as PEM texts.
+#[derive(Clone, Debug)]
+pub struct Pair {
+    /// The certificate.
+    pub certificate: String,
+    /// The private key.
+    pub key: String,
+}
+
+/// Makes a new authority.
+///
+/// # Errors
+/// `Key` when the key cannot be made.
+pub fn create(workspace: &str) -> Result<Pair, Error> {
+    let mut params = CertificateParams::default();
+    params.distinguished_name.push(DnType::CommonName, format!("{workspace} entry authority"));
+    params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+    let key = KeyPair::generate().map_err(wrong)?;
+    let certificate = params.self_signed(&key).map_err(wrong)?;
+    Ok(Pair { certificate: certificate.pem(), key: key.serialize_pem() })
+}
+
+/// Makes a key and certificate for an instance, signed by the authority.
+///
+/// # Errors
+/// `Key` when the authority's texts cannot be used.
+pub fn issue(authority: &Pair, instance: &str) -> Result<Pair, Error> {
+    let authority_key = KeyPair::from_pem(&authority.key).map_err(wrong)?;
+    let issuer = Issuer::from_ca_cert_pem(&authority.certificate, authority_key).map_err(wrong)?;
+    let mut params = CertificateParams::new(vec![SERVER_NAME.into()]).map_err(wrong)?;
+    params.distinguished_name.push(DnType::CommonName, instance);
+    params.extended_key_usages =
+        vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
+    let key = KeyPair::generate().map_err(wrong)?;
+    let certificate = params.signed_by(&key, &issuer).map_err(wrong)?;
+    Ok(Pair { certificate: certificate.pem(), key: key.serialize_pem() })
+}
+
+fn wrong(error: rcgen::Error) -> Error {
+    Error::Key { what: "the authority".into(), reason: error.to_string() }
+}
--- /dev/null
+++ b/crates/wire/src/identity.rs
@@ -0,0 +1,60 @@
+//! An instance's key, its certificate, and the authority its peers must come from.
+
+use crate::Error;
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use std::fs;
+use std::path::PathBuf;
+
+/// The PEM files of an instance.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// The certificate of the authority.
+    pub authority: PathBuf,
+    /// The instance's certificate.
+    pub certificate: PathBuf,
+    /// The instance's private key.
+    pub key: PathBuf,
+}
+
+/// Loaded keys.
+pub struct Identity {
+    pub(crate) authority: CertificateDer<'static>,
+    pub(crate) certificate: CertificateDer<'static>,
+    pub(crate) key: PrivateKeyDer<'static>,
+}
+
+impl Identity {
+    /// Loads the files.
+    ///
+    /// # Errors
+    /// `Key` naming the file that cannot be read.
+    pub fn load(settings: &Settings) -> Result<Self, Error> {
+        Self::from_pem(
+            &read(&settings.authority)?,
+            &read(&settings.certificate)?,
+            &read(&settings.key)?,
+        )
+    }
+
+    /// Takes the keys from PEM texts.
+    ///
+    /// # Errors
+    /// `Key` naming the text that is not PEM of its kind.
+    pub fn from_pem(authority: &[u8], certificate: &[u8], key: &[u8]) -> Result<Self, Error> {
+        let authority =
+            CertificateDer::from_pem_slice(authority).map_err(|e| wrong("the authority", e))?;
+        let certificate =
+            CertificateDer::from_pem_slice(certificate).map_err(|e| wrong("the certificate", e))?;
+        let key = PrivateKeyDer::from_pem_slice(key).map_err(|e| wrong("the key", e))?;
+        Ok(Self { authority, certificate, key })
+    }
+}
+
+fn read(path: &PathBuf) -> Result<Vec<u8>, Error> {
+    fs::read(path).map_err(|error| wrong(&path.display().to_string(), error))
+}
+
+fn wrong(what: &str, error: impl ToString) -> Error {
+    Error::Key { what: what.into(), reason: error.to_string() }
+}
--- /dev/null
+++ b/src/commands/maintenance.rs
@@ -0,0 +1,98 @@
+//! `celerythread maintenance`: declare, list and cancel.
+
+use super::{author, new_name, parsed};
+use crate::Error;
+use crate::client::Client;
+use crate::output;
+use serde_json::{Value, json};
+use std::ffi::OsString;
+
+mod flags {
+    #![allow(missing_docs, unreachable_pub, reason = "generated")]
+
+    use celerythread_model::unit::Span;
+    use std::net::SocketAddr;
+
+    xflags::xflags! {
+        /// Maintenance waves.
+        cmd celerythread-maintenance {
+            /// An entry to ask; may be given several times.
+            repeated --entry address: SocketAddr
+            /// Prints JSON.
+            optional --json
+
+            /// Declares maintenance; without a choice, of all minions.
+            ///
+            /// Example: celerythread maintenance declare --zone med-a --within 6h
+            cmd declare {
+                /// The wave's name; give it again to repeat a declaration whose answer was lost.
+                optional --wave name: String
+                /// Only this availability zone; may be given several times.
+                repeated --zone name: String
+                /// Only this rack; may be given several times.
+                repeated --rack name: String
+                /// Only this service; may be given several times.
+                repeated --service name: String
+                /// Only this minion; may be given several times.
+                repeated --minion name: String
+                /// How long from now it may take; refused when the forecast is longer.
+                optional --within span: Span
+            }
+            /// Lists the waves.
+            ///
+            /// Example: celerythread maintenance list
+            cmd list {}
+            /// Cancels a wave: nothing more is taken out, and what is out returns.
+            ///
+            /// Example: celerythread maintenance cancel night-kernel
+            cmd cancel {
+                /// The wave.
+                required wave: String
+            }
+        }
+    }
+}
+
+use flags::{CelerythreadMaintenance, CelerythreadMaintenanceCmd};
+
+pub(crate) async fn run(arguments: Vec<OsString>) -> Result<(), Error> {
+    let flags = parsed(CelerythreadMaintenance::from_vec(arguments))?;
+    let client = Client::new(&flags.entry)?;
+    match flags.subcommand {
+        CelerythreadMaintenanceCmd::Declare(command) => {
+            let body = json!({
+                "wave": command.wave.unwrap_or_else(|| new_name("wave")),
+                "author": author(),
+                "zones": command.zone,
+                "racks": command.rack,
+                "services": command.service,
+                "minions": command.minion,
+                "within": command.within,
+            });
+            let declared: Value = client.post("/v1/maintenance", &body).await?;
+            output::record(flags.json, &declared);
+        }
+        CelerythreadMaintenanceCmd::List(_) => {
+            let mut waves: Value = client.get("/v1/maintenance").await?;
+            if !flags.json {
+                waves.as_array_mut().into_iter().flatten().for_each(count_minions);
+            }
+            let fields = ["wave", "progress", "remaining", "done", "forecast", "waiting_for"];
+            output::list(flags.json, &waves, &fields);
+        }
+        CelerythreadMaintenanceCmd::Cancel(command) => {
+            let body = json!({ "wave": command.wave });
+            let wave: Value = client.post("/v1/maintenance/cancel", &body).await?;
+            output::record(flags.json, &wave);
+        }
+    }
+    Ok(())
+}
+
+/// Puts the number of minions in place of their names, for a table.
+fn count_minions(wave: &mut Value) {
+    for field in ["remaining", "done"] {
+        let count = wave.get(field).and_then(Value::as_array).map_or(0, Vec::len);
+        wave[field] = json!(count);
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,14 @@
+//! The two programs of celerythread, as a library that both share with the tests.
+//!
+//! [`daemon`] is what `celerythreadd` does; [`commands`] holds the subcommands of
+//! `celerythread`, one file each, over [`client`], which finds an entry that answers, and
+//! [`output`], which prints for people or for programs.
+
+pub mod client;
+pub mod commands;
+pub mod daemon;
+pub mod error;
+pub mod output;
+pub mod plot;
+
+pub use error::Error;
