--- a/crates/entry/src/drive/waves.rs
+++ b/crates/entry/src/drive/waves.rs
@@ -27,10 +27,16 @@
     }
 }
 
-/// What is left of a wave, as targets; minions that are gone need no maintenance.
-pub(crate) fn targets(view: &View, wave: &Wave) -> Vec<Target> {
+/// What is left of a wave, as targets; minions that are gone or being taken away need no
+/// maintenance.
+fn targets(view: &View, wave: &Wave) -> Vec<Target> {
     let minions = wave.remaining.iter().filter_map(|name| view.minions().get(name));
-    minions.map(target).collect()
+    minions.filter(|minion| !is_leaving(minion)).map(target).collect()
+}
+
+/// Whether a minion is out for good: drained without an errand.
+fn is_leaving(minion: &Minion) -> bool {
+    minion.state != State::Active && minion.errand.is_none()
 }
 
 pub(crate) fn target(minion: &Minion) -> Target {
@@ -64,8 +70,8 @@
 async fn advance(fleet: &mut Fleet, node: &Arc<Node>, held: Held, wave: &Wave) {
     let (targets, begun, weight, out) = {
         let view = node.view.read();
-        let out: Vec<&Minion> =
-            view.minions().values().filter(|m| m.state != State::Active).collect();
+        // Only what comes back is worth waiting for.
+        let out: Vec<&Minion> = view.minions().values().filter(|m| m.errand.is_some()).collect();
         let begun: Vec<id::Rack> = out.iter().map(|m| m.rack.clone()).collect();
         let targets: Vec<Target> = targets(&view, wave)
             .into_iter()
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use stop_token::future::FutureExt;
 
 /// A peer that was not heard for so long gets no requests for slots.
 pub(crate) const FRESH: Duration = Duration::from_secs(3);
@@ -109,6 +110,13 @@
         }
     }
 
+    /// A peer does not hand out the service any more: do not ask again before its next beat.
+    pub(crate) fn note_none(&mut self, entry: &id::Entry, service: &id::Service) {
+        if let Some(beat) = self.all.get_mut(entry).and_then(|peer| peer.beat.as_mut()) {
+            beat.room.retain(|room| room.service != *service);
+        }
+    }
+
     /// What a peer's minion had outstanding when the peer was last heard.
     pub(crate) fn last_load(&self, entry: &id::Entry, minion: &id::Minion) -> u32 {
         let peer = self.all.get(entry);
@@ -317,18 +325,21 @@
 
 /// Takes the links that peers dial.
 pub(crate) async fn accept_forever(node: Arc<Node>, endpoint: Arc<Endpoint>) {
-    while let Some(accepted) = endpoint.accept().await {
+    while let Ok(Some(accepted)) = endpoint.accept().timeout_at(node.stop.clone()).await {
         if let Ok(link) = accepted {
             async_std::task::spawn(serve_link(node.clone(), link));
         }
     }
+    endpoint.close();
 }
 
 /// Answers the exchanges that a peer opens on a link.
 async fn serve_link(node: Arc<Node>, link: Link) {
-    while let Ok(channel) = link.accept().await {
+    while let Ok(Ok(channel)) = link.accept().timeout_at(node.stop.clone()).await {
         async_std::task::spawn(serve_exchange(node.clone(), link.clone(), channel));
     }
+    // Also when the process stops: a link that stays open would look like a living peer.
+    link.close();
 }
 
 async fn serve_exchange(node: Arc<Node>, link: Link, mut channel: Channel) {
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -31,6 +31,10 @@
 /// Peers asked before a request waits.
 const ASKED_PEERS: usize = 2;
 
+/// How long slots may be between two owners before a request is refused, and how often it looks.
+const HAND_OVER: Duration = Duration::from_secs(2);
+const HAND_OVER_LOOK: Duration = Duration::from_millis(20);
+
 /// When to come back while no minion can be reached at all.
 const NO_MINION_RETRY: Duration = Duration::from_secs(1);
 
@@ -257,9 +261,47 @@
     if let Some(slot) = borrow(node, want, ASKED_PEERS).await {
         return Ok(slot);
     }
-    let now = node.clock.now();
-    let owned = node.router.lock().ledger.room(&want.service, now).slots;
-    if owned > 0 { wait_here(node, want).await } else { wait_there(node, want).await }
+    wait(node, want).await
+}
+
+/// Waits where the service's slots are, which may change meanwhile: owners hand minions over
+/// when entries come and go.
+async fn wait(node: &Arc<Node>, want: &Want) -> Result<Slot, Denied> {
+    let mut seen = node.clock.now();
+    loop {
+        let now = node.clock.now();
+        if now >= want.deadline {
+            return Err(Denied { code: Code::DeadlinePassed, retry_after: None });
+        }
+        let owned = node.router.lock().ledger.room(&want.service, now).slots;
+        let peer = node.peers.read().largest(&want.service, now);
+        let waited = match peer {
+            _ if owned > 0 => wait_here(node, want).await,
+            Some(peer) => wait_there(node, want, &peer).await,
+            // For a moment nobody may have the service's slots: they are being handed over, or
+            // this entry has not heard its peers yet.
+            None if now.since(seen) < HAND_OVER => {
+                async_std::task::sleep(HAND_OVER_LOOK).await;
+                continue;
+            }
+            None => {
+                return Err(Denied { code: Code::NoMinion, retry_after: Some(NO_MINION_RETRY) });
+            }
+        };
+        match waited {
+            Waited::Granted(slot) => return Ok(slot),
+            Waited::Denied(denied) => return Err(denied),
+            Waited::Moved => seen = node.clock.now(),
+        }
+    }
+}
+
+/// How a wait in a queue ended.
+enum Waited {
+    Granted(Slot),
+    Denied(Denied),
+    /// The slots are elsewhere now.
+    Moved,
 }
 
 fn own_slot(node: &Arc<Node>, permit: Permit) -> Slot {
@@ -281,49 +323,63 @@
     Some(own_slot(node, permit))
 }
 
-async fn wait_here(node: &Arc<Node>, want: &Want) -> Result<Slot, Denied> {
+async fn wait_here(node: &Arc<Node>, want: &Want) -> Waited {
     let queued = {
         let now = node.clock.now();
         node.router.lock().enqueue(want, Holder::Own, now)
     };
-    let mut receiver = queued.map_err(|refusal| Denied {
-        code: Code::Overloaded,
-        retry_after: Some(refusal.retry_after),
-    })?;
+    let mut receiver = match queued {
+        Ok(receiver) => receiver,
+        Err(refusal) => {
+            let retry_after = Some(refusal.retry_after);
+            return Waited::Denied(Denied { code: Code::Overloaded, retry_after });
+        }
+    };
     loop {
         let left = want.deadline.since(node.clock.now());
         if left.is_zero() {
-            return Err(Denied { code: Code::DeadlinePassed, retry_after: None });
+            return Waited::Moved;
         }
         let turn = async_std::future::timeout(left.min(LOOK_AROUND), &mut receiver).await;
         match turn {
-            Ok(Ok(permit)) => return Ok(own_slot(node, permit)),
-            // The service's minions were all taken elsewhere meanwhile.
-            Ok(Err(_)) => return wait_there(node, want).await,
+            Ok(Ok(permit)) => return Waited::Granted(own_slot(node, permit)),
+            Ok(Err(_)) => return Waited::Moved,
             Err(_) => {}
         }
         if let Some(slot) = borrow(node, want, 1).await {
-            // A permit that arrived in this moment goes back by itself.
-            if let Ok(Some(permit)) = receiver.try_recv() {
-                drop(own_slot(node, permit));
-            }
-            return Ok(slot);
+            return_late_permit(node, &mut receiver);
+            return Waited::Granted(slot);
+        }
+        let now = node.clock.now();
+        if node.router.lock().ledger.room(&want.service, now).slots == 0 {
+            return_late_permit(node, &mut receiver);
+            return Waited::Moved;
         }
     }
 }
 
-/// Waits in the queue of the peer that has most of the service.
-async fn wait_there(node: &Arc<Node>, want: &Want) -> Result<Slot, Denied> {
-    let now = node.clock.now();
-    let choice = node.peers.read().largest(&want.service, now);
-    let no_minion = Denied { code: Code::NoMinion, retry_after: Some(NO_MINION_RETRY) };
-    let Some(peer) = choice else { return Err(no_minion) };
-    let left = want.deadline.since(now);
-    match async_std::future::timeout(left, ask(node, &peer, want, true)).await {
-        Ok(Reply::Granted(slot)) => Ok(slot),
-        Ok(Reply::Busy(wait)) => Err(Denied { code: Code::Overloaded, retry_after: Some(wait) }),
-        Ok(Reply::Gone) => Err(no_minion),
-        Err(_) => Err(Denied { code: Code::DeadlinePassed, retry_after: None }),
+/// A permit that arrived in the moment in which the request stopped waiting for it goes back.
+fn return_late_permit(node: &Arc<Node>, receiver: &mut oneshot::Receiver<Permit>) {
+    receiver.close();
+    if let Ok(Some(permit)) = receiver.try_recv() {
+        drop(own_slot(node, permit));
+    }
+}
+
+/// Waits in the queue of a peer that has slots of the service.
+async fn wait_there(node: &Arc<Node>, want: &Want, peer: &id::Entry) -> Waited {
+    let left = want.deadline.since(node.clock.now());
+    match async_std::future::timeout(left, ask(node, peer, want, true)).await {
+        Ok(Reply::Granted(slot)) => Waited::Granted(slot),
+        Ok(Reply::Busy(wait)) => {
+            let retry_after = Some(wait);
+            Waited::Denied(Denied { code: Code::Overloaded, retry_after })
+        }
+        Ok(Reply::Gone) => {
+            node.peers.write().note_none(peer, &want.service);
+            Waited::Moved
+        }
+        Err(_) => Waited::Moved,
     }
 }
 
@@ -400,9 +456,8 @@
     let holder = Holder::Peer(ask.entry);
     let permit = match grant_to_peer(node, &want, holder, ask.wait).await {
         Ok(permit) => permit,
-        Err(retry_after) => {
-            let retry_after_ms = retry_after.as_millis() as u64;
-            if channel.send(&Frame::Busy { retry_after_ms }).await.is_ok() {
+        Err(refusal) => {
+            if channel.send(&refusal).await.is_ok() {
                 channel.finish();
             }
             return;
@@ -437,24 +492,31 @@
     want: &Want,
     holder: Holder,
     wait: bool,
-) -> Result<Permit, Duration> {
+) -> Result<Permit, Frame> {
     let now = node.clock.now();
     let queued = {
         let mut router = node.router.lock();
         if let Some(permit) = router.take(want, holder.clone(), now) {
             return Ok(permit);
         }
+        if router.ledger.room(&want.service, now).slots == 0 {
+            let text = "no slots of the service are handed out here".into();
+            return Err(Frame::Refusal { code: Code::NoMinion, text });
+        }
         let empty = Queue::<Waiter>::default();
         let queue = router.queues.get(&want.service).unwrap_or(&empty);
-        let retry_after = queue.retry_after(rand::random());
-        if !wait || router.ledger.room(&want.service, now).slots == 0 {
-            return Err(retry_after);
+        if !wait {
+            return Err(busy(queue.retry_after(rand::random())));
         }
-        router.enqueue(want, holder, now).map_err(|refusal| refusal.retry_after)?
+        router.enqueue(want, holder, now).map_err(|refusal| busy(refusal.retry_after))?
     };
     let left = want.deadline.since(now);
     match async_std::future::timeout(left, queued).await {
         Ok(Ok(permit)) => Ok(permit),
-        _ => Err(NO_MINION_RETRY),
+        _ => Err(busy(NO_MINION_RETRY)),
     }
 }
+
+fn busy(retry_after: Duration) -> Frame {
+    Frame::Busy { retry_after_ms: retry_after.as_millis() as u64 }
+}
--- a/crates/policy/src/availability.rs
+++ b/crates/policy/src/availability.rs
@@ -31,7 +31,8 @@
     ) -> Self {
         let mut standing = Standing { floor: service.floor, ..Standing::default() };
         for minion in minions {
-            if disruption.out.contains_key(&minion.minion) {
+            // What the platform takes away is out too, but without an errand it never returns.
+            if disruption.out.contains_key(&minion.minion) && minion.errand.is_some() {
                 standing.out += 1;
             } else if minion.state == State::Active && healthy(&minion.minion) {
                 standing.serving += 1;
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Failures in a row.
+    pub fn streak(&self) -> u32 {
+        self.streak
+    }
+
     /// The smoothed share of failures.
     pub fn failure_rate(&self) -> f64 {
         self.failure_rate
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -124,7 +124,7 @@
 
 /// What would be left over, in thousandths of the worker, of its tightest dimension's sibling.
 fn slack(left: &Size, total: &Size) -> u64 {
-    let part = |left: u64, total: u64| if total == 0 { 0 } else { left * 1000 / total };
+    let part = |left: u64, total: u64| (left * 1000).checked_div(total).unwrap_or(0);
     part(left.cpu.0.into(), total.cpu.0.into()) + part(left.memory.0, total.memory.0)
 }
 
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -77,6 +77,8 @@
     reserved: Option<(u32, Moment)>,
     /// The minion asked to be left alone until then.
     leaving_until: Moment,
+    /// The last grant of it, so that equals take turns.
+    last_grant: Grant,
 }
 
 /// How long a minion that says it is leaving or full is left alone.
@@ -89,6 +91,12 @@
         (self.grants.len() + penalties) as u32 + reserved
     }
 
+    /// How occupied it looks to the choice: each failure in a row counts like a slot in use, so
+    /// that a first attempt goes to a minion that answers.
+    fn burden(&self, now: Moment) -> u32 {
+        self.occupied(now) + self.health.streak().min(self.spec.slots.0)
+    }
+
     fn free(&self, now: Moment) -> u32 {
         if !self.spec.active || self.leaving_until > now {
             return 0;
@@ -146,6 +154,7 @@
                     penalties: Vec::new(),
                     reserved,
                     leaving_until: Moment(0),
+                    last_grant: Grant(0),
                 };
                 self.minions.insert(minion.clone(), entry);
                 self.by_service.entry(service).or_default().push(minion);
@@ -193,12 +202,15 @@
             .iter()
             .filter_map(|name| Some((name, self.minions.get(name)?)))
             .filter(|(_, minion)| minion.free(now) > 0)
-            .min_by_key(|(name, minion)| (Some(*name) == avoid, minion.occupied(now)))?;
+            .min_by_key(|(name, minion)| {
+                (Some(*name) == avoid, minion.burden(now), minion.last_grant)
+            })?;
         let name = best.0.clone();
         self.last += 1;
         let grant = Grant(self.last);
         let minion = self.minions.get_mut(&name)?;
         minion.grants.insert(grant, holder);
+        minion.last_grant = grant;
         self.where_is.insert(grant, name.clone());
         let (address, epoch) = (minion.spec.address, minion.spec.epoch);
         Some(Permit { grant, minion: name, address, epoch })
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -34,7 +34,16 @@
     Slow,
     /// It is given up on by the caller, and takes effect only afterwards.
     LateEffect,
+    /// The process is killed just before it.
+    KillBefore,
+    /// The process is killed just after it took effect.
+    KillAfter,
+    /// The process is paused just before it, for longer than any lease of the tests.
+    Pause,
 }
 
+/// How long a paused process stands still, in milliseconds.
+pub const PAUSE_MS: u64 = 2500;
+
 /// How long a slow call takes, in milliseconds.
 pub const SLOW_MS: u64 = 300;
--- a/crates/standin/src/faulty.rs
+++ b/crates/standin/src/faulty.rs
@@ -1,6 +1,6 @@
 //! A platform whose calls are counted and can fail at a chosen one.
 
-use crate::fault::{Fault, SLOW_MS};
+use crate::fault::{Fault, PAUSE_MS, SLOW_MS};
 use async_std::task;
 use async_trait::async_trait;
 use celerythread_model::id;
@@ -11,7 +11,7 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use strum::{Display, VariantArray};
 
 /// How long the caller of a hanging call is kept before it counts as timed out.
@@ -67,6 +67,19 @@
     counts: BTreeMap<Call, u64>,
     plans: Vec<Plan>,
     down: bool,
+    dead: bool,
+    paused_until: Option<Instant>,
+    struck: u64,
+}
+
+/// What happens to one call.
+enum Strike {
+    /// This.
+    Fault(Fault),
+    /// Its process is dead: it never returns.
+    Dead,
+    /// Its process stands still until then.
+    Paused(Instant),
 }
 
 impl Switch {
@@ -85,23 +98,50 @@
         self.state.lock().down = down;
     }
 
+    /// Whether a plan has killed the process.
+    pub fn is_dead(&self) -> bool {
+        self.state.lock().dead
+    }
+
+    /// Calls that a plan has struck.
+    pub fn struck(&self) -> u64 {
+        self.state.lock().struck
+    }
+
+    fn kill(&self) {
+        self.state.lock().dead = true;
+    }
+
     /// Calls so far.
     pub fn count(&self, call: Call) -> u64 {
         self.state.lock().counts.get(&call).copied().unwrap_or(0)
     }
 
-    fn strike(&self, call: Call) -> Fault {
+    fn strike(&self, call: Call) -> Strike {
         let mut state = self.state.lock();
+        if state.dead {
+            return Strike::Dead;
+        }
+        if let Some(until) = state.paused_until.filter(|until| *until > Instant::now()) {
+            return Strike::Paused(until);
+        }
         let count = state.counts.entry(call).or_default();
         let at = *count;
         *count += 1;
         if state.down {
-            return Fault::FailBefore;
+            return Strike::Fault(Fault::FailBefore);
         }
         let due = |plan: &&Plan| {
             plan.call == call && at >= plan.from && at < plan.from.saturating_add(plan.count)
         };
-        state.plans.iter().find(due).map_or(Fault::None, |plan| plan.fault)
+        let fault = state.plans.iter().find(due).map_or(Fault::None, |plan| plan.fault);
+        state.struck += u64::from(fault != Fault::None);
+        if fault == Fault::Pause {
+            let until = Instant::now() + Duration::from_millis(PAUSE_MS);
+            state.paused_until = Some(until);
+            return Strike::Paused(until);
+        }
+        Strike::Fault(fault)
     }
 }
 
@@ -131,8 +171,25 @@
     {
         let unavailable = || Error::Unavailable { reason: "planned fault".into() };
         let lost = || Error::Lost { reason: "planned fault".into() };
-        match self.switch.strike(call) {
-            Fault::None => run.await,
+        let fault = match self.switch.strike(call) {
+            Strike::Dead => std::future::pending().await,
+            Strike::Paused(until) => {
+                task::sleep(until.saturating_duration_since(Instant::now())).await;
+                Fault::None
+            }
+            Strike::Fault(fault) => fault,
+        };
+        match fault {
+            Fault::None | Fault::Pause => run.await,
+            Fault::KillBefore => {
+                self.switch.kill();
+                std::future::pending().await
+            }
+            Fault::KillAfter => {
+                let _ = run.await;
+                self.switch.kill();
+                std::future::pending().await
+            }
             Fault::FailBefore => Err(unavailable()),
             Fault::LoseAnswer => match run.await {
                 // A refusal has no effect either way, so losing it is an outage.
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -6,6 +6,7 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::sync::Arc;
@@ -198,15 +199,18 @@
     let mut flows: HashMap<SocketAddr, (u64, Arc<UdpSocket>)> = HashMap::new();
     let mut piece = vec![0; PIECE];
     while let Ok((count, from)) = near.recv_from(&mut piece).await {
-        if !flows.contains_key(&from) {
-            let any: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 0));
-            let Ok(far) = UdpSocket::bind(any).await else { continue };
-            let (flow, far) = (state.begin(), Arc::new(far));
-            task::spawn(answer(near.clone(), far.clone(), from, state.clone(), flow));
-            flows.insert(from, (flow, far));
-        }
-        let Some((flow, far)) = flows.get(&from) else { continue };
-        if state.mode() == Mode::Pass && !state.is_forgotten(*flow) {
+        let flow = match flows.entry(from) {
+            Entry::Occupied(known) => known.into_mut(),
+            Entry::Vacant(new) => {
+                let any: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 0));
+                let Ok(far) = UdpSocket::bind(any).await else { continue };
+                let (flow, far) = (state.begin(), Arc::new(far));
+                task::spawn(answer(near.clone(), far.clone(), from, state.clone(), flow));
+                new.insert((flow, far))
+            }
+        };
+        let (flow, far) = (flow.0, flow.1.clone());
+        if state.mode() == Mode::Pass && !state.is_forgotten(flow) {
             state.delay().await;
             let _ = far.send_to(&piece[..count], state.target).await;
         }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -82,29 +82,29 @@
         match (request.head.method(), request.path()) {
             (Method::Post, "/table/commit") => match read::<Transaction>(body) {
                 Ok(transaction) => answer(memory.table.commit(transaction).await),
-                Err(refusal) => refusal,
+                Err(refusal) => *refusal,
             },
             (Method::Post, "/table/read") => match read::<ReadQuery>(body) {
                 Ok(query) => answer(memory.table.read(query.space, &query.keys).await),
-                Err(refusal) => refusal,
+                Err(refusal) => *refusal,
             },
             (Method::Post, "/table/changes") => match read::<ChangesQuery>(body) {
                 Ok(query) => answer(memory.table.changes(query.space, query.since).await),
-                Err(refusal) => refusal,
+                Err(refusal) => *refusal,
             },
             (Method::Post, "/roster/list") => answer(memory.roster.list().await),
             (Method::Post, "/roster/reboot") => match read::<Reboot>(body) {
                 Ok(order) => answer(memory.roster.reboot(&order.name, order.boot).await),
-                Err(refusal) => refusal,
+                Err(refusal) => *refusal,
             },
             (Method::Post, "/workers/order") => match read::<Command>(body) {
                 Ok(order) => answer(memory.workers.order(&order.worker, order.order).await),
-                Err(refusal) => refusal,
+                Err(refusal) => *refusal,
             },
             (Method::Post, "/workers/tasks") => answer(memory.workers.tasks().await),
             (Method::Post, "/workers/inspect") => match read::<Inspection>(body) {
                 Ok(query) => answer(memory.workers.inspect(&query.worker, &query.job).await),
-                Err(refusal) => refusal,
+                Err(refusal) => *refusal,
             },
             (method, path) => match path.strip_prefix("/objects/") {
                 Some(name) => self.object(method, name, body).await,
@@ -143,7 +143,7 @@
             "/standin/fault" => read::<Fault>(body).map(|fault| *self.fault.lock() = fault),
             _ => return None,
         };
-        Some(done.map_or_else(|refusal| refusal, |()| answer(Ok(()))))
+        Some(done.map_or_else(|refusal| *refusal, |()| answer(Ok(()))))
     }
 }
 
@@ -171,6 +171,8 @@
                 task::sleep(Duration::from_secs(3)).await;
                 self.route(&request).await
             }
+            // Faults of a process and not of the platform.
+            Fault::KillBefore | Fault::KillAfter | Fault::Pause => self.route(&request).await,
         }
     }
 
@@ -185,8 +187,8 @@
     Response::new(StatusCode::GatewayTimeout)
 }
 
-fn read<T: for<'de> Deserialize<'de>>(body: &[u8]) -> Result<T, Response> {
-    serde_json::from_slice(body).map_err(|error| refused(&error.to_string()))
+fn read<T: for<'de> Deserialize<'de>>(body: &[u8]) -> Result<T, Box<Response>> {
+    serde_json::from_slice(body).map_err(|error| Box::new(refused(&error.to_string())))
 }
 
 fn refused(reason: &str) -> Response {
--- /dev/null
+++ b/crates/wire/tests/peers.rs
@@ -0,0 +1,131 @@
+//! Frames and links between entries.
+
+use assert_matches::assert_matches;
+use async_std::future::timeout;
+use async_std::net::UdpSocket;
+use async_std::task;
+use celerythread_model::code::Code;
+use celerythread_model::unit::Revision;
+use celerythread_wire::authority::{self, Pair};
+use celerythread_wire::endpoint::Settings;
+use celerythread_wire::{Endpoint, Error, Frame, Identity, codec};
+use proptest::prelude::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn any_port() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+fn identity(authority: &Pair, name: &str) -> Identity {
+    let pair = authority::issue(authority, name).unwrap();
+    let (a, c, k) = (&authority.certificate, &pair.certificate, &pair.key);
+    Identity::from_pem(a.as_bytes(), c.as_bytes(), k.as_bytes()).unwrap()
+}
+
+fn endpoint(authority: &Pair, name: &str) -> Arc<Endpoint> {
+    let identity = identity(authority, name);
+    Arc::new(Endpoint::bind(any_port(), &identity, &Settings::default()).unwrap())
+}
+
+/// Answers every exchange of every link with the frame it received.
+fn echo(endpoint: Arc<Endpoint>) {
+    task::spawn(async move {
+        while let Some(accepted) = endpoint.accept().await {
+            let Ok(link) = accepted else { continue };
+            task::spawn(async move {
+                while let Ok(mut channel) = link.accept().await {
+                    if let Ok(frame) = channel.receive().await {
+                        let _ = channel.send(&frame).await;
+                        channel.finish();
+                    }
+                }
+            });
+        }
+    });
+}
+
+#[async_std::test]
+async fn peers_of_one_authority_talk() {
+    let authority = authority::create("test").unwrap();
+    let (a, b) = (endpoint(&authority, "a"), endpoint(&authority, "b"));
+    echo(b.clone());
+    let link = a.dial(b.local_address().unwrap()).await.unwrap();
+    let mut channel = link.open().await.unwrap();
+    let frame = Frame::Rows { since: Revision(7) };
+    channel.send(&frame).await.unwrap();
+    assert_eq!(channel.receive().await.unwrap(), frame);
+}
+
+/// Somebody on the network asks an entry for the fleet's rows.  A peer without a certificate of
+/// the authority gets nothing, whichever end it is.
+#[async_std::test]
+async fn a_stranger_gets_nothing() {
+    let (ours, theirs) = (authority::create("test").unwrap(), authority::create("test").unwrap());
+    let (inside, outside) = (endpoint(&ours, "a"), endpoint(&theirs, "b"));
+    echo(inside.clone());
+    let address = inside.local_address().unwrap();
+    let got = async {
+        let link = outside.dial(address).await?;
+        let mut channel = link.open().await?;
+        channel.send(&Frame::Rows { since: Revision(0) }).await?;
+        channel.receive().await
+    };
+    let got = timeout(Duration::from_secs(5), got).await;
+    assert_matches!(got, Err(_) | Ok(Err(Error::Unreachable { .. })));
+}
+
+/// Garbage on the port neither crashes the endpoint nor keeps the next peer out.
+#[async_std::test]
+async fn garbage_on_the_port_is_survived() {
+    let authority = authority::create("test").unwrap();
+    let (a, b) = (endpoint(&authority, "a"), endpoint(&authority, "b"));
+    echo(b.clone());
+    let address = b.local_address().unwrap();
+    let socket = UdpSocket::bind(any_port()).await.unwrap();
+    for n in 0..200u32 {
+        let bytes: Vec<u8> = (0..n * 7).map(|i| (i * n) as u8).collect();
+        let _ = socket.send_to(&bytes[..bytes.len().min(1400)], address).await;
+    }
+    let link = a.dial(address).await.unwrap();
+    let mut channel = link.open().await.unwrap();
+    channel.send(&Frame::Rows { since: Revision(1) }).await.unwrap();
+    assert!(channel.receive().await.is_ok());
+}
+
+#[test]
+fn another_version_is_refused_with_its_code() {
+    let mut header = [0; codec::HEADER];
+    header[0] = codec::VERSION + 1;
+    let error = codec::body_length(header).unwrap_err();
+    assert_eq!(error.code(), Code::WireVersion);
+    let too_long = [codec::VERSION, 0xff, 0xff, 0xff, 0xff];
+    assert_eq!(codec::body_length(too_long).unwrap_err().code(), Code::WireMalformed);
+}
+
+#[test]
+fn bytes_left_over_are_malformed() {
+    let mut bytes = codec::encode(&Frame::Rows { since: Revision(1) });
+    bytes.push(0);
+    assert_matches!(codec::decode(&bytes[codec::HEADER..]), Err(Error::Malformed { .. }));
+}
+
+proptest! {
+    #[test]
+    fn any_body_is_answered(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _ = codec::decode(&bytes);
+    }
+
+    #[test]
+    fn what_is_encoded_decodes(since in any::<u64>(), text in "\\PC{0,40}") {
+        let frames =
+            [Frame::Rows { since: Revision(since) }, Frame::Refusal { code: Code::Ok, text }];
+        for frame in frames {
+            let bytes = codec::encode(&frame);
+            let length = codec::body_length(bytes[..codec::HEADER].try_into().unwrap()).unwrap();
+            prop_assert_eq!(length, bytes.len() - codec::HEADER);
+            prop_assert_eq!(codec::decode(&bytes[codec::HEADER..]).unwrap(), frame);
+        }
+    }
+}
--- /dev/null
+++ b/tests/all/claims.rs
@@ -0,0 +1,261 @@
+//! Keyed requests: at most one run, whatever the platform does.
+
+use crate::cluster::{Cluster, Shape, apart, single, until};
+use assert_matches::assert_matches;
+use celerythread_model::request::Outcome;
+use celerythread_standin::fault::Fault;
+use celerythread_standin::faulty::{Call, Plan};
+use celerythread_standin::history::Told;
+use celerythread_standin::load::Single;
+use celerythread_standin::minion::Mode;
+use std::time::{Duration, Instant};
+
+fn keyed(id: &str, key: &str) -> Single {
+    // The body belongs to the key: a repeat is the same request.
+    Single {
+        key: Some(key.into()),
+        idempotent: false,
+        body: key.as_bytes().to_vec(),
+        ..single(id, "alpha")
+    }
+}
+
+/// A chain pays twice: its client repeats a scoring run at another entry because the first
+/// answer was late.  The repeat gets the first run's answer.
+#[async_std::test]
+async fn a_repeat_at_another_entry_gets_the_kept_answer() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let first = cluster.send(0, &keyed("a", "k")).await;
+    assert_matches!(&first.asked.told, Told::Answer(200, _));
+    let mut last = None;
+    until("the answer is kept", async || {
+        last = Some(cluster.send(1, &keyed("b", "k")).await);
+        matches!(last.as_ref().unwrap().asked.told, Told::Answer(200, _))
+    })
+    .await;
+    let asked = [first.asked, last.unwrap().asked];
+    assert_eq!(cluster.breaches(&asked), []);
+    assert_eq!(cluster.runs().len(), 1);
+    cluster.stop().await;
+}
+
+#[async_std::test]
+async fn a_long_answer_is_kept_in_the_object_store() {
+    let cluster = Cluster::start(Shape::default()).await;
+    for minion in cluster.minions.values() {
+        minion.set_filling(100_000);
+    }
+    let first = cluster.send(0, &keyed("a", "k")).await;
+    let Told::Answer(200, body) = &first.asked.told else { panic!("{:?}", first.asked.told) };
+    until("the answer is kept", async || {
+        let again = cluster.send(1, &keyed("b", "k")).await;
+        matches!(&again.asked.told, Told::Answer(200, kept) if kept == body)
+    })
+    .await;
+    assert_eq!(cluster.runs().len(), 1);
+    cluster.stop().await;
+}
+
+#[async_std::test]
+async fn while_the_first_runs_a_repeat_is_told_so() {
+    let cluster =
+        Cluster::start(Shape { duration: Duration::from_millis(500), ..Shape::default() }).await;
+    let entry = cluster.entries[0].callers;
+    let first = async_std::task::spawn(async move {
+        celerythread_standin::load::send(entry, &keyed("a", "k")).await
+    });
+    until("the first runs", async || !cluster.runs().is_empty()).await;
+    let repeat = cluster.send(1, &keyed("b", "k")).await;
+    assert_matches!(repeat.asked.told, Told::Refused(1017, Some(Outcome::Unknown)));
+    assert!(repeat.retry_after_ms.is_some());
+    assert_matches!(first.await.asked.told, Told::Answer(200, _));
+    cluster.stop().await;
+}
+
+#[async_std::test]
+async fn a_key_used_for_another_request_is_refused() {
+    let cluster = Cluster::start(Shape::default()).await;
+    cluster.send(0, &keyed("a", "k")).await;
+    let other = Single { body: b"other".to_vec(), ..keyed("b", "k") };
+    let refused = cluster.send(1, &other).await;
+    assert_matches!(refused.asked.told, Told::Refused(1018, Some(Outcome::NotRun)));
+    assert_eq!(cluster.runs().len(), 1);
+    cluster.stop().await;
+}
+
+/// A write-down is booked twice: the entry dies while it runs, and the shop asks another entry
+/// under the same key.  Nobody can tell whether it ran, and that is what it must be told.
+#[async_std::test]
+async fn a_dead_entrys_claim_is_never_run_again() {
+    let mut cluster =
+        Cluster::start(Shape { duration: Duration::from_secs(3), ..Shape::default() }).await;
+    let entry = cluster.entries[0].callers;
+    async_std::task::spawn(async move {
+        celerythread_standin::load::send(entry, &keyed("a", "k")).await
+    });
+    until("the first runs", async || !cluster.runs().is_empty()).await;
+    let dead = cluster.entries[0].daemon.as_ref().unwrap().id().to_string();
+    cluster.entries[0].switch.set_down(true);
+    cluster.kill(0);
+    until("the dead entry is cleared from the registry", async || {
+        let status = cluster.get(1, "/v1/status").await.unwrap();
+        !status["entries"].to_string().contains(&dead)
+    })
+    .await;
+    let repeat = cluster.send(1, &keyed("b", "k")).await;
+    assert_matches!(repeat.asked.told, Told::Refused(1019, Some(Outcome::Unknown)));
+    assert_eq!(cluster.runs().len(), 1);
+    cluster.stop().await;
+}
+
+/// During a platform outage a claim cannot be recorded: refused as not run, at once, with a
+/// time to come back; requests without a key go on being served.
+#[async_std::test]
+async fn an_outage_refuses_keyed_requests_and_serves_the_others() {
+    let cluster = Cluster::start(Shape::default()).await;
+    for entry in &cluster.entries {
+        entry.switch.set_down(true);
+    }
+    let began = Instant::now();
+    let refused = cluster.send(0, &keyed("a", "k")).await;
+    assert_matches!(refused.asked.told, Told::Refused(1016, Some(Outcome::NotRun)));
+    assert!(began.elapsed() < Duration::from_secs(3));
+    assert!(refused.retry_after_ms.is_some());
+    let mut asked = vec![refused.asked];
+    for n in 0..20 {
+        let idempotent = Single { idempotent: n % 2 == 0, ..single(&format!("r{n}"), "alpha") };
+        let done = cluster.send(n % 2, &idempotent).await;
+        assert_matches!(done.asked.told, Told::Answer(200, _));
+        asked.push(done.asked);
+    }
+    for entry in &cluster.entries {
+        entry.switch.set_down(false);
+    }
+    let after = cluster.send(0, &keyed("c", "k")).await;
+    assert_matches!(after.asked.told, Told::Answer(200, _));
+    asked.push(after.asked);
+    assert_eq!(cluster.breaches(&asked), []);
+    cluster.stop().await;
+}
+
+/// A request refused before it was sent leaves its key free for the next try.
+#[async_std::test]
+async fn a_request_that_was_not_run_gives_its_key_back() {
+    let cluster = Cluster::start(Shape { entries: 1, ..Shape::default() }).await;
+    let hasty = Single {
+        deadline: celerythread_model::unit::Span::millis(1),
+        ..keyed("a", "k")
+    };
+    let refused = cluster.send(0, &hasty).await;
+    if let Told::Refused(_, Some(Outcome::NotRun)) = refused.asked.told {
+        until("the key is free", async || {
+            let again = cluster.send(0, &keyed("b", "k")).await;
+            matches!(again.asked.told, Told::Answer(200, _))
+        })
+        .await;
+    }
+    assert!(cluster.runs().len() <= 1);
+    cluster.stop().await;
+}
+
+/// Every fault at every call of a keyed request, then repeats under the same key at both
+/// entries until one is answered or known to be unknown.
+#[async_std::test]
+async fn every_fault_at_every_call_of_a_claim() {
+    let mut outcomes = Vec::new();
+    for fault in [
+        Fault::FailBefore,
+        Fault::LoseAnswer,
+        Fault::Hang,
+        Fault::Slow,
+        Fault::LateEffect,
+        Fault::Pause,
+        Fault::KillBefore,
+        Fault::KillAfter,
+    ] {
+        for at in 0..2 {
+            outcomes.push((fault, at, apart(move || claim_under(fault, at))));
+        }
+    }
+    for (fault, at, outcome) in outcomes {
+        let breaches = outcome.join().unwrap();
+        assert!(breaches.is_empty(), "{fault} at commit {at}: {breaches:?}");
+    }
+}
+
+async fn claim_under(fault: Fault, at: u64) -> Vec<String> {
+    let mut cluster = Cluster::start(Shape::default()).await;
+    let switch = cluster.entries[0].switch.clone();
+    // Only claims are on their way now and then lease renewals: both are struck, so that the
+    // claim meets the fault wherever it stands in the order.
+    let from = switch.count(Call::Commit) + at;
+    switch.plan(Plan { call: Call::Commit, from, count: 2, fault });
+    let mut asked = vec![cluster.send_or_break(0, &keyed("first", "k")).await];
+    cluster.reap();
+    let began = Instant::now();
+    let mut settled = false;
+    let mut n = 0;
+    while !settled && began.elapsed() < Duration::from_secs(20) {
+        let index = if cluster.entries[0].daemon.is_some() { n % 2 } else { 1 };
+        let done = cluster.send_or_break(index, &keyed(&format!("again{n}"), "k")).await;
+        settled = matches!(done.told, Told::Answer(200, _) | Told::Refused(1019, _));
+        asked.push(done);
+        n += 1;
+        async_std::task::sleep(Duration::from_millis(50)).await;
+    }
+    let mut breaches: Vec<String> = cluster
+        .breaches(&asked)
+        .iter()
+        // A killed entry tells its caller nothing; that is not the promise under test.
+        .filter(|breach| !matches!(breach, celerythread_standin::history::Breach::Untold(_)))
+        .map(ToString::to_string)
+        .collect();
+    if !settled {
+        breaches.push("never answered or known to be unknown".into());
+    }
+    cluster.stop().await;
+    breaches
+}
+
+impl Cluster {
+    /// Sends a request to an entry that may die over it.
+    pub(crate) async fn send_or_break(
+        &mut self,
+        index: usize,
+        one: &Single,
+    ) -> celerythread_standin::history::Asked {
+        let sending = async_std::future::timeout(Duration::from_secs(8), self.send(index, one));
+        let told = sending.await;
+        match told {
+            Ok(done) => done.asked,
+            Err(_) => celerythread_standin::history::Asked {
+                id: one.id.clone(),
+                effect: one.key.clone().unwrap_or_else(|| one.id.clone()),
+                idempotent: one.idempotent,
+                body: one.body.clone(),
+                told: Told::Broken,
+            },
+        }
+    }
+}
+
+/// An unkeyed non-idempotent request goes out once, whatever its answer.
+#[async_std::test]
+async fn an_unkeyed_request_is_sent_once() {
+    let cluster = Cluster::start(Shape { extra: "progress = 200ms", ..Shape::default() }).await;
+    let mut asked = Vec::new();
+    for mode in [Mode::Hang, Mode::Truncate, Mode::FailFast, Mode::Unavailable] {
+        for minion in cluster.minions.values() {
+            minion.set_mode(mode);
+        }
+        let one = Single { idempotent: false, ..single(&format!("{mode}"), "alpha") };
+        asked.push(cluster.send(0, &one).await.asked);
+        async_std::task::sleep(Duration::from_millis(600)).await;
+    }
+    let runs = cluster.runs();
+    for one in &asked {
+        assert_eq!(runs.iter().filter(|run| run.id == one.id).count(), 1, "{}", one.id);
+    }
+    assert_eq!(cluster.breaches(&asked), []);
+    cluster.stop().await;
+}
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,10 @@
+//! The system as a whole: daemons in this process over an in-memory platform, with real sockets
+//! between callers, entries, minions and peers, and a few tests with real processes.
+
+mod claims;
+mod cluster;
+mod config;
+mod maintenance;
+mod moves;
+mod requests;
+mod stop;
--- /dev/null
+++ b/tests/all/moves.rs
@@ -0,0 +1,250 @@
+//! An instance belongs to exactly one pool, and a move cuts off nothing.
+
+use crate::cluster::{Cluster, Shape, apart, is, single, until};
+use celerythread_model::code::Code;
+use celerythread_model::fleet::State;
+use celerythread_standin::fault::Fault;
+use celerythread_standin::faulty::{Call, Plan};
+use celerythread_standin::history::Told;
+use celerythread_standin::load;
+use serde_json::json;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+async fn order_move(cluster: &Cluster, index: usize) -> Result<serde_json::Value, celerythread::Error> {
+    let body = json!({ "minion": "alpha-0", "target": "beta" });
+    cluster.post(index, "/v1/pools/move", &body).await
+}
+
+async fn moved(cluster: &Cluster) -> bool {
+    let row = cluster.minion_row("alpha-0").await;
+    row.state == State::Active && row.pool.as_str() == "beta"
+}
+
+/// Requests to both services go on all the while; each minion is told by their path which pool
+/// the sender took it for.
+fn traffic(cluster: &Cluster) -> (Arc<AtomicBool>, async_std::task::JoinHandle<Vec<load::Done>>) {
+    let stop = Arc::new(AtomicBool::new(false));
+    let entries: Vec<_> = cluster.entries.iter().map(|entry| entry.callers).collect();
+    let flag = stop.clone();
+    let task = async_std::task::spawn(async move {
+        let mut done = Vec::new();
+        let mut n = 0;
+        while !flag.load(Ordering::SeqCst) {
+            for (index, entry) in entries.iter().enumerate() {
+                let service = if n % 2 == 0 { "alpha" } else { "beta" };
+                let mut one = single(&format!("{service}-{index}-{n}"), service);
+                one.idempotent = n % 3 != 0;
+                let sending = async_std::future::timeout(Duration::from_secs(8), load::send(*entry, &one));
+                if let Ok(answer) = sending.await {
+                    done.push(answer);
+                }
+            }
+            n += 1;
+            async_std::task::sleep(Duration::from_millis(2)).await;
+        }
+        done
+    });
+    (stop, task)
+}
+
+#[async_std::test]
+async fn a_move_under_load_loses_and_misplaces_nothing() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let (stop, traffic) = traffic(&cluster);
+    order_move(&cluster, 0).await.unwrap();
+    until("moved", async || moved(&cluster).await).await;
+    let at = cluster.minions["alpha-0"].record().runs.len();
+    until("serves its new pool", async || {
+        cluster.minions["alpha-0"].record().runs.len() > at + 3
+    })
+    .await;
+    stop.store(true, Ordering::SeqCst);
+    let done = traffic.await;
+    for one in &done {
+        assert!(matches!(one.asked.told, Told::Answer(200, _)), "{}: {:?}", one.asked.id, one.asked.told);
+    }
+    let asked: Vec<_> = done.into_iter().map(|one| one.asked).collect();
+    assert_eq!(cluster.breaches(&asked), []);
+    // Before the move alpha's work only, after it beta's only.
+    let runs = cluster.minions["alpha-0"].record().runs;
+    let (before, after) = runs.split_at(at);
+    assert!(before.iter().all(|run| run.id.starts_with("alpha")), "beta's work before the move");
+    assert!(after.iter().all(|run| run.id.starts_with("beta")), "alpha's work after the move");
+    assert_eq!(cluster.disruption("alpha").await.out.len(), 0);
+    cluster.stop().await;
+}
+
+/// Two operators take the last two minions of a service at once, and its shops are refused.
+#[async_std::test]
+async fn racing_moves_never_break_the_floor() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let body = |minion: &str| json!({ "minion": minion, "target": "beta" });
+    let (body0, body1) = (body("alpha-0"), body("alpha-1"));
+    let (a, b) = futures::join!(
+        cluster.post(0, "/v1/pools/move", &body0),
+        cluster.post(1, "/v1/pools/move", &body1),
+    );
+    assert_eq!([&a, &b].iter().filter(|answer| answer.is_ok()).count(), 1, "{a:?} {b:?}");
+    let out: usize = cluster.minion_rows().await.iter().filter(|row| row.state != State::Active).count();
+    assert!(out <= 1);
+    cluster.stop().await;
+}
+
+#[async_std::test]
+async fn an_impossible_move_is_refused_with_its_number() {
+    let cluster = Cluster::start(Shape { floor: 2, ..Shape::default() }).await;
+    let at_floor = order_move(&cluster, 0).await.unwrap_err();
+    assert!(is(&at_floor, Code::WrongState), "{at_floor:?}");
+    let nobody = json!({ "minion": "nobody", "target": "beta" });
+    let unknown = cluster.post(0, "/v1/pools/move", &nobody).await.unwrap_err();
+    assert!(is(&unknown, Code::NotFound));
+    cluster.stop().await;
+}
+
+/// An entry is paused with a request in flight to a minion; its peers take the minion over and
+/// the move goes on; the entry wakes up and its request runs on a minion of another pool.  The
+/// move must wait for the paused entry.
+#[async_std::test]
+async fn a_move_waits_for_a_former_owner_that_may_be_paused() {
+    let mut cluster = Cluster::start(Shape::default()).await;
+    let owner = cluster.owner_index("alpha-0").await;
+    let other = 1 - owner;
+    // The owner's process dies without a sign, but its instance stays on the list: nobody can
+    // tell it from a paused one.
+    let entry = &mut cluster.entries[owner];
+    entry.switch.set_down(true);
+    drop(entry.daemon.take());
+    until("taken over", async || {
+        let row = cluster.ownership("alpha-0").await.unwrap();
+        !row.former.is_empty()
+    })
+    .await;
+    order_move(&cluster, other).await.unwrap();
+    async_std::task::sleep(Duration::from_millis(1500)).await;
+    assert_eq!(cluster.minion_row("alpha-0").await.state, State::Draining);
+    // The list shows it gone for longer than it lags: now it is certain.
+    let name = cluster.entries[owner].name.clone();
+    cluster.memory.roster.remove(&name);
+    until("moved", async || moved(&cluster).await).await;
+    cluster.stop().await;
+}
+
+/// A minion in flight is rebooted under its request: the drain is confirmed although work is
+/// still on it.
+#[async_std::test]
+async fn a_drain_waits_for_work_in_flight() {
+    let cluster = Cluster::start(Shape { duration: Duration::from_millis(1500), ..Shape::default() }).await;
+    // As many as alpha has slots, so that alpha-0 has some.
+    let entry = cluster.entries[0].callers;
+    let sent: Vec<_> = (0..8)
+        .map(|n| {
+            let one = load::Single { idempotent: false, ..single(&format!("alpha-{n}"), "alpha") };
+            async_std::task::spawn(async move { load::send(entry, &one).await })
+        })
+        .collect();
+    until("work on it", async || cluster.minions["alpha-0"].outstanding() > 0).await;
+    order_move(&cluster, 1).await.unwrap();
+    until("idle", async || {
+        let state = cluster.minion_row("alpha-0").await.state;
+        let outstanding = cluster.minions["alpha-0"].outstanding();
+        assert!(state != State::Rebooting || outstanding == 0, "rebooted under {outstanding}");
+        state == State::Rebooting || moved(&cluster).await
+    })
+    .await;
+    for one in sent {
+        assert!(matches!(one.await.asked.told, Told::Answer(200, _)));
+    }
+    cluster.stop().await;
+}
+
+/// Every fault at every call that the fleet's holder makes during a move.  The move must end in
+/// exactly one pool, with the disruption's count right, and never reboot twice.
+#[async_std::test]
+async fn every_fault_at_every_call_of_a_move() {
+    let calls = count_calls().await;
+    let mut cells = Vec::new();
+    for (call, count) in calls {
+        for at in 0..count {
+            for fault in FAULTS {
+                cells.push((call, at, fault));
+            }
+        }
+    }
+    // A few at a time: each is a deployment of its own.
+    for batch in cells.chunks(24) {
+        let running: Vec<_> =
+            batch.iter().copied().map(|cell| apart(move || move_under(cell))).collect();
+        for (cell, one) in batch.iter().zip(running) {
+            let wrong = one.join().unwrap();
+            assert!(wrong.is_empty(), "{} at {} {}: {wrong:?}", cell.2, cell.0, cell.1);
+        }
+    }
+}
+
+const FAULTS: [Fault; 8] = [
+    Fault::FailBefore,
+    Fault::LoseAnswer,
+    Fault::Hang,
+    Fault::Slow,
+    Fault::LateEffect,
+    Fault::Pause,
+    Fault::KillBefore,
+    Fault::KillAfter,
+];
+
+/// Calls of each kind that the holder makes during a move without faults; of those that only
+/// repeat, the first few stand for all.
+async fn count_calls() -> Vec<(Call, u64)> {
+    let cluster = Cluster::start(Shape::default()).await;
+    let holder = cluster.holder("fleet").await;
+    let switch = cluster.entries[holder].switch.clone();
+    let kinds = [(Call::Commit, 6), (Call::List, 2), (Call::Reboot, 1), (Call::Changes, 2)];
+    let before: Vec<u64> = kinds.iter().map(|(call, _)| switch.count(*call)).collect();
+    order_move(&cluster, holder).await.unwrap();
+    until("moved", async || moved(&cluster).await).await;
+    let counts = kinds
+        .iter()
+        .zip(before)
+        .map(|((call, most), before)| (*call, (switch.count(*call) - before).min(*most)))
+        .collect();
+    cluster.stop().await;
+    counts
+}
+
+async fn move_under((call, at, fault): (Call, u64, Fault)) -> Vec<String> {
+    let mut cluster = Cluster::start(Shape::default()).await;
+    let holder = cluster.holder("fleet").await;
+    let other = 1 - holder;
+    let switch = cluster.entries[holder].switch.clone();
+    order_move(&cluster, other).await.unwrap();
+    let from = switch.count(call) + at;
+    switch.plan(Plan { call, from, count: 1, fault });
+    let mut wrong = Vec::new();
+    let began = std::time::Instant::now();
+    while !moved(&cluster).await {
+        cluster.reap();
+        if began.elapsed() > Duration::from_secs(25) {
+            wrong.push("never moved".into());
+            break;
+        }
+        async_std::task::sleep(Duration::from_millis(20)).await;
+    }
+    let row = cluster.minion_row("alpha-0").await;
+    if row.epoch.0 != 2 {
+        wrong.push(format!("epoch {}", row.epoch));
+    }
+    let boots = cluster.memory.roster.now().iter().find(|i| i.name == "alpha-0").unwrap().boot;
+    if boots != 2 {
+        wrong.push(format!("booted {boots} times"));
+    }
+    for service in ["alpha", "beta"] {
+        let out = cluster.disruption(service).await.out;
+        if !out.is_empty() {
+            wrong.push(format!("{service} still counts {out:?} out"));
+        }
+    }
+    cluster.stop().await;
+    wrong
+}
--- /dev/null
+++ b/tests/all/requests.rs
@@ -0,0 +1,317 @@
+//! Whole answers to the right caller, and "not run" only where it is true.
+
+use crate::cluster::{Cluster, Shape, loopback, single, until};
+use assert_matches::assert_matches;
+use celerythread_model::code::Code;
+use celerythread_model::request::{Class, Outcome};
+use celerythread_model::unit::Span;
+use celerythread_platform::message::{Instance, Role};
+use celerythread_standin::history::Told;
+use celerythread_standin::link::{Link, Mode as LinkMode};
+use celerythread_standin::load::{self, Plan, Single};
+use celerythread_standin::minion::{Minion, Mode};
+use std::time::{Duration, Instant};
+
+fn one_minion() -> Shape {
+    Shape { entries: 1, minions: vec![("alpha", 1)], floor: 0, ..Shape::default() }
+}
+
+fn once(id: &str) -> Single {
+    Single { idempotent: false, ..single(id, "alpha") }
+}
+
+#[async_std::test]
+async fn mixed_load_through_every_entry_keeps_the_promises() {
+    let shape = Shape { entries: 3, zones: 3, ..Shape::default() };
+    let cluster = Cluster::start(shape).await;
+    let plan = Plan {
+        entries: cluster.entries.iter().map(|entry| entry.callers).collect(),
+        service: "alpha".into(),
+        rate: 300.0,
+        count: 600,
+        ..Plan::default()
+    };
+    let report = load::run(&plan).await;
+    assert_eq!(cluster.breaches(&report.asked()), []);
+    let answered = report.answered(Class::Urgent) + report.answered(Class::Patient);
+    assert_eq!(answered, 600, "{}", report.table());
+    cluster.stop().await;
+}
+
+/// A chain pays on a report whose end is missing.  The minion breaks off within its answer; the
+/// caller must not get a 200.  An idempotent request may be asked again elsewhere, a
+/// non-idempotent one must be told that it ran.
+#[async_std::test]
+async fn a_broken_answer_never_looks_whole() {
+    let cluster = Cluster::start(one_minion()).await;
+    cluster.minions["alpha-0"].set_mode(Mode::Truncate);
+    let done = cluster.send(0, &once("a")).await;
+    assert_matches!(done.asked.told, Told::Refused(1020, Some(Outcome::Run)));
+    let again = cluster.send(0, &single("b", "alpha")).await;
+    assert_matches!(again.asked.told, Told::Refused(_, Some(Outcome::Run)));
+    cluster.stop().await;
+}
+
+#[async_std::test]
+async fn an_idempotent_request_goes_to_another_minion_after_a_broken_answer() {
+    let cluster = Cluster::start(Shape { entries: 1, ..Shape::default() }).await;
+    cluster.minions["alpha-0"].set_mode(Mode::Truncate);
+    let mut asked = Vec::new();
+    for n in 0..6 {
+        let done = cluster.send(0, &single(&format!("r{n}"), "alpha")).await;
+        assert_matches!(done.asked.told, Told::Answer(200, _));
+        asked.push(done.asked);
+    }
+    assert_eq!(cluster.breaches(&asked), []);
+    cluster.stop().await;
+}
+
+/// A bank's pull gets a shorter report than the minion made: an answer too long to hold in
+/// memory is passed on while it comes, the minion breaks off, and the end is made to look
+/// whole.  It must break the caller's connection instead.
+#[async_std::test]
+async fn a_long_answer_that_breaks_off_breaks_the_callers_connection() {
+    let cluster = Cluster::start(one_minion()).await;
+    let minion = &cluster.minions["alpha-0"];
+    minion.set_filling(6 << 20);
+    let whole = cluster.send(0, &single("whole", "alpha")).await;
+    assert_matches!(&whole.asked.told, Told::Answer(200, body) if body.len() > 6 << 20);
+    assert_eq!(cluster.breaches(&[whole.asked]), []);
+    minion.set_mode(Mode::Truncate);
+    let broken = cluster.send(0, &once("broken")).await;
+    assert_matches!(broken.asked.told, Told::Broken);
+    cluster.stop().await;
+}
+
+/// A shopper's visit is uploaded again and the shopper recognized: the entry could not connect,
+/// nothing was sent, and the shop must be told "not run".
+#[async_std::test]
+async fn a_refused_connection_is_not_run() {
+    let mut cluster = Cluster::start(one_minion()).await;
+    cluster.minions.clear();
+    let done = cluster.send(0, &once("a")).await;
+    assert_matches!(done.asked.told, Told::Refused(1014, Some(Outcome::NotRun)));
+    cluster.stop().await;
+}
+
+/// A write-down is booked twice: the minion read it and then nothing more was heard.  The caller
+/// must be told "unknown" as soon as the silence is found out, and nothing sent again.
+#[async_std::test]
+async fn a_silent_minion_leaves_the_outcome_unknown_at_once() {
+    let shape = Shape { extra: "progress = 200ms", ..one_minion() };
+    let cluster = Cluster::start(shape).await;
+    cluster.minions["alpha-0"].set_mode(Mode::Hang);
+    let began = Instant::now();
+    let done = cluster.send(0, &once("a")).await;
+    assert_matches!(done.asked.told, Told::Refused(1021, Some(Outcome::Unknown)));
+    assert!(began.elapsed() < Duration::from_secs(4), "held back until near the deadline");
+    assert_eq!(cluster.runs().len(), 1);
+    cluster.stop().await;
+}
+
+/// Open connections to a minion go silent for good while new ones work: a firewall has lost
+/// track of them.  Idempotent requests on kept connections must be sent again on new ones, and
+/// non-idempotent ones never go onto a kept one at all.
+#[async_std::test]
+async fn forgotten_connections_lose_no_request() {
+    let shape = Shape {
+        entries: 1,
+        minions: vec![("alpha", 0)],
+        floor: 0,
+        extra: "progress = 200ms",
+        ..Shape::default()
+    };
+    let mut cluster = Cluster::bare(shape).await;
+    let minion = Minion::start(loopback(), Duration::from_millis(5)).await.unwrap();
+    let link = Link::tcp(loopback(), minion.server.address()).await.unwrap();
+    let listed = Instance {
+        address: Some(link.address()),
+        pool: Some("alpha".parse().unwrap()),
+        ..instance()
+    };
+    cluster.memory.roster.put(listed);
+    cluster.minions.insert("alpha-0".into(), minion);
+    cluster.start_entry(0).await;
+    cluster.configure().await;
+    cluster.settled().await;
+    let mut asked = Vec::new();
+    for round in 0..3 {
+        for n in 0..4 {
+            let warm = cluster.send(0, &single(&format!("warm{round}-{n}"), "alpha")).await;
+            asked.push(warm.asked);
+        }
+        link.forget();
+        let unique = cluster.send(0, &once(&format!("once{round}"))).await;
+        assert_matches!(unique.asked.told, Told::Answer(200, _));
+        asked.push(unique.asked);
+    }
+    for one in &asked {
+        assert_matches!(one.told, Told::Answer(200, _), "{}", one.id);
+    }
+    assert_eq!(cluster.breaches(&asked), []);
+    // Everything goes silent, new connections too: still told, and still true.
+    link.set(LinkMode::Silent);
+    let lost = cluster.send(0, &once("lost")).await;
+    assert_matches!(lost.asked.told, Told::Refused(1021, Some(Outcome::Unknown)));
+    link.set(LinkMode::Pass);
+    cluster.stop().await;
+}
+
+fn instance() -> Instance {
+    crate::cluster::instance("alpha-0", Role::Minion, "z0")
+}
+
+/// The caller gives up and its answer comes late: it must not reach the next caller.
+#[async_std::test]
+async fn a_late_answer_never_reaches_another_caller() {
+    let shape = Shape { extra: "progress = 5s", ..one_minion() };
+    let cluster = Cluster::start(shape).await;
+    let minion = &cluster.minions["alpha-0"];
+    minion.set_duration(Duration::from_millis(400));
+    let hasty = Single { deadline: Span::millis(150), ..single("hasty", "alpha") };
+    let given_up = cluster.send(0, &hasty).await;
+    assert_matches!(given_up.asked.told, Told::Refused(_, Some(Outcome::Unknown)));
+    minion.set_duration(Duration::from_millis(5));
+    let mut asked = vec![given_up.asked];
+    for n in 0..20 {
+        asked.push(cluster.send(0, &single(&format!("r{n}"), "alpha")).await.asked);
+    }
+    assert_eq!(cluster.breaches(&asked), []);
+    cluster.stop().await;
+}
+
+#[async_std::test]
+async fn what_a_caller_says_wrong_gets_its_number() {
+    use celerythread_http::client;
+    let cluster = Cluster::start(one_minion()).await;
+    let address = cluster.entries[0].callers;
+    for (name, value, code) in [
+        ("celerythread-service", "nobody", Code::UnknownService),
+        ("priority", "u=9", Code::UnknownClass),
+        ("priority", "soon", Code::UnknownClass),
+        ("celerythread-deadline", "tomorrow", Code::BadDeadline),
+        ("celerythread-deadline", "0ms", Code::BadDeadline),
+        ("idempotency-key", "\"\"", Code::BadKey),
+        ("celerythread-team", "NOT A TEAM", Code::BadTeam),
+    ] {
+        let mut request = client::request(http_types::Method::Post, address, "/x").unwrap();
+        request.insert_header("celerythread-service", "alpha");
+        request.insert_header(name, value);
+        let (head, body) =
+            client::fetch(address, request, Duration::from_secs(5), 1 << 20).await.unwrap();
+        let problem: serde_json::Value = serde_json::from_slice(&body).unwrap();
+        assert_eq!(problem["code"], code.number(), "{name}: {value}");
+        assert_eq!(problem["outcome"], "not-run");
+        assert_eq!(head.header("celerythread-outcome").unwrap().as_str(), "not-run");
+    }
+    assert_eq!(cluster.runs().len(), 0);
+    cluster.stop().await;
+}
+
+/// A minion that fails everything at once is free again at once, and would draw all the work.
+#[async_std::test]
+async fn a_fast_failing_minion_draws_no_more_than_its_share() {
+    let shape = Shape {
+        entries: 1,
+        minions: vec![("alpha", 4)],
+        floor: 1,
+        duration: Duration::from_millis(40),
+        ..Shape::default()
+    };
+    let cluster = Cluster::start(shape).await;
+    let plan = |seed| Plan {
+        entries: vec![cluster.entries[0].callers],
+        service: "alpha".into(),
+        rate: 250.0,
+        count: 250,
+        once: 0.0,
+        seed,
+        ..Plan::default()
+    };
+    // The siblings' times must be known before the comparison means anything.
+    load::run(&plan(1)).await;
+    cluster.minions["alpha-0"].set_mode(Mode::Truncate);
+    cluster.minions["alpha-0"].set_duration(Duration::ZERO);
+    let before = cluster.minions["alpha-0"].record().runs.len();
+    load::run(&plan(2)).await;
+    let drawn = cluster.minions["alpha-0"].record().runs.len() - before;
+    assert!(drawn <= 63, "drew {drawn} of 250, its share is 62");
+    cluster.stop().await;
+}
+
+/// A saturated service: what cannot be started by its deadline is refused at once, as not run,
+/// with a time to come back.
+#[async_std::test]
+async fn overload_is_refused_at_once_with_a_time_to_come_back() {
+    let shape = Shape { duration: Duration::from_millis(200), slots: 1, ..one_minion() };
+    let cluster = Cluster::start(shape).await;
+    let plan = Plan {
+        entries: vec![cluster.entries[0].callers],
+        service: "alpha".into(),
+        rate: 200.0,
+        count: 200,
+        deadline: Span::secs(2),
+        ..Plan::default()
+    };
+    let report = load::run(&plan).await;
+    assert_eq!(cluster.breaches(&report.asked()), []);
+    let refused: Vec<_> = report
+        .done
+        .iter()
+        .filter(|done| matches!(done.asked.told, Told::Refused(1011, Some(Outcome::NotRun))))
+        .collect();
+    assert!(refused.len() > 100, "{}", report.table());
+    for done in &refused {
+        assert!(done.retry_after_ms.is_some_and(|ms| ms > 0));
+        // At once: not held back until near the deadline of 2 s.
+        assert!(done.took < Duration::from_millis(1000), "{:?}", done.took);
+    }
+    cluster.stop().await;
+}
+
+/// All entries together: a minion's slots bound what it has at one moment.
+#[async_std::test]
+async fn no_minion_has_more_than_its_slots_from_all_entries() {
+    let shape = Shape { entries: 3, duration: Duration::from_millis(30), ..Shape::default() };
+    let cluster = Cluster::start(shape).await;
+    let plan = Plan {
+        entries: cluster.entries.iter().map(|entry| entry.callers).collect(),
+        service: "alpha".into(),
+        rate: 600.0,
+        count: 900,
+        ..Plan::default()
+    };
+    let report = load::run(&plan).await;
+    assert_eq!(cluster.breaches(&report.asked()), []);
+    for (name, minion) in &cluster.minions {
+        let most = minion.record().most_outstanding;
+        assert!(most <= 4, "{name} had {most} at one moment");
+    }
+    cluster.stop().await;
+}
+
+#[async_std::test]
+async fn a_teams_quota_bounds_its_requests_in_flight() {
+    use celerythread_http::client;
+    let cluster =
+        Cluster::start(Shape { duration: Duration::from_millis(300), ..one_minion() }).await;
+    let address = cluster.entries[0].callers;
+    let ask = || {
+        let mut request = client::request(http_types::Method::Post, address, "/x").unwrap();
+        request.insert_header("celerythread-service", "alpha");
+        request.insert_header("celerythread-team", "small");
+        async_std::task::spawn(async move {
+            let fetched = client::fetch(address, request, Duration::from_secs(5), 1 << 20).await;
+            u16::from(fetched.unwrap().0.status())
+        })
+    };
+    let all: Vec<_> = (0..5).map(|_| ask()).collect();
+    let mut statuses = Vec::new();
+    for one in all {
+        statuses.push(one.await);
+    }
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 200, 429, 429, 429]);
+    until("the quota is given back", async || ask().await == 200).await;
+    cluster.stop().await;
+}
