Jobs, peers and real processes under failure; an order to a worker is for one boot of it

Cause found while writing the lost-worker test: a worker that is gone or was restarted shows no task, the placer ordered the attempt again, and a non-idempotent job ran twice; a refusal was taken for 'not run' whoever gave the first order. Now the order carries the worker's boot count, a refusal proves 'not run' only to the process that gave the one order, and a newer boot in the list ends the attempt as unknown. Ruled out: fencing tokens alone, which a restarted worker has forgotten. Slots lent to an entry that left the registry are taken back.

--- a/crates/entry/src/drive/jobs.rs
+++ b/crates/entry/src/drive/jobs.rs
@@ -38,6 +38,8 @@
     estimates: Estimates,
     health: HashMap<id::Worker, Health>,
     avoid: HashMap<id::Job, id::Worker>,
+    /// Attempts whose one order this process gave and saw refused: certainly not run.
+    refused: HashMap<id::Job, u32>,
 }
 
 /// A decided change of a job's row, and what follows once it is committed.
@@ -103,17 +105,25 @@
         let first = last.0 + 1 - batch.len() as u64;
         for (index, change) in batch.into_iter().enumerate() {
             let (job, stage) = (change.job.spec.job.clone(), change.job.stage);
+            let attempt = change.job.attempts;
             self.board.put(change.job, Revision(first + index as u64));
             node.note(Kind::Job { job: job.clone(), stage });
             if let Some((worker, order)) = change.then {
-                self.order(node, &job, worker, order).await;
+                self.order(node, &job, attempt, worker, order).await;
             }
         }
     }
 
-    async fn order(&mut self, node: &Node, job: &id::Job, worker: id::Worker, order: Order) {
+    async fn order(
+        &mut self,
+        node: &Node,
+        job: &id::Job,
+        attempt: u32,
+        worker: id::Worker,
+        order: Order,
+    ) {
         if let Err(Error::Refused { .. }) = node.platform.workers.order(&worker, order).await {
-            // The worker will not run it; the next round finds no task and settles it.
+            self.refused.insert(job.clone(), attempt);
             self.avoid.insert(job.clone(), worker);
         }
     }
@@ -153,7 +163,10 @@
                 Placement::Start(worker) => {
                     take_room(&mut rooms, &worker, &need.size);
                     *used.entry(job.spec.team.clone()).or_default() += need.size;
-                    changes.push(start(revision, job, worker, held, need.size));
+                    let boot = self.roster.get(worker.as_str()).map_or(0, |listed| listed.boot);
+                    let job = started(job, &worker, boot, held);
+                    let then = Some((worker, start_order(&job, need.size)));
+                    changes.push(Change { old: revision, job, then });
                 }
                 Placement::PutAside(worker, jobs) => {
                     for name in jobs {
@@ -225,19 +238,28 @@
     }
 }
 
-fn start(old: Revision, job: &Job, worker: id::Worker, held: Held, size: Size) -> Change {
-    let attempts = job.attempts + 1;
-    let order =
-        Order::Start { job: job.spec.job.clone(), attempt: attempts, token: held.token.0, size };
-    let job = Job {
+/// A job with a new attempt on a worker.
+fn started(job: &Job, worker: &id::Worker, boot: u64, held: Held) -> Job {
+    Job {
         stage: Stage::Running,
         worker: Some(worker.clone()),
-        attempts,
+        attempts: job.attempts + 1,
         token: held.token,
+        boot,
         reason: String::new(),
         ..job.clone()
-    };
-    Change { old, job, then: Some((worker, order)) }
+    }
+}
+
+/// The order that starts a job's present attempt, the same each time it is given.
+fn start_order(job: &Job, size: Size) -> Order {
+    Order::Start {
+        job: job.spec.job.clone(),
+        attempt: job.attempts,
+        token: job.token.0,
+        boot: job.boot,
+        size,
+    }
 }
 
 fn take_room(rooms: &mut [Room], worker: &id::Worker, size: &Size) {
--- a/crates/entry/src/drive/jobs/settle.rs
+++ b/crates/entry/src/drive/jobs/settle.rs
@@ -6,7 +6,7 @@
 use celerythread_model::job::{Job, Stage};
 use celerythread_model::request::Idempotence;
 use celerythread_model::unit::Revision;
-use celerythread_platform::message::{Order, Phase, Task};
+use celerythread_platform::message::{Phase, Task};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -79,33 +79,41 @@
         health.fail(node.clock.now(), siblings, true);
     }
 
-    /// The reports say nothing of the attempt: it was never started, or its worker is gone.
+    /// The reports say nothing of the attempt: it was never started, or its worker is gone or
+    /// was restarted.
     async fn without_report(&mut self, node: &Node, job: &Job, worker: &id::Worker) -> Option<Job> {
+        let attempt = job.attempts;
+        if self.refused.remove(&job.spec.job) == Some(attempt) {
+            let reason = format!("{worker} refused attempt {attempt}");
+            return Some(Job { stage: Stage::Queued, worker: None, reason, ..job.clone() });
+        }
         if self.roster.is_gone(worker.as_str(), node.clock.now()) {
-            let reason = format!("{worker} is gone with attempt {}", job.attempts);
-            return Some(lost(job, reason));
+            return Some(lost(job, format!("{worker} is gone with attempt {attempt}")));
+        }
+        if self.roster.get(worker.as_str()).is_some_and(|listed| listed.boot > job.boot) {
+            return Some(lost(job, format!("{worker} was restarted under attempt {attempt}")));
         }
         let inspected = node.platform.workers.inspect(worker, &job.spec.job).await.ok()?;
         match inspected {
-            Some(task) if task.attempt == job.attempts => self.by_report(node, job, worker, &task),
-            // The order was lost, or its giver was before it gave it.  The worker carries an
-            // attempt out once however often it is ordered, so it is ordered again.
-            _ => {
-                let order = Order::Start {
-                    job: job.spec.job.clone(),
-                    attempt: job.attempts,
-                    token: job.token.0,
-                    size: self.estimates.size(&job.spec.kind, &job.spec.size),
-                };
-                let refused = node.platform.workers.order(worker, order).await;
-                match refused {
-                    Err(celerythread_platform::Error::Refused { reason }) => {
-                        // Refused for good and no task to show for it: it was not run.
-                        Some(Job { stage: Stage::Queued, worker: None, reason, ..job.clone() })
-                    }
-                    _ => None,
-                }
+            Some(task) if task.attempt == attempt => self.by_report(node, job, worker, &task),
+            _ => self.order_again(node, job, worker).await,
+        }
+    }
+
+    /// Gives the order of an attempt again that shows no task: its answer was lost, or its giver
+    /// was gone before it gave it.
+    ///
+    /// The same boot of the worker carries an attempt out once, however often it is ordered.
+    /// Another boot refuses; then the attempt may have run on the boot before, and a
+    /// non-idempotent job is not run again.
+    async fn order_again(&self, node: &Node, job: &Job, worker: &id::Worker) -> Option<Job> {
+        let size = self.estimates.size(&job.spec.kind, &job.spec.size);
+        let ordered = node.platform.workers.order(worker, super::start_order(job, size)).await;
+        match ordered {
+            Err(celerythread_platform::Error::Refused { reason }) => {
+                Some(lost(job, format!("{worker} refused attempt {}: {reason}", job.attempts)))
             }
+            _ => None,
         }
     }
 }
--- a/crates/entry/src/operator/jobs.rs
+++ b/crates/entry/src/operator/jobs.rs
@@ -51,6 +51,7 @@
         worker: None,
         attempts: 0,
         token: Token(0),
+        boot: 0,
         reason: String::new(),
         submitted_at: node.clock.wall_ms(),
     };
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -228,6 +228,7 @@
     while node.pause(tick).await {
         let now = node.clock.now();
         let registered = note_zones(&node);
+        settle_unregistered(&node, now);
         last.retain(|entry, _| registered.iter().any(|(known, _, _)| known == entry));
         for (entry, address, zone) in registered {
             let interval = if zone == node.settings.zone {
@@ -260,6 +261,25 @@
         .collect()
 }
 
+/// Takes back the slots lent to entries that have left the registry: they are gone for certain,
+/// and nobody else could say that they no longer use them.
+fn settle_unregistered(node: &Node, now: Moment) {
+    let view = node.view.read();
+    let mut router = node.router.lock();
+    let gone: Vec<id::Entry> = router
+        .ledger
+        .borrowers()
+        .into_iter()
+        .filter(|entry| !view.entries().contains_key(entry))
+        .collect();
+    for entry in &gone {
+        router.ledger.settle(entry, |_| false);
+    }
+    if !gone.is_empty() {
+        router.tick(now);
+    }
+}
+
 /// Notes peers that have just become silent.
 fn note_silent(node: &Node, now: Moment) {
     let mut silent = Vec::new();
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -131,6 +131,8 @@
     pub attempts: u32,
     /// The fencing token of the placer that started the attempt.
     pub token: Token,
+    /// The worker's boot count that the attempt was ordered for.
+    pub boot: u64,
     /// Why it failed or waits.
     pub reason: String,
     /// Milliseconds since the Unix epoch at submission.
--- a/crates/platform/src/memory/workers.rs
+++ b/crates/platform/src/memory/workers.rs
@@ -6,9 +6,12 @@
 use celerythread_model::id;
 use celerythread_model::job::Size;
 use parking_lot::Mutex;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
+/// Boot count of a worker that was never restarted.
+const FIRST_BOOT: u64 = 1;
+
 /// How a worker's tasks really behave, whatever was declared.
 #[derive(Clone, Debug)]
 pub struct Behaviour {
@@ -38,6 +41,18 @@
     tasks: HashMap<(id::Worker, id::Job), Running>,
     highest_token: HashMap<id::Worker, u64>,
     starts: Vec<(id::Worker, id::Job, u32)>,
+    /// Boots beyond the first, of workers that were restarted.
+    reboots: HashMap<id::Worker, u64>,
+    gone: HashSet<id::Worker>,
+}
+
+/// What an order to start says.
+struct Start {
+    job: id::Job,
+    attempt: u32,
+    token: u64,
+    boot: u64,
+    size: Size,
 }
 
 struct Running {
@@ -61,20 +76,28 @@
 
     /// Loses a worker with all its tasks.
     pub fn lose(&self, worker: &id::Worker) {
-        self.state.lock().tasks.retain(|(held, _), _| held != worker);
+        let mut state = self.state.lock();
+        state.tasks.retain(|(held, _), _| held != worker);
+        state.gone.insert(worker.clone());
+    }
+
+    /// Restarts a worker: it forgets its tasks and what it has refused.
+    pub fn restart(&self, worker: &id::Worker) {
+        let mut state = self.state.lock();
+        state.tasks.retain(|(held, _), _| held != worker);
+        state.highest_token.remove(worker);
+        *state.reboots.entry(worker.clone()).or_default() += 1;
     }
 }
 
 impl State {
-    fn start(
-        &mut self,
-        worker: &id::Worker,
-        job: id::Job,
-        attempt: u32,
-        token: u64,
-        size: Size,
-    ) -> Result<(), Error> {
+    fn start(&mut self, worker: &id::Worker, order: Start) -> Result<(), Error> {
+        let Start { job, attempt, token, boot, size } = order;
         let refuse = |reason: &str| Err(Error::Refused { reason: reason.into() });
+        let reboots = self.reboots.get(worker).copied().unwrap_or(0);
+        if boot != FIRST_BOOT + reboots {
+            return refuse("the order is for another boot");
+        }
         let highest = self.highest_token.entry(worker.clone()).or_default();
         if token < *highest {
             return refuse("the fencing token is old");
@@ -122,10 +145,13 @@
 impl traits::Workers for Workers {
     async fn order(&self, worker: &id::Worker, order: Order) -> Result<(), Error> {
         let mut state = self.state.lock();
+        if state.gone.contains(worker) {
+            return Err(Error::Refused { reason: "there is no such worker".into() });
+        }
         state.settle();
         match order {
-            Order::Start { job, attempt, token, size } => {
-                state.start(worker, job, attempt, token, size)
+            Order::Start { job, attempt, token, boot, size } => {
+                state.start(worker, Start { job, attempt, token, boot, size })
             }
             Order::Throttle { job } => {
                 if let Some(task) = state.tasks.get_mut(&(worker.clone(), job))
@@ -161,6 +187,9 @@
     async fn inspect(&self, worker: &id::Worker, job: &id::Job) -> Result<Option<Task>, Error> {
         let mut state = self.state.lock();
         state.settle();
+        if state.gone.contains(worker) {
+            return Err(Error::Unavailable { reason: "there is no such worker".into() });
+        }
         let found = state.tasks.get(&(worker.clone(), job.clone()));
         Ok(found.map(|running| State::task(worker, job, running)))
     }
--- a/crates/platform/src/message.rs
+++ b/crates/platform/src/message.rs
@@ -184,8 +184,10 @@
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase", tag = "order")]
 pub enum Order {
-    /// Start an attempt; the worker refuses attempts not above the last it saw of the job, and
-    /// fencing tokens below the highest it saw.
+    /// Start an attempt.  The worker refuses attempts not above the last it saw of the job,
+    /// fencing tokens below the highest it saw, and orders meant for another boot of it: it
+    /// remembers nothing over a restart, so the boot count is what keeps an order that is given
+    /// again from being carried out again.
     Start {
         /// The job.
         job: id::Job,
@@ -193,6 +195,8 @@
         attempt: u32,
         /// The placer's fencing token.
         token: u64,
+        /// The worker's boot count that the order is meant for.
+        boot: u64,
         /// What it may use.
         size: Size,
     },
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -8,7 +8,7 @@
 use crate::time::Moment;
 use celerythread_model::id;
 use celerythread_model::unit::{Epoch, Slots};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -291,6 +291,16 @@
         settled
     }
 
+    /// Peers that hold grants.
+    pub fn borrowers(&self) -> BTreeSet<id::Entry> {
+        let holders = self.minions.values().flat_map(|minion| minion.grants.values());
+        let peers = holders.filter_map(|holder| match holder {
+            Holder::Own => None,
+            Holder::Peer(entry) => Some(entry.clone()),
+        });
+        peers.collect()
+    }
+
     /// What a service has here.
     pub fn room(&self, service: &id::Service, now: Moment) -> Room {
         let mut room = Room::default();
--- a/crates/standin/src/faulty.rs
+++ b/crates/standin/src/faulty.rs
@@ -191,11 +191,11 @@
                 std::future::pending().await
             }
             Fault::FailBefore => Err(unavailable()),
-            Fault::LoseAnswer => match run.await {
-                // A refusal has no effect either way, so losing it is an outage.
-                Ok(_) => Err(lost()),
-                Err(_) => Err(unavailable()),
-            },
+            Fault::LoseAnswer => {
+                // Whoever loses an answer cannot know what it was, a refusal or not.
+                let _ = run.await;
+                Err(lost())
+            }
             Fault::Hang => {
                 task::sleep(HANG).await;
                 Err(lost())
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,7 +4,12 @@
 mod claims;
 mod cluster;
 mod config;
+mod faults;
+mod jobs;
 mod maintenance;
 mod moves;
+mod peers;
+mod processes;
+mod programs;
 mod requests;
 mod stop;
--- /dev/null
+++ b/tests/all/peers.rs
@@ -0,0 +1,74 @@
+//! Links between entries that are cut, silent, or strange.
+
+use crate::cluster::{Cluster, Shape, single, until};
+use celerythread_model::unit::Revision;
+use celerythread_standin::history::Told;
+use std::time::Duration;
+
+/// The service's minions are all owned by one entry; the others serve through it.
+#[async_std::test]
+async fn an_entry_without_minions_borrows_slots() {
+    let shape = Shape { entries: 3, minions: vec![("alpha", 1)], floor: 0, ..Shape::default() };
+    let cluster = Cluster::start(shape).await;
+    let mut asked = Vec::new();
+    for n in 0..60 {
+        let done = cluster.send(n % 3, &single(&format!("r{n}"), "alpha")).await;
+        assert!(matches!(done.asked.told, Told::Answer(200, _)), "{:?}", done.asked.told);
+        asked.push(done.asked);
+    }
+    assert_eq!(cluster.breaches(&asked), []);
+    assert!(cluster.minions["alpha-0"].record().most_outstanding <= 4);
+    cluster.stop().await;
+}
+
+/// An availability zone is cut off from the platform: its entries go on serving their own
+/// minions and those of the others, and hear of changes through their peers.
+#[async_std::test]
+async fn a_zone_cut_off_from_the_platform_goes_on_serving() {
+    let cluster = Cluster::start(Shape { entries: 3, zones: 3, ..Shape::default() }).await;
+    cluster.entries[1].switch.set_down(true);
+    let mut asked = Vec::new();
+    for n in 0..60 {
+        let done = cluster.send(1, &single(&format!("r{n}"), "alpha")).await;
+        assert!(matches!(done.asked.told, Told::Answer(200, _)), "{:?}", done.asked.told);
+        asked.push(done.asked);
+    }
+    cluster.apply(0, "c2", Revision(1), "n2").await.unwrap();
+    until("in force there too", async || cluster.config_number(1).await == 2).await;
+    assert_eq!(cluster.breaches(&asked), []);
+    cluster.entries[1].switch.set_down(false);
+    cluster.stop().await;
+}
+
+/// An entry dies with slots lent to it.  They must come back, or the service shrinks with every
+/// death.
+#[async_std::test]
+async fn a_dead_borrower_gives_its_slots_back() {
+    let shape = Shape {
+        entries: 2,
+        minions: vec![("alpha", 1)],
+        floor: 0,
+        duration: Duration::from_millis(800),
+        ..Shape::default()
+    };
+    let mut cluster = Cluster::start(shape).await;
+    let owner = cluster.owner_index("alpha-0").await;
+    let borrower = 1 - owner;
+    let entry = cluster.entries[borrower].callers;
+    for n in 0..4 {
+        async_std::task::spawn(async move {
+            let one = single(&format!("lost{n}"), "alpha");
+            celerythread_standin::load::send(entry, &one).await
+        });
+    }
+    until("all slots are lent", async || cluster.minions["alpha-0"].outstanding() == 4).await;
+    cluster.entries[borrower].switch.set_down(true);
+    cluster.kill(borrower);
+    until("the slots are free again", async || {
+        let status = cluster.get(owner, "/v1/status").await.unwrap();
+        let service = &status["services"][0];
+        service["free"] == 4 && status["entries"].as_array().unwrap().len() == 1
+    })
+    .await;
+    cluster.stop().await;
+}
