--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,10 +4,11 @@
 //! it runs; [`faulty`] puts the same faults between a test and the platform's traits, counting
 //! the calls.  [`minion`] is an upstream that records what it ran.  [`link`] is a hop that can
 //! cut, delay, silence or truncate.  [`load`] makes requests; [`history`] joins what callers
-//! and minions saw and checks the promises over it.
+//! and minions saw and checks the promises over it.  [`fleet`] runs real daemons over these.
 
 pub mod fault;
 pub mod faulty;
+pub mod fleet;
 pub mod history;
 pub mod link;
 pub mod load;
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -13,6 +13,7 @@
 use celerythread_platform::memory::Memory;
 use celerythread_platform::message::{Instance, Role};
 use celerythread_standin::faulty::{Faulty, Switch};
+pub(crate) use celerythread_standin::fleet::{instance, loopback};
 use celerythread_standin::history::{self, Asked, Breach};
 use celerythread_standin::load::{self, Done, Single};
 use celerythread_standin::minion::{Minion, Run};
@@ -84,29 +85,10 @@
     authority: Pair,
 }
 
-pub(crate) fn loopback() -> SocketAddr {
-    "127.0.0.1:0".parse().unwrap()
-}
-
 fn zone(index: usize, zones: usize) -> String {
     format!("z{}", index % zones)
 }
 
-/// An instance of the platform's list.
-pub(crate) fn instance(name: &str, role: Role, zone: &str) -> Instance {
-    Instance {
-        name: name.into(),
-        role,
-        zone: zone.parse().unwrap(),
-        rack: format!("{zone}-r1").parse().unwrap(),
-        address: None,
-        pool: None,
-        leaving: false,
-        boot: 1,
-        size: Size::default(),
-    }
-}
-
 /// Waits until a condition holds, and fails with its name when it never does.
 pub(crate) async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
     let began = Instant::now();
