--- /dev/null
+++ b/benches/slopes.rs
@@ -0,0 +1,152 @@
+//! What the daemon costs, at three sizes of each thing that grows: `cargo bench --bench slopes`.
+//!
+//! Real daemons as processes over stand-ins on loopback.  `docs/CAPACITY.md` is worked out from
+//! what this prints.
+
+use async_std::task;
+use celerythread_model::unit::Span;
+use celerythread_standin::fleet::{Fleet, Shape};
+use celerythread_standin::load::{self, Plan};
+use std::collections::BTreeMap;
+use std::fs;
+use std::time::{Duration, Instant};
+
+/// How long each size is watched.
+const WATCH: Duration = Duration::from_secs(6);
+
+/// Bytes of a page, and ticks of a processor-second, on Linux.
+const PAGE: u64 = 4096;
+const TICKS: f64 = 100.0;
+
+fn shape(entries: usize, minions: usize, listed: usize) -> Shape {
+    Shape {
+        daemon: env!("CARGO_BIN_EXE_celerythreadd").into(),
+        name: format!("slopes-{entries}-{minions}-{listed}"),
+        entries,
+        minions,
+        listed,
+        duration: Duration::from_millis(5),
+        settings: BTreeMap::from([("stop", "notice = 0ms")]),
+    }
+}
+
+/// Processor seconds and resident bytes of a process.
+fn usage(pid: u32) -> (f64, u64) {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    // Fields behind the name, which may itself contain spaces.
+    let fields: Vec<&str> =
+        stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let number = |at: usize| fields.get(at).and_then(|f| f.parse::<u64>().ok()).unwrap_or(0);
+    let seconds = (number(11) + number(12)) as f64 / TICKS;
+    (seconds, number(21) * PAGE)
+}
+
+struct Cost {
+    core_percent: f64,
+    resident_mb: f64,
+    reads: f64,
+    writes: f64,
+}
+
+/// Means over the daemons while `work` goes on.
+async fn watch<T>(fleet: &Fleet, work: impl Future<Output = T>) -> (Cost, T) {
+    let pids: Vec<u32> = fleet.daemons.iter().map(|daemon| daemon.child.id()).collect();
+    let cpu = || pids.iter().map(|pid| usage(*pid).0).sum::<f64>();
+    let table = &fleet.platform.memory.table;
+    let (cpu0, reads0, writes0, began) = (cpu(), table.reads(), table.writes(), Instant::now());
+    let done = work.await;
+    let seconds = began.elapsed().as_secs_f64();
+    let count = pids.len() as f64;
+    let resident: u64 = pids.iter().map(|pid| usage(*pid).1).sum();
+    let cost = Cost {
+        core_percent: (cpu() - cpu0) * 100.0 / seconds / count,
+        resident_mb: resident as f64 / 1e6 / count,
+        reads: (table.reads() - reads0) as f64 / seconds / count,
+        writes: (table.writes() - writes0) as f64 / seconds,
+    };
+    (cost, done)
+}
+
+/// Bytes of UDP and TCP on the loopback, both ways counted once.
+fn loopback_bytes() -> u64 {
+    let text = fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let line = text.lines().find(|line| line.trim().starts_with("lo:")).unwrap_or_default();
+    line.split_whitespace().nth(1).and_then(|field| field.parse().ok()).unwrap_or(0)
+}
+
+fn print(name: &str, cost: &Cost, bytes: f64) {
+    println!(
+        "{name:34} {:7.2} % of a core  {:6.1} MB  {:5.2} table reads/s an entry  {:5.2} writes/s \
+         in all  {:7.0} bytes/s an entry",
+        cost.core_percent, cost.resident_mb, cost.reads, cost.writes, bytes
+    );
+}
+
+async fn idle(name: &str, entries: usize, minions: usize, listed: usize) {
+    let fleet = match Fleet::start(shape(entries, minions, listed)).await {
+        Ok(fleet) => fleet,
+        Err(error) => {
+            println!("{name}: not run: {error}");
+            return;
+        }
+    };
+    // Rows of listed minions are written by the fleet's holder; let it finish.
+    task::sleep(Duration::from_millis(3000 + listed as u64 * 12)).await;
+    let before = loopback_bytes();
+    let (cost, ()) = watch(&fleet, task::sleep(WATCH)).await;
+    // Each byte is sent once and belongs to two ends; the platform's end is not an entry.
+    let bytes = (loopback_bytes() - before) as f64 / WATCH.as_secs_f64() / entries as f64;
+    print(name, &cost, bytes);
+}
+
+async fn loaded(rate: f64, once: f64, keyed: f64, name: &str) {
+    let fleet = match Fleet::start(shape(3, 6, 0)).await {
+        Ok(fleet) => fleet,
+        Err(error) => {
+            println!("{name}: not run: {error}");
+            return;
+        }
+    };
+    let plan = Plan {
+        entries: fleet.daemons.iter().map(|daemon| daemon.callers).collect(),
+        service: "alpha".into(),
+        rate,
+        count: (rate * WATCH.as_secs_f64()) as u64,
+        once,
+        keyed,
+        deadline: Span::secs(5),
+        ..Plan::default()
+    };
+    let before = loopback_bytes();
+    let (cost, report) = watch(&fleet, load::run(&plan)).await;
+    let bytes = (loopback_bytes() - before) as f64 / WATCH.as_secs_f64() / 3.0;
+    print(name, &cost, bytes);
+    let refused: usize = report.refusals().values().sum();
+    let per_request = cost.core_percent * 3.0 * 10.0 / rate;
+    println!(
+        "{:34} {per_request:7.3} core-ms a request, {:.3} table writes a request, refused {refused}",
+        "",
+        cost.writes / rate
+    );
+}
+
+fn main() {
+    task::block_on(async {
+        println!("watched {WATCH:?} each; a shared machine, so the figures are noisy");
+        println!("entries, idle, 6 minions:");
+        for entries in [3, 6, 9] {
+            idle(&format!("  {entries} entries"), entries, 6, 0).await;
+        }
+        println!("rows of minions, idle, 3 entries:");
+        for listed in [100, 400, 1300] {
+            idle(&format!("  {listed} listed minions"), 3, 3, listed).await;
+        }
+        println!("requests, 3 entries, 6 minions:");
+        for rate in [100.0, 300.0, 900.0] {
+            loaded(rate, 0.0, 0.0, &format!("  {rate} idempotent/s")).await;
+        }
+        for rate in [100.0, 300.0, 900.0] {
+            loaded(rate, 1.0, 1.0, &format!("  {rate} keyed/s")).await;
+        }
+    });
+}
