--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -39,7 +39,7 @@
 const STOP_POLL: Duration = Duration::from_millis(20);
 
 /// Time between two ticks of the pause detector, and the gap that counts as a pause.
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(500);
 const PAUSE: Duration = Duration::from_secs(2);
 
 /// Most connections of callers at once; each can hold one request body in memory.
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -3,6 +3,7 @@
 
 mod fleet;
 mod jobs;
+mod retention;
 mod roster;
 mod waves;
 
--- a/crates/entry/src/drive/fleet.rs
+++ b/crates/entry/src/drive/fleet.rs
@@ -1,6 +1,7 @@
 //! The fleet's holder: keeps the minions' rows, clears away dead entries, carries minions
 //! through their errands, and decides moves.
 
+use super::retention::Retention;
 use super::roster::Roster;
 use super::{fenced, waves};
 use crate::duty::Duty;
@@ -31,6 +32,7 @@
     pub(crate) roster: Roster,
     sizer: Sizer,
     utilisation: BTreeMap<id::Service, f64>,
+    retention: Retention,
 }
 
 impl Fleet {
@@ -45,6 +47,7 @@
         self.carry_errands(node, held).await;
         waves::step(self, node, held).await;
         self.decide_move(node, held).await;
+        self.retention.step(node, held).await;
     }
 
     /// Removes registrations of entries whose instance is gone for certain.
--- a/crates/entry/src/drive/waves.rs
+++ b/crates/entry/src/drive/waves.rs
@@ -68,6 +68,10 @@
 
 /// Takes out what may go now, or notes what the wave waits for.
 async fn advance(fleet: &mut Fleet, node: &Arc<Node>, held: Held, wave: &Wave) {
+    if let Some(waiting_for) = not_yet(node, wave) {
+        set_progress(node, held, wave, Progress::Paused, waiting_for).await;
+        return;
+    }
     let (targets, begun, weight, out) = {
         let view = node.view.read();
         // Only what comes back is worth waiting for.
@@ -99,6 +103,23 @@
     }
 }
 
+/// Why a wave may take nothing out at this time, if so.
+///
+/// This compares the holder's wall clock with a time that an operator chose; it decides when a
+/// wave goes on, never who may write.
+fn not_yet(node: &Node, wave: &Wave) -> Option<String> {
+    let now = node.clock.wall_ms();
+    if now < wave.starts_at {
+        return Some("its start".into());
+    }
+    let name = wave.window.as_ref()?;
+    let document = node.view.read().document().clone();
+    let window = document.windows.iter().find(|window| window.name == *name);
+    let minute = (now / 60_000 % (24 * 60)) as u32;
+    let open = window.is_none_or(|window| window.is_open(minute));
+    (!open).then(|| format!("window {name}"))
+}
+
 /// Drains one minion and moves it from `remaining` to `done`, in one transaction with the
 /// disruption's row.
 async fn take_out(
--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -58,7 +58,9 @@
         if let Some(held) = held.filter(|held| held.is_fresh(node.clock.now(), term)) {
             driver.step(&node, held).await;
         }
-        if !node.pause(STEP.min(renewal)).await || node.is_stopping() {
+        // Who does not carry the duty has nothing to do before the next look at the lease.
+        let rest = if held.is_some() { STEP.min(renewal) } else { renewal };
+        if !node.pause(rest).await || node.is_stopping() {
             break;
         }
     }
--- a/crates/entry/src/operator/maintenance.rs
+++ b/crates/entry/src/operator/maintenance.rs
@@ -6,6 +6,7 @@
 use crate::problem::{Problem, body, json};
 use celerythread_http::server::Request;
 use celerythread_model::code::Code;
+use celerythread_model::config::Document;
 use celerythread_model::event::Kind;
 use celerythread_model::fleet::{self, Minion, Progress, Wave};
 use celerythread_model::id;
@@ -42,6 +43,10 @@
     services: BTreeSet<id::Service>,
     #[serde(default)]
     minions: BTreeSet<id::Minion>,
+    /// How long from now nothing is taken out yet.
+    after: Option<Span>,
+    /// The window in which instances are taken out.
+    window: Option<String>,
     /// How long from now it may take.
     within: Option<Span>,
 }
@@ -132,6 +137,7 @@
             (service.service.clone(), standing)
         })
         .collect();
+    refuse_unknown_window(document, declaration)?;
     let each = document.reboot.0 + DRAIN;
     let forecast = wave::forecast(&targets, &standings, document.rollout_weight, each);
     if let Some(stuck) = &forecast.stuck {
@@ -147,6 +153,8 @@
         remaining: targets.into_iter().map(|target| target.minion).collect(),
         done: Vec::new(),
         declared_at: now,
+        starts_at: now + declaration.after.unwrap_or_default().0.as_millis() as u64,
+        window: declaration.window.clone(),
         deadline: declaration.within.map(|within| now + within.0.as_millis() as u64),
         forecast: Span(forecast.time),
         waiting_for: String::new(),
@@ -154,8 +162,18 @@
     Ok((row, forecast))
 }
 
+fn refuse_unknown_window(document: &Document, declaration: &Declaration) -> Result<(), Problem> {
+    let Some(name) = &declaration.window else { return Ok(()) };
+    if document.windows.iter().any(|window| window.name == *name) {
+        return Ok(());
+    }
+    Err(Problem::new(Code::NotFound, format!("there is no window {name}")))
+}
+
 fn refuse_late(declaration: &Declaration, forecast: &Forecast) -> Result<(), Problem> {
-    let Some(within) = declaration.within.filter(|within| forecast.time > within.0) else {
+    let begins = declaration.after.unwrap_or_default().0;
+    let late = |within: &Span| begins + forecast.time > within.0;
+    let Some(within) = declaration.within.filter(late) else {
         return Ok(());
     };
     let binding = forecast.binding.as_ref().map_or("", |service| service.as_str());
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 /// Time between two looks at what should be owned.
-const INTERVAL: Duration = Duration::from_millis(250);
+const INTERVAL: Duration = Duration::from_millis(400);
 
 /// What the slot ledger needs to know of a minion.
 pub(crate) fn spec(view: &View, minion: &Minion, active: bool) -> Spec {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -255,7 +255,8 @@
 /// Keeps beating to every registered peer.  The lower id dials, so each pair has one link.
 pub(crate) async fn beat_forever(node: Arc<Node>, endpoint: Arc<Endpoint>) {
     let mut last: HashMap<id::Entry, Moment> = HashMap::new();
-    let tick = node.settings.beat.0.min(Duration::from_millis(250));
+    // Half a beat: what is due in between is sent with the next look.
+    let tick = node.settings.beat.0 / 2;
     while node.pause(tick).await {
         let now = node.clock.now();
         let registered = note_zones(&node);
@@ -267,7 +268,7 @@
             } else {
                 node.settings.far_beat
             };
-            let due = last.get(&entry).is_none_or(|at| now.since(*at) >= interval.0);
+            let due = last.get(&entry).is_none_or(|at| now.since(*at) + tick / 2 >= interval.0);
             if entry > node.me && due {
                 last.insert(entry.clone(), now);
                 async_std::task::spawn(beat_once(node.clone(), endpoint.clone(), entry, address));
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -93,6 +93,18 @@
     pub services: Vec<id::Service>,
 }
 
+impl Window {
+    /// Whether it is open at a time of day, in minutes after midnight, UTC.  One that closes
+    /// before it opens goes over midnight.
+    pub fn is_open(&self, minute: u32) -> bool {
+        if self.opens <= self.closes {
+            (self.opens..self.closes).contains(&minute)
+        } else {
+            minute >= self.opens || minute < self.closes
+        }
+    }
+}
+
 /// An availability zone.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Zone {
@@ -111,6 +123,8 @@
     pub rollout_weight: Ratio,
     /// Time a minion is expected to be away for a reboot.
     pub reboot: Span,
+    /// How long a keyed request's answer is kept for repeats.
+    pub claim_retention: Span,
     /// Availability zones.
     pub zones: BTreeMap<id::Zone, Zone>,
     /// Services.
@@ -127,6 +141,7 @@
             workspace: "default".into(),
             rollout_weight: Ratio(0.5),
             reboot: Span::secs(120),
+            claim_retention: Span::secs(24 * 3600),
             zones: BTreeMap::new(),
             services: BTreeMap::new(),
             teams: BTreeMap::new(),
@@ -163,6 +178,13 @@
         workspace: reader.value("workspace", "name", defaults.workspace),
         rollout_weight: unit_ratio(reader, "workspace", "rollout_weight", defaults.rollout_weight),
         reboot: reader.value("workspace", "reboot", defaults.reboot),
+        claim_retention: reader.ranged(
+            "workspace",
+            "claim_retention",
+            defaults.claim_retention,
+            Span::secs(1),
+            Span::secs(30 * 24 * 3600),
+        ),
         ..Document::default()
     };
     for section in reader.sections() {
--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -175,6 +175,12 @@
     pub done: Vec<id::Minion>,
     /// Milliseconds since the Unix epoch at which it was declared.
     pub declared_at: u64,
+    /// Milliseconds since the Unix epoch before which nothing is taken out.
+    #[serde(default)]
+    pub starts_at: u64,
+    /// The maintenance window in which instances are taken out; any time without one.
+    #[serde(default)]
+    pub window: Option<String>,
     /// Milliseconds since the Unix epoch by which it must finish.
     pub deadline: Option<u64>,
     /// The forecast told at declaration.
--- a/crates/model/tests/config.rs
+++ b/crates/model/tests/config.rs
@@ -76,6 +76,15 @@
     }
 }
 
+#[test]
+fn a_window_may_go_over_midnight() {
+    let document = Document::read(TEMPLATE, "[parameters]\nname = x\nminions = 9\n").unwrap();
+    let window = &document.windows[0];
+    for (minute, open) in [(1319, false), (1320, true), (0, true), (329, true), (330, false)] {
+        assert_eq!(window.is_open(minute), open, "{minute}");
+    }
+}
+
 #[test]
 fn a_key_given_twice_is_a_mistake() {
     let mistakes = Document::read("[zone a]\nregion = x\nregion = y\n", "").unwrap_err();
--- a/src/commands/maintenance.rs
+++ b/src/commands/maintenance.rs
@@ -35,6 +35,10 @@
                 repeated --service name: String
                 /// Only this minion; may be given several times.
                 repeated --minion name: String
+                /// How long from now nothing is taken out yet.
+                optional --after span: Span
+                /// Only while this window of the configuration is open.
+                optional --window name: String
                 /// How long from now it may take; refused when the forecast is longer.
                 optional --within span: Span
             }
@@ -67,6 +71,8 @@
                 "racks": command.rack,
                 "services": command.service,
                 "minions": command.minion,
+                "after": command.after,
+                "window": command.window,
                 "within": command.within,
             });
             let declared: Value = client.post("/v1/maintenance", &body).await?;
--- a/tests/all/claims.rs
+++ b/tests/all/claims.rs
@@ -238,6 +238,41 @@
     }
 }
 
+/// Claims are kept for as long as the configuration says and then cleared; those that are young
+/// stay.
+#[async_std::test]
+async fn old_claims_are_cleared_and_young_ones_kept() {
+    use celerythread_model::table::Space;
+    use celerythread_model::unit::Revision;
+    use celerythread_platform::Table;
+    use celerythread_platform::message::Transaction;
+    let cluster = Cluster::bare(Shape::default()).await;
+    let row = |made_at: u64| {
+        serde_json::json!({
+            "attempt": "a", "entry": "e", "fingerprint": "f", "made_at": made_at,
+            "stage": { "stage": "unknown" },
+        })
+    };
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    let mut transaction = Transaction::new();
+    for n in 0..250 {
+        transaction = transaction.put(Space::Claim, format!("claim/alpha/old{n}"), &row(1));
+    }
+    let young = row(now.as_millis() as u64);
+    transaction = transaction.put(Space::Claim, "claim/alpha/young", &young);
+    cluster.memory.table.commit(transaction).await.unwrap();
+    let mut cluster = cluster;
+    cluster.start_entry(0).await;
+    until("old claims are cleared", async || {
+        let rows = cluster.memory.table.changes(Space::Claim, Revision(0)).await.unwrap().rows;
+        let left: Vec<&str> =
+            rows.iter().filter(|row| row.value.is_some()).map(|row| row.key.as_str()).collect();
+        left == ["claim/alpha/young"]
+    })
+    .await;
+    cluster.stop().await;
+}
+
 /// An unkeyed non-idempotent request goes out once, whatever its answer.
 #[async_std::test]
 async fn an_unkeyed_request_is_sent_once() {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -13,3 +13,4 @@
 mod programs;
 mod requests;
 mod stop;
+mod timeline;
--- a/tests/all/maintenance.rs
+++ b/tests/all/maintenance.rs
@@ -147,6 +147,22 @@
     cluster.stop().await;
 }
 
+/// "Before the office opens" and not before it closes: a wave with a later start takes nothing
+/// out until then, and one whose window is closed waits and says so.
+#[async_std::test]
+async fn a_wave_waits_for_its_start_and_its_window() {
+    let cluster = Cluster::start(six()).await;
+    let body = json!({ "wave": "w", "author": "test", "after": "1500ms" });
+    cluster.post(0, "/v1/maintenance", &body).await.unwrap();
+    until("it waits", async || progress(&cluster, 0, "w").await == "paused").await;
+    assert!(cluster.minion_rows().await.iter().all(|row| row.state == State::Active));
+    until("done", async || progress(&cluster, 0, "w").await == "done").await;
+    let body = json!({ "wave": "x", "author": "test", "window": "nowhen" });
+    let refused = cluster.post(0, "/v1/maintenance", &body).await.unwrap_err();
+    assert!(is(&refused, Code::NotFound), "{refused:?}");
+    cluster.stop().await;
+}
+
 /// The entry that runs a wave dies; another goes on where it stopped.
 #[async_std::test]
 async fn a_replaced_driver_goes_on() {
