--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -251,6 +251,7 @@
         clock,
         reachable: AtomicBool::new(true),
     };
+    let longest_beat = settings.beat.0.max(settings.far_beat.0);
     Node {
         me,
         memory: bounded::Pool::new(settings.memory.0),
@@ -259,7 +260,7 @@
         platform: Platform { table: Arc::new(table), ..platform },
         view: RwLock::new(View::default()),
         router: Mutex::new(Router::default()),
-        peers: RwLock::new(Peers::default()),
+        peers: RwLock::new(Peers::new(longest_beat)),
         holding: Mutex::default(),
         connections: Connections::default(),
         claims: Claims::new(),
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -16,8 +16,9 @@
 use std::time::Duration;
 use stop_token::future::FutureExt;
 
-/// A peer that was not heard for so long gets no requests for slots.
-pub(crate) const FRESH: Duration = Duration::from_secs(3);
+/// A peer that was not heard for so long, or for so many beats, gets no requests for slots.
+const FRESH: Duration = Duration::from_secs(3);
+const FRESH_BEATS: u32 = 3;
 
 /// Longest wait for a dial, a beat or rows.
 const EXCHANGE_LIMIT: Duration = Duration::from_secs(2);
@@ -42,12 +43,17 @@
 }
 
 /// All peers.
-#[derive(Default)]
 pub(crate) struct Peers {
     all: BTreeMap<id::Entry, Peer>,
+    fresh: Duration,
 }
 
 impl Peers {
+    /// No peers yet; `beat` is the longest time between two beats.
+    pub(crate) fn new(beat: Duration) -> Self {
+        Self { all: BTreeMap::new(), fresh: FRESH.max(beat * FRESH_BEATS) }
+    }
+
     /// The peer's link, if it has one.
     pub(crate) fn link(&self, entry: &id::Entry) -> Option<Link> {
         self.all.get(entry)?.link.clone().filter(|link| !link.is_closed())
@@ -66,7 +72,7 @@
     fn fresh(&self, now: Moment) -> impl Iterator<Item = (&id::Entry, &Peer, &Beat)> {
         self.all.iter().filter_map(move |(entry, peer)| {
             let beat = peer.beat.as_ref()?;
-            let usable = now.since(peer.heard) < FRESH && !beat.stopping;
+            let usable = now.since(peer.heard) < self.fresh && !beat.stopping;
             usable.then_some((entry, peer, beat))
         })
     }
@@ -136,7 +142,7 @@
 
     fn take_beat(&mut self, beat: Beat, link: Option<&Link>, now: Moment) -> Heard {
         let peer = self.all.entry(beat.entry.clone()).or_default();
-        let anew = peer.beat.is_none() || now.since(peer.heard) >= FRESH;
+        let anew = peer.beat.is_none() || now.since(peer.heard) >= self.fresh;
         let earlier: HashMap<id::Minion, u32> = peer
             .beat
             .iter()
@@ -317,8 +323,9 @@
     let mut silent = Vec::new();
     {
         let mut peers = node.peers.write();
+        let fresh = peers.fresh;
         for (entry, peer) in &mut peers.all {
-            if peer.beat.is_some() && now.since(peer.heard) >= FRESH {
+            if peer.beat.is_some() && now.since(peer.heard) >= fresh {
                 // Its figures are worth nothing any more.
                 peer.beat = None;
                 silent.push(entry.clone());
--- a/tests/all/peers.rs
+++ b/tests/all/peers.rs
@@ -1,8 +1,9 @@
 //! Links between entries that are cut, silent, or strange.
 
 use crate::cluster::{Cluster, Shape, single, until};
-use celerythread_model::unit::Revision;
+use celerythread_model::unit::{Revision, Span};
 use celerythread_standin::history::Told;
+use celerythread_standin::load::Single;
 use std::time::Duration;
 
 /// The service's minions are all owned by one entry; the others serve through it.
@@ -48,7 +49,8 @@
         entries: 2,
         minions: vec![("alpha", 1)],
         floor: 0,
-        duration: Duration::from_millis(800),
+        // Longer than the test: the slots must be free because their borrower is gone.
+        duration: Duration::from_secs(60),
         ..Shape::default()
     };
     let mut cluster = Cluster::start(shape).await;
@@ -57,7 +59,8 @@
     let entry = cluster.entries[borrower].callers;
     for n in 0..4 {
         async_std::task::spawn(async move {
-            let one = single(&format!("lost{n}"), "alpha");
+            let long = Span::secs(60);
+            let one = Single { deadline: long, ..single(&format!("lost{n}"), "alpha") };
             celerythread_standin::load::send(entry, &one).await
         });
     }
