--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -215,13 +215,13 @@
         return Err(Miss { outcome: Some(Outcome::Run), ..miss });
     }
     if answer.head.status() == 503 && task.idempotence == Idempotence::Idempotent {
-        return Err(unavailable(slot, answer));
+        return Err(unavailable(slot));
     }
     receive(node, task, slot, connection, answer).await
 }
 
 /// A minion that answers 503 is leaving or full; idempotent work goes elsewhere.
-fn unavailable(slot: Slot, _answer: Answer) -> Miss {
+fn unavailable(slot: Slot) -> Miss {
     let minion = slot.minion.clone();
     slot.finish(Verdict::Leaving);
     Miss {
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -5,13 +5,16 @@
 //! room; else it waits in the own queue, still looking at the peers from time to time, or in a
 //! peer's when that is far shorter, or when this entry owns nothing of the service.
 
+mod lend;
+
+pub(crate) use lend::lend;
+
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::peers::{self, Use};
 use celerythread_model::code::Code;
 use celerythread_model::id;
 use celerythread_model::request::Class;
-use celerythread_model::unit::Epoch;
 use celerythread_policy::queue::{Bounds, Queue, Refusal, Waiting};
 use celerythread_policy::slots::{Grant, Holder, Ledger, Permit, Verdict};
 use celerythread_policy::time::Moment;
@@ -169,8 +172,6 @@
     node: Arc<Node>,
     pub(crate) minion: id::Minion,
     pub(crate) address: SocketAddr,
-    #[allow(dead_code, reason = "read by the records of dispatches in tests")]
-    pub(crate) epoch: Epoch,
     started: Moment,
     lender: Option<Lender>,
     grant: Grant,
@@ -325,7 +326,6 @@
         node: node.clone(),
         minion: permit.minion,
         address: permit.address,
-        epoch: permit.epoch,
         started: node.clock.now(),
         lender: None,
         grant: permit.grant,
@@ -460,87 +460,9 @@
         node: node.clone(),
         minion: grant.minion,
         address: grant.address,
-        epoch: grant.epoch,
         started: node.clock.now(),
         lender: Some(Lender { entry: peer.clone(), service: want.service.clone(), channel }),
         grant: Grant(grant.grant),
         over: false,
     })
 }
-
-/// Answers a peer that asks for a slot, and holds it until the peer is done with it.
-pub(crate) async fn lend(node: &Arc<Node>, ask: frame::Ask, mut channel: Channel) {
-    let now = node.clock.now();
-    let want = Want {
-        service: ask.service,
-        class: ask.class,
-        deadline: now + Duration::from_millis(ask.left_ms),
-        avoid: ask.avoid,
-    };
-    let holder = Holder::Peer(ask.entry);
-    let permit = match grant_to_peer(node, &want, holder, ask.wait).await {
-        Ok(permit) => permit,
-        Err(refusal) => {
-            if channel.send(&refusal).await.is_ok() {
-                channel.finish();
-            }
-            return;
-        }
-    };
-    node.count(Counter::SlotsLent);
-    let grant = permit.grant;
-    let answer = Frame::Grant(frame::Grant {
-        grant: grant.0,
-        minion: permit.minion,
-        address: permit.address,
-        epoch: permit.epoch,
-    });
-    // From here on the peer may be using the slot.  If the channel breaks, nobody knows, and
-    // the grant stays counted until the peer's beats no longer list it.
-    if channel.send(&answer).await.is_err() {
-        return;
-    }
-    if let Ok(Frame::Finish { verdict, took_ms }) = channel.receive().await {
-        let verdict = match verdict {
-            frame::Verdict::Answered => Verdict::Answered,
-            frame::Verdict::Failed => Verdict::Failed,
-            frame::Verdict::Leaving => Verdict::Leaving,
-            frame::Verdict::Unused => Verdict::Unused,
-        };
-        finish_own(node, grant, verdict, Duration::from_millis(took_ms));
-    }
-}
-
-async fn grant_to_peer(
-    node: &Arc<Node>,
-    want: &Want,
-    holder: Holder,
-    wait: bool,
-) -> Result<Permit, Frame> {
-    let now = node.clock.now();
-    let queued = {
-        let mut router = node.router.lock();
-        if let Some(permit) = router.take(want, holder.clone(), now) {
-            return Ok(permit);
-        }
-        if router.ledger.room(&want.service, now).slots == 0 {
-            let text = "no slots of the service are handed out here".into();
-            return Err(Frame::Refusal { code: Code::NoMinion, text });
-        }
-        let empty = Queue::<Waiter>::default();
-        let queue = router.queues.get(&want.service).unwrap_or(&empty);
-        if !wait {
-            return Err(busy(queue.retry_after(rand::random())));
-        }
-        router.enqueue(want, holder, now).map_err(|refusal| busy(refusal.retry_after))?
-    };
-    let left = want.deadline.since(now);
-    match async_std::future::timeout(left, queued).await {
-        Ok(Ok(permit)) => Ok(permit),
-        _ => Err(busy(NO_MINION_RETRY)),
-    }
-}
-
-fn busy(retry_after: Duration) -> Frame {
-    Frame::Busy { retry_after_ms: retry_after.as_millis() as u64 }
-}
--- a/crates/policy/tests/requests.rs
+++ b/crates/policy/tests/requests.rs
@@ -203,6 +203,20 @@
     assert!(ledger.ejected(now).is_empty());
 }
 
+/// A minion that fails at once is free at once and draws the next request, and the next.  A
+/// failure must occupy its slot for as long as a success takes.
+#[test]
+fn a_fast_failure_occupies_its_slot_like_a_success() {
+    let mut ledger = ledger(1, 1);
+    let grant = |ledger: &mut Ledger, now| ledger.grant(&id("s"), Holder::Own, None, Moment(now));
+    let first = grant(&mut ledger, 0).unwrap();
+    ledger.finish(first.grant, Verdict::Answered, Duration::from_millis(100), Moment(100));
+    let second = grant(&mut ledger, 100).unwrap();
+    ledger.finish(second.grant, Verdict::Failed, Duration::ZERO, Moment(100));
+    assert!(grant(&mut ledger, 199).is_none());
+    assert!(grant(&mut ledger, 200).is_some());
+}
+
 /// A minion fails once, a packet was lost; from then on its sibling gets all the work of a
 /// quiet service, and nobody ever finds out that it works.
 #[test]
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -12,6 +12,7 @@
 use celerythread_platform::Table;
 use celerythread_platform::memory::Memory;
 use celerythread_platform::message::{Instance, Role};
+use celerythread_standin::fault::Fault;
 use celerythread_standin::faulty::{Faulty, Switch};
 pub(crate) use celerythread_standin::fleet::{instance, loopback};
 use celerythread_standin::history::{self, Asked, Breach};
@@ -28,6 +29,18 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+/// Every fault of a call and of the process that makes it.
+pub(crate) const FAULTS: [Fault; 8] = [
+    Fault::FailBefore,
+    Fault::LoseAnswer,
+    Fault::Hang,
+    Fault::Slow,
+    Fault::LateEffect,
+    Fault::Pause,
+    Fault::KillBefore,
+    Fault::KillAfter,
+];
+
 /// Longest wait for something that must come.
 const PATIENCE: Duration = Duration::from_secs(30);
 
