A slot granted to a peer that gave up comes back

Cause, found reading the change: an asker waits half a second for a slot and then drops the exchange. When the grant was sent just before, its exchange broke while the link lived, and only a lost link settled grants: the slot was never free again and a drain of its minion never ended. Each broken exchange now notes its own grant, which a beat two seconds later that does not list it ends; that covers lost links too, and replaces the state kept for them. It also no longer ends grants that were handed out after the loss and are still on their way. Ruled out: counting at the borrower, which holds nothing of a grant that it never read.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -7,6 +7,7 @@
 use celerythread_model::event::Kind;
 use celerythread_model::id;
 use celerythread_model::unit::Revision;
+use celerythread_policy::slots::{Grant, Verdict};
 use celerythread_policy::time::Moment;
 use celerythread_wire::frame::{Beat, Frame, Load};
 use celerythread_wire::{Channel, Endpoint, Error, Link};
@@ -23,8 +24,8 @@
 /// Longest wait for a dial, a beat or rows.
 const EXCHANGE_LIMIT: Duration = Duration::from_secs(2);
 
-/// A lost grant is settled by a beat that comes at least so long after the link was lost, so
-/// that a grant still on its way is either listed by then or was refused by the asker.
+/// A grant whose exchange broke is settled by a beat that comes at least so long after, so that
+/// one still on its way is either listed by then or was refused by the asker.
 const SETTLE_AFTER: Duration = Duration::from_secs(2);
 
 /// What is known of a peer.
@@ -35,8 +36,8 @@
     pub(crate) beat: Option<Beat>,
     /// When it was last heard.
     pub(crate) heard: Moment,
-    /// When its last link was lost; none once its grants are settled.
-    lost: Option<Moment>,
+    /// Grants lent to it whose exchange broke before it said `Finish`, and when.
+    broken: Vec<(Grant, Moment)>,
     /// Work on each of its minions, the highest of the last two beats.
     load: HashMap<id::Minion, u32>,
     zone: Option<id::Zone>,
@@ -160,22 +161,29 @@
         peer.heard = now;
         peer.beat = Some(beat);
         if let Some(link) = link {
-            let replaced = peer.link.replace(link.clone());
-            if replaced.is_some_and(|old| old.is_closed()) {
-                peer.lost.get_or_insert(now);
-            }
+            peer.link = Some(link.clone());
         }
-        let settle = peer.lost.is_some_and(|lost| now.since(lost) >= SETTLE_AFTER);
-        if settle {
-            peer.lost = None;
+        let held = peer.beat.as_ref().map(|beat| beat.holding.as_slice()).unwrap_or_default();
+        let is_over = |(grant, since): &(Grant, Moment)| {
+            now.since(*since) >= SETTLE_AFTER && !held.contains(&grant.0)
+        };
+        let (over, broken) = peer.broken.drain(..).partition(is_over);
+        peer.broken = broken;
+        Heard { anew, over }
+    }
+
+    /// The exchange of a grant lent to a peer broke: whether it still uses the slot shows in its
+    /// beats.  That the link is lost is only one of the causes; an asker that gave up waiting
+    /// just when it was granted the slot is another.
+    pub(crate) fn note_broken(&mut self, entry: &id::Entry, grant: Grant, now: Moment) {
+        if let Some(peer) = self.all.get_mut(entry) {
+            peer.broken.push((grant, now));
         }
-        Heard { anew, settle }
     }
 
-    fn lose_link(&mut self, entry: &id::Entry, now: Moment) {
+    fn lose_link(&mut self, entry: &id::Entry) {
         if let Some(peer) = self.all.get_mut(entry) {
             peer.link = None;
-            peer.lost.get_or_insert(now);
         }
     }
 }
@@ -203,7 +211,8 @@
 /// What follows from a beat.
 struct Heard {
     anew: bool,
-    settle: bool,
+    /// Grants that the peer does not use any more.
+    over: Vec<(Grant, Moment)>,
 }
 
 /// This entry's own beat, for one peer.
@@ -246,12 +255,9 @@
     node.timeline.witness(beat.clock);
     let now = node.clock.now();
     let entry = beat.entry.clone();
-    let held = beat.holding.clone();
     let heard = node.peers.write().take_beat(beat, link, now);
-    if heard.settle {
-        let mut router = node.router.lock();
-        router.ledger.settle(&entry, |grant| held.contains(&grant.0));
-        router.tick(now);
+    for (grant, since) in heard.over {
+        router::finish_own(node, grant, Verdict::Unused, now.since(since));
     }
     if heard.anew {
         node.note(Kind::Peer { peer: entry, reachable: true });
@@ -354,7 +360,7 @@
             link.close();
             node.count(Counter::LinksLost);
         }
-        node.peers.write().lose_link(&entry, node.clock.now());
+        node.peers.write().lose_link(&entry);
     }
 }
 
--- a/crates/entry/src/router/lend.rs
+++ b/crates/entry/src/router/lend.rs
@@ -20,7 +20,7 @@
         deadline: now + Duration::from_millis(ask.left_ms),
         avoid: ask.avoid,
     };
-    let holder = Holder::Peer(ask.entry);
+    let holder = Holder::Peer(ask.entry.clone());
     let permit = match grant_to_peer(node, &want, holder, ask.wait).await {
         Ok(permit) => permit,
         Err(refusal) => {
@@ -38,20 +38,20 @@
         address: permit.address,
         epoch: permit.epoch,
     });
-    // From here on the peer may be using the slot.  If the channel breaks, nobody knows, and
+    // From here on the peer may be using the slot.  If the exchange breaks, nobody knows, and
     // the grant stays counted until the peer's beats no longer list it.
-    if channel.send(&answer).await.is_err() {
-        return;
-    }
-    if let Ok(Frame::Finish { verdict, took_ms }) = channel.receive().await {
+    if channel.send(&answer).await.is_ok()
+        && let Ok(Frame::Finish { verdict, took_ms }) = channel.receive().await
+    {
         let verdict = match verdict {
             frame::Verdict::Answered => Verdict::Answered,
             frame::Verdict::Failed => Verdict::Failed,
             frame::Verdict::Leaving => Verdict::Leaving,
             frame::Verdict::Unused => Verdict::Unused,
         };
-        finish_own(node, grant, verdict, Duration::from_millis(took_ms));
+        return finish_own(node, grant, verdict, Duration::from_millis(took_ms));
     }
+    node.peers.write().note_broken(&ask.entry, grant, node.clock.now());
 }
 
 async fn grant_to_peer(
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -19,7 +19,7 @@
 use celerythread_standin::load::{self, Done, Single};
 use celerythread_standin::minion::{Minion, Run};
 use celerythread_wire::authority::{self, Pair};
-use celerythread_wire::{Identity, authority::issue};
+use celerythread_wire::{Endpoint, Identity, authority::issue, endpoint};
 use http_types::Method;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -197,6 +197,14 @@
         });
     }
 
+    /// A socket with keys of this deployment, to speak to entries as a peer does.
+    pub(crate) fn peer_endpoint(&self) -> Endpoint {
+        let pair = issue(&self.authority, "test").unwrap();
+        let (a, c, k) = (&self.authority.certificate, &pair.certificate, &pair.key);
+        let identity = Identity::from_pem(a.as_bytes(), c.as_bytes(), k.as_bytes()).unwrap();
+        Endpoint::bind(loopback(), &identity, &endpoint::Settings::default()).unwrap()
+    }
+
     /// The template and parameters of this shape.
     pub(crate) fn files(&self, note: &str) -> (String, String) {
         let mut template =
--- a/tests/all/faults.rs
+++ b/tests/all/faults.rs
@@ -251,6 +251,7 @@
             ("all entries together", &["no_minion_has_more_than_its_slots_from_all_entries"]),
             ("any order of steps", &["grants_never_exceed_the_slots"]),
             ("borrower dies", &["a_dead_borrower_gives_its_slots_back"]),
+            ("borrower gives up", &["a_slot_granted_to_one_who_gave_up_comes_back"]),
             ("fast failing minion", &["a_fast_failing_minion_draws_no_more_than_its_share"]),
             ("everything fails", &["ejection_never_empties_a_service"]),
             ("jobs", &["urgent_work_goes_before_patient_work_which_finishes_at_last"]),
@@ -267,6 +268,11 @@
                 "policy::slots::Ledger::compare",
                 "ejection_never_empties_a_service",
             ),
+            (
+                "a grant whose exchange broke is taken back once its borrower's beats do not list it",
+                "entry::peers::Peers::note_broken",
+                "a_slot_granted_to_one_who_gave_up_comes_back",
+            ),
             (
                 "slots lent to an entry that left the registry are taken back",
                 "entry::peers::settle_unregistered",
--- a/tests/all/peers.rs
+++ b/tests/all/peers.rs
@@ -1,9 +1,12 @@
 //! Links between entries that are cut, silent, or strange.
 
 use crate::cluster::{Cluster, Shape, single, until};
+use celerythread_model::request::Class;
 use celerythread_model::unit::{Revision, Span};
 use celerythread_standin::history::Told;
 use celerythread_standin::load::Single;
+use celerythread_wire::Frame;
+use celerythread_wire::frame;
 use std::time::Duration;
 
 /// The service's minions are all owned by one entry; the others serve through it.
@@ -75,3 +78,37 @@
     .await;
     cluster.stop().await;
 }
+
+/// A busy peer gives up waiting for a slot just when it is granted: the exchange is over and the
+/// link is not.  The slot is never free again, and a drain of the minion never ends.
+#[async_std::test]
+async fn a_slot_granted_to_one_who_gave_up_comes_back() {
+    let shape = Shape { entries: 2, minions: vec![("alpha", 1)], floor: 0, ..Shape::default() };
+    let cluster = Cluster::start(shape).await;
+    let owner = cluster.owner_index("alpha-0").await;
+    let id_of = |index: usize| cluster.entries[index].daemon.as_ref().unwrap().id().clone();
+    let free = async || {
+        let status = cluster.get(owner, "/v1/status").await.unwrap();
+        status["services"][0]["free"].as_u64().unwrap()
+    };
+    let endpoint = cluster.peer_endpoint();
+    let address = cluster.entries[owner].daemon.as_ref().unwrap().peer_address();
+    let link = endpoint.dial(address).await.unwrap();
+    let mut channel = link.open().await.unwrap();
+    // The real peer's beats, which go on meanwhile, do not list this grant.
+    let ask = frame::Ask {
+        entry: id_of(1 - owner),
+        service: "alpha".parse().unwrap(),
+        class: Class::Urgent,
+        left_ms: 5000,
+        wait: false,
+        avoid: None,
+    };
+    channel.send(&Frame::Ask(ask)).await.unwrap();
+    assert!(matches!(channel.receive().await, Ok(Frame::Grant(_))));
+    assert_eq!(free().await, 3);
+    drop(channel);
+    until("the slot is free again", async || free().await == 4).await;
+    assert!(!link.is_closed());
+    cluster.stop().await;
+}
