--- /dev/null
+++ b/crates/engine/src/cell.rs
@@ -0,0 +1,253 @@
+//! One service's jobs and minions, as their owner sees them.
+//!
+//! The owner feeds in what it learns and carries out the [`Order`]s that [`Cell::plan`]
+//! returns.  [`job`](self::work) holds the jobs, [`minion`] the minions with what runs there,
+//! [`report`] takes in what minions say, [`plan`] decides what starts and stops, [`place`]
+//! finds a minion for a task, [`sequence`] orders the waiting jobs, [`keep`] says what must be
+//! written before an end may be acknowledged.
+//!
+//! Three rules carry the promise that no task runs twice:
+//! - a run counts as over only when its minion listed its end, answered a stop and no longer
+//!   lists it, ended as a whole, or its lease must have lapsed on any clock;
+//! - a new owner starts nothing of the jobs it took over before each minion of its predecessor
+//!   has answered with both its lists, or its lease must have lapsed;
+//! - an end is acknowledged only after it is kept.
+
+pub mod keep;
+pub mod minion;
+pub mod place;
+pub mod plan;
+pub mod report;
+pub mod sequence;
+pub mod work;
+
+use crate::job::{Accepted, Id, Progress, State, TaskName};
+use crate::time::Time;
+pub use keep::Batch;
+pub use minion::{Listing, Minion, MinionId};
+pub use plan::Order;
+pub use report::{End, How, Refusal, Report, Running, StartResult};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+pub use work::Job;
+
+/// Run numbers left to each owner of a cell.  A new owner doesn't know the highest number that
+/// its predecessor used for a task whose minion doesn't answer; with a range of its own it
+/// never needs to.
+const RUNS_PER_GENERATION: u32 = 10_000;
+
+/// Time limits and weights of a cell.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Longest time that a minion takes to stop a run.
+    pub stop_timeout: Duration,
+    /// How long a lasting task may be away before it counts against its step's allowance; used
+    /// with a margin, so as a lower bound.
+    pub notice: Duration,
+    /// How long an ended job is kept for its caller to ask for.
+    pub retention: Duration,
+    /// How much longer a task takes away from its data.
+    pub remote_factor: f64,
+    /// A run without progress for this many times its estimate, and at least
+    /// [`Settings::stall_least`], is taken for hanging.  Declared times are off by a fifth and
+    /// slow minions take six times as long while progressing, so only a standstill counts.
+    pub stall_factor: f64,
+    /// See [`Settings::stall_factor`].
+    pub stall_least: Duration,
+    /// How long a minion that failed tasks of two jobs in a row is left out; doubled each time.
+    pub quarantine: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            stop_timeout: Duration::from_millis(900),
+            notice: Duration::from_millis(4500),
+            retention: Duration::from_secs(150),
+            remote_factor: 1.5,
+            stall_factor: 1.0,
+            stall_least: Duration::from_millis(1500),
+            quarantine: Duration::from_millis(2000),
+        }
+    }
+}
+
+/// How a queue's jobs are to be treated, from the configuration in force.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Queue {
+    /// 0 is the most urgent.
+    pub priority: u32,
+    /// Runs of a task that may fail before the job fails.
+    pub attempts: u32,
+    /// The objective is this many times the longest chain ...
+    pub stretch: f64,
+    /// ... and this many milliseconds more.
+    pub target_ms: u64,
+}
+
+impl Default for Queue {
+    fn default() -> Self {
+        Self { priority: 1, attempts: 3, stretch: 2.0, target_ms: 1000 }
+    }
+}
+
+/// The state of one service.
+#[derive(Debug)]
+pub struct Cell {
+    pub(crate) settings: Settings,
+    /// How many owners the cell had before this one.
+    pub(crate) generation: u32,
+    pub(crate) queues: BTreeMap<Box<str>, Queue>,
+    pub(crate) jobs: BTreeMap<Id, Job>,
+    /// Jobs that have not ended.
+    pub(crate) active: BTreeSet<Id>,
+    pub(crate) minions: BTreeMap<MinionId, Minion>,
+    /// When runs that the former owner started must have lapsed on minions that don't answer;
+    /// none for the first owner.
+    pub(crate) former_lapse: Option<Time>,
+    /// Mean work of a queue's jobs, in core-milliseconds, learnt from those seen.
+    pub(crate) mean_work: BTreeMap<Box<str>, f64>,
+}
+
+impl Cell {
+    /// An empty cell for an owner with this many predecessors.
+    ///
+    /// `former_lapse` is when everything that a predecessor started must have lapsed on
+    /// minions that never answer.
+    pub fn new(settings: Settings, generation: u32, former_lapse: Option<Time>) -> Self {
+        Self {
+            settings,
+            generation,
+            queues: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            active: BTreeSet::new(),
+            minions: BTreeMap::new(),
+            former_lapse,
+            mean_work: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the queues of the configuration in force.  A queue that was dropped keeps its last
+    /// policy, for the jobs accepted before.
+    pub fn configure(&mut self, queues: impl IntoIterator<Item = (Box<str>, Queue)>) {
+        self.queues.extend(queues);
+    }
+
+    /// A queue's policy.
+    pub(crate) fn queue(&self, name: &str) -> Queue {
+        self.queues.get(name).cloned().unwrap_or_default()
+    }
+
+    /// Takes in an accepted job; true if it was not known.
+    ///
+    /// `inherited` says that a former owner may have started tasks of it.
+    pub fn add_job(
+        &mut self,
+        id: Id,
+        accepted: Accepted,
+        progress: Option<&Progress>,
+        inherited: bool,
+        age: Duration,
+        now: Time,
+    ) -> bool {
+        if self.jobs.contains_key(&id) {
+            return false;
+        }
+        let work = accepted.definition.work() as f64;
+        let mean = self.mean_work.entry(accepted.queue.clone()).or_insert(work);
+        // A twentieth of each new job: some twenty jobs are remembered, which at ten a second
+        // follows a change of the mix within a few seconds.
+        *mean += (work - *mean) * 0.05;
+        let mut job = Job::new(accepted, inherited, now - age);
+        if let Some(progress) = progress {
+            job.restore(progress);
+        }
+        if job.state().is_final() {
+            job.ended = Some(now);
+        } else {
+            self.active.insert(id);
+        }
+        self.jobs.insert(id, job);
+        true
+    }
+
+    /// Takes note of a cancellation; its runs are stopped by the next plan.
+    pub fn cancel(&mut self, id: &Id, now: Time) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if !job.state().is_final() {
+            job.cancelled = true;
+            job.ended = Some(now);
+            self.active.remove(id);
+        }
+    }
+
+    /// What to tell a caller; none for an unknown job.
+    ///
+    /// A completion is told only once it is kept: a later owner must never start again what a
+    /// caller was told to be completed.
+    pub fn state(&self, id: &Id) -> Option<State> {
+        let job = self.jobs.get(id)?;
+        let state = job.state();
+        if state.is_final() && !job.is_kept() { Some(State::Running) } else { Some(state) }
+    }
+
+    /// How many jobs of a queue wait for their first task.
+    pub fn pending(&self, queue: &str) -> usize {
+        let waits = |id: &&Id| {
+            let job = &self.jobs[*id];
+            &*job.accepted.queue == queue && !job.started
+        };
+        self.active.iter().filter(waits).count()
+    }
+
+    /// The minions.
+    pub fn minions(&self) -> impl Iterator<Item = &Minion> {
+        self.minions.values()
+    }
+
+    /// One minion.
+    pub fn minion(&self, id: &str) -> Option<&Minion> {
+        self.minions.get(id)
+    }
+
+    /// One job.
+    pub fn job(&self, id: &Id) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+
+    /// Jobs that have not ended.
+    pub fn active(&self) -> usize {
+        self.active.len()
+    }
+
+    /// Whether tasks of inherited jobs may be started: nothing of them can still be running
+    /// where this owner doesn't see it.
+    pub(crate) fn is_settled(&self, now: Time) -> bool {
+        match self.former_lapse {
+            None => true,
+            Some(lapse) => now >= lapse || self.minions.values().all(|minion| minion.answered),
+        }
+    }
+
+    /// Drops jobs whose retention is over and returns them, so that their rows can go too.
+    pub fn expire(&mut self, now: Time) -> Vec<Id> {
+        let retention = self.settings.retention;
+        let over = |job: &Job| job.ended.is_some_and(|at| now.since(at) > retention);
+        let ids: Vec<Id> =
+            self.jobs.iter().filter(|(_, job)| over(job)).map(|(id, _)| *id).collect();
+        for id in &ids {
+            self.jobs.remove(id);
+        }
+        ids
+    }
+
+    /// The first number for a run of a task under this owner that is above `last`.
+    pub(crate) fn next_run(&self, last: u32) -> u32 {
+        (last + 1).max(self.generation * RUNS_PER_GENERATION + 1)
+    }
+
+    /// Whether a task's end is still of interest.
+    pub(crate) fn task_exists(&self, name: &TaskName) -> bool {
+        self.jobs.get(&name.job).is_some_and(|job| job.flat(name).is_some())
+    }
+}
--- /dev/null
+++ b/crates/engine/src/cell/minion.rs
@@ -0,0 +1,166 @@
+//! A minion and what runs on it.
+
+use crate::job::{Resources, TaskName};
+use crate::time::Time;
+use smallvec::SmallVec;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// A minion's id: that of one life of it.
+pub type MinionId = Arc<str>;
+
+/// A minion as the platform's list has it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Listing {
+    /// What it can hold.
+    pub capacity: Resources,
+    /// Its kind and its rack.
+    pub labels: SmallVec<[Box<str>; 2]>,
+    /// Whether it will leave by itself.
+    pub draining: bool,
+    /// While draining, the least time that is left.
+    pub remaining_ms: Option<u64>,
+}
+
+/// How far a run has come, as its owner knows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunPhase {
+    /// Its start was ordered and is not answered.
+    Ordered,
+    /// Its minion has it.
+    Active,
+    /// It is to be stopped; `confirmed` is when the minion answered the stop.
+    Stopping {
+        /// When the stop was last ordered.
+        ordered: Time,
+        /// When the minion answered it.
+        confirmed: Option<Time>,
+    },
+}
+
+/// A run of a task on a minion.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Its number.
+    pub number: u32,
+    /// How far it has come.
+    pub phase: RunPhase,
+    /// What it takes of the capacity.
+    pub need: Resources,
+    /// When it was ordered.
+    pub since: Time,
+    /// Percent of its work that is done; for lasting tasks, 100 means at work.
+    pub percent: u8,
+    /// When the percentage last changed.
+    pub moved: Time,
+}
+
+/// A minion.
+#[derive(Debug)]
+pub struct Minion {
+    /// Its id.
+    pub id: MinionId,
+    /// As listed last.
+    pub listing: Listing,
+    /// Whether the platform's list still has it.
+    pub listed: bool,
+    /// Whether its machine is due for upkeep or a move, so that it is to be emptied.
+    pub leaving: bool,
+    /// Whether it has answered this owner.
+    pub answered: bool,
+    /// Whether its last call was answered.
+    pub reachable: bool,
+    /// When all leases that it may have been given must have lapsed, on any clock.
+    pub lapse: Time,
+    pub(crate) runs: BTreeMap<TaskName, Run>,
+    pub(crate) used: Resources,
+    /// Number of the last end taken in.
+    pub(crate) seen: u64,
+    /// Number of the last end that may be acknowledged.
+    pub(crate) acknowledged: u64,
+    /// Jobs whose tasks failed here since the last success.
+    pub(crate) failing: BTreeSet<crate::job::Id>,
+    /// Quarantines in a row.
+    pub(crate) strikes: u32,
+    /// No tasks are started before.
+    pub(crate) quarantined: Time,
+}
+
+impl Minion {
+    pub(crate) fn new(id: MinionId, listing: Listing, listed: bool) -> Self {
+        Self {
+            id,
+            listing,
+            listed,
+            leaving: false,
+            answered: false,
+            reachable: false,
+            lapse: Time(0),
+            runs: BTreeMap::new(),
+            used: Resources::default(),
+            seen: 0,
+            acknowledged: 0,
+            failing: BTreeSet::new(),
+            strikes: 0,
+            quarantined: Time(0),
+        }
+    }
+
+    /// What is free, as far as known.
+    pub fn free(&self) -> Resources {
+        self.listing.capacity.less(&self.used)
+    }
+
+    /// Whether nothing runs there, as far as known.
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+
+    /// How many runs it has.
+    pub fn load(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Up to which end it may forget.
+    pub fn acknowledged(&self) -> u64 {
+        self.acknowledged
+    }
+
+    /// Whether some ends were taken in and may not be acknowledged yet.
+    pub fn has_unkept(&self) -> bool {
+        self.seen > self.acknowledged
+    }
+
+    /// The rack, by the listing's second label.
+    pub fn rack(&self) -> Option<&str> {
+        self.listing.labels.get(1).map(|label| &**label)
+    }
+
+    /// Whether it can be given tasks.
+    pub(crate) fn takes_work(&self, now: Time) -> bool {
+        self.listed
+            && self.answered
+            && self.reachable
+            && !self.leaving
+            && !self.listing.draining
+            && now >= self.quarantined
+    }
+
+    pub(crate) fn insert(&mut self, task: TaskName, run: Run) {
+        self.used = self.used.plus(&run.need);
+        if let Some(former) = self.runs.insert(task, run) {
+            self.used = self.used.less(&former.need);
+        }
+    }
+
+    pub(crate) fn remove(&mut self, task: &TaskName) -> Option<Run> {
+        let run = self.runs.remove(task)?;
+        self.used = self.used.less(&run.need);
+        Some(run)
+    }
+
+    /// The run of a task with this number.
+    pub(crate) fn run(&self, task: &TaskName, number: u32) -> Option<&Run> {
+        self.runs.get(task).filter(|run| run.number == number)
+    }
+}
--- /dev/null
+++ b/crates/engine/src/cell/place.rs
@@ -0,0 +1,150 @@
+//! Finding a minion for a task.
+
+use crate::cell::minion::{Minion, MinionId};
+use crate::cell::work::{Phase, Task};
+use crate::cell::{Cell, Job};
+use crate::job::{Resources, Step, TaskName};
+use crate::time::Time;
+use std::collections::BTreeMap;
+
+/// Penalties of a placement, in thousandths of a core of free room that would outweigh them.
+/// Only their order matters: first not where the task failed, then near its data, then on a
+/// minion that didn't fail others lately, then where the least room is left over.
+mod penalty {
+    /// Where the task's last run failed.
+    pub(super) const AVOID: u64 = 1_000_000_000;
+    /// Away from the rack with its data.
+    pub(super) const REMOTE: u64 = 10_000_000;
+    /// A failure there since its last success.
+    pub(super) const FAILING: u64 = 1_000_000;
+}
+
+/// Tasks of a step on each minion, for steps with a limit per minion.
+pub(crate) type Spread = BTreeMap<MinionId, u32>;
+
+impl Cell {
+    /// Tasks of a step of one occurrence by minion, those included that are being stopped.
+    pub(crate) fn spread(&self, name: &TaskName) -> Spread {
+        let mut spread = Spread::new();
+        for minion in self.minions.values() {
+            let first = TaskName { index: 0, ..*name };
+            let last = TaskName { index: u32::MAX, ..*name };
+            let count = minion.runs.range(first..=last).count() as u32;
+            if count > 0 {
+                spread.insert(minion.id.clone(), count);
+            }
+        }
+        spread
+    }
+
+    /// The best minion with room for a task; none if there is none now.
+    pub(crate) fn find_minion(
+        &self,
+        step: &Step,
+        task: &Task,
+        spread: &Spread,
+        now: Time,
+    ) -> Option<MinionId> {
+        let need = step.counted_need();
+        self.minions
+            .values()
+            .filter(|minion| minion.takes_work(now) && fits(minion, step, &need, spread))
+            .min_by_key(|minion| (cost(minion, step, task, &need), minion.id.clone()))
+            .map(|minion| minion.id.clone())
+    }
+
+    /// Minions for all members of a gang, by index; none if not all have room now.
+    pub(crate) fn find_gang(
+        &self,
+        job: &Job,
+        name: &TaskName,
+        step: &Step,
+        now: Time,
+    ) -> Option<Vec<MinionId>> {
+        if step.same_rack {
+            let mut racks: Vec<&str> = self.minions.values().filter_map(Minion::rack).collect();
+            racks.sort_unstable();
+            racks.dedup();
+            // The rack with the data first, then by name.
+            racks.sort_by_key(|rack| step.near.as_deref() != Some(*rack));
+            let in_rack =
+                racks.into_iter().find_map(|rack| self.fill_gang(job, name, step, Some(rack), now));
+            if in_rack.is_some() {
+                return in_rack;
+            }
+        }
+        self.fill_gang(job, name, step, None, now)
+    }
+
+    fn fill_gang(
+        &self,
+        job: &Job,
+        name: &TaskName,
+        step: &Step,
+        rack: Option<&str>,
+        now: Time,
+    ) -> Option<Vec<MinionId>> {
+        let need = step.counted_need();
+        let mut free: BTreeMap<MinionId, Resources> = self
+            .minions
+            .values()
+            .filter(|minion| minion.takes_work(now))
+            .filter(|minion| rack.is_none() || minion.rack() == rack)
+            .map(|minion| (minion.id.clone(), minion.free()))
+            .collect();
+        let mut spread = self.spread(name);
+        let mut places = Vec::new();
+        for index in 0..step.count {
+            let member = TaskName { index, ..*name };
+            let task = job.task(&member)?;
+            let place = free
+                .iter()
+                .filter(|(_, room)| room.holds(&need))
+                .filter_map(|(id, _)| self.minions.get(id))
+                .filter(|minion| fits(minion, step, &need, &spread))
+                .min_by_key(|minion| (cost(minion, step, task, &need), minion.id.clone()))?;
+            let id = place.id.clone();
+            let room = free.get_mut(&id)?;
+            *room = room.less(&need);
+            *spread.entry(id.clone()).or_default() += 1;
+            places.push(id);
+        }
+        Some(places)
+    }
+
+    /// Whether every task of a step waits, as a gang must before it starts.
+    pub(crate) fn all_wait(&self, job: &Job, name: &TaskName, step: &Step) -> bool {
+        (0..step.count).all(|index| {
+            job.task(&TaskName { index, ..*name }).is_some_and(|task| task.phase == Phase::Waiting)
+        })
+    }
+}
+
+fn fits(minion: &Minion, step: &Step, need: &Resources, spread: &Spread) -> bool {
+    let labelled = step
+        .requires
+        .as_ref()
+        .is_none_or(|label| minion.listing.labels.iter().any(|own| own == label));
+    let spaced =
+        step.per_minion.is_none_or(|limit| spread.get(&minion.id).copied().unwrap_or(0) < limit);
+    labelled && spaced && minion.free().holds(need)
+}
+
+fn cost(minion: &Minion, step: &Step, task: &Task, need: &Resources) -> u64 {
+    let mut cost = minion.free().cpu - need.cpu.min(minion.free().cpu);
+    if step.lasting {
+        // Lasting tasks go where most room is: packed together, the loss of one minion or its
+        // upkeep would take several at once.
+        cost = minion.used.cpu;
+    }
+    if task.avoid.as_ref() == Some(&minion.id) {
+        cost += penalty::AVOID;
+    }
+    if step.near.is_some() && step.near.as_deref() != minion.rack() {
+        cost += penalty::REMOTE;
+    }
+    if !minion.failing.is_empty() || minion.strikes > 0 {
+        cost += penalty::FAILING;
+    }
+    cost
+}
--- /dev/null
+++ b/crates/engine/src/cell/plan.rs
@@ -0,0 +1,301 @@
+//! What is started and stopped now.
+
+use crate::cell::minion::{MinionId, Run, RunPhase};
+use crate::cell::work::Phase;
+use crate::cell::{Cell, Job};
+use crate::job::{Id, Resources, Step, TaskName};
+use crate::time::Time;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time after which an unanswered stop is ordered again: two round trips of the slowest link
+/// and a slow answer.
+const STOP_AGAIN: Duration = Duration::from_millis(700);
+
+/// With less than this left, a leaving minion's lasting tasks go whatever their step may miss:
+/// they end with it in any case.
+const LAST_MOMENT_MS: u64 = 1200;
+
+/// An order to a minion.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Start a run of a task.
+    Start {
+        /// The minion.
+        minion: MinionId,
+        /// The task.
+        task: TaskName,
+        /// The run's number.
+        run: u32,
+        /// Passed on from the definition.
+        spec: Arc<str>,
+        /// Where to resume.
+        checkpoint: Option<Box<str>>,
+    },
+    /// Stop a run, or make sure that it never starts.
+    Stop {
+        /// The minion.
+        minion: MinionId,
+        /// The task.
+        task: TaskName,
+        /// The run's number.
+        run: u32,
+    },
+}
+
+impl Cell {
+    /// Decides what to order now.  `wall_ms` is the time of day in milliseconds since 1970, for
+    /// scheduled occurrences.
+    pub fn plan(&mut self, now: Time, wall_ms: u64) -> Vec<Order> {
+        let mut orders = Vec::new();
+        self.lapse(now);
+        self.stop_unwanted(now, &mut orders);
+        self.stop_stalled(now, &mut orders);
+        self.evacuate(now, &mut orders);
+        self.start_waiting(now, wall_ms, &mut orders);
+        orders
+    }
+
+    /// Gives up all runs of minions whose leases must have lapsed, and forgets such minions
+    /// once they are no longer listed.
+    fn lapse(&mut self, now: Time) {
+        let over = |minion: &&crate::cell::Minion| {
+            let known = minion.answered || self.former_lapse.is_none_or(|lapse| now >= lapse);
+            known && now >= minion.lapse && !minion.reachable
+        };
+        let ids: Vec<MinionId> =
+            self.minions.values().filter(over).map(|minion| minion.id.clone()).collect();
+        for id in ids {
+            let Some(minion) = self.minions.get_mut(&id) else { continue };
+            let runs = std::mem::take(&mut minion.runs);
+            minion.used = Resources::default();
+            if !minion.listed {
+                self.minions.remove(&id);
+            }
+            for (task, run) in runs {
+                self.give_up(&id, &task, run.number, now);
+            }
+        }
+    }
+
+    /// Stops runs of jobs that have ended, and repeats stops that were not answered.
+    fn stop_unwanted(&mut self, now: Time, orders: &mut Vec<Order>) {
+        let jobs = &self.jobs;
+        for minion in self.minions.values_mut() {
+            for (task, run) in &mut minion.runs {
+                let ended = jobs.get(&task.job).is_none_or(|job| job.state().is_final());
+                let due = match run.phase {
+                    RunPhase::Ordered | RunPhase::Active => ended,
+                    RunPhase::Stopping { ordered, confirmed } => {
+                        // A confirmed stop that its minion still lists long after is repeated.
+                        let wait = confirmed.map_or(STOP_AGAIN, |_| self.settings.stop_timeout * 2);
+                        now.since(ordered) >= wait
+                    }
+                };
+                if due {
+                    orders.push(stop(&minion.id, task, run, now));
+                }
+            }
+        }
+    }
+
+    /// Stops runs that stand still, and leaves their minion out for a while.
+    ///
+    /// A hanging minion keeps answering, so nothing else would show it: its tasks would hold
+    /// their jobs until their callers gave up.
+    fn stop_stalled(&mut self, now: Time, orders: &mut Vec<Order>) {
+        let (factor, least) = (self.settings.stall_factor, self.settings.stall_least);
+        let quarantine = self.settings.quarantine;
+        for minion in self.minions.values_mut() {
+            // Without an answer there is no news of progress either.
+            if !minion.reachable {
+                continue;
+            }
+            let mut stalled = false;
+            for (task, run) in &mut minion.runs {
+                let Some(job) = self.jobs.get(&task.job) else { continue };
+                let step = &job.accepted.definition.steps[task.step as usize];
+                let estimate = Duration::from_millis(step.estimate_ms).mul_f64(factor);
+                let bound = estimate.max(least);
+                let still = now.since(run.moved) > bound;
+                if run.phase == RunPhase::Active && still && !(step.lasting && run.percent >= 100) {
+                    orders.push(stop(&minion.id, task, run, now));
+                    stalled = true;
+                }
+            }
+            if stalled {
+                minion.quarantined = minion.quarantined.max(now + quarantine * 2);
+            }
+        }
+    }
+
+    /// Moves lasting tasks off minions that are leaving, within what their steps may miss.
+    fn evacuate(&mut self, now: Time, orders: &mut Vec<Order>) {
+        let leaving = |minion: &&crate::cell::Minion| minion.leaving || minion.listing.draining;
+        let candidates: Vec<(MinionId, TaskName)> = self
+            .minions
+            .values()
+            .filter(leaving)
+            .flat_map(|minion| {
+                let active = minion.runs.iter().filter(|(_, run)| run.phase == RunPhase::Active);
+                active.map(|(task, _)| (minion.id.clone(), *task))
+            })
+            .collect();
+        for (id, task) in candidates {
+            let Some(job) = self.jobs.get(&task.job) else { continue };
+            let step = &job.accepted.definition.steps[task.step as usize];
+            let hasty = self.minions.get(&id).is_some_and(|minion| {
+                let left = minion.listing.remaining_ms.unwrap_or(u64::MAX);
+                minion.listing.draining && left < LAST_MOMENT_MS
+            });
+            if !step.lasting || !(hasty || self.can_miss(job, &task, step)) {
+                continue;
+            }
+            // Only when another place is free: otherwise the stop gains nothing.
+            let mut probe = job.task(&task).cloned().unwrap_or_default();
+            probe.avoid = Some(id.clone());
+            let spread = self.spread(&task);
+            if self.find_minion(step, &probe, &spread, now).is_none() {
+                continue;
+            }
+            let Some(minion) = self.minions.get_mut(&id) else { continue };
+            if let Some(run) = minion.runs.get_mut(&task) {
+                orders.push(stop(&id, &task, run, now));
+            }
+        }
+    }
+
+    /// Whether one more task of a lasting step may be taken away on purpose: all others of it
+    /// but fewer than its allowance must be at work.
+    fn can_miss(&self, job: &Job, name: &TaskName, step: &Step) -> bool {
+        let allowance = step.may_be_away.unwrap_or(0);
+        let at_work = |index: u32| {
+            let other = TaskName { index, ..*name };
+            let Some(task) = job.task(&other) else { return false };
+            let Phase::Placed { minion } = &task.phase else { return false };
+            let Some(minion) = self.minions.get(minion) else { return false };
+            let run = minion.run(&other, task.run);
+            minion.reachable
+                && run.is_some_and(|run| run.phase == RunPhase::Active && run.percent >= 100)
+        };
+        let away = (0..step.count).filter(|index| *index != name.index && !at_work(*index)).count();
+        (away as u32) < allowance
+    }
+
+    fn start_waiting(&mut self, now: Time, wall_ms: u64, orders: &mut Vec<Order>) {
+        let settled = self.is_settled(now);
+        let mut ranked: Vec<_> = self
+            .active
+            .iter()
+            .filter_map(|id| self.jobs.get(id).map(|job| (id, job)))
+            .filter(|(_, job)| settled || !job.inherited)
+            .map(|(id, job)| (self.rank(job, now), *id))
+            .collect();
+        ranked.sort();
+        for (_, id) in ranked {
+            if !self.minions.values().any(|minion| minion.takes_work(now)) {
+                return;
+            }
+            self.start_job(id, now, wall_ms, orders);
+        }
+    }
+
+    fn start_job(&mut self, id: Id, now: Time, wall_ms: u64, orders: &mut Vec<Order>) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let steps = job.accepted.definition.steps.len() as u32;
+        let occurrences = job.accepted.definition.occurrences();
+        for occurrence in 0..occurrences {
+            for step in 0..steps {
+                let Some(job) = self.jobs.get(&id) else { return };
+                let due = job.accepted.definition.due_ms(occurrence).is_none_or(|at| wall_ms >= at);
+                if !due || job.open_tasks(occurrence, step) == 0 {
+                    continue;
+                }
+                if job.is_step_ready(occurrence, step) {
+                    let first = TaskName { job: id, occurrence, step, index: 0 };
+                    self.start_step(first, now, orders);
+                }
+            }
+        }
+    }
+
+    fn start_step(&mut self, first: TaskName, now: Time, orders: &mut Vec<Order>) {
+        let Some(job) = self.jobs.get(&first.job) else { return };
+        let step = job.accepted.definition.steps[first.step as usize].clone();
+        let spec = job.accepted.definition.spec.clone();
+        if step.gang {
+            self.start_gang(first, &step, &spec, now, orders);
+            return;
+        }
+        let mut spread = None;
+        for index in 0..step.count {
+            let name = TaskName { index, ..first };
+            let Some(task) = self.jobs.get(&first.job).and_then(|job| job.task(&name)) else {
+                return;
+            };
+            if task.phase != Phase::Waiting || now < task.not_before {
+                continue;
+            }
+            if step.per_minion.is_some() && spread.is_none() {
+                spread = Some(self.spread(&name));
+            }
+            let empty = Default::default();
+            let used = spread.as_ref().unwrap_or(&empty);
+            let Some(minion) = self.find_minion(&step, task, used, now) else { return };
+            if let Some(spread) = &mut spread {
+                *spread.entry(minion.clone()).or_default() += 1;
+            }
+            let run = self.next_run(task.run);
+            let checkpoint = task.checkpoint.clone();
+            self.place(name, &minion, run, &step, now);
+            orders.push(Order::Start { minion, task: name, run, spec: spec.clone(), checkpoint });
+        }
+    }
+
+    fn start_gang(
+        &mut self,
+        first: TaskName,
+        step: &Step,
+        spec: &Arc<str>,
+        now: Time,
+        orders: &mut Vec<Order>,
+    ) {
+        let Some(job) = self.jobs.get(&first.job) else { return };
+        if !self.all_wait(job, &first, step) {
+            return;
+        }
+        let members: Vec<TaskName> =
+            (0..step.count).map(|index| TaskName { index, ..first }).collect();
+        let tasks = || members.iter().filter_map(|name| job.task(name));
+        let last = tasks().map(|task| task.run).max().unwrap_or(0);
+        // A checkpoint of any member holds for all, and all must resume from the same one.
+        let checkpoint = tasks().filter_map(|task| task.checkpoint.clone()).max();
+        let Some(places) = self.find_gang(job, &first, step, now) else { return };
+        let run = self.next_run(last);
+        for (task, minion) in members.into_iter().zip(places) {
+            self.place(task, &minion, run, step, now);
+            let (spec, checkpoint) = (spec.clone(), checkpoint.clone());
+            orders.push(Order::Start { minion, task, run, spec, checkpoint });
+        }
+    }
+
+    fn place(&mut self, name: TaskName, id: &MinionId, number: u32, step: &Step, now: Time) {
+        let Some(job) = self.jobs.get_mut(&name.job) else { return };
+        job.started = true;
+        if let Some(task) = job.task_mut(&name) {
+            task.phase = Phase::Placed { minion: id.clone() };
+            task.run = number;
+        }
+        let need = step.counted_need();
+        let phase = RunPhase::Ordered;
+        if let Some(minion) = self.minions.get_mut(id) {
+            minion.insert(name, Run { number, phase, need, since: now, percent: 0, moved: now });
+        }
+    }
+}
+
+/// Marks a run as being stopped and returns the order.
+fn stop(id: &MinionId, task: &TaskName, run: &mut Run, now: Time) -> Order {
+    run.phase = RunPhase::Stopping { ordered: now, confirmed: None };
+    Order::Stop { minion: id.clone(), task: *task, run: run.number }
+}
--- /dev/null
+++ b/crates/engine/src/cell/report.rs
@@ -0,0 +1,425 @@
+//! Taking in what minions say, and what becomes of orders.
+
+use crate::cell::minion::{Listing, Minion, MinionId, Run, RunPhase};
+use crate::cell::work::Phase;
+use crate::cell::{Cell, Order};
+use crate::job::{State, TaskName};
+use crate::time::Time;
+use std::time::Duration;
+use strum::{Display, EnumString};
+
+/// Failures of this many different jobs in a row, without a success between them, put a minion
+/// in quarantine: one job may be hopeless by itself.
+const FAILING_JOBS: usize = 2;
+
+/// Longest quarantine, as a power of two of the first.
+const MAX_STRIKES: u32 = 3;
+
+/// Pause before a lasting task that failed is started again, so that one that fails at once
+/// doesn't fill its minion's calls.
+const LASTING_PAUSE: Duration = Duration::from_millis(100);
+
+/// Pause for a task that its minion had no room for: the books differ, and the next report
+/// sets them right.
+const ROOM_PAUSE: Duration = Duration::from_millis(150);
+
+/// Pause for a minion that says it is unhealthy.
+const UNHEALTHY_PAUSE: Duration = Duration::from_millis(700);
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Display, EnumString, Eq, PartialEq)]
+#[strum(serialize_all = "lowercase")]
+pub enum How {
+    /// Its work is done.
+    Done,
+    /// It failed, by its own fault or the minion's.
+    Failed,
+    /// It was stopped by an order.
+    Stopped,
+    /// Its lease ran out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang did not come.
+    Alone,
+}
+
+/// A run that a minion lists.
+#[derive(Clone, Debug)]
+pub struct Running {
+    /// The task.
+    pub task: TaskName,
+    /// The run's number.
+    pub run: u32,
+    /// Its newest checkpoint.
+    pub checkpoint: Option<Box<str>>,
+    /// Percent done; for lasting tasks, 100 means at work.
+    pub percent: u8,
+}
+
+/// An end that a minion lists.
+#[derive(Clone, Debug)]
+pub struct End {
+    /// Its number in the minion's list of ends.
+    pub number: u64,
+    /// The task.
+    pub task: TaskName,
+    /// The run's number.
+    pub run: u32,
+    /// How it ended.
+    pub how: How,
+    /// Its last checkpoint.
+    pub checkpoint: Option<Box<str>>,
+}
+
+/// What a minion answered to a hold.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// All that runs there.
+    pub running: Vec<Running>,
+    /// Ends that are not acknowledged, 500 at most.
+    pub finished: Vec<End>,
+}
+
+/// Why a minion refused a start.
+#[derive(Clone, Copy, Debug, Display, EnumString, Eq, PartialEq)]
+#[strum(serialize_all = "lowercase")]
+pub enum Refusal {
+    /// It has seen a higher fencing token.
+    Fence,
+    /// A run with this number or a higher one was stopped or ended there.
+    Old,
+    /// The order came after its deadline.
+    Late,
+    /// There is no room.
+    Room,
+    /// The ticket is missing or out of date.
+    Ticket,
+    /// The order can't be read.
+    Malformed,
+    /// It is unhealthy and has done nothing.
+    Unhealthy,
+}
+
+/// What became of a start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartResult {
+    /// It runs, or ran.
+    Started,
+    /// It was refused and won't run.
+    Refused(Refusal),
+    /// Nobody knows: it may run now or later.
+    Unknown,
+}
+
+impl Cell {
+    /// Takes in a minion as the platform lists it.
+    pub fn list(&mut self, id: &MinionId, listing: Listing) {
+        match self.minions.get_mut(id) {
+            Some(minion) => {
+                minion.listing = listing;
+                minion.listed = true;
+            }
+            None => {
+                self.minions.insert(id.clone(), Minion::new(id.clone(), listing, true));
+            }
+        }
+    }
+
+    /// Takes in a minion that a former owner used, whether it is still listed or not.
+    pub fn inherit(&mut self, id: &MinionId) {
+        let absent = || Minion::new(id.clone(), Listing::default(), false);
+        self.minions.entry(id.clone()).or_insert_with(absent);
+    }
+
+    /// Notes that the platform's list no longer has a minion.  It may be cut off and still run
+    /// what it has, so its runs are given up only when their lease must have lapsed.
+    pub fn unlist(&mut self, id: &str) {
+        if let Some(minion) = self.minions.get_mut(id) {
+            minion.listed = false;
+        }
+    }
+
+    /// Notes that a minion is to be emptied, or no longer.
+    pub fn set_leaving(&mut self, id: &str, leaving: bool) {
+        if let Some(minion) = self.minions.get_mut(id) {
+            minion.leaving = leaving;
+        }
+    }
+
+    /// Notes that a call about to be sent may extend leases up to `until`.
+    pub fn promise(&mut self, id: &str, until: Time) {
+        if let Some(minion) = self.minions.get_mut(id) {
+            minion.lapse = minion.lapse.max(until);
+        }
+    }
+
+    /// Notes that a minion's life is over for certain: all that it ran is gone.
+    pub fn bury(&mut self, id: &str, now: Time) {
+        let Some(minion) = self.minions.remove(id) else { return };
+        for (task, run) in minion.runs {
+            self.give_up(&minion.id, &task, run.number, now);
+        }
+    }
+
+    /// Notes that a minion didn't answer.
+    pub fn missed(&mut self, id: &str) {
+        if let Some(minion) = self.minions.get_mut(id) {
+            minion.reachable = false;
+        }
+    }
+
+    /// Takes in a minion's answer to a hold that was sent at `sent`; returns stops of runs that
+    /// nobody wants.
+    pub fn report(&mut self, id: &MinionId, report: &Report, sent: Time, now: Time) -> Vec<Order> {
+        let Some(minion) = self.minions.get_mut(id) else { return Vec::new() };
+        minion.answered = true;
+        minion.reachable = true;
+        let seen = minion.seen;
+        for end in report.finished.iter().filter(|end| end.number > seen) {
+            self.end(id, end, now);
+        }
+        let mut orders = Vec::new();
+        for running in &report.running {
+            self.running(id, running, now, &mut orders);
+        }
+        self.drop_vanished(id, report, sent, now);
+        orders
+    }
+
+    /// Gives up runs that the minion no longer lists although it had them when the hold was
+    /// sent, and unanswered starts of which a stop has made sure that they never run.
+    fn drop_vanished(&mut self, id: &MinionId, report: &Report, sent: Time, now: Time) {
+        // A full list of ends may hide the end of a run that is no longer listed.
+        if report.finished.len() >= 500 {
+            return;
+        }
+        let Some(minion) = self.minions.get(id) else { return };
+        let listed = |task: &TaskName, number: u32| {
+            report.running.iter().any(|running| running.task == *task && running.run == number)
+        };
+        let gone = |task: &TaskName, run: &Run| match run.phase {
+            RunPhase::Ordered => false,
+            RunPhase::Active => run.moved < sent && !listed(task, run.number),
+            RunPhase::Stopping { confirmed, .. } => {
+                confirmed.is_some_and(|at| at < sent) && !listed(task, run.number)
+            }
+        };
+        let gone: Vec<(TaskName, u32)> = minion
+            .runs
+            .iter()
+            .filter(|(task, run)| gone(task, run))
+            .map(|(task, run)| (*task, run.number))
+            .collect();
+        for (task, number) in gone {
+            if let Some(minion) = self.minions.get_mut(id) {
+                minion.remove(&task);
+            }
+            self.give_up(id, &task, number, now);
+        }
+    }
+
+    fn running(&mut self, id: &MinionId, running: &Running, now: Time, orders: &mut Vec<Order>) {
+        let stop = Order::Stop { minion: id.clone(), task: running.task, run: running.run };
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        if let Some(run) = minion.runs.get_mut(&running.task) {
+            if run.number != running.run {
+                orders.push(stop);
+                return;
+            }
+            if run.phase == RunPhase::Ordered {
+                run.phase = RunPhase::Active;
+                run.moved = now;
+            }
+            if run.percent != running.percent {
+                run.percent = running.percent;
+                run.moved = now;
+            }
+            let Some(job) = self.jobs.get_mut(&running.task.job) else { return };
+            job.started = true;
+            if let (Some(task), Some(checkpoint)) =
+                (job.task_mut(&running.task), &running.checkpoint)
+            {
+                task.checkpoint = Some(checkpoint.clone());
+            }
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&running.task.job) else {
+            orders.push(stop);
+            return;
+        };
+        let step = job.accepted.definition.steps.get(running.task.step as usize);
+        let need = step.map(|step| step.counted_need()).unwrap_or_default();
+        let wanted = !job.state().is_final();
+        let Some(task) = job.task_mut(&running.task) else {
+            orders.push(stop);
+            return;
+        };
+        let number = running.run;
+        if !wanted || task.phase != Phase::Waiting {
+            // Unwanted here, but it takes room until its end is listed.
+            let phase = RunPhase::Stopping { ordered: now, confirmed: None };
+            minion.insert(
+                running.task,
+                Run { number, phase, need, since: now, percent: 0, moved: now },
+            );
+            orders.push(stop);
+            return;
+        }
+        task.phase = Phase::Placed { minion: id.clone() };
+        task.run = task.run.max(number);
+        if let Some(checkpoint) = &running.checkpoint {
+            task.checkpoint = Some(checkpoint.clone());
+        }
+        job.started = true;
+        let percent = running.percent;
+        let phase = RunPhase::Active;
+        minion.insert(running.task, Run { number, phase, need, since: now, percent, moved: now });
+    }
+
+    fn end(&mut self, id: &MinionId, end: &End, now: Time) {
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        minion.seen = end.number;
+        let ours = minion.run(&end.task, end.run).is_some();
+        if ours {
+            minion.remove(&end.task);
+        }
+        if !self.task_exists(&end.task) {
+            return;
+        }
+        self.judge_minion(id, end, now);
+        let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
+        let attempts = self
+            .queues
+            .get(&job.accepted.queue)
+            .map_or(crate::cell::Queue::default().attempts, |queue| queue.attempts);
+        let lasting = job.accepted.definition.steps[end.task.step as usize].lasting;
+        job.started = true;
+        match end.how {
+            How::Done if !lasting => {
+                job.finish_task(&end.task);
+                if job.is_done() && !job.state().is_final() {
+                    job.outcome = Some(State::Completed);
+                    job.ended = Some(now);
+                    self.active.remove(&end.task.job);
+                }
+                return;
+            }
+            How::Failed if !lasting => {
+                let cancelled = job.state().is_final();
+                let Some(task) = job.task_mut(&end.task) else { return };
+                if task.phase == Phase::Done {
+                    return;
+                }
+                if !task.failed.contains(&end.run) {
+                    task.failed.push(end.run);
+                }
+                task.avoid = Some(id.clone());
+                let spent = task.failed.len() >= attempts as usize;
+                job.change();
+                if spent && !cancelled {
+                    job.outcome = Some(State::Failed);
+                    job.ended = Some(now);
+                    self.active.remove(&end.task.job);
+                }
+            }
+            How::Failed => {
+                if let Some(task) = job.task_mut(&end.task) {
+                    task.not_before = now + LASTING_PAUSE;
+                    task.avoid = Some(id.clone());
+                }
+            }
+            _ => {}
+        }
+        let Some(task) = job.task_mut(&end.task) else { return };
+        if let Some(checkpoint) = &end.checkpoint {
+            task.checkpoint = Some(checkpoint.clone());
+        }
+        self.give_up(id, &end.task, end.run, now);
+    }
+
+    /// Puts a task back to wait if its run on `minion` was the current one.
+    pub(crate) fn give_up(&mut self, minion: &MinionId, name: &TaskName, run: u32, _now: Time) {
+        let Some(job) = self.jobs.get_mut(&name.job) else { return };
+        let Some(task) = job.task_mut(name) else { return };
+        let current = matches!(&task.phase, Phase::Placed { minion: at } if at == minion);
+        if current && task.run == run {
+            task.phase = Phase::Waiting;
+        }
+    }
+
+    /// Quarantines a minion that fails whatever it starts.
+    ///
+    /// Such a minion is always free, so without this it would draw task after task and use up
+    /// their attempts: callers would see job after job fail.
+    fn judge_minion(&mut self, id: &MinionId, end: &End, now: Time) {
+        let quarantine = self.settings.quarantine;
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        match end.how {
+            How::Done => {
+                minion.failing.clear();
+                minion.strikes = 0;
+            }
+            How::Failed => {
+                minion.failing.insert(end.task.job);
+                if minion.failing.len() >= FAILING_JOBS {
+                    minion.failing.clear();
+                    minion.quarantined = now + quarantine * (1 << minion.strikes.min(MAX_STRIKES));
+                    minion.strikes += 1;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes in what became of a start.
+    pub fn start_result(
+        &mut self,
+        id: &MinionId,
+        task: &TaskName,
+        run: u32,
+        result: StartResult,
+        now: Time,
+    ) {
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        let Some(entry) = minion.runs.get_mut(task).filter(|entry| entry.number == run) else {
+            return;
+        };
+        match result {
+            StartResult::Started => {
+                if entry.phase == RunPhase::Ordered {
+                    entry.phase = RunPhase::Active;
+                    entry.moved = now;
+                }
+            }
+            StartResult::Unknown => {
+                if entry.phase == RunPhase::Ordered {
+                    // Ordered in the past: the next plan sends the stop.
+                    entry.phase = RunPhase::Stopping { ordered: Time(0), confirmed: None };
+                }
+            }
+            StartResult::Refused(reason) => {
+                minion.remove(task);
+                match reason {
+                    Refusal::Room => minion.quarantined = minion.quarantined.max(now + ROOM_PAUSE),
+                    Refusal::Unhealthy | Refusal::Malformed => {
+                        minion.quarantined = minion.quarantined.max(now + UNHEALTHY_PAUSE);
+                    }
+                    _ => {}
+                }
+                self.give_up(id, task, run, now);
+            }
+        }
+    }
+
+    /// Takes in that a minion answered a stop at `now`.
+    pub fn stop_confirmed(&mut self, id: &MinionId, task: &TaskName, run: u32, now: Time) {
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        let Some(entry) = minion.runs.get_mut(task).filter(|entry| entry.number == run) else {
+            return;
+        };
+        if let RunPhase::Stopping { confirmed, .. } = &mut entry.phase {
+            confirmed.get_or_insert(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine/src/cell/work.rs
@@ -0,0 +1,223 @@
+//! A job in the hands of its cell's owner.
+
+use crate::cell::minion::MinionId;
+use crate::job::{Accepted, Progress, State, TaskName};
+use crate::time::Time;
+use smallvec::SmallVec;
+
+/// Where a task stands.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum Phase {
+    /// It waits for its turn or for room.
+    #[default]
+    Waiting,
+    /// A run of it is on a minion, or may be.
+    Placed {
+        /// Where.
+        minion: MinionId,
+    },
+    /// It has ended as done.
+    Done,
+}
+
+/// A task.
+#[derive(Clone, Debug, Default)]
+pub struct Task {
+    /// Where it stands.
+    pub phase: Phase,
+    /// The highest number of a run known.
+    pub run: u32,
+    /// Runs that failed.
+    pub failed: SmallVec<[u32; 2]>,
+    /// The newest checkpoint.
+    pub checkpoint: Option<Box<str>>,
+    /// It isn't started before.
+    pub not_before: Time,
+    /// Where it failed last, to try another minion next.
+    pub avoid: Option<MinionId>,
+}
+
+/// A job.
+#[derive(Debug)]
+pub struct Job {
+    /// What was accepted.
+    pub accepted: Accepted,
+    /// Whether a former owner may have started some of it.
+    pub inherited: bool,
+    /// When it was accepted, on this process's clock.
+    pub since: Time,
+    /// Whether its caller has cancelled it.
+    pub cancelled: bool,
+    /// Completed or failed.
+    pub outcome: Option<State>,
+    /// Whether any task has been started.
+    pub started: bool,
+    /// When it ended.
+    pub ended: Option<Time>,
+    /// Counts changes that must be kept, and the last of them that is.
+    pub changes: u64,
+    pub(crate) kept: u64,
+    pub(crate) tasks: Vec<Task>,
+    /// Flat number of each step's first task within an occurrence.
+    offsets: SmallVec<[u32; 8]>,
+    /// Tasks of each occurrence and step that are not done.
+    pub(crate) open: Vec<u32>,
+}
+
+impl Job {
+    pub(crate) fn new(accepted: Accepted, inherited: bool, since: Time) -> Self {
+        let definition = &accepted.definition;
+        let mut offsets = SmallVec::new();
+        let mut next = 0;
+        for step in &definition.steps {
+            offsets.push(next);
+            next += step.count;
+        }
+        let occurrences = definition.occurrences();
+        let counts: Vec<u32> = definition.steps.iter().map(|step| step.count).collect();
+        let open = counts.repeat(occurrences as usize);
+        let tasks = vec![Task::default(); (next * occurrences) as usize];
+        Self {
+            accepted,
+            inherited,
+            since,
+            cancelled: false,
+            outcome: None,
+            started: false,
+            ended: None,
+            changes: 0,
+            kept: 0,
+            tasks,
+            offsets,
+            open,
+        }
+    }
+
+    /// The state as far as it is known here.
+    pub fn state(&self) -> State {
+        match self.outcome {
+            Some(outcome) => outcome,
+            None if self.cancelled => State::Cancelled,
+            None if self.started => State::Running,
+            None => State::Queued,
+        }
+    }
+
+    /// Whether all that must outlive this owner is kept.
+    pub fn is_kept(&self) -> bool {
+        self.kept >= self.changes
+    }
+
+    pub(crate) fn change(&mut self) {
+        self.changes += 1;
+    }
+
+    /// Tasks of one occurrence.
+    fn width(&self) -> u32 {
+        self.accepted.definition.tasks_per_occurrence()
+    }
+
+    /// The flat number of a task.
+    pub(crate) fn flat(&self, name: &TaskName) -> Option<usize> {
+        let step = self.accepted.definition.steps.get(name.step as usize)?;
+        let exists =
+            name.index < step.count && name.occurrence < self.accepted.definition.occurrences();
+        let offset = self.offsets.get(name.step as usize)?;
+        exists.then(|| (name.occurrence * self.width() + offset + name.index) as usize)
+    }
+
+    /// Occurrence, step and index of a flat number.
+    pub(crate) fn place_of(&self, flat: u32) -> (u32, u32, u32) {
+        let occurrence = flat / self.width();
+        let within = flat % self.width();
+        let step = self.offsets.iter().rposition(|offset| *offset <= within).unwrap_or(0);
+        (occurrence, step as u32, within - self.offsets[step])
+    }
+
+    pub(crate) fn task(&self, name: &TaskName) -> Option<&Task> {
+        self.flat(name).map(|flat| &self.tasks[flat])
+    }
+
+    pub(crate) fn task_mut(&mut self, name: &TaskName) -> Option<&mut Task> {
+        let flat = self.flat(name)?;
+        self.tasks.get_mut(flat)
+    }
+
+    /// Tasks of a step that are not done.
+    pub(crate) fn open_tasks(&self, occurrence: u32, step: u32) -> u32 {
+        self.open[occurrence as usize * self.accepted.definition.steps.len() + step as usize]
+    }
+
+    /// Whether all steps that a step waits for are done.
+    pub(crate) fn is_step_ready(&self, occurrence: u32, step: u32) -> bool {
+        let after = &self.accepted.definition.steps[step as usize].after;
+        after.iter().all(|earlier| self.open_tasks(occurrence, *earlier) == 0)
+    }
+
+    /// Notes that a task is done; true if that was news.
+    pub(crate) fn finish_task(&mut self, name: &TaskName) -> bool {
+        self.flat(name).is_some_and(|flat| self.finish_flat(flat))
+    }
+
+    fn finish_flat(&mut self, flat: usize) -> bool {
+        let Some(task) = self.tasks.get_mut(flat) else { return false };
+        if task.phase == Phase::Done {
+            return false;
+        }
+        task.phase = Phase::Done;
+        task.checkpoint = None;
+        let (occurrence, step, _) = self.place_of(flat as u32);
+        let steps = self.accepted.definition.steps.len();
+        self.open[occurrence as usize * steps + step as usize] -= 1;
+        self.change();
+        true
+    }
+
+    /// Whether all tasks are done.
+    pub(crate) fn is_done(&self) -> bool {
+        self.open.iter().all(|open| *open == 0)
+    }
+
+    /// What is to be kept.
+    pub(crate) fn progress(&self) -> Progress {
+        let mut progress = Progress { outcome: self.outcome, ..Progress::default() };
+        if self.outcome.is_some() {
+            return progress;
+        }
+        for (flat, task) in self.tasks.iter().enumerate() {
+            let flat = flat as u32;
+            if task.phase == Phase::Done {
+                progress.done.push(flat);
+            }
+            if !task.failed.is_empty() {
+                progress.failed.push((flat, task.failed.clone()));
+            }
+            if let Some(checkpoint) = &task.checkpoint {
+                progress.checkpoints.push((flat, checkpoint.clone()));
+            }
+        }
+        progress
+    }
+
+    /// Takes over what was kept.
+    pub(crate) fn restore(&mut self, progress: &Progress) {
+        self.outcome = progress.outcome;
+        for flat in &progress.done {
+            self.finish_flat(*flat as usize);
+            self.started = true;
+        }
+        for (flat, failed) in &progress.failed {
+            if let Some(task) = self.tasks.get_mut(*flat as usize) {
+                task.failed = failed.clone();
+                task.run = failed.iter().copied().max().unwrap_or(0);
+                self.started = true;
+            }
+        }
+        for (flat, checkpoint) in &progress.checkpoints {
+            if let Some(task) = self.tasks.get_mut(*flat as usize) {
+                task.checkpoint = Some(checkpoint.clone());
+            }
+        }
+        self.kept = self.changes;
+    }
+}
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,14 @@
+//! The job engine: which task runs where, when a run is given up, and what is kept.
+//!
+//! Nothing here reads a clock or talks to a network: time comes in as [`time::Time`], what
+//! happened comes in as method calls, and what to do comes out as values.
+//!
+//! [`job`] is the model of a job as a caller submits it and as it is kept; [`cell`] is the
+//! state of one service, the unit that one entry instance schedules at a time; [`ownership`]
+//! decides which entry that is; [`upkeep`] takes machines through maintenance waves.
+
+pub mod cell;
+pub mod job;
+pub mod ownership;
+pub mod time;
+pub mod upkeep;
--- /dev/null
+++ b/crates/engine/src/ownership.rs
@@ -0,0 +1,145 @@
+//! Which entry owns a cell, judged by the rows of a shared table.
+//!
+//! Every entry rewrites its own row at a fixed interval.  A cell's row names its holder and is
+//! rewritten only when the holder changes, so the row's version at that moment serves as the
+//! fencing token: it only ever rises.  Nobody compares clocks: an observer measures on its own
+//! clock for how long it has seen a holder's row unchanged, and takes over in a transaction
+//! that requires the row to be unchanged still.
+
+use crate::time::Time;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time limits of ownership.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Silence of an entry's row after which its cells are taken over.  Five missed renewals
+    /// at the default interval; shorter takes cells from entries that are merely slow.
+    pub silence: Duration,
+    /// Added for each place that another entry has before this one in the order of candidates,
+    /// so that a takeover is normally tried by one entry.
+    pub stagger: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { silence: Duration::from_millis(2500), stagger: Duration::from_millis(300) }
+    }
+}
+
+/// An entry's row as observed.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Version of its row.
+    pub version: u64,
+    /// When this version was first seen here.
+    pub seen: Time,
+    /// Whether it is about to stop.
+    pub stopping: bool,
+}
+
+/// A cell's row as observed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Holding {
+    /// The entry named as holder.
+    pub holder: String,
+    /// Version of the row: the holder's fencing token.
+    pub version: u64,
+}
+
+/// What an entry should do about a cell.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// Nothing.
+    Leave,
+    /// This entry is the holder.
+    Own,
+    /// Take it, on condition that the named rows still have these versions.
+    Take {
+        /// Version of the cell's row, 0 if there is none.
+        cell: u64,
+        /// The former holder and the version of its row, if it has one.
+        former: Option<(String, u64)>,
+    },
+}
+
+/// Order of candidates for a cell: the same at every entry, and different for each cell, so
+/// that cells spread over the entries.
+pub fn rank(cell: &str, entry: &str) -> u64 {
+    // FNV-1a with a final mix: stable over builds, which the standard hasher doesn't promise.
+    let bytes = cell.bytes().chain([0]).chain(entry.bytes());
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    let mixed = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    mixed ^ (mixed >> 33)
+}
+
+/// Judges a cell.
+///
+/// `owned` counts the cells that each entry holds: a candidate with fewer comes first, so that
+/// one entry doesn't end with all cells after its peers restarted in turn.
+pub fn judge(
+    cell: &str,
+    me: &str,
+    holding: Option<&Holding>,
+    entries: &BTreeMap<String, Entry>,
+    owned: &BTreeMap<String, usize>,
+    now: Time,
+    settings: &Settings,
+) -> Verdict {
+    let silent = |entry: &Entry| now.since(entry.seen) >= settings.silence;
+    let vacant_since = match holding {
+        Some(holding) if holding.holder == me => return Verdict::Own,
+        Some(holding) => match entries.get(&holding.holder) {
+            Some(entry) if !silent(entry) => return Verdict::Leave,
+            Some(entry) => Some(entry.seen + settings.silence),
+            None => None,
+        },
+        None => None,
+    };
+    let mut candidates: Vec<&String> = entries
+        .iter()
+        .filter(|(name, entry)| !entry.stopping && (name.as_str() == me || !silent(entry)))
+        .map(|(name, _)| name)
+        .collect();
+    candidates.sort_by_key(|name| {
+        (owned.get(*name).copied().unwrap_or(0), rank(cell, name), (*name).clone())
+    });
+    let Some(place) = candidates.iter().position(|name| *name == me) else {
+        return Verdict::Leave;
+    };
+    let waited = vacant_since.map_or(Duration::MAX, |since| now.since(since));
+    if waited < settings.stagger * place as u32 {
+        return Verdict::Leave;
+    }
+    // A vacant cell without a known beginning of its vacancy is left to the first candidate.
+    if vacant_since.is_none() && place > 0 {
+        return Verdict::Leave;
+    }
+    let former = holding
+        .and_then(|holding| entries.get_key_value(&holding.holder))
+        .map(|(name, entry)| (name.clone(), entry.version));
+    Verdict::Take { cell: holding.map_or(0, |holding| holding.version), former }
+}
+
+/// The entry to hand a cell to at a planned stop; none if there is no other.
+pub fn successor(
+    cell: &str,
+    me: &str,
+    entries: &BTreeMap<String, Entry>,
+    owned: &BTreeMap<String, usize>,
+    now: Time,
+    settings: &Settings,
+) -> Option<String> {
+    let fresh = settings.silence / 2;
+    entries
+        .iter()
+        .filter(|(name, entry)| {
+            name.as_str() != me && !entry.stopping && now.since(entry.seen) < fresh
+        })
+        .min_by_key(|(name, _)| {
+            (owned.get(*name).copied().unwrap_or(0), rank(cell, name), (*name).clone())
+        })
+        .map(|(name, _)| name.clone())
+}
--- /dev/null
+++ b/crates/scheduler/src/follow.rs
@@ -0,0 +1,228 @@
+//! Following the platform's tables: what operators write, and the minions that register.
+
+use crate::node::Node;
+use celerythread_adapter::configuration::{self, Configuration};
+use celerythread_adapter::minion::Entry;
+use celerythread_adapter::store::{self, Error, Page, Row};
+use celerythread_adapter::wave::{self, Wave};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest wait of one feed call.  A connection that goes silent is found out only when the
+/// answer is overdue, so this bounds the age of a configuration then.
+const FEED_WAIT: Duration = Duration::from_millis(1000);
+
+/// Pause after a failed call.
+const RETRY: Duration = Duration::from_millis(150);
+
+/// Longest wait for a read.
+const READ_LIMIT: Duration = Duration::from_millis(800);
+
+/// Something that takes in a table's rows.
+pub(crate) trait Sink: Send + Sync {
+    /// Takes in all rows of the table; what isn't among them is gone.
+    fn replace(&self, rows: Vec<Row>);
+    /// Takes in changes.
+    fn change(&self, rows: Vec<Row>);
+}
+
+/// A table to follow.
+pub(crate) struct Table {
+    /// Its name.
+    pub(crate) name: &'static str,
+    /// The partition that is read whole at first.
+    pub(crate) part: String,
+    /// Pause between two calls, to gather changes.
+    pub(crate) pause: Duration,
+}
+
+/// Follows a table until the node stops or `sink` is dropped by its owner.
+pub(crate) async fn follow(node: Arc<Node>, table: Table, sink: Arc<dyn Sink>) {
+    let Some(mut version) = read_whole(&node, &table, sink.as_ref()).await else { return };
+    follow_from(&node, &table, sink.as_ref(), &mut version).await;
+}
+
+/// Follows a table from a version on.
+pub(crate) async fn follow_from(
+    node: &Arc<Node>,
+    table: &Table,
+    sink: &dyn Sink,
+    version: &mut u64,
+) {
+    while node.pause(table.pause).await {
+        let result = node.store.feed(table.name, *version, FEED_WAIT).await;
+        node.store_result(&result);
+        match result {
+            Ok(page) => take(page, version, sink),
+            Err(Error::HistoryGone) => {
+                node.journal.warn("history_gone", &[("table", &table.name), ("after", version)]);
+                let Some(read) = read_whole(node, table, sink).await else { return };
+                *version = read;
+            }
+            Err(_) => {
+                if !node.pause(RETRY).await {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn take(page: Page, version: &mut u64, sink: &dyn Sink) {
+    if !page.rows.is_empty() {
+        sink.change(page.rows);
+    }
+    *version = page.version.max(*version);
+}
+
+/// Reads a table whole, again and again until it succeeds; none when the node stops.
+async fn read_whole(node: &Arc<Node>, table: &Table, sink: &dyn Sink) -> Option<u64> {
+    loop {
+        let result = node.store.all(table.name, &table.part, "", READ_LIMIT).await;
+        node.store_result(&result);
+        if let Ok(page) = result {
+            sink.replace(page.rows);
+            return Some(page.version);
+        }
+        if !node.pause(RETRY).await {
+            return None;
+        }
+    }
+}
+
+/// What operators write: the configuration and waves of upkeep.
+pub(crate) struct Operators(pub(crate) Arc<Node>);
+
+impl Operators {
+    fn take(&self, row: &Row) {
+        if row.key == configuration::KEY && !row.dropped {
+            self.configure(row);
+        } else if row.key.starts_with(wave::KEY_PREFIX) {
+            self.take_wave(row);
+        }
+    }
+
+    fn take_wave(&self, row: &Row) {
+        let node = &self.0;
+        match Wave::decode(&row.value) {
+            _ if row.dropped => {}
+            Some(wave) => {
+                node.journal.note(
+                    "wave_seen",
+                    &[
+                        ("wave", &wave.number),
+                        ("machines", &wave.machines.len()),
+                        ("at_once", &wave.at_once),
+                        ("seconds", &wave.duration_s),
+                    ],
+                );
+                node.waves.write().insert(wave.number, wave);
+            }
+            None => node.journal.warn("wave_unreadable", &[("key", &row.key)]),
+        }
+    }
+
+    /// Takes a configuration unless it is older than the one in force: answers on different
+    /// connections may overtake each other, and an accepted configuration never reverts.
+    fn configure(&self, row: &Row) {
+        let node = &self.0;
+        let read = match Configuration::decode(&row.value) {
+            Ok(read) => read,
+            Err(error) => {
+                node.journal.warn("configuration_unreadable", &[("reason", &error)]);
+                return;
+            }
+        };
+        let mut current = node.configuration.write();
+        if current.as_ref().is_some_and(|current| current.version >= read.version) {
+            return;
+        }
+        node.journal.note(
+            "configuration_in_force",
+            &[("version", &read.version), ("queues", &read.queues.len())],
+        );
+        let read = Arc::new(read);
+        *current = Some(read.clone());
+        drop(current);
+        for owner in node.owners.read().values() {
+            owner.configure(&read);
+        }
+    }
+}
+
+impl Sink for Operators {
+    fn replace(&self, rows: Vec<Row>) {
+        rows.iter().for_each(|row| self.take(row));
+    }
+
+    fn change(&self, rows: Vec<Row>) {
+        rows.iter().for_each(|row| self.take(row));
+    }
+}
+
+/// Minions as the platform lists them.
+pub(crate) struct Minions(pub(crate) Arc<Node>);
+
+impl Minions {
+    fn take(&self, row: &Row) {
+        let node = &self.0;
+        let id: Arc<str> = row.key.as_str().into();
+        if row.dropped {
+            if node.minions.write().remove(&id).is_some() {
+                node.journal.note("minion_gone", &[("minion", &id), ("version", &row.version)]);
+            }
+            return;
+        }
+        let Some(entry) = Entry::decode(&row.value) else {
+            node.journal.warn("minion_unreadable", &[("minion", &id)]);
+            return;
+        };
+        let (service, draining) = (entry.service.clone(), entry.listing.draining);
+        let known = node.minions.write().insert(id.clone(), entry);
+        let changed = known.is_none_or(|known| known.listing.draining != draining);
+        if changed {
+            let event = if draining { "minion_draining" } else { "minion_seen" };
+            node.journal
+                .note(event, &[("minion", &id), ("service", &service), ("version", &row.version)]);
+        }
+    }
+
+    fn tell_owners(&self) {
+        for owner in self.0.owners.read().values() {
+            owner.minions_changed();
+        }
+    }
+}
+
+impl Sink for Minions {
+    /// Entries that are missing are not dropped at once: the list may be read just after an
+    /// outage of the store, when entries lapsed that come back within some seconds.
+    fn replace(&self, rows: Vec<Row>) {
+        let present: std::collections::BTreeSet<Arc<str>> =
+            rows.iter().map(|row| row.key.as_str().into()).collect();
+        rows.iter().for_each(|row| self.take(row));
+        self.0.minions.write().retain(|id, _| present.contains(id));
+        self.tell_owners();
+    }
+
+    fn change(&self, rows: Vec<Row>) {
+        rows.iter().for_each(|row| self.take(row));
+        self.tell_owners();
+    }
+}
+
+/// The table that operators write to.
+pub(crate) fn operator_table() -> Table {
+    Table { name: store::OPERATOR_TABLE, part: String::new(), pause: Duration::ZERO }
+}
+
+/// The table that minions register in.
+pub(crate) fn minion_table() -> Table {
+    Table {
+        name: store::MINION_TABLE,
+        part: String::new(),
+        // Gathers the entries of minions that come together; an entry's age then is at most
+        // this and the time on the way.
+        pause: Duration::from_millis(50),
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/membership.rs
@@ -0,0 +1,386 @@
+//! This entry's row, the others' rows, and who owns which cell.
+
+use crate::clock;
+use crate::follow::{self, Sink, Table};
+use crate::metrics::Counter;
+use crate::node::{Node, View};
+use crate::owner::{self, Former, Owner};
+use crate::rows;
+use celerythread_adapter::store::{Error, Row, Transaction};
+use celerythread_engine::job::{decode, encode};
+use celerythread_engine::ownership::{self, Holding, Verdict};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest wait for a transaction on the control table.
+const COMMIT_LIMIT: Duration = Duration::from_millis(700);
+
+/// Longest wait for a read.
+const READ_LIMIT: Duration = Duration::from_millis(700);
+
+/// Time between two looks at who owns what.
+const JUDGE: Duration = Duration::from_millis(200);
+
+/// Time between two reads of changes: each entry's renewal is one, so without a pause every
+/// entry would read as often as all of them write.
+const CONTROL_PAUSE: Duration = Duration::from_millis(250);
+
+/// Silence after which an entry's row is dropped; long after its cells were taken.
+const FORGET: Duration = Duration::from_secs(30);
+
+/// Takes in the control table.
+pub(crate) struct Control(pub(crate) Arc<Node>);
+
+impl Control {
+    fn take(&self, view: &mut View, row: &Row) {
+        let now = clock::now();
+        view.version = view.version.max(row.version);
+        let key = row.key.as_str();
+        if let Some(id) = key.strip_prefix(rows::ENTRY_PREFIX) {
+            take_entry(view, id, row, now);
+        } else if let Some(cell) = key.strip_prefix(rows::CELL_PREFIX) {
+            self.take_cell(view, cell, row);
+        } else if let Some(machine) = key.strip_prefix(rows::EMPTYING_PREFIX) {
+            if row.dropped {
+                view.emptying.remove(machine);
+            } else {
+                let minion = String::from_utf8_lossy(&row.value).into_owned();
+                view.emptying.insert(machine.into(), minion);
+            }
+        } else if let Some(minion) = key.strip_prefix(rows::EMPTY_PREFIX) {
+            if row.dropped {
+                view.empty.remove(minion);
+            } else {
+                view.empty.insert(minion.into());
+            }
+        }
+    }
+
+    fn take_cell(&self, view: &mut View, cell: &str, row: &Row) {
+        if row.dropped {
+            view.holdings.remove(cell);
+            view.cell_rows.remove(cell);
+            return;
+        }
+        let Ok(value) = decode::<rows::Cell>(&row.value) else {
+            self.0.journal.warn("cell_row_unreadable", &[("cell", &cell)]);
+            return;
+        };
+        let holding = Holding { holder: value.holder.clone(), version: row.version };
+        if view.holdings.get(cell).is_none_or(|known| known.version < row.version) {
+            self.0.journal.note(
+                "cell_held",
+                &[("cell", &cell), ("holder", &holding.holder), ("token", &holding.version)],
+            );
+            view.holdings.insert(cell.into(), holding);
+            view.cell_rows.insert(cell.into(), value);
+        }
+    }
+}
+
+fn take_entry(view: &mut View, id: &str, row: &Row, now: celerythread_engine::time::Time) {
+    if row.dropped {
+        view.entries.remove(id);
+        view.entry_rows.remove(id);
+        return;
+    }
+    let Ok(value) = decode::<rows::Entry>(&row.value) else { return };
+    if view.entries.get(id).is_none_or(|known| known.version < row.version) {
+        let entry = ownership::Entry { version: row.version, seen: now, stopping: value.stopping };
+        view.entries.insert(id.into(), entry);
+        view.entry_rows.insert(id.into(), value);
+    }
+}
+
+impl Sink for Control {
+    fn replace(&self, rows: Vec<Row>) {
+        let mut fresh = View::default();
+        rows.iter().for_each(|row| self.take(&mut fresh, row));
+        let mut view = self.0.view.write();
+        // An entry whose row has not changed is as silent as it was before.
+        for (id, entry) in &mut fresh.entries {
+            if let Some(known) = view.entries.get(id).filter(|k| k.version == entry.version) {
+                entry.seen = known.seen;
+            }
+        }
+        *view = fresh;
+    }
+
+    fn change(&self, rows: Vec<Row>) {
+        let mut view = self.0.view.write();
+        rows.iter().for_each(|row| self.take(&mut view, row));
+        drop(view);
+        for owner in self.0.owners.read().values() {
+            owner.control_changed();
+        }
+    }
+}
+
+/// The table that entries agree by.
+pub(crate) fn control_table() -> Table {
+    Table { name: rows::CONTROL, part: String::new(), pause: CONTROL_PAUSE }
+}
+
+/// Renews this entry's row until the node stops.
+pub(crate) async fn renew_forever(node: Arc<Node>, peer: SocketAddr) {
+    loop {
+        renew(&node, peer).await;
+        if !node.pause(node.settings.renew.0).await {
+            return;
+        }
+    }
+}
+
+/// Renews this entry's row once; true if it is certain.
+pub(crate) async fn renew(node: &Node, peer: SocketAddr) -> bool {
+    let row = rows::Entry { name: node.settings.name.clone(), peer, stopping: node.is_stopping() };
+    let change = Transaction {
+        writes: vec![(rows::control(rows::ENTRY_PREFIX, &node.me), encode(&row))],
+        ..Transaction::default()
+    };
+    let sent = clock::now();
+    let done = node.commit(&change, COMMIT_LIMIT).await.is_ok();
+    if done {
+        node.renewed(sent);
+    }
+    done
+}
+
+/// Drops the rows of this instance's earlier processes: they are certainly gone, so their cells
+/// can be taken without waiting out their silence.
+pub(crate) async fn clear_former(node: &Node) {
+    let former: Vec<String> = {
+        let view = node.view.read();
+        let mine = |id: &&String| {
+            **id != node.me
+                && view.entry_rows.get(*id).is_some_and(|row| row.name == node.settings.name)
+        };
+        view.entries.keys().filter(mine).cloned().collect()
+    };
+    if former.is_empty() {
+        return;
+    }
+    let drops = former.iter().map(|id| rows::control(rows::ENTRY_PREFIX, id)).collect();
+    let change = Transaction { drops, ..Transaction::default() };
+    if node.commit(&change, COMMIT_LIMIT).await.is_ok() {
+        let mut view = node.view.write();
+        for id in &former {
+            view.entries.remove(id);
+            view.entry_rows.remove(id);
+        }
+    }
+}
+
+/// Looks again and again at who owns what, takes what is this entry's to take, and stops owning
+/// what it no longer holds.
+pub(crate) async fn judge_forever(node: Arc<Node>) {
+    while node.pause(JUDGE).await {
+        for cell in cells(&node) {
+            judge(&node, &cell).await;
+        }
+        forget_silent(&node).await;
+    }
+}
+
+/// All cells there should be: one for each service that is not the spare pool, and the upkeep.
+fn cells(node: &Node) -> Vec<String> {
+    let Some(configuration) = node.configuration() else { return Vec::new() };
+    let services = configuration.services.iter().filter(|service| !service.spare);
+    let mut cells: Vec<String> = services.map(|service| service.name.clone()).collect();
+    if node.machines.is_some() {
+        cells.push(rows::UPKEEP_CELL.into());
+    }
+    let view = node.view.read();
+    cells.extend(
+        view.holdings.keys().filter(|cell| !cells.contains(cell)).cloned().collect::<Vec<_>>(),
+    );
+    cells
+}
+
+async fn judge(node: &Arc<Node>, cell: &str) {
+    let settings = ownership::Settings {
+        silence: node.settings.takeover_after.0,
+        ..ownership::Settings::default()
+    };
+    let (verdict, holding, row) = {
+        let view = node.view.read();
+        let holding = view.holdings.get(cell).cloned();
+        let owned = view.owned();
+        let verdict = ownership::judge(
+            cell,
+            &node.me,
+            holding.as_ref(),
+            &view.entries,
+            &owned,
+            clock::now(),
+            &settings,
+        );
+        (verdict, holding, view.cell_rows.get(cell).cloned())
+    };
+    match verdict {
+        Verdict::Own => {
+            if let (Some(holding), Some(row)) = (holding, row) {
+                own(node, cell, &holding, &row);
+            }
+        }
+        Verdict::Leave => disown(node, cell, holding.as_ref()),
+        Verdict::Take { cell: version, former } if !node.is_stopping() => {
+            take(node, cell, version, former, row).await;
+        }
+        Verdict::Take { .. } => {}
+    }
+}
+
+/// Starts owning a cell that this entry holds.
+fn own(node: &Arc<Node>, cell: &str, holding: &Holding, row: &rows::Cell) {
+    if node.is_stopping() {
+        return;
+    }
+    let mut owners = node.owners.write();
+    if owners.get(cell).is_some_and(|owner| owner.token == holding.version) {
+        return;
+    }
+    let former = match (row.generation, row.former_stopped) {
+        (0, _) => Former::None,
+        (_, true) => Former::Stopped,
+        (_, false) => Former::Silent,
+    };
+    let owner = Owner::new(node.clone(), cell, holding.version, row.generation, former);
+    if let Some(old) = owners.insert(cell.into(), owner.clone()) {
+        old.stop();
+    }
+    drop(owners);
+    node.metrics.count(Counter::CellsTaken);
+    node.journal.note(
+        "cell_taken",
+        &[("cell", &cell), ("token", &holding.version), ("generation", &row.generation)],
+    );
+    owner::start(owner);
+}
+
+/// Stops owning a cell that somebody else holds now.
+fn disown(node: &Arc<Node>, cell: &str, holding: Option<&Holding>) {
+    let Some(holding) = holding.filter(|holding| holding.holder != node.me) else { return };
+    let mut owners = node.owners.write();
+    let older = owners.get(cell).is_some_and(|owner| owner.token < holding.version);
+    if !older {
+        return;
+    }
+    if let Some(owner) = owners.remove(cell) {
+        owner.stop();
+        node.metrics.count(Counter::CellsLost);
+        node.journal.warn(
+            "cell_lost",
+            &[("cell", &cell), ("holder", &holding.holder), ("token", &holding.version)],
+        );
+    }
+}
+
+/// Takes a cell.  The row is written on condition that neither it nor its former holder's row
+/// has changed, so a holder that renewed meanwhile keeps it.
+async fn take(
+    node: &Arc<Node>,
+    cell: &str,
+    version: u64,
+    former: Option<(String, u64)>,
+    row: Option<rows::Cell>,
+) {
+    let name = rows::control(rows::CELL_PREFIX, cell);
+    let generation = row.map_or(0, |row| row.generation + 1);
+    // A holder without a row was dropped by its own instance's next process, or long ago.
+    let former_stopped = former.is_none();
+    let value = rows::Cell { holder: node.me.clone(), generation, former_stopped };
+    let mut conditions = vec![(name.clone(), version)];
+    conditions
+        .extend(former.map(|(id, version)| (rows::control(rows::ENTRY_PREFIX, &id), version)));
+    let change =
+        Transaction { conditions, writes: vec![(name, encode(&value))], ..Transaction::default() };
+    match node.commit(&change, COMMIT_LIMIT).await {
+        // The row's own version is the token, and the answer may tell a newer one.
+        Ok(_) | Err(Error::Unanswered { .. }) => read_cell(node, cell).await,
+        Err(Error::Conflict { .. }) => read_cell(node, cell).await,
+        Err(_) => {}
+    }
+}
+
+/// Reads a cell's row, ahead of the feed.
+async fn read_cell(node: &Arc<Node>, cell: &str) {
+    let key = format!("{}{cell}", rows::CELL_PREFIX);
+    let result = node.store.get(rows::CONTROL, "", &key, READ_LIMIT).await;
+    node.store_result(&result);
+    if let Ok(Some(row)) = result {
+        let control = Control(node.clone());
+        control.take_cell(&mut node.view.write(), cell, &row);
+    }
+}
+
+/// Hands a cell that this entry holds to another entry by name; true if it is certain.
+pub(crate) async fn hand_over(node: &Arc<Node>, cell: &str) -> bool {
+    let settings = ownership::Settings {
+        silence: node.settings.takeover_after.0,
+        ..ownership::Settings::default()
+    };
+    let (successor, holding, row) = {
+        let view = node.view.read();
+        let owned = view.owned();
+        let to =
+            ownership::successor(cell, &node.me, &view.entries, &owned, clock::now(), &settings);
+        (to, view.holdings.get(cell).cloned(), view.cell_rows.get(cell).cloned())
+    };
+    let (Some(successor), Some(holding), Some(row)) = (successor, holding, row) else {
+        return false;
+    };
+    let name = rows::control(rows::CELL_PREFIX, cell);
+    let value = rows::Cell {
+        holder: successor.clone(),
+        generation: row.generation + 1,
+        former_stopped: true,
+    };
+    let change = Transaction {
+        conditions: vec![(name.clone(), holding.version)],
+        writes: vec![(name, encode(&value))],
+        ..Transaction::default()
+    };
+    let done = node.commit(&change, COMMIT_LIMIT).await;
+    let certain = matches!(done, Ok(_) | Err(Error::Conflict { .. }));
+    if certain {
+        node.metrics.count(Counter::CellsHandedOver);
+        node.journal.note("cell_handed_over", &[("cell", &cell), ("to", &successor)]);
+    }
+    certain
+}
+
+/// Drops the rows of entries that have been silent for long.
+async fn forget_silent(node: &Arc<Node>) {
+    if node.owner(rows::UPKEEP_CELL).is_none() {
+        return;
+    }
+    let gone: Vec<(String, u64)> = {
+        let view = node.view.read();
+        let now = clock::now();
+        let silent = |entry: &ownership::Entry| now.since(entry.seen) > FORGET;
+        let held = view.owned();
+        view.entries
+            .iter()
+            .filter(|(id, entry)| silent(entry) && !held.contains_key(*id))
+            .map(|(id, entry)| (id.clone(), entry.version))
+            .collect()
+    };
+    for (id, version) in gone {
+        let name = rows::control(rows::ENTRY_PREFIX, &id);
+        let change = Transaction {
+            conditions: vec![(name.clone(), version)],
+            drops: vec![name],
+            ..Transaction::default()
+        };
+        // Dropped by somebody else or renewed meanwhile: either way the feed tells.
+        let _ = node.commit(&change, COMMIT_LIMIT).await;
+    }
+}
+
+/// Follows the control table until the node stops.
+pub(crate) async fn follow_control(node: Arc<Node>) {
+    let sink = Arc::new(Control(node.clone()));
+    follow::follow(node, control_table(), sink).await;
+}
--- /dev/null
+++ b/crates/scheduler/src/metrics.rs
@@ -0,0 +1,121 @@
+//! Counters and latency histograms, read as a text page.
+
+use hdrhistogram::Histogram;
+use parking_lot::Mutex;
+use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use strum::{Display, EnumCount, VariantArray};
+
+/// What is counted.
+#[derive(Clone, Copy, Debug, Display, EnumCount, Eq, PartialEq, VariantArray)]
+#[strum(serialize_all = "snake_case")]
+pub enum Counter {
+    /// Jobs accepted.
+    JobsAccepted,
+    /// Submissions refused, and certainly not run.
+    JobsRefused,
+    /// Submissions whose acceptance is unknown.
+    JobsUnknown,
+    /// Cancellations accepted.
+    JobsCancelled,
+    /// Runs ordered to start.
+    Starts,
+    /// Starts that a minion refused.
+    StartsRefused,
+    /// Starts without an answer.
+    StartsUnknown,
+    /// Runs ordered to stop.
+    Stops,
+    /// Looks at minions.
+    Holds,
+    /// Looks without an answer.
+    HoldsMissed,
+    /// Transactions that kept ends.
+    Keeps,
+    /// Cells taken over.
+    CellsTaken,
+    /// Cells lost to another entry.
+    CellsLost,
+    /// Cells handed to another entry.
+    CellsHandedOver,
+    /// Calls to the store that brought nothing.
+    StoreFailures,
+    /// Questions to peers that were not answered.
+    PeerFailures,
+    /// Machines whose upkeep began.
+    Upkeeps,
+}
+
+/// What is timed, in milliseconds.
+#[derive(Clone, Copy, Debug, Display, EnumCount, Eq, PartialEq, VariantArray)]
+#[strum(serialize_all = "snake_case")]
+pub enum Timing {
+    /// From a submission's arrival to its answer.
+    Accept,
+    /// A transaction of the store.
+    Commit,
+    /// A start order.
+    Start,
+    /// From a job's acceptance to its end.
+    Job,
+}
+
+/// Largest time that is told apart: two minutes.
+const LARGEST_MS: u64 = 120_000;
+
+/// All figures of a process.
+pub struct Metrics {
+    counters: Vec<AtomicU64>,
+    timings: Vec<Mutex<Histogram<u32>>>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let histogram = || {
+            Mutex::new(Histogram::new_with_bounds(1, LARGEST_MS, 2).expect("fixed, valid bounds"))
+        };
+        Self {
+            counters: (0..Counter::COUNT).map(|_| AtomicU64::new(0)).collect(),
+            timings: (0..Timing::COUNT).map(|_| histogram()).collect(),
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts one.
+    pub fn count(&self, counter: Counter) {
+        self.counters[counter as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// A counter's value.
+    pub fn value(&self, counter: Counter) -> u64 {
+        self.counters[counter as usize].load(Ordering::Relaxed)
+    }
+
+    /// Records a time.
+    pub fn time(&self, timing: Timing, took: Duration) {
+        self.timings[timing as usize].lock().saturating_record((took.as_millis() as u64).max(1));
+    }
+
+    /// All figures, one a line.
+    pub fn page(&self) -> String {
+        let mut page = String::new();
+        for counter in Counter::VARIANTS {
+            let value = self.value(*counter);
+            let _ = writeln!(page, "celerythread_{counter}_total {value}");
+        }
+        for timing in Timing::VARIANTS {
+            let histogram = self.timings[*timing as usize].lock();
+            for quantile in [0.5, 0.9, 0.99, 1.0] {
+                let value = histogram.value_at_quantile(quantile);
+                let _ = writeln!(
+                    page,
+                    "celerythread_{timing}_milliseconds{{quantile=\"{quantile}\"}} {value}"
+                );
+            }
+            let _ = writeln!(page, "celerythread_{timing}_milliseconds_count {}", histogram.len());
+        }
+        page
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/node.rs
@@ -0,0 +1,212 @@
+//! What all parts of the daemon share.
+//!
+//! # Lock order
+//!
+//! `configuration` → `view` → `minions` → `waves` → `owners` → an owner's `cell` → `links`.  A lock is
+//! only taken while locks before it in this list are held, and none of them is held across an
+//! await.
+
+use crate::clock;
+use crate::journal::Journal;
+use crate::metrics::{Counter, Metrics};
+use crate::owner::Owner;
+use crate::peers::Peers;
+use crate::rows;
+use crate::settings::Settings;
+use celerythread_adapter::configuration::Configuration;
+use celerythread_adapter::wave::Wave;
+use celerythread_adapter::{Caller, machine, minion, store};
+use celerythread_engine::ownership::{self, Holding};
+use celerythread_engine::time::Time;
+use parking_lot::RwLock;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+use stop_token::StopToken;
+use stop_token::future::FutureExt;
+
+/// What entries agree on, as last read.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    /// The version up to which it is complete.
+    pub(crate) version: u64,
+    /// Entries as observed.
+    pub(crate) entries: BTreeMap<String, ownership::Entry>,
+    /// What they wrote.
+    pub(crate) entry_rows: BTreeMap<String, rows::Entry>,
+    /// Who holds each cell.
+    pub(crate) holdings: BTreeMap<String, Holding>,
+    /// What is written of each cell.
+    pub(crate) cell_rows: BTreeMap<String, rows::Cell>,
+    /// Machines to be emptied, with their minions.
+    pub(crate) emptying: BTreeMap<String, String>,
+    /// Minions that are empty.
+    pub(crate) empty: BTreeSet<String>,
+}
+
+impl View {
+    /// How many cells each entry holds.
+    pub(crate) fn owned(&self) -> BTreeMap<String, usize> {
+        let mut owned = BTreeMap::new();
+        for holding in self.holdings.values() {
+            *owned.entry(holding.holder.clone()).or_default() += 1;
+        }
+        owned
+    }
+
+    /// Where the holder of a cell is reached.
+    pub(crate) fn holder(&self, cell: &str) -> Option<(String, SocketAddr)> {
+        let holding = self.holdings.get(cell)?;
+        let row = self.entry_rows.get(&holding.holder)?;
+        Some((holding.holder.clone(), row.peer))
+    }
+
+    /// Whether a minion is to be emptied.
+    pub(crate) fn is_emptying(&self, minion: &str) -> bool {
+        self.emptying.values().any(|other| other == minion)
+    }
+}
+
+/// The shared parts.
+pub(crate) struct Node {
+    /// This process's id, new with every start.
+    pub(crate) me: String,
+    /// What it was told.
+    pub(crate) settings: Settings,
+    /// The store.
+    pub(crate) store: store::Client,
+    /// The minions.
+    pub(crate) minion_client: minion::Client,
+    /// The interface to machines.
+    pub(crate) machines: Option<machine::Client>,
+    /// The configuration in force here.
+    pub(crate) configuration: RwLock<Option<Arc<Configuration>>>,
+    /// What entries agree on.
+    pub(crate) view: RwLock<View>,
+    /// Minions as the platform lists them.
+    pub(crate) minions: RwLock<BTreeMap<Arc<str>, minion::Entry>>,
+    /// Waves of upkeep that operators asked for.
+    pub(crate) waves: RwLock<BTreeMap<u64, Wave>>,
+    /// Cells owned here.
+    pub(crate) owners: RwLock<BTreeMap<String, Arc<Owner>>>,
+    /// The other entries.
+    pub(crate) peers: Peers,
+    /// Log lines.
+    pub(crate) journal: Arc<Journal>,
+    /// Figures.
+    pub(crate) metrics: Arc<Metrics>,
+    /// When the last successful renewal of this entry's row was sent.
+    renewed: AtomicU64,
+    /// Whether the store answered last.
+    store_answers: AtomicBool,
+    /// Whether the entry is about to stop.
+    pub(crate) stopping: AtomicBool,
+    /// Requests of callers being worked on.
+    pub(crate) flying: AtomicU64,
+    /// Ends the background tasks.
+    pub(crate) stop: StopToken,
+}
+
+impl Node {
+    pub(crate) fn new(settings: Settings, peers: Peers, stop: StopToken) -> Self {
+        let caller = Arc::new(Caller::default());
+        let machines =
+            settings.machines.map(|address| machine::Client::new(caller.clone(), address));
+        Self {
+            me: format!("{}.{:08x}", settings.name, rand::random::<u32>()),
+            store: store::Client::new(caller.clone(), settings.store),
+            minion_client: minion::Client::new(caller),
+            machines,
+            settings,
+            configuration: RwLock::default(),
+            view: RwLock::default(),
+            minions: RwLock::default(),
+            waves: RwLock::default(),
+            owners: RwLock::default(),
+            peers,
+            journal: Arc::default(),
+            metrics: Arc::default(),
+            renewed: AtomicU64::new(0),
+            store_answers: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+            flying: AtomicU64::new(0),
+            stop,
+        }
+    }
+
+    /// Sleeps; tells whether the task should go on.
+    pub(crate) async fn pause(&self, time: Duration) -> bool {
+        async_std::task::sleep(time).timeout_at(self.stop.clone()).await.is_ok()
+    }
+
+    /// Whether no new work is taken any more.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// The configuration in force here.
+    pub(crate) fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.configuration.read().clone()
+    }
+
+    /// The owner of a cell, if that is this entry.
+    pub(crate) fn owner(&self, cell: &str) -> Option<Arc<Owner>> {
+        self.owners.read().get(cell).cloned()
+    }
+
+    /// Notes a successful renewal that was sent at `sent`.
+    pub(crate) fn renewed(&self, sent: Time) {
+        self.renewed.fetch_max(sent.0, Ordering::SeqCst);
+    }
+
+    /// Time since the last successful renewal was sent.
+    pub(crate) fn since_renewal(&self) -> Duration {
+        clock::now().since(Time(self.renewed.load(Ordering::SeqCst)))
+    }
+
+    /// Whether leases on what runs may be extended.
+    ///
+    /// An owner that can't renew its row may have lost its cells without knowing it.  Its
+    /// successor reckons that it extends nothing after this time.
+    pub(crate) fn may_extend(&self) -> bool {
+        self.since_renewal() < self.settings.extend_alone.0
+    }
+
+    /// Takes note of how a call to the store went, and notes a change.
+    pub(crate) fn store_result<T>(&self, result: &Result<T, store::Error>) {
+        let answers = match result {
+            Ok(_) | Err(store::Error::Conflict { .. } | store::Error::HistoryGone) => true,
+            Err(_) => {
+                self.metrics.count(Counter::StoreFailures);
+                false
+            }
+        };
+        if self.store_answers.swap(answers, Ordering::SeqCst) == answers {
+            return;
+        }
+        match result {
+            Err(error) if !answers => self.journal.warn("store_lost", &[("reason", error)]),
+            _ => self.journal.note("store_back", &[("address", &self.settings.store)]),
+        }
+    }
+
+    /// Whether the store answered last.
+    pub(crate) fn store_answers(&self) -> bool {
+        self.store_answers.load(Ordering::SeqCst)
+    }
+
+    /// Commits a transaction and takes note of how it went.
+    pub(crate) async fn commit(
+        &self,
+        change: &store::Transaction,
+        limit: Duration,
+    ) -> Result<u64, store::Error> {
+        let began = clock::now();
+        let result = self.store.commit(change, limit).await;
+        self.metrics.time(crate::metrics::Timing::Commit, clock::now().since(began));
+        self.store_result(&result);
+        result
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/owner.rs
@@ -0,0 +1,329 @@
+//! The owner of a cell: takes it over, carries out the plans, keeps what must be kept.
+//!
+//! [`load`] reads what was kept, [`attend`] talks to one minion, [`keep`] writes progress.
+//! This file holds what they share, the planning loop and what others ask of the owner.
+
+pub(crate) mod attend;
+pub(crate) mod keep;
+pub(crate) mod load;
+
+use crate::clock;
+use crate::metrics::Counter;
+use crate::node::Node;
+use crate::rows;
+use crate::upkeep;
+use async_std::channel;
+use attend::Attendant;
+use celerythread_adapter::configuration::Configuration;
+use celerythread_engine::cell::{Cell, Order, Queue};
+use celerythread_engine::job::{Accepted, Id, decode};
+use celerythread_wire::frame::{JobAnswer, JobQuestion};
+use parking_lot::Mutex;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+use stop_token::future::FutureExt;
+use stop_token::{StopSource, StopToken};
+
+/// Longest time between two plans: for what only time changes, as leases that lapse.
+const PLAN_TICK: Duration = Duration::from_millis(100);
+
+/// Shortest time between two plans, so that ends and jobs that come together are planned
+/// together; well below what a caller notices.
+const PLAN_PAUSE: Duration = Duration::from_millis(3);
+
+/// What became of the former owner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Former {
+    /// There was none.
+    None,
+    /// It gave its last order before the cell was taken.
+    Stopped,
+    /// It may go on giving orders until minions refuse them, and extending leases for a time.
+    Silent,
+}
+
+/// Wakes a loop before its next turn.
+pub(crate) struct Wake {
+    sender: channel::Sender<()>,
+    receiver: channel::Receiver<()>,
+}
+
+impl Default for Wake {
+    fn default() -> Self {
+        let (sender, receiver) = channel::bounded(1);
+        Self { sender, receiver }
+    }
+}
+
+impl Wake {
+    /// Wakes; several calls before the next turn count as one.
+    pub(crate) fn wake(&self) {
+        // Full means that a wake-up is waiting already.
+        let _ = self.sender.try_send(());
+    }
+
+    /// Waits for a call, at most for `longest`.
+    pub(crate) async fn wait(&self, longest: Duration) {
+        let _ = async_std::future::timeout(longest, self.receiver.recv()).await;
+    }
+}
+
+/// A cell in the hands of this entry.
+pub(crate) struct Owner {
+    pub(crate) node: Arc<Node>,
+    /// The service.
+    pub(crate) service: String,
+    /// The fencing token: every order carries it, and minions refuse lower ones.
+    pub(crate) token: u64,
+    pub(crate) generation: u32,
+    pub(crate) former: Former,
+    /// The cell, once what was kept of it is read.
+    pub(crate) cell: Mutex<Option<Cell>>,
+    /// Version of the ledger's row, and the lock that keeps the owner's transactions in order.
+    pub(crate) ledger: async_std::sync::Mutex<u64>,
+    /// Minions that the kept roster names.
+    pub(crate) roster: Mutex<BTreeSet<Arc<str>>>,
+    pub(crate) attendants: Mutex<BTreeMap<Arc<str>, Arc<Attendant>>>,
+    /// Minions whose life is over although they may still be listed.
+    pub(crate) buried: Mutex<BTreeSet<Arc<str>>>,
+    pub(crate) plan_wake: Wake,
+    pub(crate) keep_wake: Wake,
+    source: Mutex<Option<StopSource>>,
+    pub(crate) stopped: StopToken,
+}
+
+impl Owner {
+    pub(crate) fn new(
+        node: Arc<Node>,
+        service: &str,
+        token: u64,
+        generation: u32,
+        former: Former,
+    ) -> Arc<Self> {
+        let source = StopSource::new();
+        let stopped = source.token();
+        Arc::new(Self {
+            node,
+            service: service.into(),
+            token,
+            generation,
+            former,
+            cell: Mutex::new(None),
+            ledger: async_std::sync::Mutex::new(0),
+            roster: Mutex::default(),
+            attendants: Mutex::default(),
+            buried: Mutex::default(),
+            plan_wake: Wake::default(),
+            keep_wake: Wake::default(),
+            source: Mutex::new(Some(source)),
+            stopped,
+        })
+    }
+
+    /// Gives no more orders.
+    pub(crate) fn stop(&self) {
+        self.source.lock().take();
+        self.attendants.lock().clear();
+        self.plan_wake.wake();
+        self.keep_wake.wake();
+    }
+
+    /// Whether it gives no more orders.
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.source.lock().is_none()
+    }
+
+    /// Sleeps; tells whether the task should go on.
+    pub(crate) async fn pause(&self, time: Duration) -> bool {
+        async_std::task::sleep(time).timeout_at(self.stopped.clone()).await.is_ok()
+    }
+
+    /// Works on the cell, once it is loaded.
+    pub(crate) fn with<T>(&self, work: impl FnOnce(&mut Cell) -> T) -> Option<T> {
+        self.cell.lock().as_mut().map(work)
+    }
+
+    /// Takes the queues of a configuration.
+    pub(crate) fn configure(&self, configuration: &Configuration) {
+        let mine = configuration.queues.iter().filter(|queue| queue.service == self.service);
+        let queues = mine.map(|queue| {
+            let policy = Queue {
+                priority: queue.priority,
+                attempts: queue.attempts,
+                stretch: queue.stretch,
+                target_ms: queue.target_ms,
+            };
+            (queue.name.as_str().into(), policy)
+        });
+        self.with(|cell| cell.configure(queues));
+    }
+
+    /// Takes in an accepted job.
+    pub(crate) fn accept(&self, id: Id, row: &[u8]) {
+        let accepted: Accepted = match decode(row) {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                self.node.journal.warn("job_unreadable", &[("job", &id), ("reason", &error)]);
+                return;
+            }
+        };
+        let age = Duration::from_millis(clock::wall_ms().saturating_sub(accepted.at_ms));
+        let now = clock::now();
+        let added = self.with(|cell| cell.add_job(id, accepted, None, false, age, now));
+        if added == Some(true) {
+            self.node.journal.note(
+                "job_known",
+                &[("job", &id), ("service", &self.service), ("age_ms", &age.as_millis())],
+            );
+            self.plan_wake.wake();
+        }
+    }
+
+    /// Takes in a cancellation.
+    pub(crate) fn cancel(&self, id: Id) {
+        self.with(|cell| cell.cancel(&id, clock::now()));
+        self.plan_wake.wake();
+    }
+
+    /// Answers another entry, or this one's own front; none while the cell is not loaded.
+    pub(crate) fn answer(&self, question: &JobQuestion) -> Option<JobAnswer> {
+        if self.is_stopped() || self.cell.lock().is_none() {
+            return None;
+        }
+        match question {
+            JobQuestion::Accepted { id, row, .. } => {
+                self.accept(*id, row);
+                Some(JobAnswer::Noted)
+            }
+            JobQuestion::Cancelled { id, .. } => {
+                self.cancel(*id);
+                Some(JobAnswer::Noted)
+            }
+            JobQuestion::State { id, .. } => self.with(|cell| JobAnswer::State(cell.state(id))),
+            JobQuestion::Pending { queue, .. } => {
+                self.with(|cell| JobAnswer::Pending(cell.pending(queue) as u32))
+            }
+        }
+    }
+
+    /// Takes in the minions as they are listed now.
+    pub(crate) fn minions_changed(&self) {
+        self.plan_wake.wake();
+    }
+
+    /// Takes in which minions are to be emptied.
+    pub(crate) fn control_changed(&self) {
+        self.plan_wake.wake();
+    }
+
+    /// Brings the cell's minions in line with the platform's list and the machines that are to
+    /// be emptied.
+    fn sync_minions(&self) {
+        let minions = self.node.minions.read();
+        let buried = self.buried.lock().clone();
+        let mine = minions
+            .iter()
+            .filter(|(id, entry)| entry.service == self.service && !buried.contains(*id));
+        let view = self.node.view.read();
+        self.with(|cell| {
+            let known: Vec<Arc<str>> = cell.minions().map(|minion| minion.id.clone()).collect();
+            for (id, entry) in mine {
+                cell.list(id, entry.listing.clone());
+            }
+            for id in &known {
+                if minions.get(id).is_none_or(|entry| entry.service != self.service) {
+                    cell.unlist(id);
+                }
+            }
+            let all: Vec<Arc<str>> = cell.minions().map(|minion| minion.id.clone()).collect();
+            for id in &all {
+                cell.set_leaving(id, view.is_emptying(id));
+            }
+        });
+    }
+}
+
+/// Starts working on a cell that this entry holds.
+pub(crate) fn start(owner: Arc<Owner>) {
+    if owner.service == rows::UPKEEP_CELL {
+        async_std::task::spawn(upkeep::carry(owner));
+    } else {
+        async_std::task::spawn(run(owner));
+    }
+}
+
+async fn run(owner: Arc<Owner>) {
+    let Some(version) = load::take_over(&owner).await else { return };
+    async_std::task::spawn(load::follow_jobs(owner.clone(), version));
+    async_std::task::spawn(keep::keep_forever(owner.clone()));
+    plan_forever(owner).await;
+}
+
+async fn plan_forever(owner: Arc<Owner>) {
+    while !owner.is_stopped() {
+        owner.sync_minions();
+        attend::sync(&owner).await;
+        // An owner that may have been replaced starts and stops nothing.
+        if owner.node.may_extend() {
+            let now = clock::now();
+            let orders = owner.with(|cell| cell.plan(now, clock::wall_ms())).unwrap_or_default();
+            dispatch(&owner, orders);
+            if owner.with(|cell| cell.unkept(1).is_some()).unwrap_or(false) {
+                owner.keep_wake.wake();
+            }
+            report_empty(&owner).await;
+        }
+        if !owner.pause(PLAN_PAUSE).await {
+            return;
+        }
+        owner.plan_wake.wait(PLAN_TICK).await;
+    }
+}
+
+/// Hands orders to the minions' attendants.
+pub(crate) fn dispatch(owner: &Owner, orders: Vec<Order>) {
+    let attendants = owner.attendants.lock();
+    for order in orders {
+        let (minion, event, counter) = match &order {
+            Order::Start { minion, .. } => (minion, "start_ordered", Counter::Starts),
+            Order::Stop { minion, .. } => (minion, "stop_ordered", Counter::Stops),
+        };
+        let (Order::Start { task, run, .. } | Order::Stop { task, run, .. }) = &order;
+        owner.node.metrics.count(counter);
+        owner.node.journal.note(
+            event,
+            &[
+                ("job", &task.job),
+                ("task", task),
+                ("run", run),
+                ("minion", minion),
+                ("token", &owner.token),
+            ],
+        );
+        if let Some(attendant) = attendants.get(minion) {
+            attendant.order(order);
+        }
+    }
+}
+
+/// Writes which of the minions that are to be emptied are empty.
+async fn report_empty(owner: &Arc<Owner>) {
+    let ready: Vec<Arc<str>> = {
+        let view = owner.node.view.read();
+        if view.emptying.is_empty() {
+            return;
+        }
+        let empty = |cell: &mut Cell| {
+            cell.minions()
+                .filter(|minion| minion.leaving && minion.answered && minion.is_empty())
+                .filter(|minion| !view.empty.contains(&*minion.id))
+                .map(|minion| minion.id.clone())
+                .collect()
+        };
+        owner.with(empty).unwrap_or_default()
+    };
+    if !ready.is_empty() {
+        upkeep::write_empty(&owner.node, &ready).await;
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/owner/attend.rs
@@ -0,0 +1,349 @@
+//! Attending one minion: looking at it, extending its leases, giving it orders.
+
+use crate::clock;
+use crate::metrics::{Counter, Timing};
+use crate::owner::load::{LAPSE_MARGIN, SLOWEST_CLOCK};
+use crate::owner::{Owner, Wake, dispatch, keep};
+use crate::rows;
+use async_std::channel;
+use celerythread_adapter::Failure;
+use celerythread_adapter::minion::{Hold, Reply, Target};
+use celerythread_adapter::store::{Name, Transaction};
+use celerythread_engine::cell::{MinionId, Order, Refusal, Report, StartResult};
+use celerythread_engine::job::encode;
+use celerythread_engine::time::Time;
+use parking_lot::Mutex;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a look waits for an end while something runs.  It bounds the age of what is known
+/// of progress.
+const LOOK_WAIT: Duration = Duration::from_millis(1000);
+
+/// Time between two looks at a minion on which nothing runs.
+const IDLE_LOOK: Duration = Duration::from_millis(1500);
+
+/// Longest wait for an answer beyond the wait asked for.
+const ANSWER_LIMIT: Duration = Duration::from_millis(700);
+
+/// Longest wait for the answer to an order.  Round trips take some 6 ms; an order that is not
+/// answered in this time is reckoned to be carried out late or never.
+const ORDER_LIMIT: Duration = Duration::from_millis(500);
+
+/// Pause after a look without an answer.
+const MISSED_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest wait for ends to be kept before looking again all the same.
+const KEPT_WAIT: Duration = Duration::from_millis(500);
+
+/// Orders given to one minion at a time: one that isn't answered must not hold up the rest.
+const LANES: usize = 3;
+
+/// A minion's clock as last told.
+#[derive(Clone, Copy, Debug)]
+struct MinionClock {
+    /// What it told, in milliseconds.
+    told_ms: u64,
+    /// When that answer came.
+    at: Time,
+}
+
+impl MinionClock {
+    /// The latest time that it can show now.
+    fn now_ms(&self) -> u64 {
+        self.told_ms + clock::now().since(self.at).as_millis() as u64
+    }
+
+    /// When it must have passed `deadline_ms` even if it is slow.
+    fn passes(&self, deadline_ms: u64) -> Time {
+        let ahead = Duration::from_millis(deadline_ms.saturating_sub(self.told_ms));
+        self.at + ahead.div_f64(SLOWEST_CLOCK) + LAPSE_MARGIN
+    }
+}
+
+/// What the owner holds of a minion that is attended.
+pub(crate) struct Attendant {
+    target: Target,
+    orders: channel::Sender<Order>,
+    queue: channel::Receiver<Order>,
+    /// Wakes its look.
+    pub(crate) kick: Wake,
+    clock: Mutex<Option<MinionClock>>,
+}
+
+impl Attendant {
+    /// Queues an order, and looks soon at what comes of it.
+    pub(crate) fn order(&self, order: Order) {
+        // Fails only when the attendant has ended; the minion's lapse then settles the run.
+        let _ = self.orders.try_send(order);
+        self.kick.wake();
+    }
+}
+
+/// Attends each minion of the cell, after the roster that names it is kept: a later owner must
+/// know where something may run.
+pub(crate) async fn sync(owner: &Arc<Owner>) {
+    let wanted: Vec<MinionId> = owner
+        .with(|cell| cell.minions().map(|minion| minion.id.clone()).collect())
+        .unwrap_or_default();
+    let fresh: Vec<MinionId> = {
+        let attendants = owner.attendants.lock();
+        wanted.iter().filter(|id| !attendants.contains_key(*id)).cloned().collect()
+    };
+    if fresh.is_empty() {
+        return;
+    }
+    let unnamed = {
+        let roster = owner.roster.lock();
+        fresh.iter().any(|id| !roster.contains(id))
+    };
+    if unnamed && !keep_roster(owner, &wanted).await {
+        return;
+    }
+    for id in fresh {
+        let address = owner.node.minions.read().get(&id).map(|entry| entry.address);
+        if let Some(address) = address {
+            attend(owner, id, address);
+        }
+    }
+}
+
+async fn keep_roster(owner: &Arc<Owner>, minions: &[MinionId]) -> bool {
+    let roster = rows::Roster { minions: minions.iter().map(|id| id.to_string()).collect() };
+    let name = Name::new(rows::JOBS, &owner.service, rows::ROSTER_KEY);
+    let change = Transaction { writes: vec![(name, encode(&roster))], ..Transaction::default() };
+    let kept = keep::write(owner, change).await;
+    if kept {
+        *owner.roster.lock() = minions.iter().cloned().collect::<BTreeSet<_>>();
+    }
+    kept
+}
+
+fn attend(owner: &Arc<Owner>, id: MinionId, address: SocketAddr) {
+    let (orders, queue) = channel::unbounded();
+    let attendant = Arc::new(Attendant {
+        target: Target { address, id: id.clone() },
+        orders,
+        queue,
+        kick: Wake::default(),
+        clock: Mutex::new(None),
+    });
+    owner.attendants.lock().insert(id, attendant.clone());
+    for _ in 0..LANES {
+        async_std::task::spawn(give_orders(owner.clone(), attendant.clone()));
+    }
+    async_std::task::spawn(look_forever(owner.clone(), attendant));
+}
+
+/// Looks at a minion until it is gone or the cell is lost.
+async fn look_forever(owner: Arc<Owner>, attendant: Arc<Attendant>) {
+    use stop_token::future::FutureExt;
+    let stopped = owner.stopped.clone();
+    let looking = async {
+        let mut told = 0;
+        let mut missed = false;
+        while let Some(next) = next_look(&owner, &attendant, told).await {
+            told = next.acknowledged;
+            missed = !look(&owner, &attendant, next, missed).await;
+            if missed {
+                async_std::task::sleep(MISSED_PAUSE).await;
+            }
+        }
+    };
+    let _ = looking.timeout_at(stopped).await;
+    // Closing the queue ends the lanes.
+    attendant.queue.close();
+    let mut attendants = owner.attendants.lock();
+    if attendants.get(&attendant.target.id).is_some_and(|now| Arc::ptr_eq(now, &attendant)) {
+        attendants.remove(&attendant.target.id);
+    }
+}
+
+struct Look {
+    acknowledged: u64,
+    wait: Duration,
+}
+
+/// Waits until the next look is due; none when the minion is no longer of interest.
+async fn next_look(owner: &Owner, attendant: &Attendant, told: u64) -> Option<Look> {
+    let id = &attendant.target.id;
+    let state = || {
+        owner.with(|cell| {
+            cell.minion(id).map(|minion| {
+                let ended = !minion.listed && minion.is_empty() && !minion.has_unkept();
+                let fresh = !minion.answered;
+                let busy = !minion.is_empty() && !fresh;
+                (ended && !fresh, busy, fresh, minion.has_unkept(), minion.acknowledged())
+            })
+        })
+    };
+    let (ended, busy, fresh, unkept, acknowledged) = state()??;
+    if ended && acknowledged == told {
+        return None;
+    }
+    // Unacknowledged ends are listed again at once, so a look before they are kept would only
+    // repeat the last one.
+    if unkept {
+        attendant.kick.wait(KEPT_WAIT).await;
+    } else if !busy && !fresh && acknowledged == told {
+        attendant.kick.wait(IDLE_LOOK).await;
+    }
+    let (_, busy, fresh, unkept, acknowledged) = state()??;
+    let wait = if busy && !fresh && !unkept { LOOK_WAIT } else { Duration::ZERO };
+    Some(Look { acknowledged, wait })
+}
+
+/// Looks once; true if the minion answered.
+async fn look(owner: &Arc<Owner>, attendant: &Attendant, look: Look, missed: bool) -> bool {
+    let id = &attendant.target.id;
+    // After a miss nothing is extended before the minion has answered: extending what doesn't
+    // answer would put off its lapse for ever.
+    let deadline_ms = if missed { None } else { promise(owner, attendant) };
+    let wait = if missed { Duration::ZERO } else { look.wait };
+    let hold = Hold { token: owner.token, acknowledged: look.acknowledged, deadline_ms, wait };
+    let sent = clock::now();
+    owner.node.metrics.count(Counter::Holds);
+    let answer = owner.node.minion_client.hold(&attendant.target, &hold, wait + ANSWER_LIMIT).await;
+    match answer {
+        Ok(Reply::Done(report, clock_ms)) => {
+            *attendant.clock.lock() = Some(MinionClock { told_ms: clock_ms, at: clock::now() });
+            take_report(owner, id, &report, sent);
+            true
+        }
+        Ok(Reply::OtherLife) => {
+            bury(owner, id);
+            true
+        }
+        Ok(Reply::Refused(reason)) => {
+            note_missed(owner, id, &reason);
+            false
+        }
+        Err(failure) => {
+            note_missed(owner, id, &failure);
+            false
+        }
+    }
+}
+
+/// The deadline to give a minion, noted as a promise before it is sent; none while leases must
+/// not be extended or its clock is not known.
+fn promise(owner: &Owner, attendant: &Attendant) -> Option<u64> {
+    if !owner.node.may_extend() || owner.is_stopped() {
+        return None;
+    }
+    let known = (*attendant.clock.lock())?;
+    let deadline_ms = known.now_ms() + owner.node.settings.run_lease.0.as_millis() as u64;
+    owner.with(|cell| cell.promise(&attendant.target.id, known.passes(deadline_ms)));
+    Some(deadline_ms)
+}
+
+fn take_report(owner: &Arc<Owner>, id: &MinionId, report: &Report, sent: Time) {
+    let before = owner.with(|cell| cell.minion(id).map(|minion| minion.reachable)).flatten();
+    let orders = owner.with(|cell| cell.report(id, report, sent, clock::now()));
+    if before == Some(false) {
+        owner
+            .node
+            .journal
+            .note("minion_answers", &[("minion", id), ("running", &report.running.len())]);
+    }
+    for end in &report.finished {
+        owner.node.journal.note(
+            "run_ended",
+            &[
+                ("job", &end.task.job),
+                ("task", &end.task),
+                ("run", &end.run),
+                ("how", &end.how),
+                ("minion", id),
+            ],
+        );
+    }
+    dispatch(owner, orders.unwrap_or_default());
+    owner.plan_wake.wake();
+}
+
+fn note_missed(owner: &Owner, id: &MinionId, reason: &dyn std::fmt::Display) {
+    owner.node.metrics.count(Counter::HoldsMissed);
+    owner.node.journal.warn("minion_missed", &[("minion", id), ("reason", reason)]);
+    owner.with(|cell| cell.missed(id));
+    owner.plan_wake.wake();
+}
+
+fn bury(owner: &Owner, id: &MinionId) {
+    owner.node.journal.warn("minion_over", &[("minion", id)]);
+    owner.buried.lock().insert(id.clone());
+    owner.with(|cell| cell.bury(id, clock::now()));
+    owner.plan_wake.wake();
+}
+
+async fn give_orders(owner: Arc<Owner>, attendant: Arc<Attendant>) {
+    while let Ok(order) = attendant.queue.recv().await {
+        match order {
+            Order::Start { task, run, .. } => {
+                let began = clock::now();
+                let result = start(&owner, &attendant, &order).await;
+                owner.node.metrics.time(Timing::Start, clock::now().since(began));
+                if result != StartResult::Started {
+                    owner.node.journal.warn(
+                        "start_failed",
+                        &[
+                            ("job", &task.job),
+                            ("task", &task),
+                            ("run", &run),
+                            ("minion", &attendant.target.id),
+                            ("result", &format_args!("{result:?}")),
+                        ],
+                    );
+                }
+                let id = &attendant.target.id;
+                owner.with(|cell| cell.start_result(id, &task, run, result, clock::now()));
+                if result != StartResult::Started {
+                    owner.plan_wake.wake();
+                }
+            }
+            Order::Stop { task, run, .. } => {
+                let (to, client) = (&attendant.target, &owner.node.minion_client);
+                let answer = client.stop(to, &task, run, owner.token, ORDER_LIMIT).await;
+                match answer {
+                    Ok(Reply::Done(..)) => {
+                        let now = clock::now();
+                        owner.with(|cell| cell.stop_confirmed(&to.id, &task, run, now));
+                        attendant.kick.wake();
+                    }
+                    Ok(Reply::OtherLife) => bury(&owner, &to.id),
+                    // Ordered again by a later plan.
+                    Ok(Reply::Refused(_)) | Err(_) => {}
+                }
+            }
+        }
+    }
+}
+
+async fn start(owner: &Owner, attendant: &Attendant, order: &Order) -> StartResult {
+    let Some(deadline_ms) = promise(owner, attendant) else {
+        return StartResult::Refused(Refusal::Unhealthy);
+    };
+    let (to, client) = (&attendant.target, &owner.node.minion_client);
+    match client.start(to, order, deadline_ms, owner.token, ORDER_LIMIT).await {
+        Ok(Reply::Done(result, _)) => {
+            if result == StartResult::Unknown {
+                owner.node.metrics.count(Counter::StartsUnknown);
+            }
+            result
+        }
+        Ok(Reply::Refused(reason)) => {
+            owner.node.metrics.count(Counter::StartsRefused);
+            StartResult::Refused(reason)
+        }
+        Ok(Reply::OtherLife) => {
+            bury(owner, &to.id);
+            StartResult::Refused(Refusal::Unhealthy)
+        }
+        Err(Failure::NotSent { .. } | Failure::Unanswered { .. }) => {
+            owner.with(|cell| cell.missed(&to.id));
+            StartResult::Refused(Refusal::Unhealthy)
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/owner/load.rs
@@ -0,0 +1,209 @@
+//! Taking a cell over: fencing the former owner in the store, and reading what it kept.
+
+use crate::clock;
+use crate::follow::{self, Sink, Table};
+use crate::owner::{Former, Owner};
+use crate::rows;
+use celerythread_adapter::store::{Error, Name, Page, Row, Transaction};
+use celerythread_engine::cell::{Cell, Settings};
+use celerythread_engine::job::{Accepted, Id, Progress, decode, encode};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest wait for a call.
+const CALL_LIMIT: Duration = Duration::from_millis(1000);
+
+/// Pause after a failed call.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// Minions' clocks may be this much slow; a lease lasts that much longer.
+pub(crate) const SLOWEST_CLOCK: f64 = 0.98;
+
+/// Added to every reckoning of when a lease must have lapsed: calls on their way.
+pub(crate) const LAPSE_MARGIN: Duration = Duration::from_millis(150);
+
+/// Fences the former owner and reads the cell; returns the version to follow the jobs from.
+pub(crate) async fn take_over(owner: &Arc<Owner>) -> Option<u64> {
+    take_ledger(owner).await?;
+    loop {
+        match read(owner).await {
+            Ok(version) => return Some(version),
+            Err(error) => {
+                owner
+                    .node
+                    .journal
+                    .warn("cell_unread", &[("service", &owner.service), ("reason", &error)]);
+                if !owner.pause(RETRY).await {
+                    return None;
+                }
+            }
+        }
+    }
+}
+
+/// Writes the ledger with this owner's token; from then on no transaction of a former owner
+/// goes through.
+async fn take_ledger(owner: &Arc<Owner>) -> Option<()> {
+    let mut ledger = owner.ledger.lock().await;
+    loop {
+        let row =
+            owner.node.store.get(rows::JOBS, &owner.service, rows::LEDGER_KEY, CALL_LIMIT).await;
+        owner.node.store_result(&row);
+        if let Ok(row) = row {
+            let known = row.as_ref().map_or(0, |row| row.version);
+            let holder = row.and_then(|row| decode::<rows::Ledger>(&row.value).ok());
+            match holder.map_or(0, |ledger| ledger.token) {
+                token if token == owner.token => {
+                    *ledger = known;
+                    return Some(());
+                }
+                token if token > owner.token => return None,
+                _ => {
+                    let _ = write_ledger(owner, known, Transaction::default()).await;
+                    // Read again rather than trust the answer's version: it tells the store's,
+                    // not the row's.
+                    continue;
+                }
+            }
+        }
+        if !owner.pause(RETRY).await {
+            return None;
+        }
+    }
+}
+
+/// Commits a change of this owner, on condition that the ledger has the given version.
+pub(crate) async fn write_ledger(
+    owner: &Owner,
+    version: u64,
+    change: Transaction,
+) -> Result<u64, Error> {
+    let name = Name::new(rows::JOBS, &owner.service, rows::LEDGER_KEY);
+    let mut change = change;
+    change.conditions.push((name.clone(), version));
+    change.writes.push((name, encode(&rows::Ledger { token: owner.token })));
+    owner.node.commit(&change, CALL_LIMIT).await
+}
+
+/// When everything that the former owner ordered must have lapsed on minions that don't answer.
+fn former_lapse(owner: &Owner) -> Option<celerythread_engine::time::Time> {
+    let settings = &owner.node.settings;
+    let lease = settings.run_lease.0.div_f64(SLOWEST_CLOCK) + LAPSE_MARGIN;
+    match owner.former {
+        Former::None => None,
+        Former::Stopped => Some(clock::now() + lease),
+        // Its last renewal was before its row was seen unchanged for the first time, so it
+        // stops extending before this.
+        Former::Silent => {
+            let extends = settings.extend_alone.0.saturating_sub(settings.takeover_after.0);
+            Some(clock::now() + extends + lease)
+        }
+    }
+}
+
+async fn read(owner: &Arc<Owner>) -> Result<u64, Error> {
+    let (store, service) = (&owner.node.store, owner.service.as_str());
+    let lapse = former_lapse(owner);
+    let roster = store.get(rows::JOBS, service, rows::ROSTER_KEY, CALL_LIMIT).await?;
+    // The jobs first: what is accepted later is in the feed, and has no progress yet.
+    let jobs = store.all(rows::JOBS, service, "", CALL_LIMIT).await?;
+    let progress = store.all(rows::PROGRESS, service, "", CALL_LIMIT).await?;
+    let settings = Settings {
+        stop_timeout: owner.node.settings.stop_timeout.0,
+        notice: owner.node.settings.notice.0,
+        retention: owner.node.settings.retention.0 + Duration::from_secs(30),
+        remote_factor: owner.node.settings.remote_factor,
+        ..Settings::default()
+    };
+    let mut cell = Cell::new(settings, owner.generation, lapse);
+    let version = jobs.version;
+    let count = fill(owner, &mut cell, jobs, progress);
+    let roster: rows::Roster = roster.and_then(|row| decode(&row.value).ok()).unwrap_or_default();
+    for minion in roster.minions {
+        let id: Arc<str> = minion.into();
+        cell.inherit(&id);
+        owner.roster.lock().insert(id);
+    }
+    *owner.cell.lock() = Some(cell);
+    if let Some(configuration) = owner.node.configuration() {
+        owner.configure(&configuration);
+    }
+    owner.node.journal.note(
+        "cell_loaded",
+        &[("service", &service), ("token", &owner.token), ("jobs", &count), ("version", &version)],
+    );
+    Ok(version)
+}
+
+/// Fills a cell with kept jobs; returns how many.
+fn fill(owner: &Owner, cell: &mut Cell, jobs: Page, progress: Page) -> usize {
+    let progress: BTreeMap<String, Progress> = progress
+        .rows
+        .into_iter()
+        .filter_map(|row| Some((row.key, decode(&row.value).ok()?)))
+        .collect();
+    let (now, wall) = (clock::now(), clock::wall_ms());
+    let mut count = 0;
+    for row in &jobs.rows {
+        let Some(id) = job_id(row, rows::JOB_PREFIX) else { continue };
+        let accepted: Accepted = match decode(&row.value) {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                owner.node.journal.warn("job_unreadable", &[("job", &id), ("reason", &error)]);
+                continue;
+            }
+        };
+        let age = Duration::from_millis(wall.saturating_sub(accepted.at_ms));
+        let inherited = owner.generation > 0;
+        count += 1;
+        cell.add_job(id, accepted, progress.get(&id.to_string()), inherited, age, now);
+    }
+    for row in &jobs.rows {
+        if let Some(id) = job_id(row, rows::CANCEL_PREFIX) {
+            cell.cancel(&id, now);
+        }
+    }
+    count
+}
+
+fn job_id(row: &Row, prefix: &str) -> Option<Id> {
+    row.key.strip_prefix(prefix)?.parse().ok()
+}
+
+/// Takes in the rows of this cell's jobs as they are written.
+struct Jobs(Arc<Owner>);
+
+impl Sink for Jobs {
+    fn replace(&self, rows: Vec<Row>) {
+        self.change(rows);
+    }
+
+    fn change(&self, rows: Vec<Row>) {
+        let owner = &self.0;
+        for row in rows.iter().filter(|row| row.part == owner.service && !row.dropped) {
+            if let Some(id) = job_id(row, rows::JOB_PREFIX) {
+                owner.accept(id, &row.value);
+            } else if let Some(id) = job_id(row, rows::CANCEL_PREFIX) {
+                owner.cancel(id);
+            }
+        }
+    }
+}
+
+/// Follows the jobs that entries accept.  They also tell the owner at once; this brings what
+/// such a message did not.
+pub(crate) async fn follow_jobs(owner: Arc<Owner>, version: u64) {
+    use stop_token::future::FutureExt;
+    let table = Table {
+        name: rows::JOBS,
+        part: owner.service.clone(),
+        // Half a second later than a message is far below what callers are promised.
+        pause: Duration::from_millis(400),
+    };
+    let sink = Jobs(owner.clone());
+    let mut version = version;
+    let following = follow::follow_from(&owner.node, &table, &sink, &mut version);
+    // Ends when the cell is lost.
+    let _ = following.timeout_at(owner.stopped.clone()).await;
+}
--- /dev/null
+++ b/crates/scheduler/src/rows.rs
@@ -0,0 +1,103 @@
+//! The rows that entries keep in the platform's store: tables, keys and values.
+//!
+//! Table `control`, one partition: an entry's row (`entry/ID`), a cell's (`cell/SERVICE`),
+//! machines to be emptied (`emptying/MACHINE`), minions that are empty (`empty/MINION`), how far
+//! waves are (`wave/N`) and the entries' certificate authority (`authority`).
+//!
+//! Tables `jobs` and `progress`, a partition for each service: accepted jobs (`job/ID`),
+//! cancellations (`cancel/ID`), the owner's ledger (`ledger`), the minions that it uses
+//! (`roster`); and each job's progress (`ID`).
+
+use celerythread_adapter::store::Name;
+use celerythread_engine::job::Id;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// What entries agree on.
+pub(crate) const CONTROL: &str = "control";
+/// Accepted jobs.
+pub(crate) const JOBS: &str = "jobs";
+/// How far jobs are.
+pub(crate) const PROGRESS: &str = "progress";
+
+pub(crate) const ENTRY_PREFIX: &str = "entry/";
+pub(crate) const CELL_PREFIX: &str = "cell/";
+pub(crate) const EMPTYING_PREFIX: &str = "emptying/";
+pub(crate) const EMPTY_PREFIX: &str = "empty/";
+pub(crate) const WAVE_PREFIX: &str = "wave/";
+pub(crate) const AUTHORITY_KEY: &str = "authority";
+pub(crate) const JOB_PREFIX: &str = "job/";
+pub(crate) const CANCEL_PREFIX: &str = "cancel/";
+pub(crate) const LEDGER_KEY: &str = "ledger";
+pub(crate) const ROSTER_KEY: &str = "roster";
+
+/// The cell whose owner carries the upkeep of machines.  No service has such a name: the
+/// platform's begin with a letter.
+pub(crate) const UPKEEP_CELL: &str = "~upkeep";
+
+/// An entry's row, rewritten at each renewal.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Entry {
+    /// The instance's name, the same over restarts.
+    pub(crate) name: String,
+    /// Where peers reach it.
+    pub(crate) peer: SocketAddr,
+    /// Whether it is about to stop.
+    pub(crate) stopping: bool,
+}
+
+/// A cell's row, rewritten only when its holder changes.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Cell {
+    /// The entry that holds it.
+    pub(crate) holder: String,
+    /// How many holders it had before.
+    pub(crate) generation: u32,
+    /// Whether the former holder had certainly stopped giving orders before this was written.
+    pub(crate) former_stopped: bool,
+}
+
+/// The ledger of a cell: each of its owner's transactions rewrites it on condition of its
+/// version, so a transaction that the store carries out late can't undo a newer one, and one of
+/// a former owner can't be carried out at all.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Ledger {
+    /// The owner's fencing token.
+    pub(crate) token: u64,
+}
+
+/// The minions on which an owner may have started something.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct Roster {
+    /// Their ids.
+    pub(crate) minions: Vec<String>,
+}
+
+/// The entries' certificate authority.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Authority {
+    /// The certificate as PEM.
+    pub(crate) certificate: String,
+    /// The key as PEM.
+    pub(crate) key: String,
+}
+
+/// A row of the control table.
+pub(crate) fn control(prefix: &str, key: &str) -> Name {
+    Name::new(CONTROL, "", format!("{prefix}{key}"))
+}
+
+/// The row of a job.
+pub(crate) fn job(service: &str, id: &Id) -> Name {
+    Name::new(JOBS, service, format!("{JOB_PREFIX}{id}"))
+}
+
+/// The row of a job's cancellation.
+pub(crate) fn cancel(service: &str, id: &Id) -> Name {
+    Name::new(JOBS, service, format!("{CANCEL_PREFIX}{id}"))
+}
+
+/// The row of a job's progress.
+pub(crate) fn progress(service: &str, id: &Id) -> Name {
+    Name::new(PROGRESS, service, id.to_string())
+}
--- /dev/null
+++ b/crates/scheduler/src/settings.rs
@@ -0,0 +1,151 @@
+//! The settings of an entry: an INI file, checked as a whole.
+
+use celerythread_model::ini::{Mistake, Reader};
+use celerythread_model::unit::Span;
+use std::net::SocketAddr;
+
+/// Everything that an entry is told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The instance's name.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where callers reach it.
+    pub caller_listen: SocketAddr,
+    /// Where it is asked whether it takes callers; may be the callers' own address.
+    pub ready_listen: SocketAddr,
+    /// Where peers reach it, over UDP.
+    pub peer_listen: SocketAddr,
+    /// Where counters and histograms are served; none serves none.
+    pub metrics_listen: Option<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The platform's interface to machines; without it no upkeep is carried out.
+    pub machines: Option<SocketAddr>,
+    /// Term of a lease on what runs on a minion.
+    pub run_lease: Span,
+    /// How long an owner that can't renew its row goes on extending leases.
+    pub extend_alone: Span,
+    /// Time between two renewals of this entry's row.
+    pub renew: Span,
+    /// Silence of an entry after which its cells are taken over.
+    pub takeover_after: Span,
+    /// Longest time that a minion takes to stop a run.
+    pub stop_timeout: Span,
+    /// Time for which holders of the upkeep duty must not take turns.
+    pub upkeep_lease: Span,
+    /// How long a machine is down for its upkeep.
+    pub upkeep_duration: Span,
+    /// How long a lasting task may be away unnoticed.
+    pub notice: Span,
+    /// How long ended jobs are kept.
+    pub retention: Span,
+    /// How much longer a task takes away from its data.
+    pub remote_factor: f64,
+    /// Longest time for a graceful stop.
+    pub stop_bound: Span,
+    /// Largest body of a caller's request, in bytes.
+    pub body_limit: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            name: "entry".into(),
+            zone: "zone".into(),
+            caller_listen: any_port,
+            ready_listen: any_port,
+            peer_listen: any_port,
+            metrics_listen: None,
+            store: any_port,
+            machines: None,
+            // A takeover takes some 3 s (silence, a transaction, one call to each minion), and
+            // what runs is to outlive it; longer would delay the restart of what a lost minion
+            // ran.
+            run_lease: Span::millis(5000),
+            // With the lease, rides out an outage of the store of some 10 s; longer would delay
+            // a new owner where a minion doesn't answer it.
+            extend_alone: Span::millis(5000),
+            renew: Span::millis(500),
+            takeover_after: Span::millis(2500),
+            stop_timeout: Span::millis(900),
+            upkeep_lease: Span::millis(3000),
+            upkeep_duration: Span::millis(2000),
+            notice: Span::millis(4500),
+            retention: Span::secs(120),
+            remote_factor: 1.5,
+            stop_bound: Span::millis(6000),
+            body_limit: 262_144,
+        }
+    }
+}
+
+/// The sections of the file.
+const SECTIONS: [&str; 8] =
+    ["instance", "caller", "peer", "metrics", "platform", "run", "upkeep", "stop"];
+
+impl Settings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    /// Every mistake at once.
+    pub fn read(text: &str) -> Result<Self, Vec<Mistake>> {
+        let mut reader = Reader::new(text);
+        let settings = Self::take(&mut reader);
+        settings.check(&mut reader);
+        let mistakes = reader.finish(|section| SECTIONS.contains(&section));
+        if mistakes.is_empty() { Ok(settings) } else { Err(mistakes) }
+    }
+
+    fn take(reader: &mut Reader) -> Self {
+        let base = Settings::default();
+        let caller_listen = reader.required("caller", "listen").unwrap_or(base.caller_listen);
+        Settings {
+            name: reader.required("instance", "name").unwrap_or(base.name),
+            zone: reader.required("instance", "zone").unwrap_or(base.zone),
+            caller_listen,
+            ready_listen: reader.value("caller", "ready_listen", caller_listen),
+            body_limit: reader.value("caller", "body_limit", base.body_limit),
+            peer_listen: reader.required("peer", "listen").unwrap_or(base.peer_listen),
+            renew: reader.value("peer", "renew", base.renew),
+            takeover_after: reader.value("peer", "takeover_after", base.takeover_after),
+            metrics_listen: reader.optional("metrics", "listen"),
+            store: reader.required("platform", "store").unwrap_or(base.store),
+            machines: reader.optional("platform", "machines"),
+            retention: reader.value("platform", "retention", base.retention),
+            run_lease: reader.value("run", "lease", base.run_lease),
+            extend_alone: reader.value("run", "extend_alone", base.extend_alone),
+            stop_timeout: reader.value("run", "stop_timeout", base.stop_timeout),
+            notice: reader.value("run", "notice", base.notice),
+            remote_factor: reader.value("run", "remote_factor", base.remote_factor),
+            upkeep_lease: reader.value("upkeep", "lease", base.upkeep_lease),
+            upkeep_duration: {
+                let seconds = base.upkeep_duration.0.as_secs_f64();
+                let seconds: f64 = reader.value("upkeep", "duration_s", seconds);
+                Span::millis((seconds.max(0.0) * 1000.0) as u64)
+            },
+            stop_bound: reader.value("stop", "bound", base.stop_bound),
+        }
+    }
+
+    /// What no single key can tell.
+    fn check(&self, reader: &mut Reader) {
+        use celerythread_model::code::Code;
+        if self.takeover_after.0 < self.renew.0 * 3 {
+            let text = format!(
+                "takeover_after {} is less than three renewals of {}; a healthy entry would lose its cells",
+                self.takeover_after, self.renew
+            );
+            reader.note(Code::Contradiction, "peer", "takeover_after", text);
+        }
+        if self.run_lease.0 < self.takeover_after.0 {
+            let text = format!(
+                "lease {} is less than takeover_after {}; whatever runs would end with its owner",
+                self.run_lease, self.takeover_after
+            );
+            reader.note(Code::Contradiction, "run", "lease", text);
+        }
+    }
+}
--- a/src/bin/celerythreadd.rs
+++ b/src/bin/celerythreadd.rs
@@ -13,8 +13,8 @@
         ///
         /// Example: celerythreadd --settings entry.ini
         cmd celerythreadd {
-            /// The settings, an INI file.
-            required --settings path: PathBuf
+            /// The settings, an INI file; without it, the file that CELERYTHREAD_SETTINGS names.
+            optional --settings path: PathBuf
             /// Checks the settings, prints every mistake, and exits.
             optional --check
         }
@@ -26,11 +26,13 @@
         Ok(flags) => flags,
         Err(error) => error.exit(),
     };
-    let done = if flags.check {
-        daemon::read_settings(&flags.settings).map(|_| println!("the settings are right"))
-    } else {
-        daemon::run(&flags.settings)
-    };
+    let done = daemon::settings_path(flags.settings).and_then(|path| {
+        if flags.check {
+            daemon::Role::read(&path).map(|_| println!("the settings are right"))
+        } else {
+            daemon::run(&path)
+        }
+    });
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,27 +1,63 @@
 //! What `celerythreadd` does: read its settings, serve, and stop gracefully when told.
 
 use crate::Error;
-use crate::error::{FileSnafu, KeySnafu, StartSnafu};
+use crate::error::{FileSnafu, KeySnafu, SchedulerSnafu, StartSnafu};
 use async_std::channel;
+use async_std::future::timeout;
 use celerythread_entry::settings::LogFormat;
 use celerythread_entry::{Daemon, Settings};
+use celerythread_model::ini::Reader;
 use celerythread_platform::http::Client;
+use celerythread_scheduler as scheduler;
 use celerythread_wire::Identity;
 use logforth::append::Stdout;
 use logforth::layout::{JsonLayout, TextLayout};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use snafu::ResultExt;
 use std::fs;
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
 
-/// Reads and checks a settings file.
+/// Names the settings file when the command line doesn't.
+const SETTINGS_VARIABLE: &str = "CELERYTHREAD_SETTINGS";
+
+/// Time between two looks at whether the settings file has changed without a signal.
+const RELOAD_LOOK: Duration = Duration::from_secs(2);
+
+/// What the settings make of the process.
+pub enum Role {
+    /// An entry over the product's own interface to a platform.
+    Entry(Box<Settings>),
+    /// An entry on the users' platform.
+    Scheduler(Box<scheduler::Settings>),
+}
+
+impl Role {
+    /// Reads and checks a settings file.  Naming the platform's store makes an entry on the
+    /// users' platform.
+    ///
+    /// # Errors
+    /// `File` or `Mistakes`.
+    pub fn read(path: &Path) -> Result<Self, Error> {
+        let text = fs::read_to_string(path).context(FileSnafu { path })?;
+        let wrong = |mistakes| Error::Mistakes { mistakes };
+        if Reader::new(&text).text("platform", "store").is_some() {
+            let settings = scheduler::Settings::read(&text).map_err(wrong)?;
+            return Ok(Role::Scheduler(Box::new(settings)));
+        }
+        Settings::read(&text).map_err(wrong).map(|settings| Role::Entry(Box::new(settings)))
+    }
+}
+
+/// The settings file: as given, or as the environment names it.
 ///
 /// # Errors
-/// `File` or `Mistakes`.
-pub fn read_settings(path: &Path) -> Result<Settings, Error> {
-    let text = fs::read_to_string(path).context(FileSnafu { path })?;
-    Settings::read(&text).map_err(|mistakes| Error::Mistakes { mistakes })
+/// `Usage` when neither names one.
+pub fn settings_path(given: Option<PathBuf>) -> Result<PathBuf, Error> {
+    given.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from)).ok_or_else(|| {
+        Error::Usage { text: format!("neither --settings nor {SETTINGS_VARIABLE} is given") }
+    })
 }
 
 /// Serves until SIGTERM or SIGINT, then stops gracefully.
@@ -29,11 +65,17 @@
 /// # Errors
 /// When the daemon cannot start.
 pub fn run(path: &Path) -> Result<(), Error> {
-    let settings = read_settings(path)?;
-    start_logs(&settings);
+    match Role::read(path)? {
+        Role::Entry(settings) => run_entry(*settings),
+        Role::Scheduler(settings) => run_scheduler(path, *settings),
+    }
+}
+
+fn run_entry(settings: Settings) -> Result<(), Error> {
+    start_logs(settings.log_format, settings.log_level);
     let identity = Identity::load(&settings.keys).context(KeySnafu)?;
     let platform = Client::new(settings.platform.clone()).platform();
-    let stopped = signals()?;
+    let signalled = signals()?;
     async_std::task::block_on(async {
         let daemon = Daemon::start(settings, platform, &identity).await.context(StartSnafu)?;
         // One line for whoever started the process, and needs the ports that it was given.
@@ -44,7 +86,7 @@
             daemon.peer_address(),
             daemon.id()
         );
-        let _ = stopped.recv().await;
+        while let Ok(Signal::Reload) = signalled.recv().await {}
         let report = daemon.stop().await;
         println!(
             "stopped unanswered={} unsettled={} left={}",
@@ -54,22 +96,66 @@
     })
 }
 
-fn start_logs(settings: &Settings) {
-    let stdout = match settings.log_format {
+fn run_scheduler(path: &Path, settings: scheduler::Settings) -> Result<(), Error> {
+    start_logs(LogFormat::Json, log::LevelFilter::Info);
+    let signalled = signals()?;
+    async_std::task::block_on(async {
+        let mut current = settings.clone();
+        let daemon = scheduler::Daemon::start(settings).await.context(SchedulerSnafu)?;
+        let callers = daemon.caller_address();
+        daemon.journal().note("listening", &[("callers", &callers), ("entry", &daemon.id())]);
+        loop {
+            match timeout(RELOAD_LOOK, signalled.recv()).await {
+                Ok(Ok(Signal::Reload)) | Err(_) => reload(path, &mut current, &daemon),
+                Ok(_) => break,
+            }
+        }
+        daemon.stop().await;
+        Ok(())
+    })
+}
+
+/// Reads the settings file again.  Addresses are fixed for the life of a process, so a change
+/// is told and takes effect with the next start.
+fn reload(path: &Path, current: &mut scheduler::Settings, daemon: &scheduler::Daemon) {
+    match Role::read(path) {
+        Ok(Role::Scheduler(settings)) if *settings == *current => {}
+        Ok(Role::Scheduler(settings)) => {
+            *current = *settings;
+            daemon.journal().note("settings_changed", &[("path", &path.display())]);
+        }
+        Ok(Role::Entry(_)) => {
+            daemon.journal().warn("settings_refused", &[("reason", &"the store is missing")]);
+        }
+        Err(error) => daemon.journal().warn("settings_refused", &[("reason", &error)]),
+    }
+}
+
+fn start_logs(format: LogFormat, level: log::LevelFilter) {
+    let stdout = match format {
         LogFormat::Text => Stdout::default().with_layout(TextLayout::default().no_color()),
         LogFormat::Json => Stdout::default().with_layout(JsonLayout::default()),
     };
     logforth::starter_log::builder().dispatch(|dispatch| dispatch.append(stdout)).apply();
-    log::set_max_level(settings.log_level);
+    log::set_max_level(level);
+}
+
+/// What a signal asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Signal {
+    Stop,
+    Reload,
 }
 
-/// The first signal to stop.
-fn signals() -> Result<channel::Receiver<()>, Error> {
-    let (sender, receiver) = channel::bounded(1);
-    let mut signals = Signals::new([SIGTERM, SIGINT]).context(FileSnafu { path: "signals" })?;
+fn signals() -> Result<channel::Receiver<Signal>, Error> {
+    let (sender, receiver) = channel::unbounded();
+    let mut signals =
+        Signals::new([SIGTERM, SIGINT, SIGHUP]).context(FileSnafu { path: "signals" })?;
     std::thread::spawn(move || {
-        if signals.forever().next().is_some() {
-            let _ = sender.send_blocking(());
+        for signal in signals.forever() {
+            let meaning = if signal == SIGHUP { Signal::Reload } else { Signal::Stop };
+            // Fails only when the process is about to end anyway.
+            let _ = sender.send_blocking(meaning);
         }
     });
     Ok(receiver)
--- a/src/error.rs
+++ b/src/error.rs
@@ -65,6 +65,12 @@
         /// Why.
         source: celerythread_entry::daemon::Error,
     },
+    /// The daemon could not start on the users' platform.
+    #[snafu(display("{source}"))]
+    Scheduler {
+        /// Why.
+        source: celerythread_scheduler::daemon::Error,
+    },
 }
 
 impl Error {
@@ -80,7 +86,7 @@
             Error::Usage { .. } => Code::Usage.number(),
             Error::NotInForce { .. } => Code::NotInForce.number(),
             Error::Key { source } => source.code().number(),
-            Error::Start { .. } => Code::PeerUnreachable.number(),
+            Error::Start { .. } | Error::Scheduler { .. } => Code::PeerUnreachable.number(),
         }
     }
 
