A cut-off owner starts nothing once it may have a successor

Change: starts end 300 ms before a takeover is possible; lapses, adoptions, evacuations, stalls and quarantines are logged.

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -107,6 +107,68 @@
     pub(crate) former_lapse: Option<Time>,
     /// Mean work of a queue's jobs, in core-milliseconds, learnt from those seen.
     pub(crate) mean_work: BTreeMap<Box<str>, f64>,
+    /// What was decided since the notes were last taken.
+    pub(crate) notes: Vec<Note>,
+}
+
+/// Notes held until they are taken; more are left out, as they are only for the log.
+const MAX_NOTES: usize = 256;
+
+/// A decision that gives up or takes away something, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A run's lease must have lapsed, so it counts as over.
+    Lapsed {
+        /// The minion.
+        minion: MinionId,
+        /// The task.
+        task: TaskName,
+        /// The run's number.
+        run: u32,
+        /// When the lease must have lapsed.
+        at: Time,
+    },
+    /// Its minion no longer lists a run that it had.
+    Vanished {
+        /// The minion.
+        minion: MinionId,
+        /// The task.
+        task: TaskName,
+        /// The run's number.
+        run: u32,
+    },
+    /// A run was found on a minion and taken over.
+    Adopted {
+        /// The minion.
+        minion: MinionId,
+        /// The task.
+        task: TaskName,
+        /// The run's number.
+        run: u32,
+    },
+    /// A run has stood still.
+    Stalled {
+        /// The minion.
+        minion: MinionId,
+        /// The task.
+        task: TaskName,
+        /// Percent at which it stands.
+        percent: u8,
+    },
+    /// A lasting task is moved off a leaving minion.
+    Evacuated {
+        /// The minion.
+        minion: MinionId,
+        /// The task.
+        task: TaskName,
+    },
+    /// A minion gets no tasks for a while.
+    Quarantined {
+        /// The minion.
+        minion: MinionId,
+        /// Until when.
+        until: Time,
+    },
 }
 
 impl Cell {
@@ -124,6 +186,7 @@
             minions: BTreeMap::new(),
             former_lapse,
             mean_work: BTreeMap::new(),
+            notes: Vec::new(),
         }
     }
 
@@ -200,6 +263,17 @@
         self.active.iter().filter(waits).count()
     }
 
+    /// Takes the notes.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    pub(crate) fn note(&mut self, note: Note) {
+        if self.notes.len() < MAX_NOTES {
+            self.notes.push(note);
+        }
+    }
+
     /// The minions.
     pub fn minions(&self) -> impl Iterator<Item = &Minion> {
         self.minions.values()
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -2,7 +2,7 @@
 
 use crate::cell::minion::{MinionId, Run, RunPhase};
 use crate::cell::work::Phase;
-use crate::cell::{Cell, Job};
+use crate::cell::{Cell, Job, Note};
 use crate::job::{Id, Resources, Step, TaskName};
 use crate::time::Time;
 use std::sync::Arc;
@@ -45,14 +45,16 @@
 
 impl Cell {
     /// Decides what to order now.  `wall_ms` is the time of day in milliseconds since 1970, for
-    /// scheduled occurrences.
-    pub fn plan(&mut self, now: Time, wall_ms: u64) -> Vec<Order> {
+    /// scheduled occurrences; without `may_start` nothing is started or moved.
+    pub fn plan(&mut self, now: Time, wall_ms: u64, may_start: bool) -> Vec<Order> {
         let mut orders = Vec::new();
         self.lapse(now);
         self.stop_unwanted(now, &mut orders);
         self.stop_stalled(now, &mut orders);
-        self.evacuate(now, &mut orders);
-        self.start_waiting(now, wall_ms, &mut orders);
+        if may_start {
+            self.evacuate(now, &mut orders);
+            self.start_waiting(now, wall_ms, &mut orders);
+        }
         orders
     }
 
@@ -68,12 +70,15 @@
         for id in ids {
             let Some(minion) = self.minions.get_mut(&id) else { continue };
             let runs = std::mem::take(&mut minion.runs);
+            let at = minion.lapse;
             minion.used = Resources::default();
             if !minion.listed {
                 self.minions.remove(&id);
             }
             for (task, run) in runs {
-                self.give_up(&id, &task, run.number, now);
+                let run = run.number;
+                self.note(Note::Lapsed { minion: id.clone(), task, run, at });
+                self.give_up(&id, &task, run, now);
             }
         }
     }
@@ -119,7 +124,10 @@
                 let bound = estimate.max(least);
                 let still = now.since(run.moved) > bound;
                 if run.phase == RunPhase::Active && still && !(step.lasting && run.percent >= 100) {
-                    orders.push(stop(&minion.id, task, run, now));
+                    let percent = run.percent;
+                    let minion = minion.id.clone();
+                    self.notes.push(Note::Stalled { minion: minion.clone(), task: *task, percent });
+                    orders.push(stop(&minion, task, run, now));
                     stalled = true;
                 }
             }
@@ -161,6 +169,7 @@
             let Some(minion) = self.minions.get_mut(&id) else { continue };
             if let Some(run) = minion.runs.get_mut(&task) {
                 orders.push(stop(&id, &task, run, now));
+                self.note(Note::Evacuated { minion: id, task });
             }
         }
     }
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -2,7 +2,7 @@
 
 use crate::cell::minion::{Listing, Minion, MinionId, Run, RunPhase};
 use crate::cell::work::Phase;
-use crate::cell::{Cell, Order};
+use crate::cell::{Cell, Note, Order};
 use crate::job::{State, TaskName};
 use crate::time::Time;
 use std::time::Duration;
@@ -215,6 +215,7 @@
             if let Some(minion) = self.minions.get_mut(id) {
                 minion.remove(&task);
             }
+            self.note(Note::Vanished { minion: id.clone(), task, run: number });
             self.give_up(id, &task, number, now);
         }
     }
@@ -366,6 +367,8 @@
                     minion.failing.clear();
                     minion.quarantined = now + quarantine * (1 << minion.strikes.min(MAX_STRIKES));
                     minion.strikes += 1;
+                    let until = minion.quarantined;
+                    self.note(Note::Quarantined { minion: id.clone(), until });
                 }
             }
             _ => {}
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -27,6 +27,10 @@
 use stop_token::StopToken;
 use stop_token::future::FutureExt;
 
+/// How long before a takeover is possible the owner stops starting tasks: longer than a plan
+/// takes to reach the network on a slow instance.
+const START_MARGIN: Duration = Duration::from_millis(300);
+
 /// What entries agree on, as last read.
 #[derive(Debug, Default)]
 pub(crate) struct View {
@@ -174,6 +178,16 @@
         self.since_renewal() < self.settings.extend_alone.0
     }
 
+    /// Whether tasks may be started.
+    ///
+    /// After the silence for which others wait before they take a cell over, a successor may
+    /// have adopted what this owner started.  An owner cut off with some of the minions would
+    /// see the rest lapse and start their tasks a second time, on minions that its successor
+    /// can't reach to fence; so it starts nothing from shortly before that moment on.
+    pub(crate) fn may_start(&self) -> bool {
+        self.since_renewal() + START_MARGIN < self.settings.takeover_after.0
+    }
+
     /// Takes note of how a call to the store went, and notes a change.
     pub(crate) fn store_result<T>(&self, result: &Result<T, store::Error>) {
         let answers = match result {
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -15,7 +15,7 @@
 use async_std::channel;
 use attend::Attendant;
 use celerythread_adapter::configuration::Configuration;
-use celerythread_engine::cell::{Cell, Order, Queue};
+use celerythread_engine::cell::{Cell, Note, Order, Queue};
 use celerythread_engine::job::{Accepted, Id, decode};
 use celerythread_wire::frame::{JobAnswer, JobQuestion};
 use parking_lot::Mutex;
@@ -267,8 +267,11 @@
         // An owner that may have been replaced starts and stops nothing.
         if owner.node.may_extend() {
             let now = clock::now();
-            let orders = owner.with(|cell| cell.plan(now, clock::wall_ms())).unwrap_or_default();
+            let may_start = owner.node.may_start();
+            let plan = |cell: &mut Cell| cell.plan(now, clock::wall_ms(), may_start);
+            let orders = owner.with(plan).unwrap_or_default();
             dispatch(&owner, orders);
+            log_notes(&owner);
             if owner.with(|cell| cell.unkept(1).is_some()).unwrap_or(false) {
                 owner.keep_wake.wake();
             }
@@ -281,6 +284,42 @@
     }
 }
 
+fn log_notes(owner: &Owner) {
+    let (journal, now) = (&owner.node.journal, clock::now());
+    for note in owner.with(|cell| cell.take_notes()).unwrap_or_default() {
+        match &note {
+            Note::Lapsed { minion, task, run, at } => journal.warn(
+                "run_lapsed",
+                &[
+                    ("job", &task.job),
+                    ("task", task),
+                    ("run", run),
+                    ("minion", minion),
+                    ("since_ms", &now.since(*at).as_millis()),
+                ],
+            ),
+            Note::Vanished { minion, task, run } => journal.warn(
+                "run_vanished",
+                &[("job", &task.job), ("task", task), ("run", run), ("minion", minion)],
+            ),
+            Note::Adopted { minion, task, run } => journal.note(
+                "run_adopted",
+                &[("job", &task.job), ("task", task), ("run", run), ("minion", minion)],
+            ),
+            Note::Stalled { minion, task, percent } => journal.warn(
+                "run_stalled",
+                &[("job", &task.job), ("task", task), ("percent", percent), ("minion", minion)],
+            ),
+            Note::Evacuated { minion, task } => journal
+                .note("run_evacuated", &[("job", &task.job), ("task", task), ("minion", minion)]),
+            Note::Quarantined { minion, until } => journal.warn(
+                "minion_quarantined",
+                &[("minion", minion), ("ms", &until.since(now).as_millis())],
+            ),
+        }
+    }
+}
+
 /// Hands orders to the minions' attendants.
 pub(crate) fn dispatch(owner: &Owner, orders: Vec<Order>) {
     let attendants = owner.attendants.lock();
--- a/crates/scheduler/src/owner/attend.rs
+++ b/crates/scheduler/src/owner/attend.rs
@@ -322,6 +322,9 @@
 }
 
 async fn start(owner: &Owner, attendant: &Attendant, order: &Order) -> StartResult {
+    if !owner.node.may_start() {
+        return StartResult::Refused(Refusal::Unhealthy);
+    }
     let Some(deadline_ms) = promise(owner, attendant) else {
         return StartResult::Refused(Refusal::Unhealthy);
     };
