A renewal proves that the cells are still held

Ruled out: early lapse (the reckoning allows for a clock 2% slow), a second adoption. Change: the renewal is written on condition that every owned cell's row is unchanged; a conflict carries the rows, so the loss is known at once.

--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -125,26 +125,57 @@
 /// Renews this entry's row until the node stops.
 pub(crate) async fn renew_forever(node: Arc<Node>, peer: SocketAddr) {
     loop {
-        renew(&node, peer).await;
-        if !node.pause(node.settings.renew.0).await {
+        // One that failed leaves less time until others take over, so it is repeated sooner.
+        let done = renew(&node, peer).await;
+        let pause = if done { node.settings.renew.0 } else { node.settings.renew.0 / 5 };
+        if !node.pause(pause).await {
             return;
         }
     }
 }
 
 /// Renews this entry's row once; true if it is certain.
-pub(crate) async fn renew(node: &Node, peer: SocketAddr) -> bool {
+///
+/// The renewal requires that this entry still holds each cell that it owns.  Without that, an
+/// owner that comes back from a cut would count as renewed before it reads that its cells were
+/// taken, and for that moment start tasks that its successor runs already.
+pub(crate) async fn renew(node: &Arc<Node>, peer: SocketAddr) -> bool {
     let row = rows::Entry { name: node.settings.name.clone(), peer, stopping: node.is_stopping() };
+    let owned: Vec<(String, u64)> =
+        node.owners.read().iter().map(|(cell, owner)| (cell.clone(), owner.token)).collect();
     let change = Transaction {
+        conditions: owned
+            .into_iter()
+            .map(|(cell, token)| (rows::control(rows::CELL_PREFIX, &cell), token))
+            .collect(),
         writes: vec![(rows::control(rows::ENTRY_PREFIX, &node.me), encode(&row))],
         ..Transaction::default()
     };
     let sent = clock::now();
-    let done = node.commit(&change, COMMIT_LIMIT).await.is_ok();
-    if done {
-        node.renewed(sent);
+    match node.commit(&change, COMMIT_LIMIT).await {
+        Ok(_) => {
+            node.renewed(sent);
+            true
+        }
+        Err(Error::Conflict { rows: found }) => {
+            take_lost_cells(node, &found);
+            false
+        }
+        Err(_) => false,
+    }
+}
+
+/// Takes in the rows of cells that a renewal found to be held by others.
+fn take_lost_cells(node: &Arc<Node>, found: &[Row]) {
+    let control = Control(node.clone());
+    for row in found {
+        let Some(cell) = row.key.strip_prefix(rows::CELL_PREFIX) else { continue };
+        let mut view = node.view.write();
+        control.take_cell(&mut view, cell, row);
+        let holding = view.holdings.get(cell).cloned();
+        drop(view);
+        disown(node, cell, holding.as_ref());
     }
-    done
 }
 
 /// Drops the rows of this instance's earlier processes: they are certainly gone, so their cells
