--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -14,6 +14,7 @@
 //! - an end is acknowledged only after it is kept.
 
 pub mod keep;
+mod load;
 pub mod minion;
 pub mod place;
 pub mod plan;
@@ -117,6 +118,13 @@
 /// A decision that gives up or takes away something, for the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Note {
+    /// A run's end was taken in.
+    Ended {
+        /// The minion.
+        minion: MinionId,
+        /// The end.
+        end: End,
+    },
     /// A run's lease must have lapsed, so it counts as over.
     Lapsed {
         /// The minion.
@@ -246,12 +254,15 @@
 
     /// What to tell a caller; none for an unknown job.
     ///
-    /// A completion is told only once it is kept: a later owner must never start again what a
-    /// caller was told to be completed.
+    /// An outcome is told only once it is kept: a later owner must never start again what a
+    /// caller was told to be completed.  A cancellation was kept before it came here.
     pub fn state(&self, id: &Id) -> Option<State> {
         let job = self.jobs.get(id)?;
-        let state = job.state();
-        if state.is_final() && !job.is_kept() { Some(State::Running) } else { Some(state) }
+        let told = match job.outcome {
+            Some(_) if !job.is_kept() => State::Running,
+            _ => job.state(),
+        };
+        Some(told)
     }
 
     /// How many jobs of a queue wait for their first task.
--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -47,6 +47,8 @@
     pub phase: RunPhase,
     /// What it takes of the capacity.
     pub need: Resources,
+    /// Whether its task is a lasting one.
+    pub lasting: bool,
     /// When it was ordered.
     pub since: Time,
     /// Percent of its work that is done; for lasting tasks, 100 means at work.
@@ -74,6 +76,8 @@
     pub lapse: Time,
     pub(crate) runs: BTreeMap<TaskName, Run>,
     pub(crate) used: Resources,
+    /// How many of the runs are of lasting tasks.
+    pub(crate) lasting: usize,
     /// Number of the last end taken in.
     pub(crate) seen: u64,
     /// Number of the last end that may be acknowledged.
@@ -98,6 +102,7 @@
             lapse: Time(0),
             runs: BTreeMap::new(),
             used: Resources::default(),
+            lasting: 0,
             seen: 0,
             acknowledged: 0,
             failing: BTreeSet::new(),
@@ -147,18 +152,26 @@
     }
 
     pub(crate) fn insert(&mut self, task: TaskName, run: Run) {
+        self.remove(&task);
         self.used = self.used.plus(&run.need);
-        if let Some(former) = self.runs.insert(task, run) {
-            self.used = self.used.less(&former.need);
-        }
+        self.lasting += usize::from(run.lasting);
+        self.runs.insert(task, run);
     }
 
     pub(crate) fn remove(&mut self, task: &TaskName) -> Option<Run> {
         let run = self.runs.remove(task)?;
         self.used = self.used.less(&run.need);
+        self.lasting -= usize::from(run.lasting);
         Some(run)
     }
 
+    /// Takes all runs out.
+    pub(crate) fn clear(&mut self) -> BTreeMap<TaskName, Run> {
+        self.used = Resources::default();
+        self.lasting = 0;
+        std::mem::take(&mut self.runs)
+    }
+
     /// The run of a task with this number.
     pub(crate) fn run(&self, task: &TaskName, number: u32) -> Option<&Run> {
         self.runs.get(task).filter(|run| run.number == number)
--- a/crates/engine/src/cell/place.rs
+++ b/crates/engine/src/cell/place.rs
@@ -15,6 +15,8 @@
     pub(super) const AVOID: u64 = 1_000_000_000;
     /// Away from the rack with its data.
     pub(super) const REMOTE: u64 = 10_000_000;
+    /// Lasting: where no other lasting task is.
+    pub(super) const ALONE: u64 = 100_000;
     /// A failure there since its last success.
     pub(super) const FAILING: u64 = 1_000_000;
 }
@@ -133,9 +135,10 @@
 fn cost(minion: &Minion, step: &Step, task: &Task, need: &Resources) -> u64 {
     let mut cost = minion.free().cpu - need.cpu.min(minion.free().cpu);
     if step.lasting {
-        // Lasting tasks go where most room is: packed together, the loss of one minion or its
-        // upkeep would take several at once.
-        cost = minion.used.cpu;
+        // Lasting tasks of different jobs go together: their minions can't be given to another
+        // pool and have to be evacuated for upkeep, so they should be few.  Each job loses one
+        // task with a minion either way.
+        cost = minion.free().cpu + penalty::ALONE * u64::from(minion.lasting == 0);
     }
     if task.avoid.as_ref() == Some(&minion.id) {
         cost += penalty::AVOID;
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -3,7 +3,7 @@
 use crate::cell::minion::{MinionId, Run, RunPhase};
 use crate::cell::work::Phase;
 use crate::cell::{Cell, Job, Note};
-use crate::job::{Id, Resources, Step, TaskName};
+use crate::job::{Id, Step, TaskName};
 use crate::time::Time;
 use std::sync::Arc;
 use std::time::Duration;
@@ -69,9 +69,8 @@
             self.minions.values().filter(over).map(|minion| minion.id.clone()).collect();
         for id in ids {
             let Some(minion) = self.minions.get_mut(&id) else { continue };
-            let runs = std::mem::take(&mut minion.runs);
+            let runs = minion.clear();
             let at = minion.lapse;
-            minion.used = Resources::default();
             if !minion.listed {
                 self.minions.remove(&id);
             }
@@ -298,7 +297,11 @@
         let need = step.counted_need();
         let phase = RunPhase::Ordered;
         if let Some(minion) = self.minions.get_mut(id) {
-            minion.insert(name, Run { number, phase, need, since: now, percent: 0, moved: now });
+            let lasting = step.lasting;
+            minion.insert(
+                name,
+                Run { number, phase, need, lasting, since: now, percent: 0, moved: now },
+            );
         }
     }
 }
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -58,7 +58,7 @@
 }
 
 /// An end that a minion lists.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct End {
     /// Its number in the minion's list of ends.
     pub number: u64,
@@ -251,6 +251,7 @@
         };
         let step = job.accepted.definition.steps.get(running.task.step as usize);
         let need = step.map(|step| step.counted_need()).unwrap_or_default();
+        let lasting = step.is_some_and(|step| step.lasting);
         let wanted = !job.state().is_final();
         let Some(task) = job.task_mut(&running.task) else {
             orders.push(stop);
@@ -262,7 +263,7 @@
             let phase = RunPhase::Stopping { ordered: now, confirmed: None };
             minion.insert(
                 running.task,
-                Run { number, phase, need, since: now, percent: 0, moved: now },
+                Run { number, phase, need, lasting, since: now, percent: 0, moved: now },
             );
             orders.push(stop);
             return;
@@ -275,7 +276,10 @@
         job.started = true;
         let percent = running.percent;
         let phase = RunPhase::Active;
-        minion.insert(running.task, Run { number, phase, need, since: now, percent, moved: now });
+        minion.insert(
+            running.task,
+            Run { number, phase, need, lasting, since: now, percent, moved: now },
+        );
     }
 
     fn end(&mut self, id: &MinionId, end: &End, now: Time) {
@@ -285,6 +289,7 @@
         if ours {
             minion.remove(&end.task);
         }
+        self.note(Note::Ended { minion: id.clone(), end: end.clone() });
         if !self.task_exists(&end.task) {
             return;
         }
@@ -294,11 +299,16 @@
             .queues
             .get(&job.accepted.queue)
             .map_or(crate::cell::Queue::default().attempts, |queue| queue.attempts);
-        let lasting = job.accepted.definition.steps[end.task.step as usize].lasting;
+        let step = &job.accepted.definition.steps[end.task.step as usize];
+        let (lasting, gang) = (step.lasting, step.gang);
         job.started = true;
         match end.how {
             How::Done if !lasting => {
                 job.finish_task(&end.task);
+                if gang {
+                    // Its members end done together, so one such end stands for all.
+                    job.finish_step(&end.task);
+                }
                 if job.is_done() && !job.state().is_final() {
                     job.outcome = Some(State::Completed);
                     job.ended = Some(now);
@@ -316,7 +326,10 @@
                     task.failed.push(end.run);
                 }
                 task.avoid = Some(id.clone());
-                let spent = task.failed.len() >= attempts as usize;
+                let failed = task.failed.len();
+                // A gang is tried as a whole: each of its runs that failed counts once.
+                let failed = if gang { job.failed_runs(&end.task) } else { failed };
+                let spent = failed >= attempts as usize;
                 job.change();
                 if spent && !cancelled {
                     job.outcome = Some(State::Failed);
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -4,6 +4,7 @@
 use crate::job::{Accepted, Progress, State, TaskName};
 use crate::time::Time;
 use smallvec::SmallVec;
+use std::collections::BTreeSet;
 
 /// Where a task stands.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -159,6 +160,21 @@
         self.flat(name).is_some_and(|flat| self.finish_flat(flat))
     }
 
+    /// Notes that all tasks of a step are done.
+    pub(crate) fn finish_step(&mut self, name: &TaskName) {
+        for index in 0..self.accepted.definition.steps[name.step as usize].count {
+            self.finish_task(&TaskName { index, ..*name });
+        }
+    }
+
+    /// How many different runs of a step's tasks have failed.
+    pub(crate) fn failed_runs(&self, name: &TaskName) -> usize {
+        let count = self.accepted.definition.steps[name.step as usize].count;
+        let tasks = (0..count).filter_map(|index| self.task(&TaskName { index, ..*name }));
+        let runs: BTreeSet<u32> = tasks.flat_map(|task| task.failed.iter().copied()).collect();
+        runs.len()
+    }
+
     fn finish_flat(&mut self, flat: usize) -> bool {
         let Some(task) = self.tasks.get_mut(flat) else { return false };
         if task.phase == Phase::Done {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,10 +5,12 @@
 //!
 //! [`job`] is the model of a job as a caller submits it and as it is kept; [`cell`] is the
 //! state of one service, the unit that one entry instance schedules at a time; [`ownership`]
-//! decides which entry that is; [`upkeep`] takes machines through maintenance waves.
+//! decides which entry that is; [`upkeep`] takes machines through maintenance waves, and [`pools`]
+//! moves them to where the demand is.
 
 pub mod cell;
 pub mod job;
 pub mod ownership;
+pub mod pools;
 pub mod time;
 pub mod upkeep;
--- /dev/null
+++ b/crates/engine/src/pools.rs
@@ -0,0 +1,262 @@
+//! Which machine moves to which pool.
+//!
+//! The pattern it answers: the queues' demand rises by turns, each for some seconds to several
+//! times its mean and to more than its pool holds, while the other pools idle.  A machine that
+//! works through a turn's remainder earns some fifty times what its move costs (16 cores for
+//! 3 s are 48 core-seconds, worth about 4.5 at the users' prices; a move costs 0.1), so
+//! machines follow the demand, and only those are left where they are whose loss would hurt:
+//! with lasting tasks on them, due for upkeep, or needed by their own pool.
+
+use crate::time::Time;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Weights and limits.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// In what time a pool should be able to work off what waits.  About the slack that jobs
+    /// have within their objective (some 2 s), less the time that a move takes.
+    pub horizon: Duration,
+    /// Machines that a pool keeps whatever its demand: one may fail.
+    pub least: usize,
+    /// A move that isn't ordered after this time is given up, and its machine used again.
+    pub patience: Duration,
+    /// A machine stays at least this long after it came: twice the time of a move.
+    pub stay: Duration,
+    /// Machines on their way to one pool at a time.
+    pub at_once: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            horizon: Duration::from_millis(1000),
+            least: 2,
+            patience: Duration::from_millis(2500),
+            stay: Duration::from_millis(3000),
+            at_once: 12,
+        }
+    }
+}
+
+/// What an owner tells of its cell.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Core-milliseconds of the tasks of jobs that have not ended and are not running.
+    pub waiting: u64,
+    /// Thousandths of cores in use by tasks that end.
+    pub working: u64,
+    /// Thousandths of cores in use by lasting tasks.
+    pub lasting: u64,
+    /// Thousandths of cores of a minion, on average.
+    pub minion_cpu: u64,
+    /// Minions without lasting tasks, and what is in use on each in thousandths of cores.
+    pub free: Vec<(String, u64)>,
+    /// Minions that are to be emptied and are empty.
+    pub empty: Vec<String>,
+    /// Minions that take work.
+    pub minions: usize,
+}
+
+/// A machine as the platform lists it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Machine {
+    /// The pool that it is in.
+    pub pool: String,
+    /// The id of its minion, if it has one.
+    pub minion: Option<String>,
+    /// Whether it serves or could.
+    pub up: bool,
+    /// Whether it must stay where it is: due for upkeep, for one.
+    pub pinned: bool,
+}
+
+/// A move.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Move {
+    /// The machine.
+    pub machine: String,
+    /// Its minion, to be emptied first.
+    pub minion: Option<String>,
+    /// The pool that it leaves.
+    pub from: String,
+    /// The pool that it goes to.
+    pub to: String,
+    /// When it was decided.
+    pub since: Time,
+}
+
+/// The state of all pools.
+#[derive(Debug, Default)]
+pub struct Planner {
+    settings: Settings,
+    /// Moves that are decided and not ordered.
+    pending: BTreeMap<String, Move>,
+    /// Machines on their way, with their pool and when they were ordered to it.
+    arriving: BTreeMap<String, (String, Time)>,
+    /// When each machine came to its pool.
+    came: BTreeMap<String, Time>,
+}
+
+impl Planner {
+    /// A planner without moves.
+    pub fn new(settings: Settings) -> Self {
+        Self { settings, ..Self::default() }
+    }
+
+    /// Moves that are decided and not ordered.
+    pub fn pending(&self) -> impl Iterator<Item = &Move> {
+        self.pending.values()
+    }
+
+    /// Whether moves are under way.
+    pub fn is_busy(&self) -> bool {
+        !self.pending.is_empty() || !self.arriving.is_empty()
+    }
+
+    /// Notes that a move was ordered.
+    pub fn ordered(&mut self, machine: &str, now: Time) {
+        if let Some(done) = self.pending.remove(machine) {
+            self.arriving.insert(machine.into(), (done.to, now));
+            self.came.insert(machine.into(), now);
+        }
+    }
+
+    /// Gives a move up.
+    pub fn abandon(&mut self, machine: &str) {
+        self.pending.remove(machine);
+    }
+
+    /// Moves that have waited too long, to be given up.
+    pub fn overdue(&self, now: Time) -> Vec<Move> {
+        let late = |plan: &&Move| now.since(plan.since) > self.settings.patience;
+        self.pending.values().filter(late).cloned().collect()
+    }
+
+    /// Decides on further moves.  `spare` is the pool whose machines are off.
+    pub fn plan(
+        &mut self,
+        machines: &BTreeMap<String, Machine>,
+        loads: &BTreeMap<String, Load>,
+        spare: Option<&str>,
+        now: Time,
+    ) -> Vec<Move> {
+        self.forget_arrived(machines, now);
+        let mut surplus: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut shortage: Vec<(usize, &str)> = Vec::new();
+        for (pool, load) in loads {
+            let have = self.strength(pool, machines);
+            let need = self.need(load);
+            if need > have {
+                shortage.push((need - have, pool));
+            } else {
+                surplus.insert(pool, have - need);
+            }
+        }
+        shortage.sort();
+        let mut moves = Vec::new();
+        for (missing, to) in shortage.into_iter().rev() {
+            let coming = self.pending.values().filter(|plan| plan.to == to).count();
+            let room = self.settings.at_once.saturating_sub(coming);
+            for _ in 0..missing.min(room) {
+                let taken: BTreeSet<&str> =
+                    moves.iter().map(|plan: &Move| plan.machine.as_str()).collect();
+                let candidates = self.candidates(machines, loads, &surplus, spare, &taken, now);
+                let Some((_, machine)) = candidates.into_iter().min() else { break };
+                let seen = &machines[machine];
+                if let Some(left) = surplus.get_mut(seen.pool.as_str()) {
+                    *left -= 1;
+                }
+                moves.push(Move {
+                    machine: machine.into(),
+                    minion: seen.minion.clone(),
+                    from: seen.pool.clone(),
+                    to: to.into(),
+                    since: now,
+                });
+            }
+        }
+        for plan in &moves {
+            self.pending.insert(plan.machine.clone(), plan.clone());
+        }
+        moves
+    }
+
+    /// Machines that could be moved, with what they cost: first those without any work.
+    fn candidates<'a>(
+        &self,
+        machines: &'a BTreeMap<String, Machine>,
+        loads: &BTreeMap<String, Load>,
+        surplus: &BTreeMap<&str, usize>,
+        spare: Option<&str>,
+        taken: &BTreeSet<&str>,
+        now: Time,
+    ) -> Vec<(u64, &'a str)> {
+        let settled = |name: &str| {
+            self.came.get(name).is_none_or(|came| now.since(*came) >= self.settings.stay)
+        };
+        let free = |name: &str| {
+            !taken.contains(name)
+                && !self.pending.contains_key(name)
+                && !self.arriving.contains_key(name)
+                && settled(name)
+        };
+        let cost = |machine: &Machine| {
+            if spare == Some(machine.pool.as_str()) {
+                // Costs its time in a pool besides the move, so after machines that idle.
+                return Some(1);
+            }
+            if surplus.get(machine.pool.as_str()).is_none_or(|left| *left == 0) {
+                return None;
+            }
+            let minion = machine.minion.as_ref()?;
+            let load = loads.get(&machine.pool)?;
+            load.free.iter().find(|(id, _)| id == minion).map(|(_, cpu)| 2 * cpu)
+        };
+        machines
+            .iter()
+            .filter(|(name, machine)| machine.up && !machine.pinned && free(name))
+            .filter_map(|(name, machine)| Some((cost(machine)?, name.as_str())))
+            .collect()
+    }
+
+    /// Machines that a pool has or will have.
+    fn strength(&self, pool: &str, machines: &BTreeMap<String, Machine>) -> usize {
+        let leaves = |name: &str| self.pending.contains_key(name);
+        let here = machines
+            .iter()
+            .filter(|(name, machine)| {
+                machine.pool == pool
+                    && machine.up
+                    && !leaves(name)
+                    && !self.arriving.contains_key(*name)
+            })
+            .count();
+        let arriving = self.arriving.values().filter(|(to, _)| to == pool).count();
+        let pending = self.pending.values().filter(|plan| plan.to == pool).count();
+        here + arriving + pending
+    }
+
+    /// Machines that a pool needs.
+    fn need(&self, load: &Load) -> usize {
+        let horizon = self.settings.horizon.as_millis() as u64;
+        let cores = load.working
+            + load.lasting
+            + load.waiting / horizon * 1000
+            + load.waiting % horizon * 1000 / horizon;
+        let machine = load.minion_cpu.max(1000);
+        (cores.div_ceil(machine) as usize).max(self.settings.least)
+    }
+
+    fn forget_arrived(&mut self, machines: &BTreeMap<String, Machine>, now: Time) {
+        let patience = self.settings.patience * 2;
+        self.arriving.retain(|name, (to, since)| {
+            let there = machines.get(name).is_some_and(|machine| {
+                machine.pool == *to && machine.up && machine.minion.is_some()
+            });
+            !there && now.since(*since) < patience
+        });
+        self.pending.retain(|name, _| machines.get(name).is_some_and(|machine| machine.up));
+    }
+}
--- a/crates/engine/src/upkeep.rs
+++ b/crates/engine/src/upkeep.rs
@@ -83,6 +83,8 @@
     waves: BTreeMap<u64, Wave>,
     /// When each machine's upkeep was last ordered by this holder.
     ordered: BTreeMap<String, Time>,
+    /// Machines that this holder has asked to be emptied.
+    emptying: BTreeSet<String>,
 }
 
 impl Planner {
@@ -116,6 +118,7 @@
         if let Some(wave) = self.waves.get_mut(&number) {
             wave.begun.insert(machine.into());
         }
+        self.emptying.remove(machine);
     }
 
     /// Notes that a wave was reported as completed.
@@ -132,10 +135,31 @@
         })
     }
 
+    /// Whether a machine must not go to another pool just now: it is about to go down.
+    pub fn is_emptying(&self, machine: &str) -> bool {
+        self.emptying.contains(machine)
+    }
+
     /// What to do next.
     ///
     /// `emptying` are minions asked to be emptied, `empty` those of them that are.
     pub fn plan(
+        &mut self,
+        machines: &BTreeMap<String, Machine>,
+        emptying: &BTreeSet<String>,
+        empty: &BTreeSet<String>,
+        now: Time,
+    ) -> Vec<Step> {
+        let steps = self.decide(machines, emptying, empty, now);
+        for step in &steps {
+            if let Step::Empty { machine, .. } = step {
+                self.emptying.insert(machine.clone());
+            }
+        }
+        steps
+    }
+
+    fn decide(
         &self,
         machines: &BTreeMap<String, Machine>,
         emptying: &BTreeSet<String>,
--- /dev/null
+++ b/crates/engine/tests/all/fixture.rs
@@ -0,0 +1,139 @@
+//! A cell with minions that a test moves by hand.
+
+use celerythread_engine::cell::{
+    Cell, End, How, Listing, MinionId, Order, Queue, Report, Running, Settings, StartResult,
+};
+use celerythread_engine::job::{Accepted, Definition, Id, Resources, Step, TaskName};
+use celerythread_engine::time::Time;
+use std::time::Duration;
+
+/// A minion's capacity, as the deployments have it.
+pub(crate) const CAPACITY: Resources = Resources { cpu: 16_000, memory_mb: 32_768, gpu: 0 };
+
+pub(crate) fn id(number: u8) -> Id {
+    format!("{number:016x}").parse().unwrap()
+}
+
+pub(crate) fn task(job: u8, step: u32, index: u32) -> TaskName {
+    TaskName { job: id(job), occurrence: 0, step, index }
+}
+
+/// A step of so many tasks of one core and half a second.
+pub(crate) fn step(count: u32) -> Step {
+    let need = Resources { cpu: 1000, memory_mb: 512, gpu: 0 };
+    Step { count, need, estimate_ms: 500, ..Step::default() }
+}
+
+pub(crate) fn definition(steps: Vec<Step>) -> Definition {
+    Definition { spec: "work".into(), steps, schedule: None }
+}
+
+/// A cell under a hand-moved clock.
+pub(crate) struct World {
+    pub(crate) cell: Cell,
+    pub(crate) now: Time,
+    ends: u64,
+}
+
+impl World {
+    pub(crate) fn new(minions: usize) -> Self {
+        Self::with_cell(Cell::new(Settings::default(), 0, None), minions)
+    }
+
+    pub(crate) fn with_cell(cell: Cell, minions: usize) -> Self {
+        let mut world = Self { cell, now: Time(10_000), ends: 0 };
+        let queue = Queue { priority: 0, attempts: 2, stretch: 1.6, target_ms: 600 };
+        world.cell.configure([("queue".into(), queue)]);
+        for number in 0..minions {
+            world.list(number);
+            world.answer(number, Report::default());
+        }
+        world
+    }
+
+    pub(crate) fn minion(number: usize) -> MinionId {
+        format!("minion-{number}").into()
+    }
+
+    pub(crate) fn list(&mut self, number: usize) {
+        let rack = format!("rack-{}", number / 4);
+        let labels = ["kind".into(), rack.as_str().into()].into_iter().collect();
+        let listing = Listing { capacity: CAPACITY, labels, ..Listing::default() };
+        self.cell.list(&Self::minion(number), listing);
+    }
+
+    /// The minion answers a hold that was sent just now.
+    pub(crate) fn answer(&mut self, number: usize, report: Report) -> Vec<Order> {
+        self.now = self.now + Duration::from_millis(1);
+        self.cell.report(&Self::minion(number), &report, self.now, self.now)
+    }
+
+    pub(crate) fn submit(&mut self, job: u8, definition: Definition) {
+        self.add(job, definition, false);
+    }
+
+    pub(crate) fn add(&mut self, job: u8, definition: Definition, inherited: bool) {
+        let accepted = Accepted { queue: "queue".into(), at_ms: 0, definition };
+        self.cell.add_job(id(job), accepted, None, inherited, Duration::ZERO, self.now);
+    }
+
+    pub(crate) fn pass(&mut self, ms: u64) {
+        self.now = self.now + Duration::from_millis(ms);
+    }
+
+    pub(crate) fn plan(&mut self) -> Vec<Order> {
+        self.cell.plan(self.now, self.now.0, true)
+    }
+
+    /// Plans, and has every start accepted.
+    pub(crate) fn start_all(&mut self) -> Vec<(MinionId, TaskName, u32)> {
+        let started = starts(&self.plan());
+        for (minion, task, run) in &started {
+            self.cell.start_result(minion, task, *run, StartResult::Started, self.now);
+        }
+        started
+    }
+
+    /// A minion lists an end, and that everything else of its runs goes on.
+    pub(crate) fn end(&mut self, minion: &MinionId, task: TaskName, run: u32, how: How) -> u64 {
+        self.ends += 1;
+        let number = self.ends;
+        let end = End { number, task, run, how, checkpoint: None };
+        let report = Report { running: Vec::new(), finished: vec![end] };
+        // Sent long ago, so that it says nothing about other runs.
+        self.cell.report(minion, &report, Time(0), self.now);
+        number
+    }
+
+    pub(crate) fn keep(&mut self) {
+        while let Some(batch) = self.cell.unkept(90) {
+            self.cell.kept(&batch);
+        }
+    }
+}
+
+/// The starts among orders.
+pub(crate) fn starts(orders: &[Order]) -> Vec<(MinionId, TaskName, u32)> {
+    orders
+        .iter()
+        .filter_map(|order| match order {
+            Order::Start { minion, task, run, .. } => Some((minion.clone(), *task, *run)),
+            Order::Stop { .. } => None,
+        })
+        .collect()
+}
+
+/// The stops among orders.
+pub(crate) fn stops(orders: &[Order]) -> Vec<(MinionId, TaskName, u32)> {
+    orders
+        .iter()
+        .filter_map(|order| match order {
+            Order::Stop { minion, task, run } => Some((minion.clone(), *task, *run)),
+            Order::Start { .. } => None,
+        })
+        .collect()
+}
+
+pub(crate) fn running(task: TaskName, run: u32, percent: u8) -> Running {
+    Running { task, run, checkpoint: None, percent }
+}
--- /dev/null
+++ b/crates/engine/tests/all/main.rs
@@ -0,0 +1,9 @@
+//! The engine's rules, without network or clocks.
+
+mod fixture;
+mod jobs;
+mod ownership;
+mod pools;
+mod runs;
+mod takeover;
+mod upkeep;
--- /dev/null
+++ b/crates/engine/tests/all/ownership.rs
@@ -0,0 +1,74 @@
+//! Who owns a cell.
+
+use assert_matches::assert_matches;
+use celerythread_engine::ownership::{Entry, Holding, Settings, Verdict, judge, rank, successor};
+use celerythread_engine::time::Time;
+use std::collections::BTreeMap;
+
+fn entries(now: u64, silent: &[&str], names: &[&str]) -> BTreeMap<String, Entry> {
+    let entry = |name: &&str| {
+        let seen = if silent.contains(name) { Time(0) } else { Time(now) };
+        (name.to_string(), Entry { version: 7, seen, stopping: false })
+    };
+    names.iter().map(entry).collect()
+}
+
+fn verdict(me: &str, holder: Option<&str>, entries: &BTreeMap<String, Entry>, now: u64) -> Verdict {
+    let holding = holder.map(|holder| Holding { holder: holder.into(), version: 3 });
+    let owned = BTreeMap::new();
+    judge("cell", me, holding.as_ref(), entries, &owned, Time(now), &Settings::default())
+}
+
+#[test]
+fn a_living_holder_keeps_its_cell() {
+    let entries = entries(10_000, &[], &["a", "b"]);
+    assert_eq!(verdict("a", Some("b"), &entries, 11_000), Verdict::Leave);
+    assert_eq!(verdict("b", Some("b"), &entries, 11_000), Verdict::Own);
+}
+
+/// The takeover requires the silent holder's row to be unchanged, so one that renews at the
+/// last moment keeps its cell.
+#[test]
+fn a_silent_holder_is_replaced_on_condition_that_it_stays_silent() {
+    let entries = entries(10_000, &["b"], &["a", "b"]);
+    let taken = verdict("a", Some("b"), &entries, 10_000);
+    assert_eq!(taken, Verdict::Take { cell: 3, former: Some(("b".into(), 7)) });
+}
+
+#[test]
+fn a_holder_without_a_row_is_replaced_at_once() {
+    let entries = entries(10_000, &[], &["a"]);
+    assert_matches!(verdict("a", Some("b"), &entries, 10_000), Verdict::Take { former: None, .. });
+}
+
+#[test]
+fn only_the_first_candidate_takes_a_vacant_cell() {
+    let entries = entries(10_000, &[], &["a", "b", "c"]);
+    let takers = ["a", "b", "c"]
+        .iter()
+        .filter(|me| matches!(verdict(me, None, &entries, 10_000), Verdict::Take { .. }))
+        .count();
+    assert_eq!(takers, 1);
+}
+
+#[test]
+fn a_cell_is_handed_to_a_living_entry_that_stays() {
+    let mut entries = entries(10_000, &["b"], &["a", "b", "c", "d"]);
+    entries.get_mut("c").unwrap().stopping = true;
+    let owned = BTreeMap::new();
+    let to = successor("cell", "a", &entries, &owned, Time(10_000), &Settings::default());
+    assert_eq!(to.as_deref(), Some("d"));
+}
+
+#[test]
+fn cells_spread_over_entries() {
+    let names: Vec<String> = (0..9).map(|number| format!("entry-{number}")).collect();
+    let mut held: BTreeMap<&str, usize> = BTreeMap::new();
+    for cell in 0..900 {
+        let cell = format!("cell-{cell}");
+        let first = names.iter().min_by_key(|name| rank(&cell, name)).unwrap();
+        *held.entry(first).or_default() += 1;
+    }
+    assert_eq!(held.len(), 9);
+    assert!(held.values().all(|count| (60..150).contains(count)), "{held:?}");
+}
--- /dev/null
+++ b/crates/engine/tests/all/pools.rs
@@ -0,0 +1,110 @@
+//! Machines follow the demand.
+
+use celerythread_engine::pools::{Load, Machine, Move, Planner, Settings};
+use celerythread_engine::time::Time;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const CORES: u64 = 16_000;
+
+/// Nine machines in each of the pools `a` and `b`, two in the spare pool.
+fn machines() -> BTreeMap<String, Machine> {
+    let mut machines = BTreeMap::new();
+    for (pool, count) in [("a", 9), ("b", 9), ("spare", 2)] {
+        for number in 0..count {
+            let name = format!("{pool}-{number}");
+            let minion = (pool != "spare").then(|| format!("minion-{name}"));
+            let machine = Machine { pool: pool.into(), minion, up: true, pinned: false };
+            machines.insert(name, machine);
+        }
+    }
+    machines
+}
+
+/// A pool with nine free minions and this much waiting.
+fn load(pool: &str, waiting_core_s: u64) -> Load {
+    Load {
+        waiting: waiting_core_s * 1000,
+        minion_cpu: CORES,
+        free: (0..9).map(|number| (format!("minion-{pool}-{number}"), 0)).collect(),
+        minions: 9,
+        ..Load::default()
+    }
+}
+
+fn loads(a: u64, b: u64) -> BTreeMap<String, Load> {
+    BTreeMap::from([("a".into(), load("a", a)), ("b".into(), load("b", b))])
+}
+
+/// One queue asks for 240 cores of 144 while the other asks for nothing.
+#[test]
+fn a_burst_gets_the_machines_that_idle_before_spare_ones() {
+    let mut planner = Planner::new(Settings::default());
+    let moves = planner.plan(&machines(), &loads(240, 0), Some("spare"), Time(0));
+    assert!(moves.iter().all(|plan| plan.to == "a"), "{moves:?}");
+    let idle = moves.iter().filter(|plan| plan.from == "b").count();
+    assert_eq!(idle, 6, "all that pool a misses comes from pool b");
+}
+
+#[test]
+fn spare_machines_help_when_none_idles() {
+    let mut planner = Planner::new(Settings::default());
+    let moves = planner.plan(&machines(), &loads(200, 200), Some("spare"), Time(0));
+    assert_eq!(moves.iter().filter(|plan| plan.from == "spare").count(), 2);
+    assert_eq!(moves.len(), 2);
+}
+
+#[test]
+fn what_is_under_way_counts() {
+    let mut planner = Planner::new(Settings::default());
+    let first = planner.plan(&machines(), &loads(240, 0), Some("spare"), Time(0));
+    assert!(!first.is_empty());
+    assert!(planner.plan(&machines(), &loads(240, 0), Some("spare"), Time(100)).is_empty());
+    for plan in &first {
+        planner.ordered(&plan.machine, Time(200));
+    }
+    assert!(planner.plan(&machines(), &loads(240, 0), Some("spare"), Time(300)).is_empty());
+}
+
+/// A minion with a lasting task isn't among the free ones, and one due for upkeep is pinned.
+#[test]
+fn machines_that_must_stay_are_not_moved() {
+    let mut planner = Planner::new(Settings::default());
+    let mut machines = machines();
+    machines.values_mut().for_each(|machine| machine.pinned = true);
+    assert!(planner.plan(&machines, &loads(240, 0), Some("spare"), Time(0)).is_empty());
+    machines.values_mut().for_each(|machine| machine.pinned = false);
+    let mut loads = loads(240, 0);
+    loads.get_mut("b").unwrap().free.clear();
+    let moves = planner.plan(&machines, &loads, None, Time(0));
+    assert_eq!(moves, Vec::<Move>::new());
+}
+
+/// Two queues that burst in turn must not make machines change back and forth before they have
+/// worked.
+#[test]
+fn a_machine_stays_for_a_while() {
+    let mut planner = Planner::new(Settings::default());
+    let mut machines = machines();
+    for plan in planner.plan(&machines, &loads(240, 0), None, Time(0)) {
+        planner.ordered(&plan.machine, Time(0));
+        machines.get_mut(&plan.machine).unwrap().pool = "a".into();
+    }
+    let back = |planner: &mut Planner, at| {
+        planner
+            .plan(&machines, &loads(0, 400), None, Time(at))
+            .iter()
+            .any(|m| m.machine.starts_with('b'))
+    };
+    assert!(!back(&mut planner, 1000));
+    assert!(!back(&mut planner, 2900));
+}
+
+#[test]
+fn a_move_that_takes_too_long_is_given_up() {
+    let mut planner = Planner::new(Settings::default());
+    let first = planner.plan(&machines(), &loads(240, 0), None, Time(0));
+    assert!(planner.overdue(Time(1000)).is_empty());
+    let patience = Settings::default().patience + Duration::from_millis(1);
+    assert_eq!(planner.overdue(Time(0) + patience).len(), first.len());
+}
--- /dev/null
+++ b/crates/engine/tests/all/runs.rs
@@ -0,0 +1,190 @@
+//! Runs: unanswered orders, lapses, minions that fail or hang.
+
+use crate::fixture::*;
+use celerythread_engine::cell::{How, Refusal, Report, StartResult};
+use celerythread_engine::job::Step;
+use std::time::Duration;
+
+/// A start isn't answered and is carried out seconds later.  Started elsewhere meanwhile, the
+/// task would run twice.  So it waits until its minion has confirmed a stop, after which the
+/// run never begins, and then lists no such run.
+#[test]
+fn an_unanswered_start_is_stopped_for_sure_before_the_task_goes_elsewhere() {
+    let mut world = World::new(2);
+    world.submit(1, definition(vec![step(1)]));
+    let (minion, name, run) = starts(&world.plan()).remove(0);
+    world.cell.start_result(&minion, &name, run, StartResult::Unknown, world.now);
+    let orders = world.plan();
+    assert_eq!(stops(&orders), [(minion.clone(), name, run)]);
+    assert!(starts(&orders).is_empty());
+    // A report from before the confirmation proves nothing.
+    world.cell.report(&minion, &Report::default(), world.now, world.now);
+    assert!(starts(&world.plan()).is_empty());
+    world.pass(10);
+    world.cell.stop_confirmed(&minion, &name, run, world.now);
+    world.pass(10);
+    world.cell.report(&minion, &Report::default(), world.now, world.now);
+    let again = starts(&world.plan());
+    assert_eq!(again[0].1, name);
+    assert!(again[0].2 > run);
+}
+
+/// An unanswered stop may be lost, and the run would then go on unseen for ever.
+#[test]
+fn an_unanswered_stop_is_ordered_again() {
+    let mut world = World::new(1);
+    world.submit(1, definition(vec![step(1)]));
+    world.start_all();
+    world.cell.cancel(&id(1), world.now);
+    assert_eq!(stops(&world.plan()).len(), 1);
+    assert!(stops(&world.plan()).is_empty());
+    world.pass(800);
+    assert_eq!(stops(&world.plan()).len(), 1);
+}
+
+/// A minion is cut off and runs on until its lease lapses.  Restarted before, its tasks would
+/// run twice; never restarted, their jobs would be lost.
+#[test]
+fn runs_of_a_silent_minion_are_given_up_when_their_lease_must_have_lapsed() {
+    let mut world = World::new(2);
+    world.submit(1, definition(vec![step(1)]));
+    let (minion, name, run) = world.start_all().remove(0);
+    let lapse = world.now + Duration::from_millis(5000);
+    world.cell.promise(&minion, lapse);
+    world.cell.missed(&minion);
+    world.pass(4999);
+    assert!(starts(&world.plan()).is_empty());
+    world.pass(1);
+    let again = starts(&world.plan());
+    assert_eq!(again[0].1, name);
+    assert!(again[0].2 > run);
+    assert_ne!(again[0].0, minion);
+}
+
+/// Whoever can't be sure to own the cell still must not start anything: after a cut its
+/// successor may run what this owner sees lapse.
+#[test]
+fn without_leave_to_start_nothing_is_started() {
+    let mut world = World::new(1);
+    world.submit(1, definition(vec![step(1)]));
+    assert!(world.cell.plan(world.now, world.now.0, false).is_empty());
+    assert_eq!(starts(&world.plan()).len(), 1);
+}
+
+/// Another life of the minion answers at its address: what ran there is over at once, and
+/// waiting for a lease would only keep callers waiting.
+#[test]
+fn the_runs_of_a_life_that_is_over_start_elsewhere_at_once() {
+    let mut world = World::new(2);
+    world.submit(1, definition(vec![step(1)]));
+    let (minion, name, _) = world.start_all().remove(0);
+    world.cell.bury(&minion, world.now);
+    assert_eq!(starts(&world.plan())[0].1, name);
+}
+
+/// A minion that fails whatever it starts is always free and draws task after task; the
+/// callers of many jobs see them fail.
+#[test]
+fn a_minion_that_fails_two_jobs_in_a_row_is_left_out_for_a_while() {
+    let mut world = World::new(2);
+    for job in 1..=2 {
+        world.submit(job, definition(vec![step(1)]));
+    }
+    let started = world.start_all();
+    assert_eq!(started[0].0, started[1].0, "packed on one minion");
+    for (minion, name, run) in &started {
+        world.end(minion, *name, *run, How::Failed);
+    }
+    world.submit(3, definition(vec![step(20)]));
+    let bad = &started[0].0;
+    assert!(world.start_all().iter().all(|(minion, _, _)| minion != bad));
+    world.pass(2001);
+    assert!(world.start_all().iter().any(|(minion, _, _)| minion == bad));
+}
+
+/// A minion hangs: it answers and lists its runs, and nothing goes on.  Only the standing
+/// percentage shows it.
+#[test]
+fn a_run_that_stands_still_is_stopped_and_its_minion_left_out() {
+    let mut world = World::new(2);
+    world.submit(1, definition(vec![step(1)]));
+    let (minion, name, run) = world.start_all().remove(0);
+    for percent in [10, 30] {
+        world.pass(1000);
+        let report = Report { running: vec![running(name, run, percent)], finished: vec![] };
+        world.cell.report(&minion, &report, world.now, world.now);
+        assert!(stops(&world.plan()).is_empty());
+    }
+    world.pass(1600);
+    let report = Report { running: vec![running(name, run, 30)], finished: vec![] };
+    world.cell.report(&minion, &report, world.now, world.now);
+    assert_eq!(stops(&world.plan()), [(minion.clone(), name, run)]);
+    world.end(&minion, name, run, How::Stopped);
+    assert!(starts(&world.plan()).iter().all(|(place, _, _)| *place != minion));
+}
+
+#[test]
+fn a_start_without_room_waits_for_the_next_report() {
+    let mut world = World::new(1);
+    world.submit(1, definition(vec![step(1)]));
+    let (minion, name, run) = starts(&world.plan()).remove(0);
+    let refused = StartResult::Refused(Refusal::Room);
+    world.cell.start_result(&minion, &name, run, refused, world.now);
+    assert!(starts(&world.plan()).is_empty());
+    world.pass(200);
+    assert_eq!(starts(&world.plan()).len(), 1);
+}
+
+#[test]
+fn capacity_is_never_exceeded_and_comes_back_with_the_end() {
+    let mut world = World::new(1);
+    world.submit(1, definition(vec![step(17)]));
+    let started = world.start_all();
+    assert_eq!(started.len(), 16);
+    let (minion, name, run) = &started[0];
+    world.end(minion, *name, *run, How::Done);
+    assert_eq!(starts(&world.plan()).len(), 1);
+}
+
+#[test]
+fn a_lasting_task_is_restarted_however_it_ends() {
+    let mut world = World::new(3);
+    let lasting = Step { lasting: true, may_be_away: Some(1), ..step(1) };
+    world.submit(1, definition(vec![lasting]));
+    for how in [How::Done, How::Failed, How::Failed, How::Failed, How::Lapsed] {
+        let (minion, name, run) = world.start_all().remove(0);
+        world.end(&minion, name, run, how);
+        world.pass(150);
+    }
+    assert_eq!(world.start_all().len(), 1);
+}
+
+/// A machine is due for upkeep and runs a task of a service that may miss one.  Taken away
+/// while another of its tasks is still starting, the service falls below its budget.
+#[test]
+fn lasting_tasks_leave_one_after_the_other_within_what_may_be_away() {
+    let mut world = World::new(6);
+    let lasting = Step { lasting: true, may_be_away: Some(1), per_minion: Some(1), ..step(3) };
+    world.submit(1, definition(vec![lasting]));
+    let started = world.start_all();
+    let report = |world: &mut World, start: &(std::sync::Arc<str>, _, u32), percent| {
+        let running = vec![running(start.1, start.2, percent)];
+        let report = Report { running, finished: vec![] };
+        world.pass(1);
+        world.cell.report(&start.0, &report, world.now, world.now);
+    };
+    for start in &started {
+        report(&mut world, start, 100);
+    }
+    world.cell.set_leaving(&started[0].0, true);
+    world.cell.set_leaving(&started[1].0, true);
+    let first = stops(&world.plan());
+    assert_eq!(first.len(), 1);
+    let (minion, name, run) = first[0].clone();
+    world.end(&minion, name, run, How::Stopped);
+    let moved = world.start_all().remove(0);
+    report(&mut world, &moved, 40);
+    assert!(stops(&world.plan()).is_empty(), "the moved one is not at work yet");
+    report(&mut world, &moved, 100);
+    assert_eq!(stops(&world.plan()).len(), 1);
+}
--- /dev/null
+++ b/crates/engine/tests/all/takeover.rs
@@ -0,0 +1,93 @@
+//! A new owner: what it starts when, and under which numbers.
+
+use crate::fixture::*;
+use celerythread_engine::cell::{Cell, How, Report, Settings};
+use celerythread_engine::job::{Progress, State};
+use celerythread_engine::time::Time;
+use std::time::Duration;
+
+fn successor(minions: usize) -> World {
+    let cell = Cell::new(Settings::default(), 1, Some(Time(30_000)));
+    let mut world = World::with_cell(cell, 0);
+    for number in 0..minions {
+        world.list(number);
+    }
+    world
+}
+
+/// A new owner starts a task that the former one runs on a minion which hasn't answered yet:
+/// it runs twice.
+#[test]
+fn inherited_tasks_wait_until_every_minion_has_answered() {
+    let mut world = successor(2);
+    world.add(1, definition(vec![step(1)]), true);
+    world.submit(2, definition(vec![step(1)]));
+    world.answer(0, Report::default());
+    let started = world.start_all();
+    assert_eq!(started.len(), 1, "only the job that the former owner can't know");
+    assert_eq!(started[0].1.job, id(2));
+    let report = Report { running: vec![running(task(1, 0, 0), 3, 50)], finished: vec![] };
+    world.answer(1, report);
+    assert!(world.start_all().is_empty(), "the run that was found goes on");
+    assert_eq!(world.cell.state(&id(1)), Some(State::Running));
+}
+
+#[test]
+fn inherited_tasks_start_when_the_former_owners_leases_must_have_lapsed() {
+    let mut world = successor(1);
+    world.cell.inherit(&"gone".into());
+    world.add(1, definition(vec![step(1)]), true);
+    world.answer(0, Report::default());
+    assert!(world.start_all().is_empty());
+    world.now = Time(30_000);
+    assert_eq!(world.start_all().len(), 1);
+}
+
+/// The new owner doesn't know the number of a run on a minion that doesn't answer.  A start
+/// with a number that isn't higher would be refused there for good.
+#[test]
+fn a_new_owner_numbers_its_runs_above_all_of_its_predecessors() {
+    let mut world = successor(1);
+    world.add(1, definition(vec![step(1)]), true);
+    world.answer(0, Report::default());
+    assert!(world.start_all()[0].2 > 10_000);
+}
+
+#[test]
+fn what_was_kept_as_done_is_not_started_again() {
+    let mut world = successor(1);
+    let progress = Progress { done: vec![0, 2], ..Progress::default() };
+    let accepted = celerythread_engine::job::Accepted {
+        queue: "queue".into(),
+        at_ms: 0,
+        definition: definition(vec![step(3)]),
+    };
+    let now = world.now;
+    world.cell.add_job(id(1), accepted, Some(&progress), true, Duration::ZERO, now);
+    world.answer(0, Report::default());
+    let started = world.start_all();
+    assert_eq!(started.iter().map(|start| start.1).collect::<Vec<_>>(), [task(1, 0, 1)]);
+}
+
+/// The former owner restarted a task elsewhere and was lost; two runs of it answer to the new
+/// one.  One goes on, the other is stopped, and its room isn't used before it has ended.
+#[test]
+fn a_second_run_of_a_task_is_stopped() {
+    let mut world = successor(2);
+    world.add(1, definition(vec![step(1)]), true);
+    let found = |run| Report { running: vec![running(task(1, 0, 0), run, 5)], finished: vec![] };
+    assert!(world.answer(0, found(1)).is_empty());
+    let orders = world.answer(1, found(2));
+    assert_eq!(stops(&orders), [(World::minion(1), task(1, 0, 0), 2)]);
+}
+
+/// An end that was listed to the former owner, and neither kept nor acknowledged by it, is
+/// listed to the new one: the run counts, and isn't repeated.
+#[test]
+fn an_end_that_the_former_owner_missed_counts() {
+    let mut world = successor(1);
+    world.add(1, definition(vec![step(1)]), true);
+    world.end(&World::minion(0), task(1, 0, 0), 4, How::Done);
+    world.keep();
+    assert_eq!(world.cell.state(&id(1)), Some(State::Completed));
+}
--- /dev/null
+++ b/crates/scheduler/src/fleet/upkeep.rs
@@ -0,0 +1,142 @@
+//! Carrying maintenance waves with the decisions of the engine.
+
+use crate::clock;
+use crate::fleet::{CALL_LIMIT, order_allowed, write_emptying};
+use crate::metrics::Counter;
+use crate::node::Node;
+use crate::owner::Owner;
+use crate::rows;
+use celerythread_adapter::machine::{self, Authority};
+use celerythread_adapter::store::{self, Name, Transaction};
+use celerythread_adapter::wave;
+use celerythread_engine::job::{decode, encode};
+use celerythread_engine::pools::Load;
+use celerythread_engine::upkeep::{Machine, Planner, Step, Wave};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Reads how far waves were under a former holder.
+pub(crate) async fn load(node: &Node, planner: &mut Planner) -> bool {
+    let page = node.store.all(rows::CONTROL, "", rows::WAVE_PREFIX, CALL_LIMIT).await;
+    node.store_result(&page);
+    let Ok(page) = page else { return false };
+    for row in &page.rows {
+        let number = row.key.strip_prefix(rows::WAVE_PREFIX).and_then(|key| key.parse().ok());
+        if let (Some(number), Ok(wave)) = (number, decode::<Wave>(&row.value)) {
+            planner.add(number, wave);
+        }
+    }
+    true
+}
+
+/// Takes in waves that operators have asked for since.
+pub(crate) async fn take_new(node: &Node, planner: &mut Planner) {
+    let waves: Vec<wave::Wave> = node.waves.read().values().cloned().collect();
+    for wave in waves {
+        if planner.wave(wave.number).is_none() {
+            let fresh = Wave {
+                machines: wave.machines.clone(),
+                at_once: wave.at_once.max(1),
+                ..Wave::default()
+            };
+            planner.add(wave.number, fresh);
+            report(node, wave.number, wave::State::Running).await;
+        }
+    }
+}
+
+/// Takes open waves a step further.
+pub(crate) async fn step(
+    owner: &Arc<Owner>,
+    client: &machine::Client,
+    planner: &mut Planner,
+    machines: &[machine::Machine],
+    loads: &BTreeMap<String, Load>,
+) {
+    let node = &owner.node;
+    let machines: BTreeMap<String, Machine> = machines.iter().map(seen).collect();
+    let emptying: BTreeSet<String> = node.view.read().emptying.values().cloned().collect();
+    let empty: BTreeSet<String> =
+        loads.values().flat_map(|load| load.empty.iter().cloned()).collect();
+    for step in planner.plan(&machines, &emptying, &empty, clock::now()) {
+        match step {
+            Step::Empty { machine, minion } => {
+                write_emptying(node, &[(machine, minion)]).await;
+            }
+            Step::Begin { machine, wave } => {
+                begin(owner, client, planner, &machine, wave).await;
+            }
+            Step::Complete { wave } => {
+                if report(node, wave, wave::State::Completed).await {
+                    planner.completed(wave);
+                    keep(node, planner, wave, Vec::new()).await;
+                }
+            }
+        }
+    }
+}
+
+fn seen(machine: &machine::Machine) -> (String, Machine) {
+    let seen = Machine {
+        minion: machine.minion.clone().filter(|id| !id.is_empty()),
+        up: machine.state == machine::State::Up,
+        in_upkeep: machine.state == machine::State::Upkeep,
+    };
+    (machine.name.clone(), seen)
+}
+
+async fn begin(
+    owner: &Arc<Owner>,
+    client: &machine::Client,
+    planner: &mut Planner,
+    machine: &str,
+    wave: u64,
+) {
+    let node = &owner.node;
+    if !order_allowed(owner) {
+        return;
+    }
+    planner.ordered(machine, clock::now());
+    let by = Authority { holder: node.me.clone(), token: owner.token };
+    let answer = client.upkeep(machine, wave, &by, CALL_LIMIT).await;
+    let outcome = match &answer {
+        Ok(Ok(())) => "begun".to_owned(),
+        Ok(Err(reason)) => reason.to_string(),
+        Err(failure) => failure.to_string(),
+    };
+    node.journal.note(
+        "upkeep_ordered",
+        &[("machine", &machine), ("wave", &wave), ("token", &owner.token), ("outcome", &outcome)],
+    );
+    if !matches!(answer, Ok(Ok(()))) {
+        return;
+    }
+    node.metrics.count(Counter::Upkeeps);
+    planner.begun(wave, machine);
+    let drops = vec![rows::control(rows::EMPTYING_PREFIX, machine)];
+    keep(node, planner, wave, drops).await;
+    node.view.write().emptying.remove(machine);
+}
+
+/// Keeps how far a wave is.
+async fn keep(node: &Node, planner: &Planner, number: u64, drops: Vec<Name>) {
+    let Some(wave) = planner.wave(number) else { return };
+    let name = rows::control(rows::WAVE_PREFIX, &number.to_string());
+    let change =
+        Transaction { writes: vec![(name, encode(wave))], drops, ..Transaction::default() };
+    // If this is lost, a later holder asks for the same upkeep again, which changes nothing.
+    let _ = node.commit(&change, CALL_LIMIT).await;
+}
+
+/// Tells operators how far a wave is; true if it is written.
+async fn report(node: &Node, number: u64, state: wave::State) -> bool {
+    let name = Name::new(store::STATUS_TABLE, "", format!("{}{number}", wave::KEY_PREFIX));
+    let change =
+        Transaction { writes: vec![(name, wave::status(number, state))], ..Transaction::default() };
+    let written = node.commit(&change, CALL_LIMIT).await.is_ok();
+    if written {
+        node.journal
+            .note("wave_reported", &[("wave", &number), ("state", &format_args!("{state:?}"))]);
+    }
+    written
+}
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -13,7 +13,7 @@
 use celerythread_engine::time::Time;
 use celerythread_http::Fault;
 use celerythread_http::server::{Handler, Request};
-use celerythread_wire::frame::{JobAnswer, JobQuestion};
+use celerythread_wire::job::{Answer, Question};
 use http_types::{Method, Response, StatusCode};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -185,7 +185,7 @@
         );
         if matches!(written, Written::Accepted) {
             let service = queue.service.clone();
-            self.tell_owner(JobQuestion::Accepted { service, id, row });
+            self.tell_owner(Question::Accepted { service, id, row });
         }
         response
     }
@@ -239,7 +239,7 @@
     }
 
     /// Tells the owner without waiting for it: its feed brings the same a little later.
-    fn tell_owner(&self, question: JobQuestion) {
+    fn tell_owner(&self, question: Question) {
         let node = self.node.clone();
         if let Some(owner) = node.owner(question.service()) {
             owner.answer(&question);
@@ -253,10 +253,9 @@
 
     async fn state(&self, context: &Context, queue: &Queue, id: Id) -> Response {
         let service = queue.service.clone();
-        let asked =
-            peers::ask_owner(&self.node, &queue.service, JobQuestion::State { service, id });
+        let asked = peers::ask_owner(&self.node, &queue.service, Question::State { service, id });
         let state = match asked.await {
-            Some(JobAnswer::State(Some(state))) => Ok(Some(state)),
+            Some(Answer::State(Some(state))) => Ok(Some(state)),
             // A job that the owner doesn't know may have been accepted a moment ago.
             _ => self.read_state(queue, id).await,
         };
@@ -301,7 +300,7 @@
             return Ok(Some(State::Cancelled));
         }
         let service = service.clone();
-        self.tell_owner(JobQuestion::Accepted { service, id, row: job.value });
+        self.tell_owner(Question::Accepted { service, id, row: job.value });
         Ok(Some(if progress.is_some() { State::Running } else { State::Queued }))
     }
 
@@ -336,15 +335,15 @@
             return answer(StatusCode::GatewayTimeout);
         }
         node.metrics.count(Counter::JobsCancelled);
-        self.tell_owner(JobQuestion::Cancelled { service: service.clone(), id });
+        self.tell_owner(Question::Cancelled { service: service.clone(), id });
         answer(StatusCode::Ok)
     }
 
     async fn pending(&self, queue: &Queue) -> Response {
         let question =
-            JobQuestion::Pending { service: queue.service.clone(), queue: queue.name.clone() };
+            Question::Pending { service: queue.service.clone(), queue: queue.name.clone() };
         match peers::ask_owner(&self.node, &queue.service, question).await {
-            Some(JobAnswer::Pending(pending)) => {
+            Some(Answer::Pending(pending)) => {
                 let mut response = answer(StatusCode::Ok);
                 set_json(&mut response, submission::pending_body(pending as usize));
                 response
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! What an entry knows and agrees on: [`membership`] renews its row, follows the others' and
 //! takes and gives cells; [`follow`] keeps the configuration, the waves and the minions as the
-//! platform lists them; [`peers`] asks other entries; [`upkeep`] carries maintenance waves.
+//! platform lists them; [`peers`] asks other entries; [`fleet`] carries maintenance waves and moves machines between pools.
 //! [`node`] is what all of them share, with the lock order; [`rows`] are the rows kept.
 //!
 //! [`settings`] is the checked INI file; [`daemon`] starts it all and stops it gracefully;
@@ -14,6 +14,7 @@
 
 mod clock;
 pub mod daemon;
+mod fleet;
 mod follow;
 mod front;
 pub mod journal;
@@ -24,7 +25,6 @@
 mod peers;
 mod rows;
 pub mod settings;
-mod upkeep;
 
 pub use daemon::Daemon;
 pub use settings::Settings;
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -48,12 +48,6 @@
                 let minion = String::from_utf8_lossy(&row.value).into_owned();
                 view.emptying.insert(machine.into(), minion);
             }
-        } else if let Some(minion) = key.strip_prefix(rows::EMPTY_PREFIX) {
-            if row.dropped {
-                view.empty.remove(minion);
-            } else {
-                view.empty.insert(minion.into());
-            }
         }
     }
 
@@ -220,7 +214,7 @@
     let services = configuration.services.iter().filter(|service| !service.spare);
     let mut cells: Vec<String> = services.map(|service| service.name.clone()).collect();
     if node.machines.is_some() {
-        cells.push(rows::UPKEEP_CELL.into());
+        cells.push(rows::FLEET_CELL.into());
     }
     let view = node.view.read();
     cells.extend(
@@ -384,7 +378,7 @@
 
 /// Drops the rows of entries that have been silent for long.
 async fn forget_silent(node: &Arc<Node>) {
-    if node.owner(rows::UPKEEP_CELL).is_none() {
+    if node.owner(rows::FLEET_CELL).is_none() {
         return;
     }
     let gone: Vec<(String, u64)> = {
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -43,6 +43,8 @@
     StoreFailures,
     /// Questions to peers that were not answered.
     PeerFailures,
+    /// Machines moved to another pool.
+    Moves,
     /// Machines whose upkeep began.
     Upkeeps,
 }
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -19,7 +19,7 @@
 use celerythread_engine::ownership::{self, Holding};
 use celerythread_engine::time::Time;
 use parking_lot::RwLock;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -46,8 +46,6 @@
     pub(crate) cell_rows: BTreeMap<String, rows::Cell>,
     /// Machines to be emptied, with their minions.
     pub(crate) emptying: BTreeMap<String, String>,
-    /// Minions that are empty.
-    pub(crate) empty: BTreeSet<String>,
 }
 
 impl View {
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -8,16 +8,16 @@
 pub(crate) mod load;
 
 use crate::clock;
+use crate::fleet;
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::rows;
-use crate::upkeep;
 use async_std::channel;
 use attend::Attendant;
 use celerythread_adapter::configuration::Configuration;
 use celerythread_engine::cell::{Cell, Note, Order, Queue};
 use celerythread_engine::job::{Accepted, Id, decode};
-use celerythread_wire::frame::{JobAnswer, JobQuestion};
+use celerythread_wire::job::{Answer, Question};
 use parking_lot::Mutex;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -187,22 +187,28 @@
     }
 
     /// Answers another entry, or this one's own front; none while the cell is not loaded.
-    pub(crate) fn answer(&self, question: &JobQuestion) -> Option<JobAnswer> {
+    pub(crate) fn answer(&self, question: &Question) -> Option<Answer> {
         if self.is_stopped() || self.cell.lock().is_none() {
             return None;
         }
         match question {
-            JobQuestion::Accepted { id, row, .. } => {
+            Question::Accepted { id, row, .. } => {
                 self.accept(*id, row);
-                Some(JobAnswer::Noted)
+                Some(Answer::Noted)
             }
-            JobQuestion::Cancelled { id, .. } => {
+            Question::Cancelled { id, .. } => {
                 self.cancel(*id);
-                Some(JobAnswer::Noted)
+                Some(Answer::Noted)
             }
-            JobQuestion::State { id, .. } => self.with(|cell| JobAnswer::State(cell.state(id))),
-            JobQuestion::Pending { queue, .. } => {
-                self.with(|cell| JobAnswer::Pending(cell.pending(queue) as u32))
+            Question::State { id, .. } => self.with(|cell| Answer::State(cell.state(id))),
+            Question::Load { .. } => self.with(|cell| Answer::Load(cell.load())),
+            Question::Release { machines, .. } => {
+                self.node.view.write().emptying.extend(machines.iter().cloned());
+                self.plan_wake.wake();
+                Some(Answer::Noted)
+            }
+            Question::Pending { queue, .. } => {
+                self.with(|cell| Answer::Pending(cell.pending(queue) as u32))
             }
         }
     }
@@ -246,8 +252,8 @@
 
 /// Starts working on a cell that this entry holds.
 pub(crate) fn start(owner: Arc<Owner>) {
-    if owner.service == rows::UPKEEP_CELL {
-        async_std::task::spawn(upkeep::carry(owner));
+    if owner.service == rows::FLEET_CELL {
+        async_std::task::spawn(fleet::carry(owner));
     } else {
         async_std::task::spawn(run(owner));
     }
@@ -275,7 +281,6 @@
             if owner.with(|cell| cell.unkept(1).is_some()).unwrap_or(false) {
                 owner.keep_wake.wake();
             }
-            report_empty(&owner).await;
         }
         if !owner.pause(PLAN_PAUSE).await {
             return;
@@ -288,6 +293,16 @@
     let (journal, now) = (&owner.node.journal, clock::now());
     for note in owner.with(|cell| cell.take_notes()).unwrap_or_default() {
         match &note {
+            Note::Ended { minion, end } => journal.note(
+                "run_ended",
+                &[
+                    ("job", &end.task.job),
+                    ("task", &end.task),
+                    ("run", &end.run),
+                    ("how", &end.how),
+                    ("minion", minion),
+                ],
+            ),
             Note::Lapsed { minion, task, run, at } => journal.warn(
                 "run_lapsed",
                 &[
@@ -345,24 +360,3 @@
         }
     }
 }
-
-/// Writes which of the minions that are to be emptied are empty.
-async fn report_empty(owner: &Arc<Owner>) {
-    let ready: Vec<Arc<str>> = {
-        let view = owner.node.view.read();
-        if view.emptying.is_empty() {
-            return;
-        }
-        let empty = |cell: &mut Cell| {
-            cell.minions()
-                .filter(|minion| minion.leaving && minion.answered && minion.is_empty())
-                .filter(|minion| !view.empty.contains(&*minion.id))
-                .map(|minion| minion.id.clone())
-                .collect()
-        };
-        owner.with(empty).unwrap_or_default()
-    };
-    if !ready.is_empty() {
-        upkeep::write_empty(&owner.node, &ready).await;
-    }
-}
--- a/crates/scheduler/src/owner/attend.rs
+++ b/crates/scheduler/src/owner/attend.rs
@@ -248,18 +248,6 @@
             .journal
             .note("minion_answers", &[("minion", id), ("running", &report.running.len())]);
     }
-    for end in &report.finished {
-        owner.node.journal.note(
-            "run_ended",
-            &[
-                ("job", &end.task.job),
-                ("task", &end.task),
-                ("run", &end.run),
-                ("how", &end.how),
-                ("minion", id),
-            ],
-        );
-    }
     dispatch(owner, orders.unwrap_or_default());
     owner.plan_wake.wake();
 }
--- a/crates/scheduler/src/owner/keep.rs
+++ b/crates/scheduler/src/owner/keep.rs
@@ -7,7 +7,7 @@
 use crate::rows;
 use celerythread_adapter::store::{Error, Transaction};
 use celerythread_engine::cell::Batch;
-use celerythread_engine::job::{decode, encode};
+use celerythread_engine::job::{Id, Progress, decode, encode};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -56,35 +56,47 @@
 }
 
 /// Keeps everything that is to be kept now; true if it is all kept.
+///
+/// What is written is taken from the cell only under the ledger's lock: two callers that took it
+/// before could write in the other order, and the older progress would replace the newer one
+/// after its ends were acknowledged.  A later owner would then run done tasks again.
 pub(crate) async fn keep_all(owner: &Owner) -> bool {
-    while let Some(Some(batch)) = owner.with(|cell| cell.unkept(MAX_ROWS)) {
-        if owner.is_stopped() {
-            return false;
+    loop {
+        {
+            let mut ledger = owner.ledger.lock().await;
+            let Some(Some(batch)) = owner.with(|cell| cell.unkept(MAX_ROWS)) else { return true };
+            if owner.is_stopped() {
+                return false;
+            }
+            if batch.rows.is_empty() || commit(owner, &mut ledger, changes(owner, &batch)).await {
+                finish(owner, &batch);
+                continue;
+            }
         }
-        if batch.rows.is_empty() || commit(owner, &batch).await {
-            finish(owner, &batch);
-        } else if !owner.pause(RETRY).await {
+        if !owner.pause(RETRY).await {
             return false;
         }
     }
-    true
 }
 
-async fn commit(owner: &Owner, batch: &Batch) -> bool {
-    let writes = batch
-        .rows
-        .iter()
-        .map(|(id, _, progress)| (rows::progress(&owner.service, id), encode(progress)))
-        .collect();
-    write(owner, Transaction { writes, ..Transaction::default() }).await
+fn changes(owner: &Owner, batch: &Batch) -> Transaction {
+    let row = |(id, _, progress): &(Id, u64, Progress)| {
+        (rows::progress(&owner.service, id), encode(progress))
+    };
+    Transaction { writes: batch.rows.iter().map(row).collect(), ..Transaction::default() }
 }
 
 /// Commits a change under the ledger; true if it is certain to be done.
+pub(crate) async fn write(owner: &Owner, change: Transaction) -> bool {
+    let mut ledger = owner.ledger.lock().await;
+    commit(owner, &mut ledger, change).await
+}
+
+/// Commits a change under the locked ledger; true if it is certain to be done.
 ///
 /// After an unanswered one the ledger's version is not known.  The next one then conflicts if
 /// the lost one was carried out, and tells the version to go on from.
-pub(crate) async fn write(owner: &Owner, change: Transaction) -> bool {
-    let mut ledger = owner.ledger.lock().await;
+async fn commit(owner: &Owner, ledger: &mut u64, change: Transaction) -> bool {
     match write_ledger(owner, *ledger, change).await {
         Ok(version) => {
             *ledger = version;
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -105,6 +105,7 @@
 async fn read(owner: &Arc<Owner>) -> Result<u64, Error> {
     let (store, service) = (&owner.node.store, owner.service.as_str());
     let lapse = former_lapse(owner);
+    read_emptying(owner).await?;
     let roster = store.get(rows::JOBS, service, rows::ROSTER_KEY, CALL_LIMIT).await?;
     // The jobs first: what is accepted later is in the feed, and has no progress yet.
     let jobs = store.all(rows::JOBS, service, "", CALL_LIMIT).await?;
@@ -136,6 +137,22 @@
     Ok(version)
 }
 
+/// Reads which machines are to be emptied, ahead of the feed: whoever asked the former owner
+/// and was told that a machine is empty may order it down at any moment, so nothing may be
+/// started there.
+async fn read_emptying(owner: &Owner) -> Result<(), Error> {
+    let node = &owner.node;
+    let page = node.store.all(rows::CONTROL, "", rows::EMPTYING_PREFIX, CALL_LIMIT).await?;
+    let mut view = node.view.write();
+    for row in page.rows {
+        if let Some(machine) = row.key.strip_prefix(rows::EMPTYING_PREFIX) {
+            let minion = String::from_utf8_lossy(&row.value).into_owned();
+            view.emptying.insert(machine.into(), minion);
+        }
+    }
+    Ok(())
+}
+
 /// Fills a cell with kept jobs; returns how many.
 fn fill(owner: &Owner, cell: &mut Cell, jobs: Page, progress: Page) -> usize {
     let progress: BTreeMap<String, Progress> = progress
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -6,7 +6,7 @@
 use crate::metrics::Counter;
 use crate::node::Node;
 use async_std::future::timeout;
-use celerythread_wire::frame::{JobAnswer, JobQuestion};
+use celerythread_wire::job::{Answer, Question};
 use celerythread_wire::{Channel, Endpoint, Frame, Link};
 use parking_lot::{Mutex, RwLock};
 use std::collections::HashMap;
@@ -55,11 +55,7 @@
     }
 
     /// Asks a peer; none when it doesn't answer in time.
-    pub(crate) async fn ask(
-        &self,
-        address: SocketAddr,
-        question: JobQuestion,
-    ) -> Option<JobAnswer> {
+    pub(crate) async fn ask(&self, address: SocketAddr, question: Question) -> Option<Answer> {
         let rested = |since: &std::time::Instant| since.elapsed() >= REST;
         if self.resting.lock().get(&address).is_some_and(|since| !rested(since)) {
             return None;
@@ -87,11 +83,7 @@
 }
 
 /// Asks the owner of a service's cell, wherever it is; none when it can't be asked.
-pub(crate) async fn ask_owner(
-    node: &Node,
-    service: &str,
-    question: JobQuestion,
-) -> Option<JobAnswer> {
+pub(crate) async fn ask_owner(node: &Node, service: &str, question: Question) -> Option<Answer> {
     if let Some(owner) = node.owner(service) {
         return owner.answer(&question);
     }
@@ -130,7 +122,7 @@
     let answer = node
         .owner(question.service())
         .and_then(|owner| owner.answer(&question))
-        .unwrap_or(JobAnswer::NotOwner);
+        .unwrap_or(Answer::NotOwner);
     // A peer that has gone meanwhile has given up waiting, too.
     let _ = channel.send(&Frame::JobAnswer(answer)).await;
     channel.finish();
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -1,8 +1,7 @@
 //! The rows that entries keep in the platform's store: tables, keys and values.
 //!
 //! Table `control`, one partition: an entry's row (`entry/ID`), a cell's (`cell/SERVICE`),
-//! machines to be emptied (`emptying/MACHINE`), minions that are empty (`empty/MINION`), how far
-//! waves are (`wave/N`) and the entries' certificate authority (`authority`).
+//! machines to be emptied (`emptying/MACHINE`), how far waves are (`wave/N`) and the entries' certificate authority (`authority`).
 //!
 //! Tables `jobs` and `progress`, a partition for each service: accepted jobs (`job/ID`),
 //! cancellations (`cancel/ID`), the owner's ledger (`ledger`), the minions that it uses
@@ -23,7 +22,6 @@
 pub(crate) const ENTRY_PREFIX: &str = "entry/";
 pub(crate) const CELL_PREFIX: &str = "cell/";
 pub(crate) const EMPTYING_PREFIX: &str = "emptying/";
-pub(crate) const EMPTY_PREFIX: &str = "empty/";
 pub(crate) const WAVE_PREFIX: &str = "wave/";
 pub(crate) const AUTHORITY_KEY: &str = "authority";
 pub(crate) const JOB_PREFIX: &str = "job/";
@@ -31,9 +29,9 @@
 pub(crate) const LEDGER_KEY: &str = "ledger";
 pub(crate) const ROSTER_KEY: &str = "roster";
 
-/// The cell whose owner carries the upkeep of machines.  No service has such a name: the
+/// The cell whose owner carries the duty for the fleet.  No service has such a name: the
 /// platform's begin with a letter.
-pub(crate) const UPKEEP_CELL: &str = "~upkeep";
+pub(crate) const FLEET_CELL: &str = "~fleet";
 
 /// An entry's row, rewritten at each renewal.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,6 +1,6 @@
 //! The vocabulary between entry instances.
 
-use celerythread_engine::job;
+use crate::job;
 use celerythread_model::code::Code;
 use celerythread_model::id;
 use celerythread_model::request::Class;
@@ -50,69 +50,9 @@
         text: String,
     },
     /// Asks or tells the owner of a service's jobs something.
-    JobQuestion(JobQuestion),
+    JobQuestion(job::Question),
     /// The owner's answer.
-    JobAnswer(JobAnswer),
-}
-
-/// What the owner of a service's jobs is asked or told.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum JobQuestion {
-    /// A job was accepted, and its row is written.
-    Accepted {
-        /// Its service.
-        service: String,
-        /// The job.
-        id: job::Id,
-        /// Its row.
-        row: Vec<u8>,
-    },
-    /// A job was cancelled, and that is written.
-    Cancelled {
-        /// Its service.
-        service: String,
-        /// The job.
-        id: job::Id,
-    },
-    /// In which state a job is.
-    State {
-        /// Its service.
-        service: String,
-        /// The job.
-        id: job::Id,
-    },
-    /// How many jobs of a queue wait for their first task.
-    Pending {
-        /// Its service.
-        service: String,
-        /// The queue.
-        queue: String,
-    },
-}
-
-impl JobQuestion {
-    /// The service that it is about.
-    pub fn service(&self) -> &str {
-        match self {
-            JobQuestion::Accepted { service, .. }
-            | JobQuestion::Cancelled { service, .. }
-            | JobQuestion::State { service, .. }
-            | JobQuestion::Pending { service, .. } => service,
-        }
-    }
-}
-
-/// What the owner answers.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub enum JobAnswer {
-    /// It took note.
-    Noted,
-    /// The job's state; none for a job that the owner doesn't know.
-    State(Option<job::State>),
-    /// How many jobs wait.
-    Pending(u32),
-    /// The receiver doesn't own the service, or doesn't know its jobs yet.
-    NotOwner,
+    JobAnswer(job::Answer),
 }
 
 /// How an entry is, as it tells its peers.
--- /dev/null
+++ b/crates/wire/src/job.rs
@@ -0,0 +1,81 @@
+//! Questions to the owner of a service's jobs, and its answers.
+
+use celerythread_engine::job::{Id, State};
+use celerythread_engine::pools::Load;
+use serde::{Deserialize, Serialize};
+
+/// What the owner of a service's jobs is asked or told.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Question {
+    /// A job was accepted, and its row is written.
+    Accepted {
+        /// Its service.
+        service: String,
+        /// The job.
+        id: Id,
+        /// Its row.
+        row: Vec<u8>,
+    },
+    /// A job was cancelled, and that is written.
+    Cancelled {
+        /// Its service.
+        service: String,
+        /// The job.
+        id: Id,
+    },
+    /// In which state a job is.
+    State {
+        /// Its service.
+        service: String,
+        /// The job.
+        id: Id,
+    },
+    /// How many jobs of a queue wait for their first task.
+    Pending {
+        /// Its service.
+        service: String,
+        /// The queue.
+        queue: String,
+    },
+    /// What the demand is and which minions could be given away.
+    Load {
+        /// The service.
+        service: String,
+    },
+    /// Machines are to be emptied, and that is written.
+    Release {
+        /// Their service.
+        service: String,
+        /// The machines with their minions.
+        machines: Vec<(String, String)>,
+    },
+}
+
+impl Question {
+    /// The service that it is about.
+    pub fn service(&self) -> &str {
+        match self {
+            Question::Accepted { service, .. }
+            | Question::Cancelled { service, .. }
+            | Question::State { service, .. }
+            | Question::Pending { service, .. }
+            | Question::Load { service }
+            | Question::Release { service, .. } => service,
+        }
+    }
+}
+
+/// What the owner answers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    /// It took note.
+    Noted,
+    /// The job's state; none for a job that the owner doesn't know.
+    State(Option<State>),
+    /// How many jobs wait.
+    Pending(u32),
+    /// The demand.
+    Load(Load),
+    /// The receiver doesn't own the service, or doesn't know its jobs yet.
+    NotOwner,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error;
 pub mod frame;
 pub mod identity;
+pub mod job;
 
 pub use channel::Channel;
 pub use endpoint::{Endpoint, Link};
