Room is kept for what found none; emptied minions stay out until replaced

Ruled out: the order of jobs (lasting ones come first). Change: the first task without room, and each lasting one, reserves a minion; a machine's row of emptying is dropped only when the list shows its next minion.

--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -78,6 +78,8 @@
     pub(crate) used: Resources,
     /// How many of the runs are of lasting tasks.
     pub(crate) lasting: usize,
+    /// Whether its room is kept for a task that found none, in the plan being made.
+    pub(crate) reserved: bool,
     /// Number of the last end taken in.
     pub(crate) seen: u64,
     /// Number of the last end that may be acknowledged.
@@ -103,6 +105,7 @@
             runs: BTreeMap::new(),
             used: Resources::default(),
             lasting: 0,
+            reserved: false,
             seen: 0,
             acknowledged: 0,
             failing: BTreeSet::new(),
@@ -116,6 +119,13 @@
         self.listing.capacity.less(&self.used)
     }
 
+    /// What is free once all that ends by itself has ended.
+    pub(crate) fn free_in_the_end(&self) -> Resources {
+        let lasting = self.runs.values().filter(|run| run.lasting);
+        let used = lasting.fold(Resources::default(), |sum, run| sum.plus(&run.need));
+        self.listing.capacity.less(&used)
+    }
+
     /// Whether nothing runs there, as far as known.
     pub fn is_empty(&self) -> bool {
         self.runs.is_empty()
@@ -148,6 +158,7 @@
             && self.reachable
             && !self.leaving
             && !self.listing.draining
+            && !self.reserved
             && now >= self.quarantined
     }
 
--- a/crates/engine/src/cell/place.rs
+++ b/crates/engine/src/cell/place.rs
@@ -55,6 +55,24 @@
             .map(|minion| minion.id.clone())
     }
 
+    /// The minion on which a task without room fits soonest: the one with most room among those
+    /// where it fits once all that ends by itself has ended.
+    pub(crate) fn find_reservation(
+        &self,
+        step: &Step,
+        spread: &Spread,
+        now: Time,
+    ) -> Option<MinionId> {
+        let need = step.counted_need();
+        self.minions
+            .values()
+            .filter(|minion| minion.takes_work(now))
+            .filter(|minion| is_suitable(minion, step, spread))
+            .filter(|minion| minion.free_in_the_end().holds(&need))
+            .max_by_key(|minion| (minion.free().cpu, minion.id.clone()))
+            .map(|minion| minion.id.clone())
+    }
+
     /// Minions for all members of a gang, by index; none if not all have room now.
     pub(crate) fn find_gang(
         &self,
@@ -123,13 +141,18 @@
 }
 
 fn fits(minion: &Minion, step: &Step, need: &Resources, spread: &Spread) -> bool {
+    is_suitable(minion, step, spread) && minion.free().holds(need)
+}
+
+/// Whether a step's tasks may run on a minion, room apart.
+fn is_suitable(minion: &Minion, step: &Step, spread: &Spread) -> bool {
     let labelled = step
         .requires
         .as_ref()
         .is_none_or(|label| minion.listing.labels.iter().any(|own| own == label));
     let spaced =
         step.per_minion.is_none_or(|limit| spread.get(&minion.id).copied().unwrap_or(0) < limit);
-    labelled && spaced && minion.free().holds(need)
+    labelled && spaced
 }
 
 fn cost(minion: &Minion, step: &Step, task: &Task, need: &Resources) -> u64 {
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -200,47 +200,82 @@
             .map(|(id, job)| (self.rank(job, now), *id))
             .collect();
         ranked.sort();
-        for (_, id) in ranked {
+        self.minions.values_mut().for_each(|minion| minion.reserved = false);
+        let mut reserves = true;
+        for (rank, id) in ranked {
             if !self.minions.values().any(|minion| minion.takes_work(now)) {
                 return;
             }
-            self.start_job(id, now, wall_ms, orders);
+            let waiting = self.start_job(id, now, wall_ms, orders);
+            if let Some(task) = waiting.filter(|_| reserves) {
+                self.reserve(&task, now);
+                reserves = rank.class == 0;
+            }
+        }
+    }
+
+    /// Keeps a minion free of further tasks until one that found no room fits on it.
+    ///
+    /// The room that comes free bit by bit would otherwise go to smaller tasks each time, and a
+    /// task that needs several cores would wait for as long as there are any: for a lasting task
+    /// its users are without it all the while, and a large job is late for certain.
+    fn reserve(&mut self, name: &TaskName, now: Time) {
+        let Some(job) = self.jobs.get(&name.job) else { return };
+        let step = &job.accepted.definition.steps[name.step as usize];
+        let spread = self.spread(name);
+        let Some(id) = self.find_reservation(step, &spread, now) else { return };
+        if let Some(minion) = self.minions.get_mut(&id) {
+            minion.reserved = true;
         }
     }
 
-    fn start_job(&mut self, id: Id, now: Time, wall_ms: u64, orders: &mut Vec<Order>) {
-        let Some(job) = self.jobs.get(&id) else { return };
+    /// Starts what can be started of a job; returns the first task that found no room.
+    fn start_job(
+        &mut self,
+        id: Id,
+        now: Time,
+        wall_ms: u64,
+        orders: &mut Vec<Order>,
+    ) -> Option<TaskName> {
+        let job = self.jobs.get(&id)?;
+        let mut waiting = None;
         let steps = job.accepted.definition.steps.len() as u32;
         let occurrences = job.accepted.definition.occurrences();
         for occurrence in 0..occurrences {
             for step in 0..steps {
-                let Some(job) = self.jobs.get(&id) else { return };
+                let job = self.jobs.get(&id)?;
                 let due = job.accepted.definition.due_ms(occurrence).is_none_or(|at| wall_ms >= at);
                 if !due || job.open_tasks(occurrence, step) == 0 {
                     continue;
                 }
                 if job.is_step_ready(occurrence, step) {
                     let first = TaskName { job: id, occurrence, step, index: 0 };
-                    self.start_step(first, now, orders);
+                    let left = self.start_step(first, now, orders);
+                    waiting = waiting.or(left);
                 }
             }
         }
+        waiting
     }
 
-    fn start_step(&mut self, first: TaskName, now: Time, orders: &mut Vec<Order>) {
-        let Some(job) = self.jobs.get(&first.job) else { return };
+    /// Starts what can be started of a step; returns the first task that found no room.
+    fn start_step(
+        &mut self,
+        first: TaskName,
+        now: Time,
+        orders: &mut Vec<Order>,
+    ) -> Option<TaskName> {
+        let job = self.jobs.get(&first.job)?;
         let step = job.accepted.definition.steps[first.step as usize].clone();
         let spec = job.accepted.definition.spec.clone();
         if step.gang {
             self.start_gang(first, &step, &spec, now, orders);
-            return;
+            return None;
         }
         let mut spread = None;
         for index in 0..step.count {
             let name = TaskName { index, ..first };
-            let Some(task) = self.jobs.get(&first.job).and_then(|job| job.task(&name)) else {
-                return;
-            };
+            let task = self.jobs.get(&first.job)?.task(&name)?;
             if task.phase != Phase::Waiting || now < task.not_before {
                 continue;
             }
@@ -249,7 +284,9 @@
             }
             let empty = Default::default();
             let used = spread.as_ref().unwrap_or(&empty);
-            let Some(minion) = self.find_minion(&step, task, used, now) else { return };
+            let Some(minion) = self.find_minion(&step, task, used, now) else {
+                return Some(name);
+            };
             if let Some(spread) = &mut spread {
                 *spread.entry(minion.clone()).or_default() += 1;
             }
@@ -258,6 +295,7 @@
             self.place(name, &minion, run, &step, now);
             orders.push(Order::Start { minion, task: name, run, spec: spec.clone(), checkpoint });
         }
+        None
     }
 
     fn start_gang(
--- a/crates/engine/tests/all/runs.rs
+++ b/crates/engine/tests/all/runs.rs
@@ -188,3 +188,22 @@
     report(&mut world, &moved, 100);
     assert_eq!(stops(&world.plan()).len(), 1);
 }
+
+/// A lasting task lost its minion while a burst of small tasks keeps every core busy.  Each core
+/// that comes free goes to the next small task, and the lasting one, which needs two at once,
+/// stays away for as long as the burst.
+#[test]
+fn a_lasting_task_gets_room_although_smaller_tasks_wait_for_it() {
+    let mut world = World::new(1);
+    world.submit(1, definition(vec![step(100)]));
+    let mut active = world.start_all();
+    let need = celerythread_engine::job::Resources { cpu: 3000, memory_mb: 512, gpu: 0 };
+    let lasting = Step { lasting: true, need, ..step(1) };
+    world.submit(2, definition(vec![lasting]));
+    for _ in 0..3 {
+        let (minion, name, run) = active.remove(0);
+        world.end(&minion, name, run, How::Done);
+        active.extend(world.start_all());
+    }
+    assert!(active.iter().any(|(_, name, _)| name.job == id(2)));
+}
--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -74,8 +74,13 @@
         upkeep::take_new(&node, &mut waves).await;
         let services = services(&node);
         let loads = ask_loads(&node, &services).await;
-        let busy = waves.is_busy() || pools.is_busy();
-        if list.refresh(&node, &client, busy).await && waves.is_busy() {
+        let emptying = !node.view.read().emptying.is_empty();
+        let busy = waves.is_busy() || pools.is_busy() || emptying;
+        let fresh = list.refresh(&node, &client, busy).await;
+        if fresh {
+            drop_settled(&node, &list.machines).await;
+        }
+        if fresh && waves.is_busy() {
             upkeep::step(&owner, &client, &mut waves, &list.machines, &loads).await;
         }
         pools::step(&owner, &client, &mut pools, &waves, &list.machines, &loads).await;
@@ -85,6 +90,21 @@
     }
 }
 
+/// Drops the rows of machines that were emptied and have another minion by now.
+async fn drop_settled(node: &Node, machines: &[machine::Machine]) {
+    let settled: Vec<String> = {
+        let view = node.view.read();
+        let other = |(name, minion): &(&String, &String)| {
+            machines.iter().any(|machine| {
+                let now = machine.minion.as_ref().filter(|id| !id.is_empty());
+                machine.name == **name && now.is_some_and(|now| now != *minion)
+            })
+        };
+        view.emptying.iter().filter(other).map(|(name, _)| name.clone()).collect()
+    };
+    drop_emptying(node, &settled).await;
+}
+
 /// The services that have minions: all but the spare pool.
 fn services(node: &Node) -> Vec<String> {
     let Some(configuration) = node.configuration() else { return Vec::new() };
--- a/crates/scheduler/src/fleet/pools.rs
+++ b/crates/scheduler/src/fleet/pools.rs
@@ -83,18 +83,20 @@
     let ready: Vec<Move> = planner.pending().filter(is_ready).cloned().collect();
     let orders = ready.iter().map(|plan| order(owner, client, plan));
     let moved = join_all(orders).await;
-    let mut done = Vec::new();
+    let mut refused = Vec::new();
     for (plan, moved) in ready.iter().zip(moved) {
         match moved {
+            // Its row stays until the list shows another minion, so that nothing is started on
+            // the old one, which may be listed for some seconds more.
             Some(true) => planner.ordered(&plan.machine, clock::now()),
-            Some(false) => planner.abandon(&plan.machine),
-            None => continue,
-        }
-        if plan.minion.is_some() {
-            done.push(plan.machine.clone());
+            Some(false) => {
+                planner.abandon(&plan.machine);
+                refused.push(plan.machine.clone());
+            }
+            None => {}
         }
     }
-    drop_emptying(&owner.node, &done).await;
+    drop_emptying(&owner.node, &refused).await;
 }
 
 /// Orders one move; none when it isn't certain, so that it is ordered again.
--- a/crates/scheduler/src/fleet/upkeep.rs
+++ b/crates/scheduler/src/fleet/upkeep.rs
@@ -69,7 +69,7 @@
             Step::Complete { wave } => {
                 if report(node, wave, wave::State::Completed).await {
                     planner.completed(wave);
-                    keep(node, planner, wave, Vec::new()).await;
+                    keep(node, planner, wave).await;
                 }
             }
         }
@@ -113,17 +113,14 @@
     }
     node.metrics.count(Counter::Upkeeps);
     planner.begun(wave, machine);
-    let drops = vec![rows::control(rows::EMPTYING_PREFIX, machine)];
-    keep(node, planner, wave, drops).await;
-    node.view.write().emptying.remove(machine);
+    keep(node, planner, wave).await;
 }
 
 /// Keeps how far a wave is.
-async fn keep(node: &Node, planner: &Planner, number: u64, drops: Vec<Name>) {
+async fn keep(node: &Node, planner: &Planner, number: u64) {
     let Some(wave) = planner.wave(number) else { return };
     let name = rows::control(rows::WAVE_PREFIX, &number.to_string());
-    let change =
-        Transaction { writes: vec![(name, encode(wave))], drops, ..Transaction::default() };
+    let change = Transaction { writes: vec![(name, encode(wave))], ..Transaction::default() };
     // If this is lost, a later holder asks for the same upkeep again, which changes nothing.
     let _ = node.commit(&change, CALL_LIMIT).await;
 }
