Fleet duty without needless pauses; takeovers wait only for minions that may run something

Ruled out: the load of the cells after restart (70 ms). Change: a handover tells how long no machine had been ordered; cells go to the entry that started last; only the former owner's minions are waited for, and those that neither list has are buried.

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -310,7 +310,10 @@
     pub(crate) fn is_settled(&self, now: Time) -> bool {
         match self.former_lapse {
             None => true,
-            Some(lapse) => now >= lapse || self.minions.values().all(|minion| minion.answered),
+            Some(lapse) => {
+                let mut inherited = self.minions.values().filter(|minion| minion.inherited);
+                now >= lapse || inherited.all(|minion| minion.answered)
+            }
         }
     }
 
--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -68,6 +68,8 @@
     pub listed: bool,
     /// Whether its machine is due for upkeep or a move, so that it is to be emptied.
     pub leaving: bool,
+    /// Whether a former owner may have started something there.
+    pub inherited: bool,
     /// Whether it has answered this owner.
     pub answered: bool,
     /// Whether its last call was answered.
@@ -99,6 +101,7 @@
             listing,
             listed,
             leaving: false,
+            inherited: false,
             answered: false,
             reachable: false,
             lapse: Time(0),
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -62,7 +62,9 @@
     /// once they are no longer listed.
     fn lapse(&mut self, now: Time) {
         let over = |minion: &&crate::cell::Minion| {
-            let known = minion.answered || self.former_lapse.is_none_or(|lapse| now >= lapse);
+            let known = minion.answered
+                || !minion.inherited
+                || self.former_lapse.is_none_or(|lapse| now >= lapse);
             known && now >= minion.lapse && !minion.reachable
         };
         let ids: Vec<MinionId> =
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -129,7 +129,7 @@
     /// Takes in a minion that a former owner used, whether it is still listed or not.
     pub fn inherit(&mut self, id: &MinionId) {
         let absent = || Minion::new(id.clone(), Listing::default(), false);
-        self.minions.entry(id.clone()).or_insert_with(absent);
+        self.minions.entry(id.clone()).or_insert_with(absent).inherited = true;
     }
 
     /// Notes that the platform's list no longer has a minion.  It may be cut off and still run
--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -7,6 +7,7 @@
 //! that requires the row to be unchanged still.
 
 use crate::time::Time;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -34,6 +35,8 @@
     pub version: u64,
     /// When this version was first seen here.
     pub seen: Time,
+    /// When the entry was first seen here.
+    pub since: Time,
     /// Whether it is about to stop.
     pub stopping: bool,
 }
@@ -124,6 +127,9 @@
 }
 
 /// The entry to hand a cell to at a planned stop; none if there is no other.
+///
+/// Among those with the fewest cells, the one that started last: a restart that goes through all
+/// entries comes to it last, so the cell changes hands less often.
 pub fn successor(
     cell: &str,
     me: &str,
@@ -138,8 +144,9 @@
         .filter(|(name, entry)| {
             name.as_str() != me && !entry.stopping && now.since(entry.seen) < fresh
         })
-        .min_by_key(|(name, _)| {
-            (owned.get(*name).copied().unwrap_or(0), rank(cell, name), (*name).clone())
+        .min_by_key(|(name, entry)| {
+            let cells = owned.get(*name).copied().unwrap_or(0);
+            (cells, Reverse(entry.since), rank(cell, name), (*name).clone())
         })
         .map(|(name, _)| name.clone())
 }
--- a/crates/engine/tests/all/ownership.rs
+++ b/crates/engine/tests/all/ownership.rs
@@ -8,7 +8,7 @@
 fn entries(now: u64, silent: &[&str], names: &[&str]) -> BTreeMap<String, Entry> {
     let entry = |name: &&str| {
         let seen = if silent.contains(name) { Time(0) } else { Time(now) };
-        (name.to_string(), Entry { version: 7, seen, stopping: false })
+        (name.to_string(), Entry { version: 7, seen, since: Time(0), stopping: false })
     };
     names.iter().map(entry).collect()
 }
@@ -72,3 +72,14 @@
     assert_eq!(held.len(), 9);
     assert!(held.values().all(|count| (60..150).contains(count)), "{held:?}");
 }
+
+/// During a restart of all entries in turn, a cell handed to one that is still to be restarted
+/// changes hands again, each time with a pause.
+#[test]
+fn a_cell_is_handed_to_the_entry_that_started_last() {
+    let mut entries = entries(10_000, &[], &["a", "b", "c", "d"]);
+    entries.get_mut("b").unwrap().since = Time(9_000);
+    let owned = BTreeMap::new();
+    let to = successor("cell", "a", &entries, &owned, Time(10_000), &Settings::default());
+    assert_eq!(to.as_deref(), Some("b"));
+}
--- a/crates/engine/tests/all/takeover.rs
+++ b/crates/engine/tests/all/takeover.rs
@@ -10,6 +10,7 @@
     let cell = Cell::new(Settings::default(), 1, Some(Time(30_000)));
     let mut world = World::with_cell(cell, 0);
     for number in 0..minions {
+        world.cell.inherit(&World::minion(number));
         world.list(number);
     }
     world
@@ -91,3 +92,26 @@
     world.keep();
     assert_eq!(world.cell.state(&id(1)), Some(State::Completed));
 }
+
+/// A minion that joined after the former owner was lost doesn't answer.  It can't run anything
+/// of it, and waiting for it would keep every earlier job waiting.
+#[test]
+fn a_minion_that_the_former_owner_did_not_use_is_not_waited_for() {
+    let mut world = successor(1);
+    world.list(7);
+    world.add(1, definition(vec![step(1)]), true);
+    world.answer(0, Report::default());
+    assert_eq!(world.start_all().len(), 1);
+}
+
+/// The former owner's minion went down for upkeep and its machine has another one by now.
+#[test]
+fn a_minion_whose_life_is_over_is_not_waited_for() {
+    let mut world = successor(1);
+    world.cell.inherit(&"over".into());
+    world.add(1, definition(vec![step(1)]), true);
+    world.answer(0, Report::default());
+    assert!(world.start_all().is_empty());
+    world.cell.bury("over", world.now);
+    assert_eq!(world.start_all().len(), 1);
+}
--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -50,9 +50,7 @@
 pub(crate) async fn carry(owner: Arc<Owner>) {
     let node = owner.node.clone();
     let Some(client) = node.machines.clone() else { return };
-    // Where the platform doesn't compare tokens, an order that the former holder has sent may
-    // still come; two holders taking turns within the lease would break the promise of one.
-    if owner.former != Former::None && !owner.pause(node.settings.upkeep_lease.0).await {
+    if !owner.pause(former_pause(&owner)).await {
         return;
     }
     let settings = upkeep_plan::Settings {
@@ -112,6 +110,21 @@
     services.map(|service| service.name.clone()).collect()
 }
 
+/// How long to wait before the first order.
+///
+/// Where the platform doesn't compare tokens, an order that the former holder has sent may still
+/// come; two holders taking turns within the lease would break the promise of one.
+fn former_pause(owner: &Owner) -> Duration {
+    let settings = &owner.node.settings;
+    let lease = settings.upkeep_lease.0 + CALL_LIMIT / 5;
+    match owner.former {
+        Former::None => Duration::ZERO,
+        Former::Stopped => lease.saturating_sub(owner.former_quiet),
+        // Its orders ended when its renewal was no longer fresh, before it counted as silent.
+        Former::Silent => (lease + FRESH_RENEWAL).saturating_sub(settings.takeover_after.0),
+    }
+}
+
 /// The list of machines as last read.
 #[derive(Default)]
 struct MachineList {
--- a/crates/scheduler/src/fleet/pools.rs
+++ b/crates/scheduler/src/fleet/pools.rs
@@ -106,7 +106,9 @@
         return None;
     }
     let by = Authority { holder: node.me.clone(), token: owner.token };
+    owner.ordered_machine();
     let answer = client.change_pool(&plan.machine, &plan.to, &by, CALL_LIMIT).await;
+    owner.ordered_machine();
     let (outcome, moved) = match &answer {
         Ok(Ok(())) => ("moving".to_owned(), Some(true)),
         Ok(Err(machine::Refusal::Rate | machine::Refusal::Unavailable)) => ("put off".into(), None),
--- a/crates/scheduler/src/fleet/upkeep.rs
+++ b/crates/scheduler/src/fleet/upkeep.rs
@@ -98,7 +98,9 @@
     }
     planner.ordered(machine, clock::now());
     let by = Authority { holder: node.me.clone(), token: owner.token };
+    owner.ordered_machine();
     let answer = client.upkeep(machine, wave, &by, CALL_LIMIT).await;
+    owner.ordered_machine();
     let outcome = match &answer {
         Ok(Ok(())) => "begun".to_owned(),
         Ok(Err(reason)) => reason.to_string(),
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -81,7 +81,9 @@
     }
     let Ok(value) = decode::<rows::Entry>(&row.value) else { return };
     if view.entries.get(id).is_none_or(|known| known.version < row.version) {
-        let entry = ownership::Entry { version: row.version, seen: now, stopping: value.stopping };
+        let since = view.entries.get(id).map_or(now, |known| known.since);
+        let (version, stopping) = (row.version, value.stopping);
+        let entry = ownership::Entry { version, seen: now, since, stopping };
         view.entries.insert(id.into(), entry);
         view.entry_rows.insert(id.into(), value);
     }
@@ -94,7 +96,9 @@
         let mut view = self.0.view.write();
         // An entry whose row has not changed is as silent as it was before.
         for (id, entry) in &mut fresh.entries {
-            if let Some(known) = view.entries.get(id).filter(|k| k.version == entry.version) {
+            let Some(known) = view.entries.get(id) else { continue };
+            entry.since = known.since;
+            if known.version == entry.version {
                 entry.seen = known.seen;
             }
         }
@@ -271,7 +275,8 @@
         (_, true) => Former::Stopped,
         (_, false) => Former::Silent,
     };
-    let owner = Owner::new(node.clone(), cell, holding.version, row.generation, former);
+    let quiet = Duration::from_millis(row.quiet_ms);
+    let owner = Owner::new(node.clone(), cell, holding.version, row.generation, former, quiet);
     if let Some(old) = owners.insert(cell.into(), owner.clone()) {
         old.stop();
     }
@@ -315,7 +320,7 @@
     let generation = row.map_or(0, |row| row.generation + 1);
     // A holder without a row was dropped by its own instance's next process, or long ago.
     let former_stopped = former.is_none();
-    let value = rows::Cell { holder: node.me.clone(), generation, former_stopped };
+    let value = rows::Cell { holder: node.me.clone(), generation, former_stopped, quiet_ms: 0 };
     let mut conditions = vec![(name.clone(), version)];
     conditions
         .extend(former.map(|(id, version)| (rows::control(rows::ENTRY_PREFIX, &id), version)));
@@ -361,6 +366,7 @@
         holder: successor.clone(),
         generation: row.generation + 1,
         former_stopped: true,
+        quiet_ms: node.owner(cell).map_or(0, |owner| owner.quiet().as_millis() as u64),
     };
     let change = Transaction {
         conditions: vec![(name.clone(), holding.version)],
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -126,6 +126,7 @@
         cell.inherit(&id);
         owner.roster.lock().insert(id);
     }
+    bury_replaced(owner, &mut cell).await;
     *owner.cell.lock() = Some(cell);
     if let Some(configuration) = owner.node.configuration() {
         owner.configure(&configuration);
@@ -153,6 +154,31 @@
     Ok(())
 }
 
+/// Buries minions of the roster whose life is over: neither the list of machines nor that of
+/// minions has them any more.
+///
+/// Moves and upkeep give a machine a new minion each time.  Waiting for the old ones to answer
+/// would keep every inherited job waiting until their leases must have lapsed.
+async fn bury_replaced(owner: &Owner, cell: &mut Cell) {
+    let node = &owner.node;
+    let Some(client) = &node.machines else { return };
+    let machines = match client.list(CALL_LIMIT).await {
+        Ok(machines) => machines,
+        Err(failure) => {
+            node.journal.warn("machines_unread", &[("reason", &failure)]);
+            return;
+        }
+    };
+    let inherited: Vec<Arc<str>> = owner.roster.lock().iter().cloned().collect();
+    for id in inherited {
+        let machine_has = machines.iter().any(|machine| machine.minion.as_deref() == Some(&*id));
+        if !machines.is_empty() && !machine_has && !node.minions.read().contains_key(&id) {
+            node.journal.note("minion_over", &[("minion", &id)]);
+            cell.bury(&id, clock::now());
+        }
+    }
+}
+
 /// Fills a cell with kept jobs; returns how many.
 fn fill(owner: &Owner, cell: &mut Cell, jobs: Page, progress: Page) -> usize {
     let progress: BTreeMap<String, Progress> = progress
