Partitions of their own for renewals, shards for jobs

Ruled out: the store's rate as a whole; the callers' deadlines. Change: each entry's and each cell's row has a partition, a service's jobs are spread over 32. A caller whose time is over before anything was written is told so (503), not left in doubt (504).

--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -20,8 +20,8 @@
 
 /// Something that takes in a table's rows.
 pub(crate) trait Sink: Send + Sync {
-    /// Takes in all rows of the table; what isn't among them is gone.
-    fn replace(&self, rows: Vec<Row>);
+    /// Takes in all rows of the table as of a version; what isn't among them is gone.
+    fn replace(&self, rows: Vec<Row>, version: u64);
     /// Takes in changes.
     fn change(&self, rows: Vec<Row>);
 }
@@ -30,8 +30,8 @@
 pub(crate) struct Table {
     /// Its name.
     pub(crate) name: &'static str,
-    /// The partition that is read whole at first.
-    pub(crate) part: String,
+    /// Whether it has more partitions than the empty one.
+    pub(crate) has_parts: bool,
     /// Pause between two calls, to gather changes.
     pub(crate) pause: Duration,
 }
@@ -78,10 +78,14 @@
 /// Reads a table whole, again and again until it succeeds; none when the node stops.
 async fn read_whole(node: &Arc<Node>, table: &Table, sink: &dyn Sink) -> Option<u64> {
     loop {
-        let result = node.store.all(table.name, &table.part, "", READ_LIMIT).await;
+        let result = if table.has_parts {
+            node.store.whole(table.name, "", READ_LIMIT).await
+        } else {
+            node.store.all(table.name, "", "", READ_LIMIT).await
+        };
         node.store_result(&result);
         if let Ok(page) = result {
-            sink.replace(page.rows);
+            sink.replace(page.rows, page.version);
             return Some(page.version);
         }
         if !node.pause(RETRY).await {
@@ -151,7 +155,7 @@
 }
 
 impl Sink for Operators {
-    fn replace(&self, rows: Vec<Row>) {
+    fn replace(&self, rows: Vec<Row>, _: u64) {
         rows.iter().for_each(|row| self.take(row));
     }
 
@@ -197,7 +201,7 @@
 impl Sink for Minions {
     /// Entries that are missing are not dropped at once: the list may be read just after an
     /// outage of the store, when entries lapsed that come back within some seconds.
-    fn replace(&self, rows: Vec<Row>) {
+    fn replace(&self, rows: Vec<Row>, _: u64) {
         let present: std::collections::BTreeSet<Arc<str>> =
             rows.iter().map(|row| row.key.as_str().into()).collect();
         rows.iter().for_each(|row| self.take(row));
@@ -213,14 +217,14 @@
 
 /// The table that operators write to.
 pub(crate) fn operator_table() -> Table {
-    Table { name: store::OPERATOR_TABLE, part: String::new(), pause: Duration::ZERO }
+    Table { name: store::OPERATOR_TABLE, has_parts: false, pause: Duration::ZERO }
 }
 
 /// The table that minions register in.
 pub(crate) fn minion_table() -> Table {
     Table {
         name: store::MINION_TABLE,
-        part: String::new(),
+        has_parts: false,
         // Gathers the entries of minions that come together; an entry's age then is at most
         // this and the time on the way.
         pause: Duration::from_millis(50),
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -27,7 +27,7 @@
 
 /// Longest wait for one transaction.  The store answers in some 4 ms; an answer that takes
 /// this long is most likely lost, and asking again is harmless.
-const COMMIT_LIMIT: Duration = Duration::from_millis(900);
+const COMMIT_LIMIT: Duration = Duration::from_millis(1400);
 
 /// Longest wait for a read.
 const READ_LIMIT: Duration = Duration::from_millis(700);
@@ -207,7 +207,14 @@
         loop {
             let limit = COMMIT_LIMIT.min(context.left());
             if limit.is_zero() {
-                return Written::Unknown;
+                // Too late to try (again).  Unless an earlier try may have been carried out, the
+                // job certainly isn't there, and the caller is better told so.
+                let reason = String::from("the caller's time is over");
+                return if unanswered {
+                    Written::Unknown
+                } else {
+                    Written::Refused(Error::Refused { reason })
+                };
             }
             match self.node.commit(&change, limit).await {
                 Ok(_) | Err(Error::Conflict { .. }) => return Written::Accepted,
@@ -286,7 +293,7 @@
     async fn read_state(&self, queue: &Queue, id: Id) -> Result<Option<State>, Error> {
         let (node, service) = (&self.node, &queue.service);
         let get = async |name: celerythread_adapter::store::Name| {
-            let row = node.store.get(&name.table, service, &name.key, READ_LIMIT).await;
+            let row = node.store.get(&name.table, &name.part, &name.key, READ_LIMIT).await;
             node.store_result(&row);
             row
         };
@@ -307,8 +314,8 @@
     async fn cancel(&self, context: &Context, queue: &Queue, id: Id) -> Response {
         let node = &self.node;
         let service = &queue.service;
-        let key = format!("{}{id}", rows::JOB_PREFIX);
-        let row = node.store.get(rows::JOBS, service, &key, READ_LIMIT).await;
+        let name = rows::job(service, &id);
+        let row = node.store.get(&name.table, &name.part, &name.key, READ_LIMIT).await;
         node.store_result(&row);
         match row {
             Ok(Some(_)) => {}
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 /// Longest wait for a transaction on the control table.
-const COMMIT_LIMIT: Duration = Duration::from_millis(700);
+const COMMIT_LIMIT: Duration = Duration::from_millis(1000);
 
 /// Longest wait for a read.
 const READ_LIMIT: Duration = Duration::from_millis(700);
@@ -35,7 +35,6 @@
 impl Control {
     fn take(&self, view: &mut View, row: &Row) {
         let now = clock::now();
-        view.version = view.version.max(row.version);
         let key = row.key.as_str();
         if let Some(id) = key.strip_prefix(rows::ENTRY_PREFIX) {
             take_entry(view, id, row, now);
@@ -90,8 +89,8 @@
 }
 
 impl Sink for Control {
-    fn replace(&self, rows: Vec<Row>) {
-        let mut fresh = View::default();
+    fn replace(&self, rows: Vec<Row>, version: u64) {
+        let mut fresh = View { version, ..View::default() };
         rows.iter().for_each(|row| self.take(&mut fresh, row));
         let mut view = self.0.view.write();
         // An entry whose row has not changed is as silent as it was before.
@@ -117,7 +116,7 @@
 
 /// The table that entries agree by.
 pub(crate) fn control_table() -> Table {
-    Table { name: rows::CONTROL, part: String::new(), pause: CONTROL_PAUSE }
+    Table { name: rows::CONTROL, has_parts: true, pause: CONTROL_PAUSE }
 }
 
 /// Renews this entry's row until the node stops.
@@ -142,11 +141,9 @@
     let owned: Vec<(String, u64)> =
         node.owners.read().iter().map(|(cell, owner)| (cell.clone(), owner.token)).collect();
     let change = Transaction {
-        conditions: owned
-            .into_iter()
-            .map(|(cell, token)| (rows::control(rows::CELL_PREFIX, &cell), token))
-            .collect(),
-        writes: vec![(rows::control(rows::ENTRY_PREFIX, &node.me), encode(&row))],
+        across_parts: !owned.is_empty(),
+        conditions: owned.into_iter().map(|(cell, token)| (rows::cell(&cell), token)).collect(),
+        writes: vec![(rows::entry(&node.me), encode(&row))],
         ..Transaction::default()
     };
     let sent = clock::now();
@@ -190,8 +187,8 @@
     if former.is_empty() {
         return;
     }
-    let drops = former.iter().map(|id| rows::control(rows::ENTRY_PREFIX, id)).collect();
-    let change = Transaction { drops, ..Transaction::default() };
+    let drops = former.iter().map(|id| rows::entry(id)).collect();
+    let change = Transaction { drops, across_parts: true, ..Transaction::default() };
     if node.commit(&change, COMMIT_LIMIT).await.is_ok() {
         let mut view = node.view.write();
         for id in &former {
@@ -316,16 +313,19 @@
     former: Option<(String, u64)>,
     row: Option<rows::Cell>,
 ) {
-    let name = rows::control(rows::CELL_PREFIX, cell);
+    let name = rows::cell(cell);
     let generation = row.map_or(0, |row| row.generation + 1);
     // A holder without a row was dropped by its own instance's next process, or long ago.
     let former_stopped = former.is_none();
     let value = rows::Cell { holder: node.me.clone(), generation, former_stopped, quiet_ms: 0 };
     let mut conditions = vec![(name.clone(), version)];
-    conditions
-        .extend(former.map(|(id, version)| (rows::control(rows::ENTRY_PREFIX, &id), version)));
-    let change =
-        Transaction { conditions, writes: vec![(name, encode(&value))], ..Transaction::default() };
+    conditions.extend(former.map(|(id, version)| (rows::entry(&id), version)));
+    let change = Transaction {
+        across_parts: conditions.len() > 1,
+        conditions,
+        writes: vec![(name, encode(&value))],
+        ..Transaction::default()
+    };
     match node.commit(&change, COMMIT_LIMIT).await {
         // The row's own version is the token, and the answer may tell a newer one.
         Ok(_) | Err(Error::Unanswered { .. }) => read_cell(node, cell).await,
@@ -336,8 +336,8 @@
 
 /// Reads a cell's row, ahead of the feed.
 async fn read_cell(node: &Arc<Node>, cell: &str) {
-    let key = format!("{}{cell}", rows::CELL_PREFIX);
-    let result = node.store.get(rows::CONTROL, "", &key, READ_LIMIT).await;
+    let name = rows::cell(cell);
+    let result = node.store.get(rows::CONTROL, &name.part, &name.key, READ_LIMIT).await;
     node.store_result(&result);
     if let Ok(Some(row)) = result {
         let control = Control(node.clone());
@@ -361,7 +361,7 @@
     let (Some(successor), Some(holding), Some(row)) = (successor, holding, row) else {
         return false;
     };
-    let name = rows::control(rows::CELL_PREFIX, cell);
+    let name = rows::cell(cell);
     let value = rows::Cell {
         holder: successor.clone(),
         generation: row.generation + 1,
@@ -399,7 +399,7 @@
             .collect()
     };
     for (id, version) in gone {
-        let name = rows::control(rows::ENTRY_PREFIX, &id);
+        let name = rows::entry(&id);
         let change = Transaction {
             conditions: vec![(name.clone(), version)],
             drops: vec![name],
--- a/crates/scheduler/src/owner/keep.rs
+++ b/crates/scheduler/src/owner/keep.rs
@@ -150,7 +150,8 @@
                 [rows::job(service, id), rows::cancel(service, id), rows::progress(service, id)]
             })
             .collect();
-        if !write(owner, Transaction { drops, ..Transaction::default() }).await {
+        let change = Transaction { drops, across_parts: true, ..Transaction::default() };
+        if !write(owner, change).await {
             // The rows stay until the next owner finds them expired.
             owner.node.journal.warn("rows_left", &[("jobs", &chunk.len())]);
         }
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -108,7 +108,7 @@
     read_emptying(owner).await?;
     let roster = store.get(rows::JOBS, service, rows::ROSTER_KEY, CALL_LIMIT).await?;
     // The jobs first: what is accepted later is in the feed, and has no progress yet.
-    let jobs = store.all(rows::JOBS, service, "", CALL_LIMIT).await?;
+    let jobs = store.whole(rows::JOBS, &rows::shards(service), CALL_LIMIT).await?;
     let progress = store.all(rows::PROGRESS, service, "", CALL_LIMIT).await?;
     let settings = Settings {
         stop_timeout: owner.node.settings.stop_timeout.0,
@@ -218,13 +218,14 @@
 struct Jobs(Arc<Owner>);
 
 impl Sink for Jobs {
-    fn replace(&self, rows: Vec<Row>) {
+    fn replace(&self, rows: Vec<Row>, _: u64) {
         self.change(rows);
     }
 
     fn change(&self, rows: Vec<Row>) {
         let owner = &self.0;
-        for row in rows.iter().filter(|row| row.part == owner.service && !row.dropped) {
+        let shards = rows::shards(&owner.service);
+        for row in rows.iter().filter(|row| row.part.starts_with(&shards) && !row.dropped) {
             if let Some(id) = job_id(row, rows::JOB_PREFIX) {
                 owner.accept(id, &row.value);
             } else if let Some(id) = job_id(row, rows::CANCEL_PREFIX) {
@@ -240,7 +241,7 @@
     use stop_token::future::FutureExt;
     let table = Table {
         name: rows::JOBS,
-        part: owner.service.clone(),
+        has_parts: true,
         // Half a second later than a message is far below what callers are promised.
         pause: Duration::from_millis(400),
     };
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -1,11 +1,16 @@
 //! The rows that entries keep in the platform's store: tables, keys and values.
 //!
-//! Table `control`, one partition: an entry's row (`entry/ID`), a cell's (`cell/SERVICE`),
-//! machines to be emptied (`emptying/MACHINE`), how far waves are (`wave/N`) and the entries' certificate authority (`authority`).
+//! Table `control`: an entry's row (`entry/ID`) and a cell's (`cell/SERVICE`), each in a
+//! partition of its own; machines to be emptied (`emptying/MACHINE`), how far waves are
+//! (`wave/N`) and the entries' certificate authority (`authority`) in the empty one.
 //!
-//! Tables `jobs` and `progress`, a partition for each service: accepted jobs (`job/ID`),
-//! cancellations (`cancel/ID`), the owner's ledger (`ledger`), the minions that it uses
-//! (`roster`); and each job's progress (`ID`).
+//! Table `jobs`: accepted jobs (`job/ID`) and cancellations (`cancel/ID`), in partitions
+//! `SERVICE/SHARD`; the owner's ledger (`ledger`) and the minions that it uses (`roster`) in the
+//! partition `SERVICE`.  Table `progress`, partition `SERVICE`: each job's progress (`ID`).
+//!
+//! A partition carries out its transactions one after another.  When the store is slow, at a
+//! quarter of a second each, that is four a second: with renewals and submissions in common
+//! partitions, entries lost their cells and callers were refused for as long as that lasted.
 
 use celerythread_adapter::store::Name;
 use celerythread_engine::job::Id;
@@ -82,19 +87,46 @@
     pub(crate) key: String,
 }
 
-/// A row of the control table.
+/// A row of the control table in its common partition.
 pub(crate) fn control(prefix: &str, key: &str) -> Name {
     Name::new(CONTROL, "", format!("{prefix}{key}"))
 }
 
+/// The row of an entry.
+pub(crate) fn entry(id: &str) -> Name {
+    let key = format!("{ENTRY_PREFIX}{id}");
+    Name::new(CONTROL, &key, key.clone())
+}
+
+/// The row of a cell.
+pub(crate) fn cell(cell: &str) -> Name {
+    let key = format!("{CELL_PREFIX}{cell}");
+    Name::new(CONTROL, &key, key.clone())
+}
+
+/// Partitions over which a service's jobs are spread.  At the sites' largest bursts, some 60 jobs
+/// a second, a slow store's four transactions a second for each of them are still enough.
+const SHARDS: u64 = 32;
+
+/// The partition of a job.
+fn shard(service: &str, id: &Id) -> String {
+    let shard = celerythread_engine::ownership::rank(service, &id.to_string()) % SHARDS;
+    format!("{service}/{shard}")
+}
+
+/// Start of the names of all partitions with jobs of a service.
+pub(crate) fn shards(service: &str) -> String {
+    format!("{service}/")
+}
+
 /// The row of a job.
 pub(crate) fn job(service: &str, id: &Id) -> Name {
-    Name::new(JOBS, service, format!("{JOB_PREFIX}{id}"))
+    Name::new(JOBS, &shard(service, id), format!("{JOB_PREFIX}{id}"))
 }
 
 /// The row of a job's cancellation.
 pub(crate) fn cancel(service: &str, id: &Id) -> Name {
-    Name::new(JOBS, service, format!("{CANCEL_PREFIX}{id}"))
+    Name::new(JOBS, &shard(service, id), format!("{CANCEL_PREFIX}{id}"))
 }
 
 /// The row of a job's progress.
