A call that is given up resets its connection

Ruled out: the check of the holder's renewal (it was fresh when the order was sent). Change: calls use connections with a linger time of nought, so giving up takes back what was not delivered.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -71,6 +71,26 @@
         Ok(Self { stream: Stream::new(stream) })
     }
 
+    /// Connects, so that dropping the connection resets it.
+    ///
+    /// A request that a network partition holds up is otherwise delivered when it ends, seconds
+    /// after its sender has given up on the answer and somebody else has taken over: closing
+    /// leaves what was written to the operating system to deliver, resetting discards it.
+    ///
+    /// # Errors
+    /// `Timeout` after `wait`, `Io` when refused.
+    pub async fn open_resetting(address: SocketAddr, wait: Duration) -> Result<Self, Fault> {
+        let stream =
+            match timeout(wait, async_io::Async::<std::net::TcpStream>::connect(address)).await {
+                Ok(result) => result.context(fault::IoSnafu)?,
+                Err(_) => return fault::TimeoutSnafu { doing: "connecting" }.fail(),
+            };
+        stream.get_ref().set_nodelay(true).context(fault::IoSnafu)?;
+        let socket = socket2::SockRef::from(&stream);
+        socket.set_linger(Some(Duration::ZERO)).context(fault::IoSnafu)?;
+        Ok(Self { stream: Stream::new(stream) })
+    }
+
     /// Wraps a connection that is open already.
     pub fn new(stream: Stream) -> Self {
         Self { stream }
--- a/crates/http/tests/guard.rs
+++ b/crates/http/tests/guard.rs
@@ -292,3 +292,20 @@
     let answer = talk(served.address, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", false).await;
     assert!(answer.contains("connection: close"), "{answer}");
 }
+
+/// A network partition holds a request up; its sender gives up and another holder takes over;
+/// the partition ends, and the old request is delivered after the new holder's.  A sender that
+/// resets the connection as it gives up takes the bytes back.
+#[async_std::test]
+async fn a_connection_that_is_given_up_is_reset() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let wait = std::time::Duration::from_secs(2);
+    let connection = celerythread_http::client::Connection::open_resetting(address, wait);
+    let connection = connection.await.unwrap();
+    let (mut accepted, _) = listener.accept().unwrap();
+    drop(connection);
+    let read = std::io::Read::read(&mut accepted, &mut [0; 8]);
+    let error = read.expect_err("a connection that is merely closed reads as ended");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+}
