--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -5,6 +5,7 @@
 use crate::node::Node;
 use crate::peers;
 use crate::rows;
+use crate::submit::{self, Job, Written};
 use async_trait::async_trait;
 use celerythread_adapter::configuration::Queue;
 use celerythread_adapter::store::{Error, Transaction};
@@ -35,10 +36,6 @@
 /// Pause before a write that was certainly not done is tried again.
 const RETRY: Duration = Duration::from_millis(120);
 
-/// How long a submission is tried while the store refuses it.  Other entries may reach the
-/// store when this one doesn't, so its caller is sent there soon.
-const REFUSED_LIMIT: Duration = Duration::from_millis(400);
-
 /// When a refused caller should come back, in seconds: the smallest step of the header, as
 /// other entries can serve it at once.
 const RETRY_AFTER_S: &str = "1";
@@ -92,16 +89,6 @@
     }
 }
 
-/// What became of writing an accepted job.
-enum Written {
-    /// It is there, by this request or an earlier one.
-    Accepted,
-    /// It is certainly not there by this request.
-    Refused(Error),
-    /// Nobody knows.
-    Unknown,
-}
-
 impl Front {
     pub(crate) fn new(node: Arc<Node>) -> Self {
         Self { node }
@@ -157,7 +144,8 @@
         let accepted =
             Accepted { queue: queue.name.as_str().into(), at_ms: clock::wall_ms(), definition };
         let row = encode(&accepted);
-        let written = self.write_job(context, queue, id, &row).await;
+        let job = Job { service: &queue.service, id, row: &row, until: context.until };
+        let written = submit::write(node, &job).await;
         let took = clock::now().since(context.began);
         node.metrics.time(Timing::Accept, took);
         let (event, counter, response) = match &written {
@@ -190,46 +178,6 @@
         response
     }
 
-    /// Writes the job's row on condition that there is none.
-    ///
-    /// After a write without an answer the same write is repeated until its outcome is certain:
-    /// a row that is there already is ours or an earlier one of the same caller, and it is one
-    /// job either way.  Only when every try was certainly not done may the caller be told that
-    /// the job never runs.
-    async fn write_job(&self, context: &Context, queue: &Queue, id: Id, row: &[u8]) -> Written {
-        let name = rows::job(&queue.service, &id);
-        let change = Transaction {
-            conditions: vec![(name.clone(), 0)],
-            writes: vec![(name, row.to_vec())],
-            ..Transaction::default()
-        };
-        let mut unanswered = false;
-        loop {
-            let limit = COMMIT_LIMIT.min(context.left());
-            if limit.is_zero() {
-                // Too late to try (again).  Unless an earlier try may have been carried out, the
-                // job certainly isn't there, and the caller is better told so.
-                let reason = String::from("the caller's time is over");
-                return if unanswered {
-                    Written::Unknown
-                } else {
-                    Written::Refused(Error::Refused { reason })
-                };
-            }
-            match self.node.commit(&change, limit).await {
-                Ok(_) | Err(Error::Conflict { .. }) => return Written::Accepted,
-                Err(Error::Refused { reason }) => {
-                    let spent = clock::now().since(context.began) > REFUSED_LIMIT;
-                    if spent && !unanswered {
-                        return Written::Refused(Error::Refused { reason });
-                    }
-                }
-                Err(_) => unanswered = true,
-            }
-            async_std::task::sleep(RETRY.min(context.left())).await;
-        }
-    }
-
     fn reject(
         &self,
         context: &Context,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,6 +1,6 @@
 //! The daemon on the users' platform, as a library.
 //!
-//! A job's way: [`front`] reads it from its caller, writes its row and answers; the owner of
+//! A job's way: [`front`] reads it from its caller, has [`submit`] write its row and answers; the owner of
 //! its service's cell learns of it by a message or by following the table, and [`owner`] takes
 //! it through its runs with the decisions of `celerythread-engine`.
 //!
@@ -25,6 +25,7 @@
 mod peers;
 mod rows;
 pub mod settings;
+mod submit;
 
 pub use daemon::Daemon;
 pub use settings::Settings;
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -220,6 +220,8 @@
                 Some(Answer::Noted)
             }
             Question::State { id, .. } => self.with(|cell| Answer::State(cell.state(id))),
+            // Any entry can do that; it isn't the owner's.
+            Question::Submit { .. } => None,
             Question::Load { .. } => self.with(|cell| Answer::Load(cell.load())),
             Question::Release { machines, .. } => {
                 self.node.view.write().emptying.extend(machines.iter().cloned());
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -3,10 +3,13 @@
 //! Only what can also be read from the store travels here, so a peer that doesn't answer costs
 //! time and nothing else.
 
+use crate::clock;
 use crate::metrics::Counter;
 use crate::node::Node;
+use crate::submit::{self, Written};
 use async_std::future::timeout;
-use celerythread_wire::job::{Answer, Question};
+use celerythread_engine::job::Id;
+use celerythread_wire::job::{Answer, Question, Submission};
 use celerythread_wire::{Channel, Endpoint, Frame, Link};
 use parking_lot::{Mutex, RwLock};
 use std::collections::HashMap;
@@ -18,6 +21,9 @@
 /// when the peer is well, and whoever asks has the store to fall back on.
 const ANSWER_LIMIT: Duration = Duration::from_millis(350);
 
+/// Longest time for writing a job on behalf of a peer, within its wait for the answer.
+const SUBMIT_LIMIT: Duration = Duration::from_millis(250);
+
 /// After a question that was not answered, a peer is not asked for this long.
 const REST: Duration = Duration::from_millis(1500);
 
@@ -99,6 +105,17 @@
     answer
 }
 
+/// Writes a job for an entry that the store turns away.
+async fn submit(node: &Node, service: &str, id: Id, row: &[u8]) -> Answer {
+    let until = clock::now() + SUBMIT_LIMIT;
+    let job = submit::Job { service, id, row, until };
+    Answer::Submitted(match submit::write_here(node, &job, SUBMIT_LIMIT).await {
+        Written::Accepted => Submission::Accepted,
+        Written::Refused(_) => Submission::Refused,
+        Written::Unknown => Submission::Unknown,
+    })
+}
+
 /// Answers peers until the endpoint is closed.
 pub(crate) async fn accept_forever(node: Arc<Node>, endpoint: Arc<Endpoint>) {
     while let Some(accepted) = endpoint.accept().await {
@@ -119,10 +136,13 @@
 
 async fn serve(node: Arc<Node>, mut channel: Channel) {
     let Ok(Frame::JobQuestion(question)) = channel.receive().await else { return };
-    let answer = node
-        .owner(question.service())
-        .and_then(|owner| owner.answer(&question))
-        .unwrap_or(Answer::NotOwner);
+    let answer = match &question {
+        Question::Submit { service, id, row } => submit(&node, service, *id, row).await,
+        _ => node
+            .owner(question.service())
+            .and_then(|owner| owner.answer(&question))
+            .unwrap_or(Answer::NotOwner),
+    };
     // A peer that has gone meanwhile has given up waiting, too.
     let _ = channel.send(&Frame::JobAnswer(answer)).await;
     channel.finish();
--- /dev/null
+++ b/crates/scheduler/src/submit.rs
@@ -0,0 +1,131 @@
+//! Writing an accepted job, here or through a peer.
+
+use crate::clock;
+use crate::node::Node;
+use crate::rows;
+use celerythread_adapter::store::{Error, Transaction};
+use celerythread_engine::job::Id;
+use celerythread_engine::time::Time;
+use celerythread_wire::job::{Answer, Question, Submission};
+use rand::seq::IteratorRandom;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest wait for one transaction.  The store answers in some 4 ms, and in 250 ms when it is
+/// sixty times slower; an answer that takes this long is lost, and asking again is harmless.
+const COMMIT_LIMIT: Duration = Duration::from_millis(1400);
+
+/// Pause before a write that was certainly not done is tried again.
+const RETRY: Duration = Duration::from_millis(120);
+
+/// How long a submission is tried while the store refuses it here and at peers.
+const REFUSED_LIMIT: Duration = Duration::from_millis(400);
+
+/// Peers through which a submission is tried when the store turns this entry away: it may
+/// serve all others meanwhile.
+const PEERS: usize = 2;
+
+/// What became of writing a job.
+#[derive(Debug)]
+pub(crate) enum Written {
+    /// It is there, by this request or an earlier one.
+    Accepted,
+    /// It is certainly not there by this request.
+    Refused(Error),
+    /// Nobody knows.
+    Unknown,
+}
+
+/// A job to write.
+pub(crate) struct Job<'a> {
+    /// Its service.
+    pub(crate) service: &'a str,
+    /// Its id.
+    pub(crate) id: Id,
+    /// Its row.
+    pub(crate) row: &'a [u8],
+    /// When its caller must be answered.
+    pub(crate) until: Time,
+}
+
+/// Writes a job's row on condition that there is none.
+///
+/// After a write without an answer the same write is repeated until its outcome is certain: a
+/// row that is there already is ours or an earlier one of the same caller, and it is one job
+/// either way.  Only when every try was certainly not done may the caller be told that the job
+/// never runs.
+pub(crate) async fn write(node: &Node, job: &Job<'_>) -> Written {
+    let began = clock::now();
+    let mut unanswered = false;
+    let mut peers = peers(node).into_iter();
+    loop {
+        let limit = job.until.since(clock::now());
+        if limit.is_zero() {
+            return give_up(unanswered, "the caller's time is over");
+        }
+        match write_here(node, job, limit).await {
+            Written::Accepted => return Written::Accepted,
+            Written::Unknown => unanswered = true,
+            Written::Refused(error) => match peers.next() {
+                Some(peer) => match write_there(node, peer, job).await {
+                    Written::Accepted => return Written::Accepted,
+                    Written::Unknown => unanswered = true,
+                    Written::Refused(_) => {}
+                },
+                None if clock::now().since(began) > REFUSED_LIMIT && !unanswered => {
+                    return Written::Refused(error);
+                }
+                None => {}
+            },
+        }
+        async_std::task::sleep(RETRY.min(job.until.since(clock::now()))).await;
+    }
+}
+
+/// Unless an earlier try may have been carried out, the job certainly isn't there, and its
+/// caller is better told so than left in doubt.
+fn give_up(unanswered: bool, reason: &str) -> Written {
+    if unanswered {
+        Written::Unknown
+    } else {
+        Written::Refused(Error::Refused { reason: reason.into() })
+    }
+}
+
+/// Tries once through this entry's own way to the store.
+pub(crate) async fn write_here(node: &Node, job: &Job<'_>, limit: Duration) -> Written {
+    let name = rows::job(job.service, &job.id);
+    let change = Transaction {
+        conditions: vec![(name.clone(), 0)],
+        writes: vec![(name, job.row.to_vec())],
+        ..Transaction::default()
+    };
+    match node.commit(&change, COMMIT_LIMIT.min(limit)).await {
+        Ok(_) | Err(Error::Conflict { .. }) => Written::Accepted,
+        Err(error @ Error::Refused { .. }) => Written::Refused(error),
+        Err(_) => Written::Unknown,
+    }
+}
+
+/// Tries once through a peer.
+async fn write_there(node: &Node, peer: SocketAddr, job: &Job<'_>) -> Written {
+    let question =
+        Question::Submit { service: job.service.into(), id: job.id, row: job.row.to_vec() };
+    let answer = node.peers.ask(peer, question).await;
+    let (outcome, written) = match answer {
+        Some(Answer::Submitted(Submission::Accepted)) => ("accepted", Written::Accepted),
+        Some(Answer::Submitted(Submission::Refused)) => {
+            ("refused", give_up(false, "refused through a peer"))
+        }
+        _ => ("unknown", Written::Unknown),
+    };
+    node.journal.note("job_relayed", &[("job", &job.id), ("peer", &peer), ("outcome", &outcome)]);
+    written
+}
+
+/// Some other entries, at random, so that one that is turned away itself isn't asked each time.
+fn peers(node: &Node) -> Vec<SocketAddr> {
+    let view = node.view.read();
+    let others = view.entry_rows.iter().filter(|(id, row)| **id != node.me && !row.stopping);
+    others.map(|(_, row)| row.peer).choose_multiple(&mut rand::rng(), PEERS)
+}
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -37,6 +37,15 @@
         /// The queue.
         queue: String,
     },
+    /// Has a job's row written by an entry that can reach the store.
+    Submit {
+        /// Its service.
+        service: String,
+        /// The job.
+        id: Id,
+        /// Its row.
+        row: Vec<u8>,
+    },
     /// What the demand is and which minions could be given away.
     Load {
         /// The service.
@@ -56,6 +65,7 @@
     pub fn service(&self) -> &str {
         match self {
             Question::Accepted { service, .. }
+            | Question::Submit { service, .. }
             | Question::Cancelled { service, .. }
             | Question::State { service, .. }
             | Question::Pending { service, .. }
@@ -65,6 +75,17 @@
     }
 }
 
+/// What became of a job that a peer was to write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Submission {
+    /// It is written.
+    Accepted,
+    /// It is certainly not written.
+    Refused,
+    /// Nobody knows.
+    Unknown,
+}
+
 /// What the owner answers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
@@ -76,6 +97,8 @@
     Pending(u32),
     /// The demand.
     Load(Load),
+    /// What became of a job that was to be written.
+    Submitted(Submission),
     /// The receiver doesn't own the service, or doesn't know its jobs yet.
     NotOwner,
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -104,11 +104,8 @@
         let daemon = scheduler::Daemon::start(settings).await.context(SchedulerSnafu)?;
         let callers = daemon.caller_address();
         daemon.journal().note("listening", &[("callers", &callers), ("entry", &daemon.id())]);
-        loop {
-            match timeout(RELOAD_LOOK, signalled.recv()).await {
-                Ok(Ok(Signal::Reload)) | Err(_) => reload(path, &mut current, &daemon),
-                Ok(_) => break,
-            }
+        while let Ok(Ok(Signal::Reload)) | Err(_) = timeout(RELOAD_LOOK, signalled.recv()).await {
+            reload(path, &mut current, &daemon);
         }
         daemon.stop().await;
         Ok(())
