A stand-in that speaks the platform's protocol, and real processes over it

Stand-ins for the store (conditions, partitions, feed, lost answers, forgotten history), workers (leases, fencing, late and lost starts) and machines (upkeep); the history of all workers is held against the promises.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! the calls.  [`minion`] is an upstream that records what it ran.  [`link`] is a hop that can
 //! cut, delay, silence or truncate.  [`load`] makes requests; [`history`] joins what callers
 //! and minions saw and checks the promises over it.  [`fleet`] runs real daemons over these.
+//! [`site`] is the users' platform, for daemons that run on it.
 
 pub mod fault;
 pub mod faulty;
@@ -15,3 +16,4 @@
 pub mod minion;
 pub mod platform;
 pub mod serve;
+pub mod site;
--- /dev/null
+++ b/crates/standin/src/site.rs
@@ -0,0 +1,131 @@
+//! A stand-in for the users' platform, speaking its published protocol.
+//!
+//! [`store`] is the shared table with its transactions, ranges and feed; [`worker`] a minion
+//! that runs tasks under leases and writes down what it ran; [`machine`] the interface to
+//! machines.  [`Site`] puts them together, and [`check`] holds the history of all workers
+//! against the promises.  Faults are switched while everything runs.
+
+pub mod check;
+pub mod machine;
+pub mod store;
+pub mod worker;
+
+use crate::serve::Server;
+use machine::Machines;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use store::Store;
+use worker::Worker;
+
+/// A worker that serves.
+pub struct Running {
+    /// What it does.
+    pub worker: Arc<Worker>,
+    server: Server,
+}
+
+/// A deployment's platform.
+pub struct Site {
+    /// The store.
+    pub store: Arc<Store>,
+    /// The interface to machines.
+    pub machines: Arc<Machines>,
+    /// Workers by id.
+    pub workers: BTreeMap<String, Running>,
+    store_server: Server,
+    machine_server: Server,
+}
+
+/// An address that the operating system completes.
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+impl Site {
+    /// Starts a platform with one queue and one service of so many workers.
+    ///
+    /// # Errors
+    /// When no port can be listened at.
+    pub async fn start(workers: usize) -> io::Result<Self> {
+        let store = Arc::new(Store::default());
+        let store_server = Server::start(any_port(), store.clone()).await?;
+        let machines = Arc::new(Machines::new(store.clone()));
+        let machine_server = Server::start(any_port(), machines.clone()).await?;
+        let mut site =
+            Self { store, machines, workers: BTreeMap::new(), store_server, machine_server };
+        site.configure(1);
+        for number in 0..workers {
+            site.add_worker(&format!("i-{number}"), &format!("m-{number}")).await?;
+        }
+        Ok(site)
+    }
+
+    /// Where the store is reached.
+    pub fn store_address(&self) -> SocketAddr {
+        self.store_server.address()
+    }
+
+    /// Where the interface to machines is reached.
+    pub fn machine_address(&self) -> SocketAddr {
+        self.machine_server.address()
+    }
+
+    /// Writes a configuration with one queue at `jobs.example/q/`.
+    pub fn configure(&self, version: u64) {
+        let queue = json!({
+            "name": "queue", "host": "jobs.example", "pathPrefix": "/q/", "service": "desk",
+            "kind": "non_idempotent", "priority": 0, "attempts": 2, "stretch": 1.6,
+            "targetLatencyMs": 600, "timeoutMs": 3000,
+        });
+        let service = json!({ "name": "desk", "admissionCheck": true, "spare": false });
+        let body = json!({ "version": version, "routes": [queue], "services": [service] });
+        self.store.put("op", "", "config", body.to_string().as_bytes());
+    }
+
+    /// Asks for the upkeep of machines.
+    pub fn ask_upkeep(&self, number: u64, machines: &[&str], at_once: usize) {
+        let body =
+            json!({ "wave": number, "machines": machines, "durationS": 20, "maxCount": at_once });
+        self.store.put("op", "", &format!("wave/{number}"), body.to_string().as_bytes());
+        self.machines.due(number, machines);
+    }
+
+    /// Adds a worker on a machine, and registers it.
+    ///
+    /// # Errors
+    /// When no port can be listened at.
+    pub async fn add_worker(&mut self, id: &str, machine: &str) -> io::Result<()> {
+        let worker = Arc::new(Worker::new(id));
+        let server = Server::start(any_port(), worker.clone()).await?;
+        self.machines.add(machine, "desk", worker.clone(), server.address());
+        self.store.put("servers", "", id, &worker.entry("desk", server.address(), "ready"));
+        self.workers.insert(id.into(), Running { worker, server });
+        Ok(())
+    }
+
+    /// Says that a worker will leave.
+    pub fn drain(&self, id: &str) {
+        let running = &self.workers[id];
+        let entry = running.worker.entry("desk", running.server.address(), "draining");
+        self.store.put("servers", "", id, &entry);
+    }
+
+    /// A worker is gone without a word: nothing answers at its address, what it ran has ended,
+    /// and after a while it is no longer listed.
+    pub fn crash(&mut self, id: &str) {
+        if let Some(running) = self.workers.remove(id) {
+            running.worker.crash();
+            self.machines.crash(id);
+            self.store.drop_row("servers", "", id);
+            self.machines.keep_history(running.worker);
+        }
+    }
+
+    /// What all workers ran, those that are gone included.
+    pub fn history(&self) -> Vec<worker::Record> {
+        self.machines.history()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/site/store.rs
@@ -0,0 +1,262 @@
+//! The platform's store: rows in tables, transactions with conditions, ranges and a feed.
+
+use async_std::task;
+use async_trait::async_trait;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use celerythread_http::Fault;
+use celerythread_http::server::{Handler, Request};
+use http_types::{Response, StatusCode};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Time between two looks of a feed that waits.
+const LOOK: Duration = Duration::from_millis(2);
+
+/// Rows of one answer.
+const PAGE: usize = 500;
+
+/// What the store does to calls.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Trouble {
+    /// It serves.
+    #[default]
+    None,
+    /// It does nothing and says so.
+    Refuses,
+    /// It does nothing and doesn't answer.
+    Silent,
+    /// It carries transactions out and doesn't answer them.
+    LosesAnswers,
+}
+
+type Key = (String, String, String);
+
+#[derive(Clone, Debug)]
+struct Row {
+    value: String,
+    version: u64,
+}
+
+#[derive(Default)]
+struct Tables {
+    version: u64,
+    rows: BTreeMap<Key, Row>,
+    /// Every change with its version; a dropped row has no value.
+    history: Vec<(u64, Key, Option<String>)>,
+    /// Changes up to this version are forgotten.
+    forgotten: u64,
+}
+
+/// The store.
+#[derive(Default)]
+pub struct Store {
+    tables: Mutex<Tables>,
+    trouble: Mutex<Trouble>,
+}
+
+impl Store {
+    /// Switches what it does to calls.
+    pub fn trouble(&self, trouble: Trouble) {
+        *self.trouble.lock() = trouble;
+    }
+
+    /// Forgets the changes so far: feeds must read their tables again.
+    pub fn forget_history(&self) {
+        let mut tables = self.tables.lock();
+        tables.forgotten = tables.version;
+        tables.history.clear();
+    }
+
+    /// Writes a row as an operator or a minion does.
+    pub fn put(&self, table: &str, part: &str, key: &str, value: &[u8]) {
+        self.tables.lock().write((table.into(), part.into(), key.into()), STANDARD.encode(value));
+    }
+
+    /// Drops a row.
+    pub fn drop_row(&self, table: &str, part: &str, key: &str) {
+        self.tables.lock().drop_row((table.into(), part.into(), key.into()));
+    }
+
+    /// A row's value.
+    pub fn value(&self, table: &str, part: &str, key: &str) -> Option<Vec<u8>> {
+        let tables = self.tables.lock();
+        let row = tables.rows.get(&(table.into(), part.into(), key.into()))?;
+        STANDARD.decode(&row.value).ok()
+    }
+
+    /// How many rows a table has whose keys begin with `prefix`.
+    pub fn count(&self, table: &str, prefix: &str) -> usize {
+        let tables = self.tables.lock();
+        let of = |key: &&Key| key.0 == table && key.2.starts_with(prefix);
+        tables.rows.keys().filter(of).count()
+    }
+
+    fn transact(&self, body: &Value) -> Response {
+        let mut tables = self.tables.lock();
+        let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        let wrong: Vec<Value> = list("expect")
+            .iter()
+            .filter(|row| {
+                let known = tables.rows.get(&key(row)).map_or(0, |row| row.version);
+                known != row["ver"].as_u64().unwrap_or(0)
+            })
+            .map(|row| tables.show(&key(row)))
+            .collect();
+        if !wrong.is_empty() {
+            return answer(412, json!({ "rows": wrong, "ver": tables.version }));
+        }
+        tables.version += 1;
+        for row in list("writes") {
+            tables.write_at(key(&row), row["value"].as_str().unwrap_or_default().into());
+        }
+        for row in list("remove") {
+            tables.drop_at(key(&row));
+        }
+        answer(200, json!({ "ver": tables.version }))
+    }
+
+    fn range(&self, request: &Request) -> Response {
+        let tables = self.tables.lock();
+        let (table, part) = (parameter(request, "table"), parameter(request, "part"));
+        let (from, to) = (parameter(request, "from"), request.query("to"));
+        let limit = parameter(request, "limit").parse().unwrap_or(PAGE).min(PAGE);
+        let inside = |key: &&Key| {
+            key.0 == table
+                && key.1 == part
+                && key.2 >= from
+                && to.as_ref().is_none_or(|to| key.2 < *to)
+        };
+        let keys: Vec<&Key> = tables.rows.keys().filter(inside).collect();
+        let rows: Vec<Value> = keys.iter().take(limit).map(|key| tables.show(key)).collect();
+        let more = keys.len() > limit;
+        answer(200, json!({ "rows": rows, "morePages": more, "ver": tables.version }))
+    }
+
+    fn parts(&self, request: &Request) -> Response {
+        let tables = self.tables.lock();
+        let (table, after) = (parameter(request, "table"), request.query("after"));
+        let mut parts: Vec<&String> = tables
+            .rows
+            .keys()
+            .filter(|key| key.0 == table && after.as_ref().is_none_or(|after| key.1 > *after))
+            .map(|key| &key.1)
+            .collect();
+        parts.dedup();
+        answer(200, json!({ "parts": parts }))
+    }
+
+    async fn feed(&self, request: &Request) -> Response {
+        let table = parameter(request, "table");
+        let after: u64 = parameter(request, "after").parse().unwrap_or(0);
+        let wait = Duration::from_millis(parameter(request, "waitMs").parse().unwrap_or(0));
+        let began = Instant::now();
+        loop {
+            if let Some(response) = self.changes(&table, after, began.elapsed() >= wait) {
+                return response;
+            }
+            task::sleep(LOOK).await;
+        }
+    }
+
+    fn changes(&self, table: &str, after: u64, over: bool) -> Option<Response> {
+        let tables = self.tables.lock();
+        if after < tables.forgotten {
+            return Some(answer(410, json!({})));
+        }
+        let mut rows = Vec::new();
+        for (version, key, value) in &tables.history {
+            if *version > after && key.0 == table {
+                rows.push(match value {
+                    Some(value) => show(key, value, *version),
+                    None => json!({ "table": key.0, "part": key.1, "key": key.2, "deleted": true, "ver": version }),
+                });
+            }
+        }
+        let ready = over || !rows.is_empty();
+        ready.then(|| answer(200, json!({ "rows": rows, "ver": tables.version })))
+    }
+}
+
+impl Tables {
+    fn write(&mut self, key: Key, value: String) {
+        self.version += 1;
+        self.write_at(key, value);
+    }
+
+    fn drop_row(&mut self, key: Key) {
+        self.version += 1;
+        self.drop_at(key);
+    }
+
+    fn write_at(&mut self, key: Key, value: String) {
+        let version = self.version;
+        self.history.push((version, key.clone(), Some(value.clone())));
+        self.rows.insert(key, Row { value, version });
+    }
+
+    fn drop_at(&mut self, key: Key) {
+        if self.rows.remove(&key).is_some() {
+            self.history.push((self.version, key, None));
+        }
+    }
+
+    fn show(&self, key: &Key) -> Value {
+        let row = self.rows.get(key);
+        show(key, row.map_or("", |row| &row.value), row.map_or(0, |row| row.version))
+    }
+}
+
+fn show((table, part, key): &Key, value: &str, version: u64) -> Value {
+    json!({ "table": table, "part": part, "key": key, "value": value, "ver": version })
+}
+
+fn key(row: &Value) -> Key {
+    let text = |name: &str| row[name].as_str().unwrap_or_default().to_owned();
+    (text("table"), text("part"), text("key"))
+}
+
+fn parameter(request: &Request, name: &str) -> String {
+    request.query(name).unwrap_or_default()
+}
+
+pub(super) fn answer(status: u16, body: Value) -> Response {
+    let mut response = Response::new(StatusCode::try_from(status).unwrap_or(StatusCode::Ok));
+    response.set_body(body.to_string());
+    response.insert_header("content-type", "application/json");
+    response
+}
+
+/// Never answers.
+pub(super) async fn hang() -> Response {
+    std::future::pending().await
+}
+
+#[async_trait]
+impl Handler for Store {
+    async fn handle(&self, request: Request) -> Response {
+        let trouble = *self.trouble.lock();
+        match trouble {
+            Trouble::Refuses => return answer(503, json!({})),
+            Trouble::Silent => return hang().await,
+            Trouble::None | Trouble::LosesAnswers => {}
+        }
+        match request.path() {
+            "/-/rows-tx" => {
+                let body = serde_json::from_slice(&request.body).unwrap_or_default();
+                let response = self.transact(&body);
+                if trouble == Trouble::LosesAnswers { hang().await } else { response }
+            }
+            "/-/rows-get" => self.range(&request),
+            "/-/rows-parts" => self.parts(&request),
+            "/-/rows-feed" => self.feed(&request).await,
+            _ => answer(404, json!({})),
+        }
+    }
+
+    fn refuse(&self, _: &Fault) -> Response {
+        answer(400, json!({}))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/site/worker.rs
@@ -0,0 +1,308 @@
+//! A minion that runs tasks under leases and writes down what it ran.
+//!
+//! A task's `spec` says what it does: `ms=300` takes 300 ms, `fail` fails after that, `hang`
+//! stands still at half.  A task whose spec has `lasts` runs until it is stopped.
+
+use crate::site::store::{answer, hang};
+use async_std::task;
+use async_trait::async_trait;
+use celerythread_http::Fault;
+use celerythread_http::server::{Handler, Request};
+use http_types::Response;
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Time between two looks of a hold that waits.
+const LOOK: Duration = Duration::from_millis(3);
+
+/// How long a lasting task takes until it is at work.
+const START_UP: Duration = Duration::from_millis(100);
+
+/// What a worker does to orders.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Trouble {
+    /// It carries them out.
+    #[default]
+    None,
+    /// It does nothing and doesn't answer, as behind a cut.
+    Silent,
+    /// It carries starts out and doesn't answer them.
+    LosesAnswers,
+    /// It carries starts out after this time, and doesn't answer them.
+    Late(Duration),
+}
+
+/// A run that a worker had.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Record {
+    /// The worker.
+    pub worker: String,
+    /// The task.
+    pub task: String,
+    /// Its number.
+    pub run: u64,
+    /// When it began.
+    pub began: Instant,
+    /// When it ended.
+    pub ended: Option<Instant>,
+    /// How it ended.
+    pub how: Option<&'static str>,
+}
+
+struct Active {
+    record: usize,
+    run: u64,
+    spec: String,
+    began: Instant,
+}
+
+#[derive(Default)]
+struct State {
+    token: u64,
+    deadline: u64,
+    active: BTreeMap<String, Active>,
+    ends: Vec<(u64, String, u64, &'static str)>,
+    next_end: u64,
+    /// Highest run of each task that was stopped or ended here.
+    closed: BTreeMap<String, u64>,
+    records: Vec<Record>,
+    trouble: Trouble,
+}
+
+/// A worker.
+pub struct Worker {
+    id: String,
+    started: Instant,
+    state: Mutex<State>,
+}
+
+impl Worker {
+    /// A worker that runs nothing.
+    pub fn new(id: &str) -> Self {
+        Self { id: id.into(), started: Instant::now(), state: Mutex::default() }
+    }
+
+    /// Its id.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Switches what it does to orders.
+    pub fn trouble(&self, trouble: Trouble) {
+        self.state.lock().trouble = trouble;
+    }
+
+    /// Everything that it ran.
+    pub fn records(&self) -> Vec<Record> {
+        let mut state = self.state.lock();
+        self.advance(&mut state);
+        state.records.clone()
+    }
+
+    /// What runs there now.
+    pub fn running(&self) -> Vec<String> {
+        let mut state = self.state.lock();
+        self.advance(&mut state);
+        state.active.keys().cloned().collect()
+    }
+
+    /// Ends everything, as a crash does.
+    pub fn crash(&self) {
+        let mut state = self.state.lock();
+        let tasks: Vec<String> = state.active.keys().cloned().collect();
+        for task in tasks {
+            end(&mut state, &task, "gone");
+        }
+    }
+
+    /// Its entry in the store.
+    pub fn entry(&self, service: &str, address: SocketAddr, state: &str) -> Vec<u8> {
+        json!({
+            "service": service, "address": address.to_string(), "zone": "zone", "version": "v1",
+            "slots": 8, "state": state, "coldLeftMs": 0, "clockMs": self.clock_ms(), "seq": 1,
+            "capacity": { "cpu": 16000, "memMb": 32768, "gpu": 0 }, "labels": ["a", "rack-1"],
+        })
+        .to_string()
+        .into_bytes()
+    }
+
+    fn clock_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64 + 1000
+    }
+
+    /// Ends what is over by now.
+    fn advance(&self, state: &mut State) {
+        let lapsed = self.clock_ms() >= state.deadline;
+        let over: Vec<(String, &'static str)> = state
+            .active
+            .iter()
+            .filter_map(|(task, active)| {
+                let spent = active.began.elapsed() >= duration(&active.spec);
+                let how = if active.spec.contains("fail") { "failed" } else { "done" };
+                let ends = spent && !active.spec.contains("hang") && !active.spec.contains("lasts");
+                if ends {
+                    Some((task.clone(), how))
+                } else {
+                    lapsed.then(|| (task.clone(), "lapsed"))
+                }
+            })
+            .collect();
+        for (task, how) in over {
+            end(state, &task, how);
+        }
+    }
+
+    fn start(&self, body: &Value) -> Response {
+        let mut state = self.state.lock();
+        self.advance(&mut state);
+        let deadline = body["deadlineMs"].as_u64().unwrap_or(0);
+        let token = body["fencingToken"].as_u64().unwrap_or(0);
+        let task = body["task"].as_str().unwrap_or_default().to_owned();
+        let run = body["run"].as_u64().unwrap_or(0);
+        if token < state.token {
+            return self.conflict("fence");
+        }
+        state.token = token;
+        if deadline <= self.clock_ms() {
+            return self.conflict("late");
+        }
+        state.deadline = state.deadline.max(deadline);
+        if state.active.get(&task).is_some_and(|active| active.run == run) {
+            return answer(200, json!({ "clockMs": self.clock_ms() }));
+        }
+        if state.closed.get(&task).is_some_and(|closed| run <= *closed) {
+            return self.conflict("old");
+        }
+        let spec = body["spec"].as_str().unwrap_or_default().to_owned();
+        let began = Instant::now();
+        let (worker, name) = (self.id.clone(), task.clone());
+        state.records.push(Record { worker, task: name, run, began, ended: None, how: None });
+        let record = state.records.len() - 1;
+        state.active.insert(task, Active { record, run, spec, began });
+        answer(200, json!({ "clockMs": self.clock_ms() }))
+    }
+
+    fn stop(&self, body: &Value) -> Response {
+        let mut state = self.state.lock();
+        self.advance(&mut state);
+        let token = body["fencingToken"].as_u64().unwrap_or(0);
+        if token < state.token {
+            return self.conflict("fence");
+        }
+        state.token = token;
+        let task = body["task"].as_str().unwrap_or_default().to_owned();
+        let run = body["run"].as_u64().unwrap_or(0);
+        if state.active.get(&task).is_some_and(|active| active.run == run) {
+            end(&mut state, &task, "stopped");
+        }
+        let closed = state.closed.entry(task).or_default();
+        *closed = (*closed).max(run);
+        answer(200, json!({ "clockMs": self.clock_ms() }))
+    }
+
+    async fn hold(&self, body: &Value) -> Response {
+        let wait = Duration::from_millis(body["waitMs"].as_u64().unwrap_or(0));
+        let began = Instant::now();
+        let acknowledged = body["ackCursor"].as_u64().unwrap_or(0);
+        {
+            let mut state = self.state.lock();
+            self.advance(&mut state);
+            let token = body["fencingToken"].as_u64().unwrap_or(0);
+            if token < state.token {
+                return self.conflict("fence");
+            }
+            state.token = token;
+            let deadline = body["deadlineMs"].as_u64().unwrap_or(0);
+            state.deadline = state.deadline.max(deadline);
+            state.ends.retain(|end| end.0 > acknowledged);
+        }
+        loop {
+            {
+                let mut state = self.state.lock();
+                self.advance(&mut state);
+                if began.elapsed() >= wait || !state.ends.is_empty() {
+                    return self.listing(&state);
+                }
+            }
+            task::sleep(LOOK).await;
+        }
+    }
+
+    fn listing(&self, state: &State) -> Response {
+        let running: Vec<Value> = state
+            .active
+            .iter()
+            .map(|(task, active)| json!([task, active.run, "", percent(active), 0]))
+            .collect();
+        let ends = state.ends.iter().take(500);
+        let finished: Vec<Value> =
+            ends.map(|(number, task, run, how)| json!([number, task, run, how, ""])).collect();
+        answer(200, json!({ "clockMs": self.clock_ms(), "running": running, "finished": finished }))
+    }
+
+    fn conflict(&self, reason: &str) -> Response {
+        answer(409, json!({ "clockMs": self.clock_ms(), "reason": reason }))
+    }
+}
+
+fn percent(active: &Active) -> u64 {
+    let elapsed = active.began.elapsed();
+    if active.spec.contains("lasts") {
+        return if elapsed >= START_UP { 100 } else { 10 };
+    }
+    let total = duration(&active.spec).as_millis().max(1);
+    let done = (elapsed.as_millis() * 100 / total).min(99) as u64;
+    if active.spec.contains("hang") { done.min(50) } else { done }
+}
+
+fn duration(spec: &str) -> Duration {
+    let ms = spec.split_whitespace().find_map(|word| word.strip_prefix("ms="));
+    Duration::from_millis(ms.and_then(|ms| ms.parse().ok()).unwrap_or(100))
+}
+
+fn end(state: &mut State, task: &str, how: &'static str) {
+    let Some(active) = state.active.remove(task) else { return };
+    state.next_end += 1;
+    state.ends.push((state.next_end, task.into(), active.run, how));
+    let closed = state.closed.entry(task.into()).or_default();
+    *closed = (*closed).max(active.run);
+    let record = &mut state.records[active.record];
+    record.ended = Some(Instant::now());
+    record.how = Some(how);
+}
+
+#[async_trait]
+impl Handler for Worker {
+    async fn handle(&self, request: Request) -> Response {
+        let trouble = self.state.lock().trouble;
+        if trouble == Trouble::Silent {
+            return hang().await;
+        }
+        if request.header("x-celerythread-target-instance").is_some_and(|id| id != self.id) {
+            return answer(421, json!({}));
+        }
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        match (request.path(), trouble) {
+            ("/-/run-start", Trouble::LosesAnswers) => {
+                self.start(&body);
+                hang().await
+            }
+            ("/-/run-start", Trouble::Late(delay)) => {
+                task::sleep(delay).await;
+                self.start(&body);
+                hang().await
+            }
+            ("/-/run-start", _) => self.start(&body),
+            ("/-/run-stop", _) => self.stop(&body),
+            ("/-/hold", _) => self.hold(&body).await,
+            _ => answer(404, json!({})),
+        }
+    }
+
+    fn refuse(&self, _: &Fault) -> Response {
+        answer(400, json!({}))
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,5 +12,6 @@
 mod processes;
 mod programs;
 mod requests;
+mod site;
 mod stop;
 mod timeline;
--- /dev/null
+++ b/tests/all/site.rs
@@ -0,0 +1,220 @@
+//! Real daemons as processes on a stand-in of the users' platform.
+
+mod jobs;
+mod loss;
+mod store;
+mod upkeep;
+
+use async_std::task;
+use celerythread_http::client;
+use celerythread_standin::site::Site;
+use http_types::Method;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Longest wait for anything that must come.
+const PATIENCE: Duration = Duration::from_secs(40);
+
+/// Everything faster than in production, in the same proportions.
+const SETTINGS: &str = "
+[run]
+lease = 2s
+extend_alone = 1s
+
+[upkeep]
+lease = 300ms
+duration_s = 0.4
+
+[stop]
+bound = 3s
+";
+
+/// An entry as a process, ended by its own handle.
+pub(crate) struct Entry {
+    pub(crate) child: Child,
+    pub(crate) callers: SocketAddr,
+    settings: PathBuf,
+    pub(crate) lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+impl Entry {
+    pub(crate) async fn start(site: &Site, test: &str, name: &str) -> Self {
+        let path =
+            std::env::temp_dir().join(format!("ct-{}-{test}-{name}.ini", std::process::id()));
+        let text = format!(
+            "[instance]\nname = {name}\nzone = zone\n\n[caller]\nlisten = 127.0.0.1:0\n\n\
+             [peer]\nlisten = 127.0.0.1:0\nrenew = 100ms\ntakeover_after = 800ms\n\n\
+             [platform]\nstore = {}\nmachines = {}\n{SETTINGS}",
+            site.store_address(),
+            site.machine_address()
+        );
+        fs::write(&path, text).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_celerythreadd"))
+            .arg("--settings")
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let lines: Arc<Mutex<Vec<String>>> = Arc::default();
+        let (sink, output) = (lines.clone(), child.stdout.take().unwrap());
+        std::thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                sink.lock().unwrap().push(line);
+            }
+        });
+        let callers = eventually("the entry listens", async || {
+            let lines = lines.lock().unwrap();
+            let line = lines.iter().find(|line| line.contains("\"listening\""))?.clone();
+            let line: Value = serde_json::from_str(&line).ok()?;
+            line["kvs"]["callers"].as_str()?.parse().ok()
+        })
+        .await;
+        Self { child, callers, settings: path, lines }
+    }
+
+    pub(crate) fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
+    /// Whether it has noted an event.
+    pub(crate) fn noted(&self, event: &str) -> bool {
+        let event = format!("\"message\":\"{event}\"");
+        self.lines.lock().unwrap().iter().any(|line| line.contains(&event))
+    }
+}
+
+/// A deployment: the platform and entries that serve.
+pub(crate) struct Deployment {
+    pub(crate) site: Site,
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) test: &'static str,
+}
+
+impl Deployment {
+    pub(crate) async fn start(test: &'static str, entries: usize, workers: usize) -> Self {
+        let site = Site::start(workers).await.unwrap();
+        let mut deployment = Self { site, entries: Vec::new(), test };
+        for number in 0..entries {
+            deployment.add_entry(&format!("entry-{number}")).await;
+        }
+        eventually("the service has an owner", async || deployment.owner()).await;
+        deployment
+    }
+
+    pub(crate) async fn add_entry(&mut self, name: &str) {
+        let entry = Entry::start(&self.site, self.test, name).await;
+        let callers = entry.callers;
+        eventually("the entry is ready", async || {
+            let (status, _) = call(callers, Method::Get, "/-/ready", None).await?;
+            (status == 200).then_some(())
+        })
+        .await;
+        self.entries.push(entry);
+    }
+
+    /// The entry that took the service's cell last.
+    pub(crate) fn owner(&self) -> Option<usize> {
+        let token = |entry: &Entry| {
+            let lines = entry.lines.lock().unwrap();
+            let taken = lines.iter().filter(|line| line.contains("\"cell_loaded\""));
+            let tokens = taken.filter_map(|line| {
+                let line: Value = serde_json::from_str(line).ok()?;
+                line["kvs"]["token"].as_str()?.parse::<u64>().ok()
+            });
+            tokens.max()
+        };
+        let held = |(index, entry)| Some((token(entry)?, index));
+        self.entries.iter().enumerate().filter_map(held).max().map(|(_, index)| index)
+    }
+
+    /// Submits a job of one step; returns the status.
+    pub(crate) async fn submit(&self, entry: usize, id: &str, tasks: u32, spec: &str) -> u16 {
+        submit(self.entries[entry].callers, id, tasks, spec).await.unwrap_or(0)
+    }
+
+    pub(crate) async fn state(&self, entry: usize, id: &str) -> Option<String> {
+        state(self.entries[entry].callers, id).await
+    }
+
+    /// Waits until a job has a state.
+    pub(crate) async fn until(&self, entry: usize, id: &str, wanted: &str) {
+        let what = format!("job {id} is {wanted}");
+        eventually(&what, async || (self.state(entry, id).await? == wanted).then_some(())).await;
+    }
+}
+
+pub(crate) async fn submit(entry: SocketAddr, id: &str, tasks: u32, spec: &str) -> Option<u16> {
+    let mut step = json!({ "count": tasks, "cpu": 1000, "memMb": 64, "estimateMs": 200 });
+    if spec.contains("lasts") {
+        step["longRunning"] = json!(true);
+        step["mayMiss"] = json!(1);
+        step["antiAffinity"] = json!(1);
+    }
+    let body = json!({ "spec": spec, "steps": [step] });
+    let answer = call(entry, Method::Post, &format!("/q/{id}"), Some(body)).await;
+    answer.map(|(status, _)| status)
+}
+
+pub(crate) async fn state(entry: SocketAddr, id: &str) -> Option<String> {
+    let (status, body) = call(entry, Method::Get, &format!("/q/{id}"), None).await?;
+    let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    Some(body["state"].as_str().map_or(status.to_string(), Into::into))
+}
+
+/// A call of a caller; none without an answer.
+pub(crate) async fn call(
+    entry: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Option<Value>,
+) -> Option<(u16, Vec<u8>)> {
+    let mut request = client::request(method, entry, path).unwrap();
+    request.insert_header("host", "jobs.example");
+    if let Some(body) = body {
+        request.set_body(body.to_string());
+    }
+    let answer = client::fetch(entry, request, Duration::from_secs(4), 1 << 20).await.ok()?;
+    Some((answer.0.status().into(), answer.1))
+}
+
+/// Waits for something that must come.
+pub(crate) async fn eventually<T>(what: &str, mut look: impl AsyncFnMut() -> Option<T>) -> T {
+    let began = Instant::now();
+    loop {
+        if let Some(found) = look().await {
+            return found;
+        }
+        assert!(began.elapsed() < PATIENCE, "waited {PATIENCE:?} in vain: {what}");
+        task::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// A job's id.
+pub(crate) fn id(number: u32) -> String {
+    format!("{number:016x}")
+}
+
+/// Jobs that were answered with 200, with their tasks.
+pub(crate) fn accepted(answers: &BTreeMap<String, u16>, tasks: u32) -> Vec<(String, u32)> {
+    answers
+        .iter()
+        .filter(|(_, status)| **status == 200)
+        .map(|(id, _)| (id.clone(), tasks))
+        .collect()
+}
--- /dev/null
+++ b/tests/all/site/loss.rs
@@ -0,0 +1,171 @@
+//! Losing owners and workers.
+
+use super::*;
+use celerythread_standin::site::check;
+use celerythread_standin::site::worker::Trouble;
+
+/// Submits one job after the other to entries that answer, while `fault` does its work.
+async fn submit_through(
+    deployment: &mut Deployment,
+    count: u32,
+    tasks: u32,
+    spec: &str,
+    mut fault: impl FnMut(&mut Deployment, u32),
+) -> BTreeMap<String, u16> {
+    let mut answers = BTreeMap::new();
+    for number in 0..count {
+        fault(deployment, number);
+        let job = id(number);
+        for entry in deployment.entries.iter().cycle().skip(number as usize).take(6) {
+            // A job whose fate is not known is sent again, as callers do.
+            if let Some(status) = submit(entry.callers, &job, tasks, spec).await {
+                answers.insert(job.clone(), status);
+                if status == 200 {
+                    break;
+                }
+            }
+        }
+        task::sleep(Duration::from_millis(30)).await;
+    }
+    answers
+}
+
+async fn all_completed(deployment: &Deployment, entry: usize, answers: &BTreeMap<String, u16>) {
+    for (id, status) in answers {
+        assert_eq!(*status, 200, "job {id}");
+        deployment.until(entry, id, "completed").await;
+    }
+}
+
+fn assert_once(deployment: &Deployment, answers: &BTreeMap<String, u16>, tasks: u32) {
+    let history = deployment.site.history();
+    assert_eq!(check::once(&history), Vec::<String>::new());
+    assert_eq!(check::all_done(&history, &accepted(answers, tasks)), Vec::<String>::new());
+}
+
+/// The owner is killed while tasks run and ends are underway.  A caller sees its job go on: the
+/// successor finds what runs, keeps what has ended, and runs nothing a second time.
+#[async_std::test]
+async fn a_killed_owner_is_replaced_and_nothing_runs_twice() {
+    let mut deployment = Deployment::start("kill", 3, 3).await;
+    let answers = submit_through(&mut deployment, 30, 3, "ms=300", |deployment, number| {
+        if number == 10 {
+            let owner = deployment.owner().unwrap();
+            deployment.entries.remove(owner);
+        }
+    })
+    .await;
+    all_completed(&deployment, 0, &answers).await;
+    assert_once(&deployment, &answers, 3);
+}
+
+/// The owner is paused for longer than others wait, and wakes without knowing it.  Its orders
+/// carry a token that minions refuse by then.
+#[async_std::test]
+async fn a_paused_owner_that_wakes_runs_nothing_twice() {
+    let mut deployment = Deployment::start("pause", 3, 3).await;
+    let mut paused = 0;
+    let answers = submit_through(&mut deployment, 40, 3, "ms=200", |deployment, number| {
+        if number == 8 {
+            paused = deployment.owner().unwrap();
+            deployment.entries[paused].signal("-STOP");
+            // Its callers would wait for it; a balancer would have taken it out.
+            let owner = deployment.entries.remove(paused);
+            deployment.entries.push(owner);
+        }
+        if number == 30 {
+            deployment.entries.last().unwrap().signal("-CONT");
+        }
+    })
+    .await;
+    all_completed(&deployment, 0, &answers).await;
+    assert_once(&deployment, &answers, 3);
+}
+
+/// A planned stop hands the cell over by name: the successor takes over in a fraction of the
+/// time that a silent owner's would take, and the process ends by itself without a fault.
+#[async_std::test]
+async fn a_stopping_owner_hands_over_and_ends() {
+    let mut deployment = Deployment::start("term", 2, 2).await;
+    let owner = deployment.owner().unwrap();
+    assert_eq!(deployment.submit(owner, &id(1), 2, "ms=1500").await, 200);
+    deployment.until(owner, &id(1), "running").await;
+    deployment.entries[owner].signal("-TERM");
+    let other = 1 - owner;
+    eventually("the other entry owns the cell", async || {
+        deployment.entries[other].noted("cell_loaded").then_some(())
+    })
+    .await;
+    deployment.until(other, &id(1), "completed").await;
+    let ended = eventually("the process ends", async || {
+        deployment.entries[owner].child.try_wait().unwrap()
+    })
+    .await;
+    assert!(ended.success());
+    assert!(deployment.entries[owner].noted("cell_handed_over"));
+    assert_eq!(deployment.site.history().len(), 2, "both runs went on");
+}
+
+/// Everything is killed at once and started again: what was accepted is in the rows alone.
+#[async_std::test]
+async fn accepted_jobs_survive_the_loss_of_all_entries() {
+    let mut deployment = Deployment::start("all", 3, 2).await;
+    let answers = submit_through(&mut deployment, 10, 2, "ms=400", |_, _| {}).await;
+    deployment.entries.clear();
+    for number in 0..3 {
+        deployment.add_entry(&format!("entry-{number}")).await;
+    }
+    all_completed(&deployment, 1, &answers).await;
+    assert_once(&deployment, &answers, 2);
+}
+
+#[async_std::test]
+async fn tasks_of_a_crashed_worker_run_elsewhere() {
+    let mut deployment = Deployment::start("crash", 2, 3).await;
+    let answers = submit_through(&mut deployment, 12, 3, "ms=250", |deployment, number| {
+        if number == 4 {
+            deployment.site.crash("i-0");
+        }
+    })
+    .await;
+    all_completed(&deployment, 0, &answers).await;
+    assert_once(&deployment, &answers, 3);
+}
+
+/// A worker carries starts out and its answers are lost, or carries them out long after.  The
+/// task must not be started elsewhere before its first start can no longer take effect.
+#[async_std::test]
+async fn unanswered_starts_run_nothing_twice() {
+    let mut deployment = Deployment::start("late", 2, 3).await;
+    let answers = submit_through(&mut deployment, 40, 2, "ms=150", |deployment, number| {
+        let worker = |id: &str| deployment.site.workers[id].worker.clone();
+        match number {
+            5 => worker("i-0").trouble(Trouble::LosesAnswers),
+            10 => worker("i-1").trouble(Trouble::Late(Duration::from_millis(1200))),
+            20 => worker("i-0").trouble(Trouble::None),
+            30 => worker("i-1").trouble(Trouble::None),
+            _ => {}
+        }
+    })
+    .await;
+    all_completed(&deployment, 0, &answers).await;
+    assert_once(&deployment, &answers, 2);
+}
+
+/// A worker is cut off and runs on; what it had is restarted only after its lease has lapsed.
+#[async_std::test]
+async fn a_silent_worker_keeps_its_tasks_until_their_lease_lapses() {
+    let mut deployment = Deployment::start("cut", 2, 2).await;
+    let answers = submit_through(&mut deployment, 20, 2, "ms=900", |deployment, number| {
+        if number == 5 {
+            deployment.site.workers["i-0"].worker.trouble(Trouble::Silent);
+        }
+        if number == 18 {
+            deployment.site.workers["i-0"].worker.trouble(Trouble::None);
+        }
+    })
+    .await;
+    all_completed(&deployment, 0, &answers).await;
+    let history = deployment.site.history();
+    assert_eq!(check::once(&history), Vec::<String>::new());
+}
--- /dev/null
+++ b/tests/all/site/store.rs
@@ -0,0 +1,69 @@
+//! The platform's store in trouble.
+
+use super::*;
+use celerythread_standin::site::check;
+use celerythread_standin::site::store::Trouble;
+
+/// Jobs sent one after the other with the store in trouble from the tenth to the thirtieth.
+async fn through(test: &'static str, trouble: Trouble) -> (Deployment, BTreeMap<String, u16>) {
+    let deployment = Deployment::start(test, 2, 2).await;
+    let mut answers = BTreeMap::new();
+    for number in 0..40 {
+        match number {
+            10 => deployment.site.store.trouble(trouble),
+            30 => deployment.site.store.trouble(Trouble::None),
+            _ => {}
+        }
+        let status = deployment.submit(number as usize % 2, &id(number), 2, "ms=150").await;
+        answers.insert(id(number), status);
+    }
+    (deployment, answers)
+}
+
+/// What was refused never ran, what was accepted is done once; a job whose fate its caller
+/// wasn't told may be either.
+async fn check_all(deployment: &Deployment, answers: &BTreeMap<String, u16>) {
+    for (job, _) in answers.iter().filter(|(_, status)| **status == 200) {
+        deployment.until(0, job, "completed").await;
+    }
+    let history = deployment.site.history();
+    assert_eq!(check::once(&history), Vec::<String>::new());
+    assert_eq!(check::all_done(&history, &accepted(answers, 2)), Vec::<String>::new());
+    for (job, _) in answers.iter().filter(|(_, status)| **status == 503) {
+        let ran = history.iter().any(|record| record.task.starts_with(job.as_str()));
+        assert!(!ran, "{job} was refused and ran");
+    }
+}
+
+#[async_std::test]
+async fn a_store_that_refuses_leads_to_refusals_that_are_true() {
+    let (deployment, answers) = through("store-refuses", Trouble::Refuses).await;
+    assert!(answers.values().any(|status| *status == 503), "{answers:?}");
+    check_all(&deployment, &answers).await;
+}
+
+#[async_std::test]
+async fn a_silent_store_leaves_nothing_half_accepted() {
+    let (deployment, answers) = through("store-silent", Trouble::Silent).await;
+    check_all(&deployment, &answers).await;
+}
+
+/// Transactions are carried out and their answers lost: callers hear that nobody knows, never
+/// that the job doesn't run.
+#[async_std::test]
+async fn lost_answers_of_the_store_are_not_taken_for_refusals() {
+    let (deployment, answers) = through("store-loses", Trouble::LosesAnswers).await;
+    check_all(&deployment, &answers).await;
+}
+
+#[async_std::test]
+async fn a_forgotten_history_is_made_good_by_reading_again() {
+    let deployment = Deployment::start("store-forgets", 2, 2).await;
+    for version in 2..6 {
+        deployment.site.store.forget_history();
+        deployment.site.configure(version);
+        let number = version as u32;
+        assert_eq!(deployment.submit(0, &id(number), 1, "ms=50").await, 200);
+        deployment.until(1, &id(number), "completed").await;
+    }
+}
--- /dev/null
+++ b/tests/all/site/upkeep.rs
@@ -0,0 +1,60 @@
+//! Maintenance waves over real processes.
+
+use super::*;
+
+/// A wave goes through machines on which a service runs that may miss one task.  Its users see
+/// it whole but for one task at a time, and no upkeep ends anything that runs.
+#[async_std::test]
+async fn a_wave_is_completed_without_ending_what_runs() {
+    let deployment = Deployment::start("wave", 2, 5).await;
+    assert_eq!(deployment.submit(0, &id(1), 2, "lasts").await, 200);
+    deployment.until(0, &id(1), "running").await;
+    deployment.site.ask_upkeep(1, &["m-0", "m-1", "m-2", "m-3", "m-4"], 2);
+    for number in 2..30 {
+        assert_eq!(deployment.submit(1, &id(number), 2, "ms=100").await, 200);
+        task::sleep(Duration::from_millis(40)).await;
+    }
+    eventually("the wave is reported as completed", async || {
+        let status = deployment.site.store.value("status", "", "wave/1")?;
+        let status: Value = serde_json::from_slice(&status).ok()?;
+        (status["state"] == "completed").then_some(())
+    })
+    .await;
+    let upkeeps = deployment.site.machines.upkeeps();
+    assert_eq!(upkeeps.len(), 5);
+    assert!(upkeeps.iter().all(|upkeep| upkeep.down <= 2), "{upkeeps:?}");
+    assert!(upkeeps.iter().all(|upkeep| upkeep.ended.is_empty()), "{upkeeps:?}");
+    for number in 2..30 {
+        deployment.until(0, &id(number), "completed").await;
+    }
+}
+
+/// The entry that carries the wave is killed in the middle of it; another one goes on, and no
+/// machine has its upkeep twice.
+#[async_std::test]
+async fn a_wave_survives_its_carrier() {
+    let mut deployment = Deployment::start("wave-kill", 3, 4).await;
+    deployment.site.ask_upkeep(1, &["m-0", "m-1", "m-2", "m-3"], 1);
+    eventually("a machine has had its upkeep", async || {
+        (!deployment.site.machines.upkeeps().is_empty()).then_some(())
+    })
+    .await;
+    let carrier = deployment.site.machines.upkeeps()[0].holder.clone();
+    let index = deployment.entries.iter().position(|entry| {
+        entry
+            .lines
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|line| line.contains(&format!("\"entry\":\"{carrier}\"")))
+    });
+    deployment.entries.remove(index.unwrap());
+    eventually("the wave is completed", async || {
+        let status = deployment.site.store.value("status", "", "wave/1")?;
+        let status: Value = serde_json::from_slice(&status).ok()?;
+        (status["state"] == "completed").then_some(())
+    })
+    .await;
+    let upkeeps = deployment.site.machines.upkeeps();
+    assert_eq!(upkeeps.len(), 4, "{upkeeps:?}");
+}
