A new holder of the fleet duty leaves alone only machines that may have been ordered

Ruled out: handing the pause over with the cell (after a restart there is nobody to tell it). Change: a machine's row is written before its order and stays for the lease, so a new holder knows the machines to leave alone and orders all others at once; a released pool answers with its load, which saves a tick; silence before a takeover is 2 s instead of 2.5 s.

--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -115,6 +115,11 @@
         !self.pending.is_empty() || !self.arriving.is_empty()
     }
 
+    /// Whether a machine's move is decided and not ordered.
+    pub fn is_pending(&self, machine: &str) -> bool {
+        self.pending.contains_key(machine)
+    }
+
     /// Notes that a move was ordered.
     pub fn ordered(&mut self, machine: &str, now: Time) {
         if let Some(done) = self.pending.remove(machine) {
--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -9,12 +9,13 @@
 
 use crate::clock;
 use crate::node::Node;
-use crate::owner::{Former, Owner};
+use crate::owner::Owner;
 use crate::peers;
 use crate::rows;
 use celerythread_adapter::machine;
 use celerythread_adapter::store::Transaction;
 use celerythread_engine::pools::Load;
+use celerythread_engine::time::Time;
 use celerythread_engine::{pools as pool_plan, upkeep as upkeep_plan};
 use celerythread_wire::job::{Answer, Question};
 use futures::future::join_all;
@@ -46,61 +47,124 @@
 /// been silent for the takeover time, and then waits the lease before its own orders.
 const FRESH_RENEWAL: Duration = Duration::from_millis(1500);
 
+/// What the holder of the duty knows and plans.
+pub(crate) struct Fleet {
+    pub(crate) owner: Arc<Owner>,
+    pub(crate) client: machine::Client,
+    pub(crate) waves: upkeep_plan::Planner,
+    pub(crate) pools: pool_plan::Planner,
+    list: MachineList,
+    /// Machines for which an order may have been given, by this holder or the former one, and
+    /// until when nobody else may give one.
+    ///
+    /// Where the platform doesn't compare tokens, two holders that take turns on a machine within
+    /// the lease would break the promise of one holder.  Each order is preceded by the machine's
+    /// row and the row stays for the lease, so a new holder knows exactly which machines to leave
+    /// alone, and can order all others at once: in a burst, a pause of the lease would be most of
+    /// it.
+    ordered: BTreeMap<String, Time>,
+}
+
 /// Carries the duty until it is lost.
 pub(crate) async fn carry(owner: Arc<Owner>) {
     let node = owner.node.clone();
     let Some(client) = node.machines.clone() else { return };
-    if !owner.pause(former_pause(&owner)).await {
-        return;
-    }
     let settings = upkeep_plan::Settings {
         duration: node.settings.upkeep_duration.0,
         ..upkeep_plan::Settings::default()
     };
-    let mut waves = upkeep_plan::Planner::new(settings);
-    while !upkeep::load(&node, &mut waves).await {
+    let mut fleet = Fleet {
+        owner: owner.clone(),
+        client,
+        waves: upkeep_plan::Planner::new(settings),
+        pools: pool_plan::Planner::new(pool_plan::Settings::default()),
+        list: MachineList::default(),
+        ordered: BTreeMap::new(),
+    };
+    while !fleet.load().await {
         if !owner.pause(RETRY).await {
             return;
         }
     }
-    // What a former holder began to empty for a move that it didn't order serves again.
-    let left: Vec<String> = node.view.read().emptying.keys().cloned().collect();
-    drop_emptying(&node, &left).await;
-    let mut pools = pool_plan::Planner::new(pool_plan::Settings::default());
-    let mut list = MachineList::default();
     loop {
-        upkeep::take_new(&node, &mut waves).await;
+        let pools = fleet.step().await;
+        if !owner.pause(TICK.max(TICK_PER_POOL * pools as u32)).await {
+            return;
+        }
+    }
+}
+
+impl Fleet {
+    /// Reads what a former holder kept; true if it is read.
+    async fn load(&mut self) -> bool {
+        let node = self.owner.node.clone();
+        let rows = node.store.all(rows::CONTROL, "", rows::EMPTYING_PREFIX, CALL_LIMIT).await;
+        node.store_result(&rows);
+        let Ok(rows) = rows else { return false };
+        for row in &rows.rows {
+            if let Some(machine) = row.key.strip_prefix(rows::EMPTYING_PREFIX) {
+                self.note_order(machine);
+            }
+        }
+        upkeep::load(&node, &mut self.waves).await
+    }
+
+    /// Takes everything a step further; returns how many pools were asked.
+    async fn step(&mut self) -> usize {
+        let node = self.owner.node.clone();
+        upkeep::take_new(&node, &mut self.waves).await;
         let services = services(&node);
         let loads = ask_loads(&node, &services).await;
         let emptying = !node.view.read().emptying.is_empty();
-        let busy = waves.is_busy() || pools.is_busy() || emptying;
-        let fresh = list.refresh(&node, &client, busy).await;
-        if fresh {
-            drop_settled(&node, &list.machines).await;
-        }
-        if fresh && waves.is_busy() {
-            upkeep::step(&owner, &client, &mut waves, &list.machines, &loads).await;
-        }
-        pools::step(&owner, &client, &mut pools, &waves, &list.machines, &loads).await;
-        if !owner.pause(TICK.max(TICK_PER_POOL * services.len() as u32)).await {
-            return;
+        let busy = self.waves.is_busy() || self.pools.is_busy() || emptying;
+        if self.list.refresh(&node, &self.client, busy).await {
+            self.drop_settled().await;
+            if self.waves.is_busy() {
+                upkeep::step(self, &loads).await;
+            }
         }
+        pools::step(self, &loads).await;
+        services.len()
+    }
+
+    /// The list of machines as last read.
+    pub(crate) fn machines(&self) -> Vec<machine::Machine> {
+        self.list.machines.clone()
+    }
+
+    /// Notes that an order for a machine is about to be given, or may have been.
+    pub(crate) fn note_order(&mut self, machine: &str) {
+        let lease = self.owner.node.settings.upkeep_lease.0 + CALL_LIMIT / 4;
+        self.ordered.insert(machine.into(), clock::now() + lease);
     }
-}
 
-/// Drops the rows of machines that were emptied and have another minion by now.
-async fn drop_settled(node: &Node, machines: &[machine::Machine]) {
-    let settled: Vec<String> = {
-        let view = node.view.read();
-        let other = |(name, minion): &(&String, &String)| {
-            machines.iter().any(|machine| {
-                let now = machine.minion.as_ref().filter(|id| !id.is_empty());
-                machine.name == **name && now.is_some_and(|now| now != *minion)
-            })
+    /// Whether a machine must be left alone: somebody may have given an order for it lately.
+    pub(crate) fn is_held_back(&self, machine: &str) -> bool {
+        self.ordered.get(machine).is_some_and(|until| clock::now() < *until)
+    }
+
+    /// Drops the rows of machines that nobody is about to order any more: they have another
+    /// minion, or a former holder asked for them, and its orders are over.
+    async fn drop_settled(&mut self) {
+        let now = clock::now();
+        let settled: Vec<String> = {
+            let view = self.owner.node.view.read();
+            let mine = |name: &str| self.pools.is_pending(name) || self.waves.is_emptying(name);
+            let keeps = |name: &str, minion: &str| {
+                let listed = self.list.machines.iter().find(|machine| machine.name == name);
+                let same = listed
+                    .is_some_and(|machine| machine.minion.as_deref().unwrap_or_default() == minion);
+                same && mine(name)
+            };
+            let over = |name: &str| self.ordered.get(name).is_none_or(|until| now >= *until);
+            let rows = view.emptying.iter();
+            rows.filter(|(name, minion)| over(name) && !keeps(name, minion))
+                .map(|(name, _)| name.clone())
+                .collect()
         };
-        view.emptying.iter().filter(other).map(|(name, _)| name.clone()).collect()
-    };
-    drop_emptying(node, &settled).await;
+        self.ordered.retain(|_, until| now < *until);
+        drop_emptying(&self.owner.node, &settled).await;
+    }
 }
 
 /// The services that have minions: all but the spare pool.
@@ -110,26 +174,11 @@
     services.map(|service| service.name.clone()).collect()
 }
 
-/// How long to wait before the first order.
-///
-/// Where the platform doesn't compare tokens, an order that the former holder has sent may still
-/// come; two holders taking turns within the lease would break the promise of one.
-fn former_pause(owner: &Owner) -> Duration {
-    let settings = &owner.node.settings;
-    let lease = settings.upkeep_lease.0 + CALL_LIMIT / 5;
-    match owner.former {
-        Former::None => Duration::ZERO,
-        Former::Stopped => lease.saturating_sub(owner.former_quiet),
-        // Its orders ended when its renewal was no longer fresh, before it counted as silent.
-        Former::Silent => (lease + FRESH_RENEWAL).saturating_sub(settings.takeover_after.0),
-    }
-}
-
 /// The list of machines as last read.
 #[derive(Default)]
 struct MachineList {
     machines: Vec<machine::Machine>,
-    read: Option<celerythread_engine::time::Time>,
+    read: Option<Time>,
 }
 
 impl MachineList {
--- a/crates/scheduler/src/fleet/upkeep.rs
+++ b/crates/scheduler/src/fleet/upkeep.rs
@@ -1,10 +1,9 @@
 //! Carrying maintenance waves with the decisions of the engine.
 
 use crate::clock;
-use crate::fleet::{CALL_LIMIT, order_allowed, write_emptying};
+use crate::fleet::{CALL_LIMIT, Fleet, order_allowed, write_emptying};
 use crate::metrics::Counter;
 use crate::node::Node;
-use crate::owner::Owner;
 use crate::rows;
 use celerythread_adapter::machine::{self, Authority};
 use celerythread_adapter::store::{self, Name, Transaction};
@@ -13,7 +12,6 @@
 use celerythread_engine::pools::Load;
 use celerythread_engine::upkeep::{Machine, Planner, Step, Wave};
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 
 /// Reads how far waves were under a former holder.
 pub(crate) async fn load(node: &Node, planner: &mut Planner) -> bool {
@@ -46,30 +44,22 @@
 }
 
 /// Takes open waves a step further.
-pub(crate) async fn step(
-    owner: &Arc<Owner>,
-    client: &machine::Client,
-    planner: &mut Planner,
-    machines: &[machine::Machine],
-    loads: &BTreeMap<String, Load>,
-) {
-    let node = &owner.node;
-    let machines: BTreeMap<String, Machine> = machines.iter().map(seen).collect();
+pub(crate) async fn step(fleet: &mut Fleet, loads: &BTreeMap<String, Load>) {
+    let node = fleet.owner.node.clone();
+    let machines: BTreeMap<String, Machine> = fleet.machines().iter().map(seen).collect();
     let emptying: BTreeSet<String> = node.view.read().emptying.values().cloned().collect();
     let empty: BTreeSet<String> =
         loads.values().flat_map(|load| load.empty.iter().cloned()).collect();
-    for step in planner.plan(&machines, &emptying, &empty, clock::now()) {
+    for step in fleet.waves.plan(&machines, &emptying, &empty, clock::now()) {
         match step {
             Step::Empty { machine, minion } => {
-                write_emptying(node, &[(machine, minion)]).await;
-            }
-            Step::Begin { machine, wave } => {
-                begin(owner, client, planner, &machine, wave).await;
+                write_emptying(&node, &[(machine, minion)]).await;
             }
+            Step::Begin { machine, wave } => begin(fleet, &machine, wave).await,
             Step::Complete { wave } => {
-                if report(node, wave, wave::State::Completed).await {
-                    planner.completed(wave);
-                    keep(node, planner, wave).await;
+                if report(&node, wave, wave::State::Completed).await {
+                    fleet.waves.completed(wave);
+                    keep(&node, &fleet.waves, wave).await;
                 }
             }
         }
@@ -85,22 +75,16 @@
     (machine.name.clone(), seen)
 }
 
-async fn begin(
-    owner: &Arc<Owner>,
-    client: &machine::Client,
-    planner: &mut Planner,
-    machine: &str,
-    wave: u64,
-) {
-    let node = &owner.node;
-    if !order_allowed(owner) {
+async fn begin(fleet: &mut Fleet, machine: &str, wave: u64) {
+    let node = fleet.owner.node.clone();
+    if fleet.is_held_back(machine) || !order_allowed(&fleet.owner) {
         return;
     }
-    planner.ordered(machine, clock::now());
-    let by = Authority { holder: node.me.clone(), token: owner.token };
-    owner.ordered_machine();
-    let answer = client.upkeep(machine, wave, &by, CALL_LIMIT).await;
-    owner.ordered_machine();
+    fleet.note_order(machine);
+    fleet.waves.ordered(machine, clock::now());
+    let token = fleet.owner.token;
+    let by = Authority { holder: node.me.clone(), token };
+    let answer = fleet.client.upkeep(machine, wave, &by, CALL_LIMIT).await;
     let outcome = match &answer {
         Ok(Ok(())) => "begun".to_owned(),
         Ok(Err(reason)) => reason.to_string(),
@@ -108,14 +92,14 @@
     };
     node.journal.note(
         "upkeep_ordered",
-        &[("machine", &machine), ("wave", &wave), ("token", &owner.token), ("outcome", &outcome)],
+        &[("machine", &machine), ("wave", &wave), ("token", &token), ("outcome", &outcome)],
     );
     if !matches!(answer, Ok(Ok(()))) {
         return;
     }
     node.metrics.count(Counter::Upkeeps);
-    planner.begun(wave, machine);
-    keep(node, planner, wave).await;
+    fleet.waves.begun(wave, machine);
+    keep(&node, &fleet.waves, wave).await;
 }
 
 /// Keeps how far a wave is.
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -272,8 +272,7 @@
         (_, true) => Former::Stopped,
         (_, false) => Former::Silent,
     };
-    let quiet = Duration::from_millis(row.quiet_ms);
-    let owner = Owner::new(node.clone(), cell, holding.version, row.generation, former, quiet);
+    let owner = Owner::new(node.clone(), cell, holding.version, row.generation, former);
     if let Some(old) = owners.insert(cell.into(), owner.clone()) {
         old.stop();
     }
@@ -317,7 +316,7 @@
     let generation = row.map_or(0, |row| row.generation + 1);
     // A holder without a row was dropped by its own instance's next process, or long ago.
     let former_stopped = former.is_none();
-    let value = rows::Cell { holder: node.me.clone(), generation, former_stopped, quiet_ms: 0 };
+    let value = rows::Cell { holder: node.me.clone(), generation, former_stopped };
     let mut conditions = vec![(name.clone(), version)];
     conditions.extend(former.map(|(id, version)| (rows::entry(&id), version)));
     let change = Transaction {
@@ -366,7 +365,6 @@
         holder: successor.clone(),
         generation: row.generation + 1,
         former_stopped: true,
-        quiet_ms: node.owner(cell).map_or(0, |owner| owner.quiet().as_millis() as u64),
     };
     let change = Transaction {
         conditions: vec![(name.clone(), holding.version)],
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -17,12 +17,10 @@
 use celerythread_adapter::configuration::Configuration;
 use celerythread_engine::cell::{Cell, Note, Order, Queue};
 use celerythread_engine::job::{Accepted, Id, decode};
-use celerythread_engine::time::Time;
 use celerythread_wire::job::{Answer, Question};
 use parking_lot::Mutex;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use stop_token::future::FutureExt;
 use stop_token::{StopSource, StopToken};
@@ -80,10 +78,6 @@
     pub(crate) token: u64,
     pub(crate) generation: u32,
     pub(crate) former: Former,
-    /// How long the former owner had given no order for a machine when it handed over.
-    pub(crate) former_quiet: Duration,
-    /// When the last order for a machine was given, or its answer awaited.
-    last_machine_order: AtomicU64,
     /// The cell, once what was kept of it is read.
     pub(crate) cell: Mutex<Option<Cell>>,
     /// Version of the ledger's row, and the lock that keeps the owner's transactions in order.
@@ -106,7 +100,6 @@
         token: u64,
         generation: u32,
         former: Former,
-        former_quiet: Duration,
     ) -> Arc<Self> {
         let source = StopSource::new();
         let stopped = source.token();
@@ -116,8 +109,6 @@
             token,
             generation,
             former,
-            former_quiet,
-            last_machine_order: AtomicU64::new(0),
             cell: Mutex::new(None),
             ledger: async_std::sync::Mutex::new(0),
             roster: Mutex::default(),
@@ -143,16 +134,6 @@
         self.source.lock().is_none()
     }
 
-    /// Notes that an order for a machine is given, or its answer still awaited.
-    pub(crate) fn ordered_machine(&self) {
-        self.last_machine_order.fetch_max(clock::now().0, Ordering::SeqCst);
-    }
-
-    /// Time since the last order for a machine.
-    pub(crate) fn quiet(&self) -> Duration {
-        clock::now().since(Time(self.last_machine_order.load(Ordering::SeqCst)))
-    }
-
     /// Sleeps; tells whether the task should go on.
     pub(crate) async fn pause(&self, time: Duration) -> bool {
         async_std::task::sleep(time).timeout_at(self.stopped.clone()).await.is_ok()
@@ -225,8 +206,9 @@
             Question::Load { .. } => self.with(|cell| Answer::Load(cell.load())),
             Question::Release { machines, .. } => {
                 self.node.view.write().emptying.extend(machines.iter().cloned());
+                self.sync_minions();
                 self.plan_wake.wake();
-                Some(Answer::Noted)
+                self.with(|cell| Answer::Load(cell.load()))
             }
             Question::Pending { queue, .. } => {
                 self.with(|cell| Answer::Pending(cell.pending(queue) as u32))
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -58,8 +58,6 @@
     pub(crate) generation: u32,
     /// Whether the former holder had certainly stopped giving orders before this was written.
     pub(crate) former_stopped: bool,
-    /// How long the former holder had given no order for a machine when this was written.
-    pub(crate) quiet_ms: u64,
 }
 
 /// The ledger of a cell: each of its owner's transactions rewrites it on condition of its
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -69,7 +69,7 @@
             // a new owner where a minion doesn't answer it.
             extend_alone: Span::millis(5000),
             renew: Span::millis(500),
-            takeover_after: Span::millis(2500),
+            takeover_after: Span::millis(2000),
             stop_timeout: Span::millis(900),
             upkeep_lease: Span::millis(3000),
             upkeep_duration: Span::millis(2000),
