Pace for what fills beside serving tasks; tickets for queues with advice

Cause: both are contracts of the deployments, and neither was there: a filling task would have disturbed a serving one unchecked, and a queue with advice would never have started anything. Change: engine/cell/pace slows down at once and lets go on slowly by the reported tail; engine/cell/advice asks about as many minions as a step can use, keeps tickets for their time. Not done: learning which images disturb; asking for advice over several entries.

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -4,7 +4,8 @@
 //! returns.  [`job`](self::work) holds the jobs, [`minion`] the minions with what runs there,
 //! [`report`] takes in what minions say, [`plan`] decides what starts and stops, [`place`]
 //! finds a minion for a task, [`sequence`] orders the waiting jobs, [`keep`] says what must be
-//! written before an end may be acknowledged.
+//! written before an end may be acknowledged, [`advice`] holds tickets, [`pace`] slows down what
+//! disturbs serving tasks.
 //!
 //! Three rules carry the promise that no task runs twice:
 //! - a run counts as over only when its minion listed its end, answered a stop and no longer
@@ -13,9 +14,11 @@
 //!   has answered with both its lists, or its lease must have lapsed;
 //! - an end is acknowledged only after it is kept.
 
+pub mod advice;
 pub mod keep;
 mod load;
 pub mod minion;
+mod pace;
 pub mod place;
 pub mod plan;
 pub mod report;
@@ -24,6 +27,7 @@
 
 use crate::job::{Accepted, Id, Progress, State, TaskName};
 use crate::time::Time;
+pub use advice::Query;
 pub use keep::Batch;
 pub use minion::{Listing, Minion, MinionId};
 pub use plan::Order;
@@ -84,11 +88,13 @@
     pub stretch: f64,
     /// ... and this many milliseconds more.
     pub target_ms: u64,
+    /// Whether starts need a ticket.
+    pub advised: bool,
 }
 
 impl Default for Queue {
     fn default() -> Self {
-        Self { priority: 1, attempts: 3, stretch: 2.0, target_ms: 1000 }
+        Self { priority: 1, attempts: 3, stretch: 2.0, target_ms: 1000, advised: false }
     }
 }
 
@@ -108,6 +114,10 @@
     pub(crate) former_lapse: Option<Time>,
     /// Mean work of a queue's jobs, in core-milliseconds, learnt from those seen.
     pub(crate) mean_work: BTreeMap<Box<str>, f64>,
+    /// What is known of steps that need tickets.
+    pub(crate) advice: BTreeMap<TaskName, advice::Advice>,
+    /// Questions to ask about them.
+    pub(crate) queries: Vec<Query>,
     /// What was decided since the notes were last taken.
     pub(crate) notes: Vec<Note>,
 }
@@ -194,6 +204,8 @@
             minions: BTreeMap::new(),
             former_lapse,
             mean_work: BTreeMap::new(),
+            advice: BTreeMap::new(),
+            queries: Vec::new(),
             notes: Vec::new(),
         }
     }
@@ -326,6 +338,7 @@
         for id in &ids {
             self.jobs.remove(id);
         }
+        self.forget_advice();
         ids
     }
 
--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -1,6 +1,6 @@
 //! A minion and what runs on it.
 
-use crate::job::{Resources, TaskName};
+use crate::job::{Resources, Step, TaskName};
 use crate::time::Time;
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, BTreeSet};
@@ -51,12 +51,40 @@
     pub lasting: bool,
     /// When it was ordered.
     pub since: Time,
+    /// Whether its task only fills.
+    pub fills: bool,
+    /// For a serving task the tail of its response times in milliseconds, as last reported; for
+    /// others the processor time in use.
+    pub load: Option<u64>,
+    /// Percent at which it is let work, and since when.
+    pub pace: u8,
+    /// See [`Run::pace`].
+    pub paced: Time,
     /// Percent of its work that is done; for lasting tasks, 100 means at work.
     pub percent: u8,
     /// When the percentage last changed.
     pub moved: Time,
 }
 
+impl Run {
+    /// A run that is just ordered, of a task of this step.
+    pub(crate) fn new(number: u32, phase: RunPhase, step: Option<&Step>, now: Time) -> Self {
+        Self {
+            number,
+            phase,
+            need: step.map(Step::counted_need).unwrap_or_default(),
+            lasting: step.is_some_and(|step| step.lasting),
+            fills: step.is_some_and(|step| step.fills),
+            since: now,
+            load: None,
+            pace: 100,
+            paced: Time(0),
+            percent: 0,
+            moved: now,
+        }
+    }
+}
+
 /// A minion.
 #[derive(Debug)]
 pub struct Minion {
--- a/crates/engine/src/cell/place.rs
+++ b/crates/engine/src/cell/place.rs
@@ -46,11 +46,13 @@
         task: &Task,
         spread: &Spread,
         now: Time,
+        may_run: impl Fn(&str) -> bool,
     ) -> Option<MinionId> {
         let need = step.counted_need();
         self.minions
             .values()
             .filter(|minion| minion.takes_work(now) && fits(minion, step, &need, spread))
+            .filter(|minion| may_run(&minion.id))
             .min_by_key(|minion| (cost(minion, step, task, &need), minion.id.clone()))
             .map(|minion| minion.id.clone())
     }
@@ -80,6 +82,7 @@
         name: &TaskName,
         step: &Step,
         now: Time,
+        may_run: &dyn Fn(&str) -> bool,
     ) -> Option<Vec<MinionId>> {
         if step.same_rack {
             let mut racks: Vec<&str> = self.minions.values().filter_map(Minion::rack).collect();
@@ -87,13 +90,14 @@
             racks.dedup();
             // The rack with the data first, then by name.
             racks.sort_by_key(|rack| step.near.as_deref() != Some(*rack));
-            let in_rack =
-                racks.into_iter().find_map(|rack| self.fill_gang(job, name, step, Some(rack), now));
+            let in_rack = racks
+                .into_iter()
+                .find_map(|rack| self.fill_gang(job, name, step, Some(rack), now, may_run));
             if in_rack.is_some() {
                 return in_rack;
             }
         }
-        self.fill_gang(job, name, step, None, now)
+        self.fill_gang(job, name, step, None, now, may_run)
     }
 
     fn fill_gang(
@@ -103,6 +107,7 @@
         step: &Step,
         rack: Option<&str>,
         now: Time,
+        may_run: &dyn Fn(&str) -> bool,
     ) -> Option<Vec<MinionId>> {
         let need = step.counted_need();
         let mut free: BTreeMap<MinionId, Resources> = self
@@ -110,6 +115,7 @@
             .values()
             .filter(|minion| minion.takes_work(now))
             .filter(|minion| rack.is_none() || minion.rack() == rack)
+            .filter(|minion| may_run(&minion.id))
             .map(|minion| (minion.id.clone(), minion.free()))
             .collect();
         let mut spread = self.spread(name);
@@ -163,6 +169,10 @@
         // task with a minion either way.
         cost = minion.free().cpu + penalty::ALONE * u64::from(minion.lasting == 0);
     }
+    if step.fills {
+        // What fills goes where most is unused, and not beside serving tasks.
+        cost = minion.used.cpu + penalty::ALONE * minion.lasting as u64;
+    }
     if task.avoid.as_ref() == Some(&minion.id) {
         cost += penalty::AVOID;
     }
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -31,6 +31,19 @@
         spec: Arc<str>,
         /// Where to resume.
         checkpoint: Option<Box<str>>,
+        /// The leave to run it there, where the queue needs one.
+        ticket: Option<Box<str>>,
+    },
+    /// Let a run work only at a share of its pace.
+    Pace {
+        /// The minion.
+        minion: MinionId,
+        /// The task.
+        task: TaskName,
+        /// The run's number.
+        run: u32,
+        /// The share in percent.
+        percent: u8,
     },
     /// Stop a run, or make sure that it never starts.
     Stop {
@@ -51,6 +64,7 @@
         self.lapse(now);
         self.stop_unwanted(now, &mut orders);
         self.stop_stalled(now, &mut orders);
+        self.pace(now, &mut orders);
         if may_start {
             self.evacuate(now, &mut orders);
             self.start_waiting(now, wall_ms, &mut orders);
@@ -164,7 +178,7 @@
             let mut probe = job.task(&task).cloned().unwrap_or_default();
             probe.avoid = Some(id.clone());
             let spread = self.spread(&task);
-            if self.find_minion(step, &probe, &spread, now).is_none() {
+            if self.find_minion(step, &probe, &spread, now, |_| true).is_none() {
                 continue;
             }
             let Some(minion) = self.minions.get_mut(&id) else { continue };
@@ -270,6 +284,7 @@
         let job = self.jobs.get(&first.job)?;
         let step = job.accepted.definition.steps[first.step as usize].clone();
         let spec = job.accepted.definition.spec.clone();
+        let advised = self.needs_ticket(&job.accepted.queue);
         if step.gang {
             self.start_gang(first, &step, &spec, now, orders);
             return None;
@@ -286,16 +301,23 @@
             }
             let empty = Default::default();
             let used = spread.as_ref().unwrap_or(&empty);
-            let Some(minion) = self.find_minion(&step, task, used, now) else {
+            let may_run = |id: &str| !advised || self.ticket(&name, id, now).is_some();
+            let Some(minion) = self.find_minion(&step, task, used, now, may_run) else {
+                if advised {
+                    self.want_advice(&name, (step.count - index) as usize, now);
+                    return None;
+                }
                 return Some(name);
             };
+            let ticket = self.ticket(&name, &minion, now);
             if let Some(spread) = &mut spread {
                 *spread.entry(minion.clone()).or_default() += 1;
             }
             let run = self.next_run(task.run);
             let checkpoint = task.checkpoint.clone();
             self.place(name, &minion, run, &step, now);
-            orders.push(Order::Start { minion, task: name, run, spec: spec.clone(), checkpoint });
+            let spec = spec.clone();
+            orders.push(Order::Start { minion, task: name, run, spec, checkpoint, ticket });
         }
         None
     }
@@ -318,12 +340,20 @@
         let last = tasks().map(|task| task.run).max().unwrap_or(0);
         // A checkpoint of any member holds for all, and all must resume from the same one.
         let checkpoint = tasks().filter_map(|task| task.checkpoint.clone()).max();
-        let Some(places) = self.find_gang(job, &first, step, now) else { return };
+        let advised = self.needs_ticket(&job.accepted.queue);
+        let may_run = |id: &str| !advised || self.ticket(&first, id, now).is_some();
+        let Some(places) = self.find_gang(job, &first, step, now, &may_run) else {
+            if advised {
+                self.want_advice(&first, step.count as usize, now);
+            }
+            return;
+        };
         let run = self.next_run(last);
         for (task, minion) in members.into_iter().zip(places) {
             self.place(task, &minion, run, step, now);
             let (spec, checkpoint) = (spec.clone(), checkpoint.clone());
-            orders.push(Order::Start { minion, task, run, spec, checkpoint });
+            let ticket = self.ticket(&task, &minion, now);
+            orders.push(Order::Start { minion, task, run, spec, checkpoint, ticket });
         }
     }
 
@@ -334,14 +364,8 @@
             task.phase = Phase::Placed { minion: id.clone() };
             task.run = number;
         }
-        let need = step.counted_need();
-        let phase = RunPhase::Ordered;
         if let Some(minion) = self.minions.get_mut(id) {
-            let lasting = step.lasting;
-            minion.insert(
-                name,
-                Run { number, phase, need, lasting, since: now, percent: 0, moved: now },
-            );
+            minion.insert(name, Run::new(number, RunPhase::Ordered, Some(step), now));
         }
     }
 }
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -55,6 +55,9 @@
     pub checkpoint: Option<Box<str>>,
     /// Percent done; for lasting tasks, 100 means at work.
     pub percent: u8,
+    /// A rough figure for the last half second: for a serving task the tail of its response
+    /// times in milliseconds, for others the thousandths of a core in use.
+    pub load: Option<u64>,
 }
 
 /// An end that a minion lists.
@@ -232,6 +235,7 @@
                 run.phase = RunPhase::Active;
                 run.moved = now;
             }
+            run.load = running.load;
             if run.percent != running.percent {
                 run.percent = running.percent;
                 run.moved = now;
@@ -249,9 +253,8 @@
             orders.push(stop);
             return;
         };
-        let step = job.accepted.definition.steps.get(running.task.step as usize);
-        let need = step.map(|step| step.counted_need()).unwrap_or_default();
-        let lasting = step.is_some_and(|step| step.lasting);
+        let steps = &job.accepted.definition.steps;
+        let step = steps.get(running.task.step as usize).cloned();
         let wanted = !job.state().is_final();
         let Some(task) = job.task_mut(&running.task) else {
             orders.push(stop);
@@ -261,10 +264,7 @@
         if !wanted || task.phase != Phase::Waiting {
             // Unwanted here, but it takes room until its end is listed.
             let phase = RunPhase::Stopping { ordered: now, confirmed: None };
-            minion.insert(
-                running.task,
-                Run { number, phase, need, lasting, since: now, percent: 0, moved: now },
-            );
+            minion.insert(running.task, Run::new(number, phase, step.as_ref(), now));
             orders.push(stop);
             return;
         }
@@ -274,12 +274,9 @@
             task.checkpoint = Some(checkpoint.clone());
         }
         job.started = true;
-        let percent = running.percent;
-        let phase = RunPhase::Active;
-        minion.insert(
-            running.task,
-            Run { number, phase, need, lasting, since: now, percent, moved: now },
-        );
+        let run = Run::new(number, RunPhase::Active, step.as_ref(), now);
+        minion.insert(running.task, Run { percent: running.percent, load: running.load, ..run });
+        self.note(Note::Adopted { minion: id.clone(), task: running.task, run: number });
     }
 
     fn end(&mut self, id: &MinionId, end: &End, now: Time) {
@@ -421,6 +418,7 @@
                     Refusal::Unhealthy | Refusal::Malformed => {
                         minion.quarantined = minion.quarantined.max(now + UNHEALTHY_PAUSE);
                     }
+                    Refusal::Ticket => self.drop_ticket(task, id),
                     _ => {}
                 }
                 self.give_up(id, task, run, now);
--- a/crates/engine/tests/all/fixture.rs
+++ b/crates/engine/tests/all/fixture.rs
@@ -42,7 +42,8 @@
 
     pub(crate) fn with_cell(cell: Cell, minions: usize) -> Self {
         let mut world = Self { cell, now: Time(10_000), ends: 0 };
-        let queue = Queue { priority: 0, attempts: 2, stretch: 1.6, target_ms: 600 };
+        let queue =
+            Queue { priority: 0, attempts: 2, stretch: 1.6, target_ms: 600, advised: false };
         world.cell.configure([("queue".into(), queue)]);
         for number in 0..minions {
             world.list(number);
@@ -118,7 +119,7 @@
         .iter()
         .filter_map(|order| match order {
             Order::Start { minion, task, run, .. } => Some((minion.clone(), *task, *run)),
-            Order::Stop { .. } => None,
+            _ => None,
         })
         .collect()
 }
@@ -129,11 +130,11 @@
         .iter()
         .filter_map(|order| match order {
             Order::Stop { minion, task, run } => Some((minion.clone(), *task, *run)),
-            Order::Start { .. } => None,
+            _ => None,
         })
         .collect()
 }
 
 pub(crate) fn running(task: TaskName, run: u32, percent: u8) -> Running {
-    Running { task, run, checkpoint: None, percent }
+    Running { task, run, checkpoint: None, percent, load: None }
 }
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -5,5 +5,6 @@
 mod ownership;
 mod pools;
 mod runs;
+mod sharing;
 mod takeover;
 mod upkeep;
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -27,6 +27,8 @@
     StartsUnknown,
     /// Runs ordered to stop.
     Stops,
+    /// Runs ordered to another pace.
+    Paces,
     /// Looks at minions.
     Holds,
     /// Looks without an answer.
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -15,7 +15,7 @@
 use crate::settings::Settings;
 use celerythread_adapter::configuration::Configuration;
 use celerythread_adapter::wave::Wave;
-use celerythread_adapter::{Caller, machine, minion, store};
+use celerythread_adapter::{Caller, advice, machine, minion, store};
 use celerythread_engine::ownership::{self, Holding};
 use celerythread_engine::time::Time;
 use parking_lot::RwLock;
@@ -83,6 +83,8 @@
     pub(crate) minion_client: minion::Client,
     /// The interface to machines.
     pub(crate) machines: Option<machine::Client>,
+    /// The advice service, and the lock that keeps its calls one at a time.
+    pub(crate) advice: Option<async_std::sync::Mutex<advice::Client>>,
     /// The configuration in force here.
     pub(crate) configuration: RwLock<Option<Arc<Configuration>>>,
     /// What entries agree on.
@@ -116,7 +118,11 @@
         let caller = Arc::new(Caller::default());
         let machines =
             settings.machines.map(|address| machine::Client::new(caller.clone(), address));
+        let advice = settings.advice.map(|address| {
+            async_std::sync::Mutex::new(advice::Client::new(caller.clone(), address))
+        });
         Self {
+            advice,
             me: format!("{}.{:08x}", settings.name, rand::random::<u32>()),
             store: store::Client::new(caller.clone(), settings.store),
             minion_client: minion::Client::new(caller),
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -15,7 +15,7 @@
 use async_std::channel;
 use attend::Attendant;
 use celerythread_adapter::configuration::Configuration;
-use celerythread_engine::cell::{Cell, Note, Order, Queue};
+use celerythread_engine::cell::{Cell, Note, Order, Query, Queue};
 use celerythread_engine::job::{Accepted, Id, decode};
 use celerythread_wire::job::{Answer, Question};
 use parking_lot::Mutex;
@@ -153,6 +153,7 @@
                 attempts: queue.attempts,
                 stretch: queue.stretch,
                 target_ms: queue.target_ms,
+                advised: queue.advice.is_some(),
             };
             (queue.name.as_str().into(), policy)
         });
@@ -281,6 +282,7 @@
             let orders = owner.with(plan).unwrap_or_default();
             dispatch(&owner, orders);
             log_notes(&owner);
+            ask_advice(&owner);
             if owner.with(|cell| cell.unkept(1).is_some()).unwrap_or(false) {
                 owner.keep_wake.wake();
             }
@@ -292,6 +294,60 @@
     }
 }
 
+/// Longest wait for advice beyond the time that the service says it takes.
+const ADVICE_MARGIN: Duration = Duration::from_millis(800);
+
+/// Asks the advice service what the plan needs, one question after the other.
+fn ask_advice(owner: &Arc<Owner>) {
+    for query in owner.with(|cell| cell.take_queries()).unwrap_or_default() {
+        async_std::task::spawn(ask_one(owner.clone(), query));
+    }
+}
+
+async fn ask_one(owner: Arc<Owner>, query: Query) {
+    let node = &owner.node;
+    let asked = query.minions.len();
+    let answer = match &node.advice {
+        Some(client) => {
+            let client = client.lock().await;
+            Some(client.ask(&query, advice_limit(&owner, asked)).await)
+        }
+        None => None,
+    };
+    let now = clock::now();
+    let outcome = match answer {
+        Some(Ok(tickets)) => {
+            let outcome = format!("{} of {asked} may run it", tickets.good.len());
+            let until = now + tickets.valid;
+            owner.with(|cell| cell.advised(&query, tickets.good, until));
+            outcome
+        }
+        Some(Err(failure)) => {
+            owner.with(|cell| cell.advice_missed(&query, now));
+            failure.to_string()
+        }
+        None => {
+            owner.with(|cell| cell.advice_missed(&query, now));
+            "no address is set".into()
+        }
+    };
+    let step = query.step;
+    node.journal.note("advice", &[("job", &step.job), ("step", &step), ("outcome", &outcome)]);
+    owner.plan_wake.wake();
+}
+
+/// How long the service may take for a question, by the slowest queue of the service.
+fn advice_limit(owner: &Owner, asked: usize) -> Duration {
+    let configuration = owner.node.configuration();
+    let queues = configuration.iter().flat_map(|configuration| configuration.queues.iter());
+    let ms = queues
+        .filter(|queue| queue.service == owner.service)
+        .filter_map(|queue| queue.advice)
+        .map(|advice| advice.decide_ms + advice.period_ms * asked as f64)
+        .fold(0.0, f64::max);
+    Duration::from_millis(ms as u64) + ADVICE_MARGIN
+}
+
 fn log_notes(owner: &Owner) {
     let (journal, now) = (&owner.node.journal, clock::now());
     for note in owner.with(|cell| cell.take_notes()).unwrap_or_default() {
@@ -345,8 +401,11 @@
         let (minion, event, counter) = match &order {
             Order::Start { minion, .. } => (minion, "start_ordered", Counter::Starts),
             Order::Stop { minion, .. } => (minion, "stop_ordered", Counter::Stops),
+            Order::Pace { minion, .. } => (minion, "pace_ordered", Counter::Paces),
         };
-        let (Order::Start { task, run, .. } | Order::Stop { task, run, .. }) = &order;
+        let (Order::Start { task, run, .. }
+        | Order::Stop { task, run, .. }
+        | Order::Pace { task, run, .. }) = &order;
         owner.node.metrics.count(counter);
         owner.node.journal.note(
             event,
--- a/crates/scheduler/src/owner/attend.rs
+++ b/crates/scheduler/src/owner/attend.rs
@@ -319,6 +319,14 @@
                     owner.plan_wake.wake();
                 }
             }
+            Order::Pace { task, run, percent, .. } => {
+                let (to, client) = (&attendant.target, &owner.node.minion_client);
+                let token = owner.token;
+                let paced = client.pace(to, &task, run, percent, token, ORDER_LIMIT).await;
+                if !matches!(paced, Ok(Reply::Done(..))) {
+                    owner.with(|cell| cell.pace_missed(&to.id, &task, run));
+                }
+            }
             Order::Stop { task, run, .. } => {
                 let (to, client) = (&attendant.target, &owner.node.minion_client);
                 let answer = client.stop(to, &task, run, owner.token, ORDER_LIMIT).await;
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -23,6 +23,8 @@
     pub store: SocketAddr,
     /// The platform's interface to machines; without it no upkeep is carried out.
     pub machines: Option<SocketAddr>,
+    /// The platform's advice service; without it queues that need tickets are not served.
+    pub advice: Option<SocketAddr>,
     /// Term of a lease on what runs on a minion.
     pub run_lease: Span,
     /// How long an owner that can't renew its row goes on extending leases.
@@ -61,6 +63,7 @@
             metrics_listen: None,
             store: any_port,
             machines: None,
+            advice: None,
             // A takeover takes some 3 s (silence, a transaction, one call to each minion), and
             // what runs is to outlive it; longer would delay the restart of what a lost minion
             // ran.
@@ -114,6 +117,7 @@
             metrics_listen: reader.optional("metrics", "listen"),
             store: reader.required("platform", "store").unwrap_or(base.store),
             machines: reader.optional("platform", "machines"),
+            advice: reader.optional("platform", "advice"),
             retention: reader.value("platform", "retention", base.retention),
             run_lease: reader.value("run", "lease", base.run_lease),
             extend_alone: reader.value("run", "extend_alone", base.extend_alone),
