--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -100,6 +100,8 @@
     pub inherited: bool,
     /// Whether it has answered this owner.
     pub answered: bool,
+    /// When it last told what runs there.
+    pub reported: Time,
     /// Whether its last call was answered.
     pub reachable: bool,
     /// When all leases that it may have been given must have lapsed, on any clock.
@@ -131,6 +133,7 @@
             leaving: false,
             inherited: false,
             answered: false,
+            reported: Time(0),
             reachable: false,
             lapse: Time(0),
             runs: BTreeMap::new(),
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -178,6 +178,7 @@
         let Some(minion) = self.minions.get_mut(id) else { return Vec::new() };
         minion.answered = true;
         minion.reachable = true;
+        minion.reported = now;
         let seen = minion.seen;
         for end in report.finished.iter().filter(|end| end.number > seen) {
             self.end(id, end, now);
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -394,6 +394,14 @@
     }
 }
 
+/// The age of a job, and of what is known of a minion.
+fn ages(cell: &Cell, job: &Id, minion: &str) -> (Duration, Duration) {
+    let now = clock::now();
+    let age = cell.job(job).map(|job| now.since(job.since)).unwrap_or_default();
+    let look = cell.minion(minion).map(|minion| now.since(minion.reported)).unwrap_or_default();
+    (age, look)
+}
+
 /// Hands orders to the minions' attendants.
 pub(crate) fn dispatch(owner: &Owner, orders: Vec<Order>) {
     let attendants = owner.attendants.lock();
@@ -407,6 +415,7 @@
         | Order::Stop { task, run, .. }
         | Order::Pace { task, run, .. }) = &order;
         owner.node.metrics.count(counter);
+        let (age, look) = owner.with(|cell| ages(cell, &task.job, minion)).unwrap_or_default();
         owner.node.journal.note(
             event,
             &[
@@ -415,6 +424,8 @@
                 ("run", run),
                 ("minion", minion),
                 ("token", &owner.token),
+                ("job_age_ms", &age.as_millis()),
+                ("look_age_ms", &look.as_millis()),
             ],
         );
         if let Some(attendant) = attendants.get(minion) {
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -2,6 +2,7 @@
 
 mod codes;
 mod config;
+mod explain;
 mod job;
 mod keys;
 mod maintenance;
@@ -23,6 +24,7 @@
   maintenance  declare, list, cancel
   job          submit, list, cancel
   status       what the entries know
+  explain      the life of one request or job, from the log lines of entries
   timeline     the events of all entries, in order
   keys         make an authority and instances' keys
   codes        print the result codes
@@ -46,6 +48,7 @@
         "job" => job::run(arguments).await,
         "status" => status::run(arguments).await,
         "timeline" => timeline::run(arguments).await,
+        "explain" => explain::run(arguments),
         "keys" => keys::run(arguments),
         "codes" => codes::run(arguments),
         "--help" | "-h" | "help" => {
--- /dev/null
+++ b/src/explain.rs
@@ -0,0 +1,237 @@
+//! The life of one request or job, from the log lines of any number of entries.
+//!
+//! A log line is a JSON object; what stands before it on its line, as a log collector's time and
+//! host, is taken for the name of its source.  [`Story`] picks the lines that bear on one id and
+//! puts them in order; [`Story::cause`] names what most likely went wrong.
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A stretch without a line of the job that is worth naming, in milliseconds.
+const LONG_GAP_MS: i64 = 1000;
+
+/// One log line.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Line {
+    /// When, as the source wrote it.
+    pub at: String,
+    /// Milliseconds since 1970.
+    #[serde(skip)]
+    pub at_ms: i64,
+    /// Where it comes from.
+    pub source: String,
+    /// What happened.
+    pub event: String,
+    /// The inputs and the outcome.
+    pub fields: BTreeMap<String, String>,
+}
+
+#[derive(Deserialize)]
+struct Raw {
+    timestamp: String,
+    message: String,
+    #[serde(default)]
+    kvs: BTreeMap<String, String>,
+}
+
+impl Line {
+    /// Reads a line; none for one that is no log line of an entry.
+    pub fn parse(text: &str, source: &str) -> Option<Self> {
+        let start = text.find('{')?;
+        let raw: Raw = serde_json::from_str(&text[start..]).ok()?;
+        let before = text[..start].split_whitespace().last();
+        Some(Self {
+            at_ms: raw.timestamp.parse::<jiff::Timestamp>().ok()?.as_millisecond(),
+            at: raw.timestamp,
+            source: before.unwrap_or(source).into(),
+            event: raw.message,
+            fields: raw.kvs,
+        })
+    }
+
+    fn field(&self, name: &str) -> &str {
+        self.fields.get(name).map_or("", String::as_str)
+    }
+}
+
+/// The lines that bear on one job.
+#[derive(Debug, Default)]
+pub struct Story {
+    /// The job.
+    pub job: String,
+    /// The lines, in order.
+    pub lines: Vec<Line>,
+}
+
+impl Story {
+    /// Picks the lines that bear on a job's or a request's id.
+    pub fn tell(id: &str, all: &[Line]) -> Self {
+        let job = all
+            .iter()
+            .find(|line| line.field("request") == id && !line.field("job").is_empty())
+            .map_or(id, |line| line.field("job"))
+            .to_owned();
+        let own: Vec<&Line> = all.iter().filter(|line| line.field("job") == job).collect();
+        let minions: BTreeSet<&str> =
+            own.iter().map(|line| line.field("minion")).filter(|id| !id.is_empty()).collect();
+        let services: BTreeSet<&str> =
+            own.iter().map(|line| line.field("service")).filter(|id| !id.is_empty()).collect();
+        let sources: BTreeSet<&str> = own.iter().map(|line| line.source.as_str()).collect();
+        let from = own.iter().map(|line| line.at_ms).min().unwrap_or(0) - 3 * LONG_GAP_MS;
+        let to = own.iter().map(|line| line.at_ms).max().unwrap_or(0) + LONG_GAP_MS;
+        let bears = |line: &&Line| {
+            let inside = (from..=to).contains(&line.at_ms) && line.field("job").is_empty();
+            line.field("job") == job
+                || inside && minions.contains(line.field("minion"))
+                || inside && services.contains(line.field("service"))
+                || inside && services.contains(line.field("cell"))
+                || inside && line.event.starts_with("store_") && sources.contains(&*line.source)
+        };
+        let mut lines: Vec<Line> = all.iter().filter(bears).cloned().collect();
+        lines.sort_by_key(|line| line.at_ms);
+        lines.dedup_by(|a, b| a.at_ms == b.at_ms && a.event == b.event && a.fields == b.fields);
+        Self { job, lines }
+    }
+
+    fn of(&self, event: &str) -> impl Iterator<Item = &Line> {
+        let event = event.to_owned();
+        self.lines.iter().filter(move |line| line.event == event)
+    }
+
+    fn own(&self) -> Vec<&Line> {
+        self.lines.iter().filter(|line| line.field("job") == self.job).collect()
+    }
+
+    /// What most likely went wrong, or that nothing did.
+    pub fn cause(&self) -> String {
+        let own = self.own();
+        if own.is_empty() {
+            return format!("no entry has noted anything of {}", self.job);
+        }
+        let accepted = own.iter().any(|line| line.event == "job_accepted");
+        if let Some(line) = self.of("job_rejected").next() {
+            return format!("the request is wrong: {}", line.field("reason"));
+        }
+        if !accepted && let Some(line) = self.of("job_refused").next() {
+            return self.refusal(line);
+        }
+        if !accepted && let Some(line) = self.of("job_unknown").next() {
+            let store = self.store_before(line);
+            return format!(
+                "the store did not answer the write within the caller's time{store}; \
+                 the job may have been accepted"
+            );
+        }
+        if let Some(line) = self.of("job_ended").last() {
+            return match line.field("state") {
+                "failed" => self.failure(),
+                _ => self.lateness(line),
+            };
+        }
+        match self.of("job_cancelled").next() {
+            Some(line) if line.field("written") == "true" => "its caller cancelled it".into(),
+            _ => self.unfinished(),
+        }
+    }
+
+    fn refusal(&self, line: &Line) -> String {
+        let (reason, store) = (line.field("reason"), self.store_before(line));
+        format!("refused as not run: {reason}{store}")
+    }
+
+    /// Whether the entry had lost the store before a line.
+    fn store_before(&self, line: &Line) -> String {
+        let of_entry = |other: &&Line| {
+            other.source == line.source
+                && other.at_ms <= line.at_ms
+                && other.event.starts_with("store_")
+        };
+        match self.lines.iter().rev().find(of_entry) {
+            Some(lost) if lost.event == "store_lost" => {
+                let ago = line.at_ms - lost.at_ms;
+                let reason = lost.field("reason");
+                format!("; {} had lost the store {ago} ms before: {reason}", line.source)
+            }
+            _ => String::new(),
+        }
+    }
+
+    fn failure(&self) -> String {
+        let failed: Vec<&Line> =
+            self.of("run_ended").filter(|line| line.field("how") == "failed").collect();
+        let minions: BTreeSet<&str> = failed.iter().map(|line| line.field("minion")).collect();
+        let bad: Vec<&str> = minions
+            .iter()
+            .copied()
+            .filter(|id| self.of("minion_quarantined").any(|line| line.field("minion") == *id))
+            .collect();
+        let where_ = minions.iter().copied().collect::<Vec<_>>().join(", ");
+        if bad.is_empty() {
+            format!(
+                "its task failed {} times, on {where_}, which did not fail other jobs: the job's \
+                 own fault",
+                failed.len()
+            )
+        } else {
+            format!(
+                "its task failed {} times, on {where_}; {} failed other jobs, too",
+                failed.len(),
+                bad.join(", ")
+            )
+        }
+    }
+
+    /// Names the longest stretches before the end, with what ended each.
+    fn lateness(&self, end: &Line) -> String {
+        let mut gaps: Vec<(i64, String)> = Vec::new();
+        for pair in self.own().windows(2) {
+            let gap = pair[1].at_ms - pair[0].at_ms;
+            if gap >= LONG_GAP_MS && pair[1].at_ms <= end.at_ms {
+                gaps.push((gap, self.explain_gap(pair[0], pair[1])));
+            }
+        }
+        gaps.sort_by_key(|gap| -gap.0);
+        if gaps.is_empty() {
+            return format!("{} without a pause of over {LONG_GAP_MS} ms", end.field("state"));
+        }
+        let told: Vec<String> =
+            gaps.iter().take(3).map(|(ms, what)| format!("{ms} ms {what}")).collect();
+        format!("{}, after {}", end.field("state"), told.join("; "))
+    }
+
+    fn explain_gap(&self, before: &Line, after: &Line) -> String {
+        let between = |event: &str| {
+            self.of(event).find(|line| (before.at_ms..=after.at_ms).contains(&line.at_ms))
+        };
+        if let Some(line) = between("run_lapsed") {
+            let minion = line.field("minion");
+            return format!("until the lease of its run on {minion}, which was silent, had lapsed");
+        }
+        if let Some(line) = between("run_stalled") {
+            return format!("until its run on {} was found hanging", line.field("minion"));
+        }
+        if let Some(line) = between("cell_loaded") {
+            return format!("until {} had taken its service over", line.source);
+        }
+        if let Some(line) = between("minion_missed") {
+            return format!("while {} did not answer", line.field("minion"));
+        }
+        match after.event.as_str() {
+            "start_ordered" => "waiting for room".into(),
+            "run_ended" => format!("at work on {}", after.field("minion")),
+            "job_ended" => "until its end was kept".into(),
+            event => format!("before {event}"),
+        }
+    }
+
+    fn unfinished(&self) -> String {
+        let Some(last) = self.own().pop().cloned() else { return String::new() };
+        match last.event.as_str() {
+            "job_accepted" | "job_known" => {
+                "accepted and never started: no room, or no owner".into()
+            }
+            "start_ordered" => format!("running on {} when the lines end", last.field("minion")),
+            event => format!("not ended; the last line is {event}"),
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,12 +2,13 @@
 //!
 //! [`daemon`] is what `celerythreadd` does; [`commands`] holds the subcommands of
 //! `celerythread`, one file each, over [`client`], which finds an entry that answers, and
-//! [`output`], which prints for people or for programs.
+//! [`output`], which prints for people or for programs; [`explain`] tells one job's life.
 
 pub mod client;
 pub mod commands;
 pub mod daemon;
 pub mod error;
+pub mod explain;
 pub mod output;
 pub mod plot;
 
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -1,5 +1,6 @@
 //! Real daemons as processes on a stand-in of the users' platform.
 
+mod explain;
 mod jobs;
 mod loss;
 mod store;
--- /dev/null
+++ b/tests/all/site/explain.rs
@@ -0,0 +1,83 @@
+//! From the id of a failed request to its cause, by the log lines alone.
+
+use super::*;
+use celerythread::explain::{Line, Story};
+use celerythread_standin::site::store::Trouble as StoreTrouble;
+use celerythread_standin::site::worker::Trouble as WorkerTrouble;
+
+/// What the entries have written so far.
+fn lines(deployment: &Deployment) -> Vec<Line> {
+    let read = |(index, entry): (usize, &Entry)| {
+        let source = format!("entry-{index}");
+        let lines = entry.lines.lock().unwrap().clone();
+        lines.iter().filter_map(|line| Line::parse(line, &source)).collect::<Vec<_>>()
+    };
+    deployment.entries.iter().enumerate().flat_map(read).collect()
+}
+
+/// Waits until the cause told of a job contains all words.
+async fn cause(deployment: &Deployment, job: &str, words: &[&str]) {
+    let mut told = String::new();
+    eventually(&format!("the cause names {words:?}"), async || {
+        told = Story::tell(job, &lines(deployment)).cause();
+        words.iter().all(|word| told.contains(word)).then_some(())
+    })
+    .await;
+}
+
+/// A caller is refused while the store refuses every call; the page says so, and since when.
+#[async_std::test]
+async fn a_refused_request_is_explained_by_the_store() {
+    let deployment = Deployment::start("explain-refused", 2, 1).await;
+    deployment.site.store.trouble(StoreTrouble::Refuses);
+    task::sleep(Duration::from_millis(300)).await;
+    assert_eq!(deployment.submit(0, &id(1), 1, "ms=50").await, 503);
+    cause(&deployment, &id(1), &["refused as not run", "had lost the store", "503"]).await;
+}
+
+/// A job is late because its minion fell silent and its lease had to lapse.
+#[async_std::test]
+async fn a_late_job_is_explained_by_the_minion_that_fell_silent() {
+    let deployment = Deployment::start("explain-late", 1, 2).await;
+    assert_eq!(deployment.submit(0, &id(1), 1, "ms=1500").await, 200);
+    let worker = eventually("the task runs", async || {
+        let mut workers = deployment.site.workers.iter();
+        workers.find(|(_, w)| !w.worker.running().is_empty()).map(|(id, _)| id.clone())
+    })
+    .await;
+    deployment.site.workers[&worker].worker.trouble(WorkerTrouble::Silent);
+    deployment.until(0, &id(1), "completed").await;
+    cause(&deployment, &id(1), &["completed, after", "until the lease", &worker]).await;
+}
+
+/// A job is shown as failed; its own tasks failed wherever they ran.
+#[async_std::test]
+async fn a_failed_job_is_explained_by_its_own_runs() {
+    let deployment = Deployment::start("explain-failed", 1, 3).await;
+    assert_eq!(deployment.submit(0, &id(1), 1, "ms=20 fail").await, 200);
+    deployment.until(0, &id(1), "failed").await;
+    cause(&deployment, &id(1), &["failed 2 times", "the job's own fault"]).await;
+}
+
+/// Nobody reads the output of an entry: its lines are dropped, and jobs go on all the same.
+#[async_std::test]
+async fn an_entry_whose_output_nobody_reads_goes_on() {
+    let deployment = Deployment::start("explain-unread", 1, 2).await;
+    // Somebody keeps the lock that the reader needs to take in the next line.
+    let lines = deployment.entries[0].lines.clone();
+    let (release, released) = std::sync::mpsc::channel::<()>();
+    let keeper = std::thread::spawn(move || {
+        let _kept = lines.lock().unwrap();
+        let _ = released.recv();
+    });
+    let callers = deployment.entries[0].callers;
+    for number in 0..150 {
+        assert_eq!(submit(callers, &id(number), 3, "ms=1").await, Some(200));
+    }
+    eventually("the last job is completed", async || {
+        (state(callers, &id(149)).await? == "completed").then_some(())
+    })
+    .await;
+    drop(release);
+    keeper.join().unwrap();
+}
