--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -5,7 +5,7 @@
 //! [`report`] takes in what minions say, [`plan`] decides what starts and stops, [`place`]
 //! finds a minion for a task, [`sequence`] orders the waiting jobs, [`keep`] says what must be
 //! written before an end may be acknowledged, [`advice`] holds tickets, [`pace`] slows down what
-//! disturbs serving tasks.
+//! disturbs serving tasks, [`straggler`] finds slow minions.
 //!
 //! Three rules carry the promise that no task runs twice:
 //! - a run counts as over only when its minion listed its end, answered a stop and no longer
@@ -23,6 +23,7 @@
 pub mod plan;
 pub mod report;
 pub mod sequence;
+mod straggler;
 pub mod work;
 
 use crate::job::{Accepted, Id, Progress, State, TaskName};
--- a/crates/engine/src/cell/load.rs
+++ b/crates/engine/src/cell/load.rs
@@ -11,6 +11,7 @@
         for id in &self.active {
             if let Some(job) = self.jobs.get(id) {
                 load.waiting += waiting(job);
+                load.least = load.least.max(spread_over(job));
             }
         }
         let mut capacity = 0;
@@ -38,6 +39,15 @@
     }
 }
 
+/// Minions that a job's lasting tasks need at least.
+fn spread_over(job: &Job) -> usize {
+    let steps = job.accepted.definition.steps.iter().filter(|step| step.lasting);
+    let needed = |step: &crate::job::Step| {
+        step.per_minion.map_or(1, |limit| step.count.div_ceil(limit.max(1)) as usize)
+    };
+    steps.map(needed).max().unwrap_or(0)
+}
+
 /// Core-milliseconds of a job's tasks that wait.
 fn waiting(job: &Job) -> u64 {
     let steps = &job.accepted.definition.steps;
--- a/crates/engine/src/cell/place.rs
+++ b/crates/engine/src/cell/place.rs
@@ -17,7 +17,7 @@
     pub(super) const REMOTE: u64 = 10_000_000;
     /// Lasting: where no other lasting task is.
     pub(super) const ALONE: u64 = 100_000;
-    /// A failure there since its last success.
+    /// A failure there since its last success, or slowness.
     pub(super) const FAILING: u64 = 1_000_000;
 }
 
@@ -179,7 +179,7 @@
     if step.near.is_some() && step.near.as_deref() != minion.rack() {
         cost += penalty::REMOTE;
     }
-    if !minion.failing.is_empty() || minion.strikes > 0 {
+    if !minion.failing.is_empty() || minion.strikes > 0 || minion.is_slow() {
         cost += penalty::FAILING;
     }
     cost
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -66,6 +66,7 @@
         self.stop_stalled(now, &mut orders);
         self.pace(now, &mut orders);
         if may_start {
+            self.stop_stragglers(now, &mut orders);
             self.evacuate(now, &mut orders);
             self.start_waiting(now, wall_ms, &mut orders);
         }
@@ -371,7 +372,7 @@
 }
 
 /// Marks a run as being stopped and returns the order.
-fn stop(id: &MinionId, task: &TaskName, run: &mut Run, now: Time) -> Order {
+pub(crate) fn stop(id: &MinionId, task: &TaskName, run: &mut Run, now: Time) -> Order {
     run.phase = RunPhase::Stopping { ordered: now, confirmed: None };
     Order::Stop { minion: id.clone(), task: *task, run: run.number }
 }
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -248,6 +248,7 @@
             {
                 task.checkpoint = Some(checkpoint.clone());
             }
+            self.learn_speed(id, &running.task, running.percent.min(99), now);
             return;
         }
         let Some(job) = self.jobs.get_mut(&running.task.job) else {
@@ -284,7 +285,10 @@
         let Some(minion) = self.minions.get_mut(id) else { return };
         minion.seen = end.number;
         let ours = minion.run(&end.task, end.run).is_some();
-        if ours {
+        if ours && end.how == How::Done {
+            self.learn_speed(id, &end.task, 100, now);
+        }
+        if let Some(minion) = self.minions.get_mut(id).filter(|_| ours) {
             minion.remove(&end.task);
         }
         self.note(Note::Ended { minion: id.clone(), end: end.clone() });
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -12,6 +12,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// Machines kept beyond those that spread lasting tasks need, so that a task whose minion is lost
+/// finds another one at once and not after a move.
+const SPREAD_RESERVE: usize = 1;
+
 /// Weights and limits.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -57,6 +61,8 @@
     pub empty: Vec<String>,
     /// Minions that take work.
     pub minions: usize,
+    /// Minions that the lasting tasks need so that no more of a step are together than allowed.
+    pub least: usize,
 }
 
 /// A machine as the platform lists it.
@@ -251,7 +257,8 @@
             + load.waiting / horizon * 1000
             + load.waiting % horizon * 1000 / horizon;
         let machine = load.minion_cpu.max(1000);
-        (cores.div_ceil(machine) as usize).max(self.settings.least)
+        let least = self.settings.least.max(load.least + SPREAD_RESERVE);
+        (cores.div_ceil(machine) as usize).max(least)
     }
 
     fn forget_arrived(&mut self, machines: &BTreeMap<String, Machine>, now: Time) {
--- a/crates/engine/tests/all/pools.rs
+++ b/crates/engine/tests/all/pools.rs
@@ -108,3 +108,14 @@
     let patience = Settings::default().patience + Duration::from_millis(1);
     assert_eq!(planner.overdue(Time(0) + patience).len(), first.len());
 }
+
+/// A service runs a task on each of five machines, no two together.  With its other machines lent
+/// out, a task whose machine goes down has nowhere to go, although cores are free.
+#[test]
+fn a_pool_keeps_the_machines_over_which_lasting_tasks_are_spread() {
+    let mut planner = Planner::new(Settings::default());
+    let mut loads = loads(400, 0);
+    loads.get_mut("b").unwrap().least = 5;
+    let moves = planner.plan(&machines(), &loads, None, Time(0));
+    assert_eq!(moves.len(), 3, "nine less five and one in reserve");
+}
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -31,6 +31,10 @@
 /// takes to reach the network on a slow instance.
 const START_MARGIN: Duration = Duration::from_millis(300);
 
+/// How far a message that a minion is to be emptied may be ahead of its row: several reads of
+/// the control table.
+const RELEASE_AHEAD: Duration = Duration::from_millis(1500);
+
 /// What entries agree on, as last read.
 #[derive(Debug, Default)]
 pub(crate) struct View {
@@ -46,6 +50,8 @@
     pub(crate) cell_rows: BTreeMap<String, rows::Cell>,
     /// Machines to be emptied, with their minions.
     pub(crate) emptying: BTreeMap<String, String>,
+    /// Minions to be emptied by a message that is ahead of its row, and until when that counts.
+    released: BTreeMap<String, Time>,
 }
 
 impl View {
@@ -67,7 +73,19 @@
 
     /// Whether a minion is to be emptied.
     pub(crate) fn is_emptying(&self, minion: &str) -> bool {
-        self.emptying.values().any(|other| other == minion)
+        let by_row = self.emptying.values().any(|other| other == minion);
+        by_row || self.released.get(minion).is_some_and(|until| clock::now() < *until)
+    }
+
+    /// Takes in that minions are to be emptied, by a message ahead of their rows.
+    ///
+    /// It counts only until the rows must have come.  A message can be held up until its rows
+    /// have been dropped again; counted for good, it would keep a minion idle for ever while
+    /// tasks wait for it.
+    pub(crate) fn release(&mut self, minions: impl Iterator<Item = String>) {
+        let now = clock::now();
+        self.released.retain(|_, until| now < *until);
+        self.released.extend(minions.map(|minion| (minion, now + RELEASE_AHEAD)));
     }
 }
 
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -206,7 +206,8 @@
             Question::Submit { .. } => None,
             Question::Load { .. } => self.with(|cell| Answer::Load(cell.load())),
             Question::Release { machines, .. } => {
-                self.node.view.write().emptying.extend(machines.iter().cloned());
+                let minions = machines.iter().map(|(_, minion)| minion.clone());
+                self.node.view.write().release(minions);
                 self.sync_minions();
                 self.plan_wake.wake();
                 self.with(|cell| Answer::Load(cell.load()))
