--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -101,6 +101,7 @@
                 entry.seen = known.seen;
             }
         }
+        fresh.released = std::mem::take(&mut view.released);
         *view = fresh;
     }
 
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -51,7 +51,7 @@
     /// Machines to be emptied, with their minions.
     pub(crate) emptying: BTreeMap<String, String>,
     /// Minions to be emptied by a message that is ahead of its row, and until when that counts.
-    released: BTreeMap<String, Time>,
+    pub(crate) released: BTreeMap<String, Time>,
 }
 
 impl View {
