--- a/crates/scheduler/src/owner/keep.rs
+++ b/crates/scheduler/src/owner/keep.rs
@@ -1,7 +1,7 @@
 //! Writing progress before ends are acknowledged.
 
 use crate::clock;
-use crate::metrics::Counter;
+use crate::metrics::{Counter, Timing};
 use crate::owner::Owner;
 use crate::owner::load::write_ledger;
 use crate::rows;
@@ -125,6 +125,8 @@
     owner.with(|cell| cell.kept(batch));
     for (id, change, progress) in &batch.rows {
         if let Some(outcome) = progress.outcome {
+            let age = owner.with(|cell| cell.job(id).map(|job| clock::now().since(job.since)));
+            owner.node.metrics.time(Timing::Job, age.flatten().unwrap_or_default());
             let service = &owner.service;
             owner.node.journal.note(
                 "job_ended",
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod jobs;
 mod maintenance;
 mod moves;
+mod pages;
 mod peers;
 mod processes;
 mod programs;
--- /dev/null
+++ b/tests/all/pages.rs
@@ -0,0 +1,147 @@
+//! What the pages say of the daemon on the users' platform is what it does.
+
+use celerythread_model::code::Code;
+use celerythread_model::ini::Mistake;
+use celerythread_scheduler::metrics::{Counter, Timing};
+use celerythread_scheduler::{Daemon, Settings};
+use std::fs;
+use strum::VariantArray;
+
+fn page(path: &str) -> String {
+    fs::read_to_string(format!("{}/{path}", env!("CARGO_MANIFEST_DIR"))).unwrap()
+}
+
+fn unknown(mistakes: &[Mistake]) -> Vec<String> {
+    let wrong = |m: &&Mistake| matches!(m.code, Code::UnknownKey | Code::UnknownSection);
+    mistakes.iter().filter(wrong).map(ToString::to_string).collect()
+}
+
+/// Section and key of each row of the settings page.
+fn documented() -> Vec<(String, String)> {
+    let page = page("docs/SETTINGS-PLATFORM.md");
+    let rows = page.lines().filter(|line| line.starts_with("| `"));
+    rows.map(|row| {
+        let mut cells = row.split('|').skip(1).map(|cell| cell.trim().trim_matches('`').to_owned());
+        (cells.next().unwrap(), cells.next().unwrap())
+    })
+    .collect()
+}
+
+#[test]
+fn the_platforms_settings_page_has_exactly_the_keys() {
+    let keys = documented();
+    let mut nonsense = String::new();
+    let mut section = String::new();
+    for (of, key) in &keys {
+        if *of != section {
+            nonsense.push_str(&format!("[{of}]\n"));
+            section = of.clone();
+        }
+        nonsense.push_str(&format!("{key} = ?\n"));
+    }
+    let mistakes = Settings::read(&nonsense).unwrap_err();
+    assert_eq!(unknown(&mistakes), Vec::<String>::new(), "documented, but not a key");
+    let source = include_str!("../../crates/scheduler/src/settings.rs");
+    let flat: String = source.split_whitespace().collect();
+    for (section, key) in &keys {
+        assert!(flat.contains(&format!("\"{section}\",\"{key}\"")), "[{section}] {key}");
+    }
+    let asked = flat.matches("reader.required(").count()
+        + flat.matches("reader.value(").count()
+        + flat.matches("reader.optional(").count();
+    assert_eq!(asked, keys.len(), "a key is asked for and not documented");
+}
+
+/// The template's keys are known, and with values of the platform's kinds the file is right.
+#[test]
+fn the_deploy_template_makes_right_settings() {
+    let mut text = page("deploy/entry.ini");
+    let values = [
+        ("{{nodeName}}", "edge-1"),
+        ("{{zone}}", "med-a"),
+        ("{{listenAddrs.frontend}}", "10.1.0.9:8624"),
+        ("{{listenAddrs.readiness}}", "10.1.0.9:8622"),
+        ("{{ip}}", "10.1.0.9"),
+        ("{{internalPorts.0}}", "7060"),
+        ("{{platform.address}}", "10.200.1.7:8621"),
+        ("{{#cloudApi.address}}machines = {{.}}{{/cloudApi.address}}", "machines = 10.200.0.1:1"),
+        ("{{#advice}}advice = {{.}}{{/advice}}", "advice = 10.200.0.2:1"),
+        ("{{bounds.status_s}}", "120"),
+        ("{{bounds.stopTimeoutMs}}", "900"),
+        ("{{bounds.noticeMs}}", "4500"),
+        ("{{bounds.remoteFactor}}", "1.5"),
+        ("{{bounds.leaseMs}}", "3000"),
+        ("{{bounds.upkeepS}}", "2.5"),
+        ("{{bounds.graceS}}", "6"),
+    ];
+    for (placeholder, value) in values {
+        assert!(text.contains(placeholder), "{placeholder}");
+        text = text.replace(placeholder, value);
+    }
+    assert!(!text.contains("{{"), "{text}");
+    let settings = Settings::read(&text).unwrap();
+    assert_eq!(settings.peer_listen.to_string(), "10.1.0.9:7060");
+    assert_eq!(settings.upkeep_duration.0.as_millis(), 2500);
+    assert!(settings.advice.is_some() && settings.machines.is_some());
+}
+
+#[test]
+fn all_mistakes_of_the_settings_are_told_at_once() {
+    let text = "[instance]\nname = a\n[peer]\nlisten = here\nrenew = 1s\ntakeover_after = 2s\n\
+                [run]\nlease = 1s\n[other]\nkey = 1\n";
+    let mistakes = Settings::read(text).unwrap_err();
+    for wanted in ["zone", "listen", "store", "takeover_after", "lease", "other"] {
+        let told = mistakes.iter().any(|m| m.key == wanted || m.section == wanted);
+        assert!(told, "{wanted} is not among {mistakes:?}");
+    }
+}
+
+#[test]
+fn every_counter_and_histogram_of_the_scheduler_is_explained() {
+    let page = page("docs/OPERATIONS.md");
+    for counter in Counter::VARIANTS {
+        assert!(page.contains(&format!("`{counter}`")), "{counter}");
+    }
+    for timing in Timing::VARIANTS {
+        assert!(page.contains(&format!("`{timing}`")), "{timing}");
+    }
+}
+
+/// Each test that a page on an incident names exists.
+#[test]
+fn the_tests_that_incidents_name_exist() {
+    let root = env!("CARGO_MANIFEST_DIR");
+    let mut sources = String::new();
+    for folder in ["tests/all/site", "crates/engine/tests/all", "crates/http/tests"] {
+        for file in fs::read_dir(format!("{root}/{folder}")).unwrap() {
+            sources.push_str(&fs::read_to_string(file.unwrap().path()).unwrap());
+        }
+    }
+    for file in fs::read_dir(format!("{root}/docs/incidents")).unwrap() {
+        let text = fs::read_to_string(file.unwrap().path()).unwrap();
+        let Some((_, tests)) = text.split_once("**Test") else { continue };
+        let names = tests.split('`').skip(1).step_by(2).filter(|name| name.contains('_'));
+        for name in names {
+            let name = name.rsplit("::").next().unwrap();
+            assert!(sources.contains(&format!("fn {name}()")), "{name}");
+        }
+    }
+}
+
+/// The metrics address serves every counter as text.
+#[async_std::test]
+async fn the_metrics_address_serves_all_figures() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let settings = Settings { metrics_listen: Some(address), ..Settings::default() };
+    let _daemon = Daemon::start(settings).await.unwrap();
+    let request =
+        celerythread_http::client::request(http_types::Method::Get, address, "/metrics").unwrap();
+    let wait = std::time::Duration::from_secs(5);
+    let answer = celerythread_http::client::fetch(address, request, wait, 1 << 20).await.unwrap();
+    let text = String::from_utf8(answer.1).unwrap();
+    for counter in Counter::VARIANTS {
+        assert!(text.contains(&format!("celerythread_{counter}_total ")), "{counter}");
+    }
+}
