--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -63,6 +63,7 @@
         let mut orders = Vec::new();
         self.lapse(now);
         self.stop_unwanted(now, &mut orders);
+        self.stop_broken_gangs(now, &mut orders);
         self.stop_stalled(now, &mut orders);
         self.pace(now, &mut orders);
         if may_start {
@@ -120,6 +121,42 @@
         }
     }
 
+    /// Stops the members of gangs of which others are not there.
+    ///
+    /// A member whose start was refused or not answered leaves the others waiting for it: they
+    /// would hold their cores until they give up, seconds later, and the gang is tried again only
+    /// then.  A new owner may still find the missing ones, so nothing is judged before it has
+    /// asked everywhere.
+    fn stop_broken_gangs(&mut self, now: Time, orders: &mut Vec<Order>) {
+        if !self.is_settled(now) {
+            return;
+        }
+        let gangs: Vec<TaskName> = self
+            .active
+            .iter()
+            .filter_map(|id| Some((*id, self.jobs.get(id)?)))
+            .flat_map(|(id, job)| job.gangs(id))
+            .collect();
+        for first in gangs {
+            let Some(job) = self.jobs.get(&first.job) else { continue };
+            let count = job.accepted.definition.steps[first.step as usize].count;
+            let members = || (0..count).map(|index| TaskName { index, ..first });
+            let waits =
+                |name: &TaskName| job.task(name).is_some_and(|task| task.phase == Phase::Waiting);
+            if !members().any(|name| waits(&name)) {
+                continue;
+            }
+            for minion in self.minions.values_mut() {
+                for name in members() {
+                    let Some(run) = minion.runs.get_mut(&name) else { continue };
+                    if matches!(run.phase, RunPhase::Ordered | RunPhase::Active) {
+                        orders.push(stop(&minion.id, &name, run, now));
+                    }
+                }
+            }
+        }
+    }
+
     /// Stops runs that stand still, and leaves their minion out for a while.
     ///
     /// A hanging minion keeps answering, so nothing else would show it: its tasks would hold
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -1,7 +1,7 @@
 //! A job in the hands of its cell's owner.
 
 use crate::cell::minion::MinionId;
-use crate::job::{Accepted, Progress, State, TaskName};
+use crate::job::{Accepted, Id, Progress, State, TaskName};
 use crate::time::Time;
 use smallvec::SmallVec;
 use std::collections::BTreeSet;
@@ -155,6 +155,20 @@
         after.iter().all(|earlier| self.open_tasks(occurrence, *earlier) == 0)
     }
 
+    /// The first tasks of all steps that are gangs and not done.
+    pub(crate) fn gangs(&self, job: Id) -> Vec<TaskName> {
+        let steps = &self.accepted.definition.steps;
+        let gangs = (0..steps.len() as u32).filter(|step| steps[*step as usize].gang);
+        let occurrences = 0..self.accepted.definition.occurrences();
+        gangs
+            .flat_map(|step| {
+                let name = move |occurrence| TaskName { job, occurrence, step, index: 0 };
+                occurrences.clone().map(name)
+            })
+            .filter(|name| self.open_tasks(name.occurrence, name.step) > 0)
+            .collect()
+    }
+
     /// Notes that a task is done; true if that was news.
     pub(crate) fn finish_task(&mut self, name: &TaskName) -> bool {
         self.flat(name).is_some_and(|flat| self.finish_flat(flat))
--- a/crates/engine/tests/all/jobs.rs
+++ b/crates/engine/tests/all/jobs.rs
@@ -1,7 +1,7 @@
 //! A job's life: order of steps, attempts, cancellation, gangs, what a caller is told.
 
 use crate::fixture::*;
-use celerythread_engine::cell::How;
+use celerythread_engine::cell::{How, Refusal, StartResult};
 use celerythread_engine::job::{Progress, State, Step, decode, encode};
 
 #[test]
@@ -160,3 +160,24 @@
     assert_eq!(decode::<Progress>(&encode(&progress)).unwrap(), progress);
     assert!(decode::<Progress>(&[0xff; 3]).is_err());
 }
+
+/// One member of a gang is refused for want of room that the books didn't show.  The others would
+/// wait for it for seconds, holding their cores, and end alone.
+#[test]
+fn the_other_members_are_stopped_when_one_is_refused() {
+    let mut world = World::new(1);
+    let gang = Step { gang: true, ..step(3) };
+    world.submit(1, definition(vec![gang]));
+    let ordered = starts(&world.plan());
+    let (minion, name, run) = &ordered[2];
+    let refused = StartResult::Refused(Refusal::Room);
+    world.cell.start_result(minion, name, *run, refused, world.now);
+    assert_eq!(stops(&world.plan()).len(), 2);
+    for (minion, name, run) in &ordered[..2] {
+        world.end(minion, *name, *run, How::Stopped);
+    }
+    world.pass(200);
+    let again = starts(&world.plan());
+    assert_eq!(again.len(), 3);
+    assert!(again.iter().all(|start| start.2 > *run));
+}
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -11,6 +11,7 @@
 use crate::peers::{self, Peers};
 use crate::rows;
 use crate::settings::Settings;
+use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use celerythread_adapter::store::{Name, Transaction};
 use celerythread_engine::job::{decode, encode};
@@ -145,7 +146,12 @@
         node.journal.note("stopping", &[("entry", &node.me)]);
         node.stopping.store(true, Ordering::SeqCst);
         drop(self.closing);
-        hand_over_all(node, bound).await;
+        // Bounded as a whole: with the store away it would never end, and the process would be
+        // killed with callers' requests in flight.
+        if timeout(bound / 2, hand_over_all(node)).await.is_err() {
+            node.journal.warn("handover_incomplete", &[("entry", &node.me)]);
+        }
+        node.owners.read().values().for_each(|owner| owner.stop());
         let left = |limit: Duration| limit.saturating_sub(clock::now().since(began));
         async_std::task::sleep(left(STOP_NOTICE.min(bound))).await;
         while node.flying.load(Ordering::SeqCst) > 0 && !left(bound).is_zero() {
@@ -162,8 +168,7 @@
 }
 
 /// Hands all cells of this entry over, each after what it owes the store is kept.
-async fn hand_over_all(node: &Arc<Node>, bound: Duration) {
-    let began = clock::now();
+async fn hand_over_all(node: &Arc<Node>) {
     membership::renew(node, node.settings.peer_listen).await;
     loop {
         let held: Vec<String> = {
@@ -185,7 +190,7 @@
                 open = true;
             }
         }
-        if !open || clock::now().since(began) > bound / 2 {
+        if !open {
             return;
         }
         async_std::task::sleep(RETRY).await;
