Cells go to entries with more of a processor first; moves in proportion to the pool

Twelve moves at a time were too few for 80 minions. Change: entries tell their share of a processor in their rows; candidates are ordered by it.

--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -39,6 +39,8 @@
     pub since: Time,
     /// Whether it is about to stop.
     pub stopping: bool,
+    /// Thousandths of a processor core that it has.
+    pub power: u32,
 }
 
 /// A cell's row as observed.
@@ -81,7 +83,9 @@
 /// Judges a cell.
 ///
 /// `owned` counts the cells that each entry holds: a candidate with fewer comes first, so that
-/// one entry doesn't end with all cells after its peers restarted in turn.
+/// one entry doesn't end with all cells after its peers restarted in turn.  Then the one with
+/// more of a processor: a large cell on an eighth of a core answers its peers too late, and its
+/// minions' progress looks like a standstill.
 pub fn judge(
     cell: &str,
     me: &str,
@@ -107,7 +111,9 @@
         .map(|(name, _)| name)
         .collect();
     candidates.sort_by_key(|name| {
-        (owned.get(*name).copied().unwrap_or(0), rank(cell, name), (*name).clone())
+        let power = entries.get(*name).map_or(0, |entry| entry.power);
+        let cells = owned.get(*name).copied().unwrap_or(0);
+        (cells, Reverse(power), rank(cell, name), (*name).clone())
     });
     let Some(place) = candidates.iter().position(|name| *name == me) else {
         return Verdict::Leave;
@@ -146,7 +152,8 @@
         })
         .min_by_key(|(name, entry)| {
             let cells = owned.get(*name).copied().unwrap_or(0);
-            (cells, Reverse(entry.since), rank(cell, name), (*name).clone())
+            let order = (Reverse(entry.power), Reverse(entry.since));
+            (cells, order, rank(cell, name), (*name).clone())
         })
         .map(|(name, _)| name.clone())
 }
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -28,7 +28,8 @@
     pub patience: Duration,
     /// A machine stays at least this long after it came: twice the time of a move.
     pub stay: Duration,
-    /// Machines on their way to one pool at a time.
+    /// Machines on their way to one pool at a time, or a third of it if that is more: a burst asks
+    /// several times what the pool holds, and each tick can order more.
     pub at_once: usize,
 }
 
@@ -169,7 +170,8 @@
         let mut moves = Vec::new();
         for (missing, to) in shortage.into_iter().rev() {
             let coming = self.pending.values().filter(|plan| plan.to == to).count();
-            let room = self.settings.at_once.saturating_sub(coming);
+            let have = self.strength(to, machines);
+            let room = self.settings.at_once.max(have / 3).saturating_sub(coming);
             for _ in 0..missing.min(room) {
                 let taken: BTreeSet<&str> =
                     moves.iter().map(|plan: &Move| plan.machine.as_str()).collect();
--- a/crates/engine/tests/all/ownership.rs
+++ b/crates/engine/tests/all/ownership.rs
@@ -8,7 +8,7 @@
 fn entries(now: u64, silent: &[&str], names: &[&str]) -> BTreeMap<String, Entry> {
     let entry = |name: &&str| {
         let seen = if silent.contains(name) { Time(0) } else { Time(now) };
-        (name.to_string(), Entry { version: 7, seen, since: Time(0), stopping: false })
+        (name.to_string(), Entry { version: 7, seen, since: Time(0), stopping: false, power: 250 })
     };
     names.iter().map(entry).collect()
 }
@@ -83,3 +83,12 @@
     let to = successor("cell", "a", &entries, &owned, Time(10_000), &Settings::default());
     assert_eq!(to.as_deref(), Some("b"));
 }
+
+/// Entries differ in their share of a processor; a cell on the smallest of them starves.
+#[test]
+fn the_largest_entry_is_the_first_candidate() {
+    let mut entries = entries(10_000, &[], &["a", "b", "c", "d"]);
+    entries.get_mut("c").unwrap().power = 500;
+    let takes = |me: &str| matches!(verdict(me, None, &entries, 10_000), Verdict::Take { .. });
+    assert!(takes("c") && !takes("a") && !takes("b") && !takes("d"));
+}
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -82,7 +82,8 @@
     if view.entries.get(id).is_none_or(|known| known.version < row.version) {
         let since = view.entries.get(id).map_or(now, |known| known.since);
         let (version, stopping) = (row.version, value.stopping);
-        let entry = ownership::Entry { version, seen: now, since, stopping };
+        let power = value.power;
+        let entry = ownership::Entry { version, seen: now, since, stopping, power };
         view.entries.insert(id.into(), entry);
         view.entry_rows.insert(id.into(), value);
     }
@@ -138,7 +139,12 @@
 /// owner that comes back from a cut would count as renewed before it reads that its cells were
 /// taken, and for that moment start tasks that its successor runs already.
 pub(crate) async fn renew(node: &Arc<Node>, peer: SocketAddr) -> bool {
-    let row = rows::Entry { name: node.settings.name.clone(), peer, stopping: node.is_stopping() };
+    let row = rows::Entry {
+        name: node.settings.name.clone(),
+        peer,
+        power: (node.settings.cores * 1000.0) as u32,
+        stopping: node.is_stopping(),
+    };
     let owned: Vec<(String, u64)> =
         node.owners.read().iter().map(|(cell, owner)| (cell.clone(), owner.token)).collect();
     let change = Transaction {
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -45,6 +45,8 @@
     pub(crate) name: String,
     /// Where peers reach it.
     pub(crate) peer: SocketAddr,
+    /// Thousandths of a processor core that it has.
+    pub(crate) power: u32,
     /// Whether it is about to stop.
     pub(crate) stopping: bool,
 }
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -11,6 +11,8 @@
     pub name: String,
     /// Its availability zone.
     pub zone: String,
+    /// Its share of a processor, in cores.
+    pub cores: f64,
     /// Where callers reach it.
     pub caller_listen: SocketAddr,
     /// Where it is asked whether it takes callers; may be the callers' own address.
@@ -57,6 +59,7 @@
         Self {
             name: "entry".into(),
             zone: "zone".into(),
+            cores: 1.0,
             caller_listen: any_port,
             ready_listen: any_port,
             peer_listen: any_port,
@@ -108,6 +111,7 @@
         Settings {
             name: reader.required("instance", "name").unwrap_or(base.name),
             zone: reader.required("instance", "zone").unwrap_or(base.zone),
+            cores: reader.value("instance", "cores", base.cores),
             caller_listen,
             ready_listen: reader.value("caller", "ready_listen", caller_listen),
             body_limit: reader.value("caller", "body_limit", base.body_limit),
--- a/tests/all/pages.rs
+++ b/tests/all/pages.rs
@@ -61,6 +61,7 @@
         ("{{zone}}", "med-a"),
         ("{{listenAddrs.frontend}}", "10.1.0.9:8624"),
         ("{{listenAddrs.readiness}}", "10.1.0.9:8622"),
+        ("{{limits.cpuShare}}", "0.25"),
         ("{{ip}}", "10.1.0.9"),
         ("{{internalPorts.0}}", "7060"),
         ("{{platform.address}}", "10.200.1.7:8621"),
