One listener, one wake, one client of a service; owner and membership in smaller files

The accept loops of both daemons are one now (http::listener), the wake-ups too (crate sync), the platform's clients share call::Service.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -9,7 +9,7 @@
 use crate::front::Front;
 use crate::membership::{self, Addresses};
 use crate::metrics::{Counter, Metrics};
-use crate::node::{Node, Wake};
+use crate::node::Node;
 use crate::operator::Operator;
 use crate::owner;
 use crate::peers::{self, Peers};
@@ -18,12 +18,14 @@
 use crate::table::Counted;
 use crate::timeline::Timeline;
 use async_std::future::timeout;
-use async_std::net::{TcpListener, TcpStream};
-use celerythread_http::server::{self, Handler, Limits, Stop};
+use async_std::net::TcpListener;
+use celerythread_http::listener::{self, Service};
+use celerythread_http::server::{Limits, Stop};
 use celerythread_model::event::Kind;
 use celerythread_model::id;
 use celerythread_platform::Platform;
 use celerythread_policy::view::View;
+use celerythread_sync::Wake;
 use celerythread_wire::endpoint;
 use celerythread_wire::{Endpoint, Identity};
 use parking_lot::{Mutex, RwLock};
@@ -163,7 +165,8 @@
         let limits = self.node.settings.caller_limits.clone();
         let stop = Stop { closing: self.closing.token(), ended: self.ended.token() };
         let connections = self.connections.clone();
-        async_std::task::spawn(accept(listener, handler, limits, stop, connections));
+        let service = Service { handler, limits, stop, connections, most: MAX_CONNECTIONS };
+        async_std::task::spawn(listener::serve(listener, service));
     }
 
     /// Operators are served until the process ends, so that a stop can be watched.
@@ -171,7 +174,9 @@
         let handler = Arc::new(Operator::new(self.node.clone()));
         let limits = Limits::default();
         let stop = Stop { closing: self.stop.token(), ended: self.stop.token() };
-        async_std::task::spawn(accept(listener, handler, limits, stop, Arc::default()));
+        let connections = Arc::default();
+        let service = Service { handler, limits, stop, connections, most: MAX_CONNECTIONS };
+        async_std::task::spawn(listener::serve(listener, service));
     }
 
     fn spawn_tasks(&self) {
@@ -269,7 +274,7 @@
         ready: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
         flying: AtomicUsize::new(0),
-        wake: Wake::new(),
+        wake: Wake::default(),
         stop: stop.token(),
     }
 }
@@ -301,55 +306,6 @@
     node.ready.store(true, Ordering::SeqCst);
 }
 
-/// A connection counted until it ends.
-struct Counting(Arc<AtomicUsize>);
-
-impl Drop for Counting {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
-async fn accept(
-    listener: TcpListener,
-    handler: Arc<dyn Handler>,
-    limits: Limits,
-    stop: Stop,
-    connections: Arc<AtomicUsize>,
-) {
-    use stop_token::future::FutureExt;
-    while let Ok(accepted) = listener.accept().timeout_at(stop.ended.clone()).await {
-        let Ok((stream, _)) = accepted else {
-            // Out of descriptors, most likely; they come back as connections end.
-            async_std::task::sleep(TICK).await;
-            continue;
-        };
-        if connections.load(Ordering::SeqCst) >= MAX_CONNECTIONS {
-            continue;
-        }
-        connections.fetch_add(1, Ordering::SeqCst);
-        let counting = Counting(connections.clone());
-        async_std::task::spawn(serve(
-            stream,
-            handler.clone(),
-            limits.clone(),
-            stop.clone(),
-            counting,
-        ));
-    }
-}
-
-async fn serve(
-    stream: TcpStream,
-    handler: Arc<dyn Handler>,
-    limits: Limits,
-    stop: Stop,
-    _counting: Counting,
-) {
-    let _ = stream.set_nodelay(true);
-    server::serve(stream, handler, &limits, &stop).await;
-}
-
 async fn send_metrics(node: Arc<Node>) {
     while node.pause(node.settings.metrics_interval.0).await {
         node.metrics.send();
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -18,6 +18,7 @@
 use celerythread_model::id;
 use celerythread_platform::Platform;
 use celerythread_policy::view::View;
+use celerythread_sync::Wake;
 use parking_lot::{Mutex, RwLock};
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -64,29 +65,6 @@
     pub(crate) stop: StopToken,
 }
 
-/// Wakes the follower before its next turn.
-pub(crate) struct Wake {
-    sender: async_std::channel::Sender<()>,
-    receiver: async_std::channel::Receiver<()>,
-}
-
-impl Wake {
-    pub(crate) fn new() -> Self {
-        let (sender, receiver) = async_std::channel::bounded(1);
-        Self { sender, receiver }
-    }
-
-    /// Wakes; several calls before the next turn count as one.
-    pub(crate) fn wake(&self) {
-        let _ = self.sender.try_send(());
-    }
-
-    /// Waits for a call, at most for `longest`.
-    pub(crate) async fn wait(&self, longest: std::time::Duration) {
-        let _ = async_std::future::timeout(longest, self.receiver.recv()).await;
-    }
-}
-
 impl Node {
     /// Notes an event on the time line.
     pub(crate) fn note(&self, kind: Kind) {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,12 +5,13 @@
 //! see `docs/design/http-guard.md`).  So every message is framed here first: [`head`] reads
 //! and validates a head with `httparse`, [`body`] yields exactly the bytes that the framing
 //! promises or an error, and only then does `async-h1` see the head.  [`server`] and
-//! [`client`] are the two ends; [`stream`] is the buffered connection that both share.
+//! [`client`] are the two ends, [`listener`] accepts connections for the first; [`stream`] is the buffered connection that both share.
 
 pub mod body;
 pub mod client;
 pub mod fault;
 pub mod head;
+pub mod listener;
 pub mod server;
 pub mod stream;
 
--- /dev/null
+++ b/crates/http/src/listener.rs
@@ -0,0 +1,58 @@
+//! Accepting connections and serving each until a stop.
+
+use crate::server::{self, Handler, Limits, Stop};
+use async_std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use stop_token::future::FutureExt;
+
+/// Pause after a connection could not be accepted: out of descriptors, most likely, and they come
+/// back as connections end.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// A connection counted until it ends.
+struct Counting(Arc<AtomicUsize>);
+
+impl Drop for Counting {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// What a listener's connections share.
+#[derive(Clone)]
+pub struct Service {
+    /// What answers their requests.
+    pub handler: Arc<dyn Handler>,
+    /// Limits of each.
+    pub limits: Limits,
+    /// The two steps in which they stop.
+    pub stop: Stop,
+    /// How many there are now.
+    pub connections: Arc<AtomicUsize>,
+    /// Most of them at once; more are closed as they come.
+    pub most: usize,
+}
+
+/// Accepts connections until the stop, and serves them.
+pub async fn serve(listener: TcpListener, service: Service) {
+    while let Ok(accepted) = listener.accept().timeout_at(service.stop.ended.clone()).await {
+        let Ok((stream, _)) = accepted else {
+            async_std::task::sleep(PAUSE).await;
+            continue;
+        };
+        if service.connections.load(Ordering::SeqCst) >= service.most {
+            continue;
+        }
+        service.connections.fetch_add(1, Ordering::SeqCst);
+        let counting = Counting(service.connections.clone());
+        async_std::task::spawn(serve_one(stream, service.clone(), counting));
+    }
+}
+
+async fn serve_one(stream: TcpStream, service: Service, _counting: Counting) {
+    // Fails only on a connection that is gone already, which the first read tells.
+    let _ = stream.set_nodelay(true);
+    server::serve(stream, service.handler, &service.limits, &service.stop).await;
+}
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -12,11 +12,12 @@
 use crate::rows;
 use crate::settings::Settings;
 use async_std::future::timeout;
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpListener;
 use celerythread_adapter::store::{Name, Transaction};
 use celerythread_engine::job::{decode, encode};
 use celerythread_http::Fault;
-use celerythread_http::server::{self, Handler, Limits, Request, Stop};
+use celerythread_http::listener::{self, Service};
+use celerythread_http::server::{Handler, Limits, Request, Stop};
 use celerythread_model::unit::{Bytes, Span};
 use celerythread_wire::authority::{self, Pair};
 use celerythread_wire::{Endpoint, Identity, endpoint};
@@ -27,7 +28,6 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use stop_token::StopSource;
-use stop_token::future::FutureExt;
 
 /// Time between two looks at whether a stop is complete.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -125,7 +125,8 @@
         };
         let stop = Stop { closing: self.closing.token(), ended: self.ended.token() };
         let connections = self.connections.clone();
-        async_std::task::spawn(accept(listener, handler, limits, stop, connections));
+        let service = Service { handler, limits, stop, connections, most: MAX_CONNECTIONS };
+        async_std::task::spawn(listener::serve(listener, service));
     }
 
     fn spawn_tasks(&self) {
@@ -303,46 +304,3 @@
 fn local(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, Error> {
     listener.local_addr().context(ListenSnafu { address })
 }
-
-struct Counting(Arc<AtomicUsize>);
-
-impl Drop for Counting {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
-async fn accept(
-    listener: TcpListener,
-    handler: Arc<dyn Handler>,
-    limits: Limits,
-    stop: Stop,
-    connections: Arc<AtomicUsize>,
-) {
-    while let Ok(accepted) = listener.accept().timeout_at(stop.ended.clone()).await {
-        let Ok((stream, _)) = accepted else {
-            // Out of descriptors, most likely; they come back as connections end.
-            async_std::task::sleep(RETRY).await;
-            continue;
-        };
-        if connections.load(Ordering::SeqCst) >= MAX_CONNECTIONS {
-            continue;
-        }
-        connections.fetch_add(1, Ordering::SeqCst);
-        let counting = Counting(connections.clone());
-        let (handler, limits, stop) = (handler.clone(), limits.clone(), stop.clone());
-        async_std::task::spawn(serve(stream, handler, limits, stop, counting));
-    }
-}
-
-async fn serve(
-    stream: TcpStream,
-    handler: Arc<dyn Handler>,
-    limits: Limits,
-    stop: Stop,
-    _counting: Counting,
-) {
-    // Fails only on a connection that is gone already, which the first read tells.
-    let _ = stream.set_nodelay(true);
-    server::serve(stream, handler, &limits, &stop).await;
-}
--- /dev/null
+++ b/crates/scheduler/src/membership/control.rs
@@ -0,0 +1,98 @@
+//! Taking in the control table: entries, cells, machines to be emptied.
+
+use crate::clock;
+use crate::follow::Sink;
+use crate::node::{Node, View};
+use crate::rows;
+use celerythread_adapter::store::Row;
+use celerythread_engine::job::decode;
+use celerythread_engine::ownership::{self, Holding};
+use std::sync::Arc;
+
+/// Takes in the control table.
+pub(crate) struct Control(pub(crate) Arc<Node>);
+
+impl Control {
+    fn take(&self, view: &mut View, row: &Row) {
+        let now = clock::now();
+        let key = row.key.as_str();
+        if let Some(id) = key.strip_prefix(rows::ENTRY_PREFIX) {
+            take_entry(view, id, row, now);
+        } else if let Some(cell) = key.strip_prefix(rows::CELL_PREFIX) {
+            self.take_cell(view, cell, row);
+        } else if let Some(machine) = key.strip_prefix(rows::EMPTYING_PREFIX) {
+            if row.dropped {
+                view.emptying.remove(machine);
+            } else {
+                let minion = String::from_utf8_lossy(&row.value).into_owned();
+                view.emptying.insert(machine.into(), minion);
+            }
+        }
+    }
+
+    /// Takes in a cell's row, unless a newer one is known.
+    pub(crate) fn take_cell(&self, view: &mut View, cell: &str, row: &Row) {
+        if row.dropped {
+            view.holdings.remove(cell);
+            view.cell_rows.remove(cell);
+            return;
+        }
+        let Ok(value) = decode::<rows::Cell>(&row.value) else {
+            self.0.journal.warn("cell_row_unreadable", &[("cell", &cell)]);
+            return;
+        };
+        let holding = Holding { holder: value.holder.clone(), version: row.version };
+        if view.holdings.get(cell).is_none_or(|known| known.version < row.version) {
+            self.0.journal.note(
+                "cell_held",
+                &[("cell", &cell), ("holder", &holding.holder), ("token", &holding.version)],
+            );
+            view.holdings.insert(cell.into(), holding);
+            view.cell_rows.insert(cell.into(), value);
+        }
+    }
+}
+
+fn take_entry(view: &mut View, id: &str, row: &Row, now: celerythread_engine::time::Time) {
+    if row.dropped {
+        view.entries.remove(id);
+        view.entry_rows.remove(id);
+        return;
+    }
+    let Ok(value) = decode::<rows::Entry>(&row.value) else { return };
+    if view.entries.get(id).is_none_or(|known| known.version < row.version) {
+        let since = view.entries.get(id).map_or(now, |known| known.since);
+        let (version, stopping) = (row.version, value.stopping);
+        let power = value.power;
+        let entry = ownership::Entry { version, seen: now, since, stopping, power };
+        view.entries.insert(id.into(), entry);
+        view.entry_rows.insert(id.into(), value);
+    }
+}
+
+impl Sink for Control {
+    fn replace(&self, rows: Vec<Row>, version: u64) {
+        let mut fresh = View { version, ..View::default() };
+        rows.iter().for_each(|row| self.take(&mut fresh, row));
+        let mut view = self.0.view.write();
+        // An entry whose row has not changed is as silent as it was before.
+        for (id, entry) in &mut fresh.entries {
+            let Some(known) = view.entries.get(id) else { continue };
+            entry.since = known.since;
+            if known.version == entry.version {
+                entry.seen = known.seen;
+            }
+        }
+        fresh.released = std::mem::take(&mut view.released);
+        *view = fresh;
+    }
+
+    fn change(&self, rows: Vec<Row>) {
+        let mut view = self.0.view.write();
+        rows.iter().for_each(|row| self.take(&mut view, row));
+        drop(view);
+        for owner in self.0.owners.read().values() {
+            owner.control_changed();
+        }
+    }
+}
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -15,7 +15,7 @@
 use crate::settings::Settings;
 use celerythread_adapter::configuration::Configuration;
 use celerythread_adapter::wave::Wave;
-use celerythread_adapter::{Caller, advice, machine, minion, store};
+use celerythread_adapter::{Caller, Service, advice, machine, minion, store};
 use celerythread_engine::ownership::{self, Holding};
 use celerythread_engine::patience::Patience;
 use celerythread_engine::time::Time;
@@ -137,16 +137,16 @@
 impl Node {
     pub(crate) fn new(settings: Settings, peers: Peers, stop: StopToken) -> Self {
         let caller = Arc::new(Caller::default());
-        let machines =
-            settings.machines.map(|address| machine::Client::new(caller.clone(), address));
-        let advice = settings.advice.map(|address| {
-            async_std::sync::Mutex::new(advice::Client::new(caller.clone(), address))
-        });
+        let service = |address| Service::new(caller.clone(), address);
+        let machines = settings.machines.map(|address| machine::Client::new(service(address)));
+        let advice = settings
+            .advice
+            .map(|address| async_std::sync::Mutex::new(advice::Client::new(service(address))));
         Self {
             advice,
             me: format!("{}.{:08x}", settings.name, rand::random::<u32>()),
-            store: store::Client::new(caller.clone(), settings.store),
-            minion_client: minion::Client::new(caller),
+            store: store::Client::new(service(settings.store)),
+            minion_client: minion::Client::new(caller.clone()),
             machines,
             settings,
             configuration: RwLock::default(),
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -1,22 +1,25 @@
 //! The owner of a cell: takes it over, carries out the plans, keeps what must be kept.
 //!
-//! [`load`] reads what was kept, [`attend`] talks to one minion, [`keep`] writes progress.
+//! [`load`] reads what was kept, [`attend`] talks to one minion, [`keep`] writes progress,
+//! [`advise`] asks for tickets, [`notes`] writes the log lines of what was given up.
 //! This file holds what they share, the planning loop and what others ask of the owner.
 
+mod advise;
 pub(crate) mod attend;
 pub(crate) mod keep;
 pub(crate) mod load;
+mod notes;
 
 use crate::clock;
 use crate::fleet;
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::rows;
-use async_std::channel;
 use attend::Attendant;
 use celerythread_adapter::configuration::Configuration;
-use celerythread_engine::cell::{Cell, Note, Order, Query, Queue};
+use celerythread_engine::cell::{Cell, Order, Queue};
 use celerythread_engine::job::{Accepted, Id, decode};
+use celerythread_sync::Wake;
 use celerythread_wire::job::{Answer, Question};
 use parking_lot::Mutex;
 use std::collections::{BTreeMap, BTreeSet};
@@ -43,32 +46,6 @@
     Silent,
 }
 
-/// Wakes a loop before its next turn.
-pub(crate) struct Wake {
-    sender: channel::Sender<()>,
-    receiver: channel::Receiver<()>,
-}
-
-impl Default for Wake {
-    fn default() -> Self {
-        let (sender, receiver) = channel::bounded(1);
-        Self { sender, receiver }
-    }
-}
-
-impl Wake {
-    /// Wakes; several calls before the next turn count as one.
-    pub(crate) fn wake(&self) {
-        // Full means that a wake-up is waiting already.
-        let _ = self.sender.try_send(());
-    }
-
-    /// Waits for a call, at most for `longest`.
-    pub(crate) async fn wait(&self, longest: Duration) {
-        let _ = async_std::future::timeout(longest, self.receiver.recv()).await;
-    }
-}
-
 /// A cell in the hands of this entry.
 pub(crate) struct Owner {
     pub(crate) node: Arc<Node>,
@@ -282,8 +259,8 @@
             let plan = |cell: &mut Cell| cell.plan(now, clock::wall_ms(), may_start);
             let orders = owner.with(plan).unwrap_or_default();
             dispatch(&owner, orders);
-            log_notes(&owner);
-            ask_advice(&owner);
+            notes::write(&owner);
+            advise::ask(&owner);
             if owner.with(|cell| cell.unkept(1).is_some()).unwrap_or(false) {
                 owner.keep_wake.wake();
             }
@@ -295,106 +272,6 @@
     }
 }
 
-/// Longest wait for advice beyond the time that the service says it takes.
-const ADVICE_MARGIN: Duration = Duration::from_millis(800);
-
-/// Asks the advice service what the plan needs, one question after the other.
-fn ask_advice(owner: &Arc<Owner>) {
-    for query in owner.with(|cell| cell.take_queries()).unwrap_or_default() {
-        async_std::task::spawn(ask_one(owner.clone(), query));
-    }
-}
-
-async fn ask_one(owner: Arc<Owner>, query: Query) {
-    let node = &owner.node;
-    let asked = query.minions.len();
-    let answer = match &node.advice {
-        Some(client) => {
-            let client = client.lock().await;
-            Some(client.ask(&query, advice_limit(&owner, asked)).await)
-        }
-        None => None,
-    };
-    let now = clock::now();
-    let outcome = match answer {
-        Some(Ok(tickets)) => {
-            let outcome = format!("{} of {asked} may run it", tickets.good.len());
-            let until = now + tickets.valid;
-            owner.with(|cell| cell.advised(&query, tickets.good, until));
-            outcome
-        }
-        Some(Err(failure)) => {
-            owner.with(|cell| cell.advice_missed(&query, now));
-            failure.to_string()
-        }
-        None => {
-            owner.with(|cell| cell.advice_missed(&query, now));
-            "no address is set".into()
-        }
-    };
-    let step = query.step;
-    node.journal.note("advice", &[("job", &step.job), ("step", &step), ("outcome", &outcome)]);
-    owner.plan_wake.wake();
-}
-
-/// How long the service may take for a question, by the slowest queue of the service.
-fn advice_limit(owner: &Owner, asked: usize) -> Duration {
-    let configuration = owner.node.configuration();
-    let queues = configuration.iter().flat_map(|configuration| configuration.queues.iter());
-    let ms = queues
-        .filter(|queue| queue.service == owner.service)
-        .filter_map(|queue| queue.advice)
-        .map(|advice| advice.decide_ms + advice.period_ms * asked as f64)
-        .fold(0.0, f64::max);
-    Duration::from_millis(ms as u64) + ADVICE_MARGIN
-}
-
-fn log_notes(owner: &Owner) {
-    let (journal, now) = (&owner.node.journal, clock::now());
-    for note in owner.with(|cell| cell.take_notes()).unwrap_or_default() {
-        match &note {
-            Note::Ended { minion, end } => journal.note(
-                "run_ended",
-                &[
-                    ("job", &end.task.job),
-                    ("task", &end.task),
-                    ("run", &end.run),
-                    ("how", &end.how),
-                    ("minion", minion),
-                ],
-            ),
-            Note::Lapsed { minion, task, run, at } => journal.warn(
-                "run_lapsed",
-                &[
-                    ("job", &task.job),
-                    ("task", task),
-                    ("run", run),
-                    ("minion", minion),
-                    ("since_ms", &now.since(*at).as_millis()),
-                ],
-            ),
-            Note::Vanished { minion, task, run } => journal.warn(
-                "run_vanished",
-                &[("job", &task.job), ("task", task), ("run", run), ("minion", minion)],
-            ),
-            Note::Adopted { minion, task, run } => journal.note(
-                "run_adopted",
-                &[("job", &task.job), ("task", task), ("run", run), ("minion", minion)],
-            ),
-            Note::Stalled { minion, task, percent } => journal.warn(
-                "run_stalled",
-                &[("job", &task.job), ("task", task), ("percent", percent), ("minion", minion)],
-            ),
-            Note::Evacuated { minion, task } => journal
-                .note("run_evacuated", &[("job", &task.job), ("task", task), ("minion", minion)]),
-            Note::Quarantined { minion, until } => journal.warn(
-                "minion_quarantined",
-                &[("minion", minion), ("ms", &until.since(now).as_millis())],
-            ),
-        }
-    }
-}
-
 /// The age of a job, and of what is known of a minion.
 fn ages(cell: &Cell, job: &Id, minion: &str) -> (Duration, Duration) {
     let now = clock::now();
--- a/crates/scheduler/src/owner/attend.rs
+++ b/crates/scheduler/src/owner/attend.rs
@@ -3,7 +3,7 @@
 use crate::clock;
 use crate::metrics::{Counter, Timing};
 use crate::owner::load::{LAPSE_MARGIN, SLOWEST_CLOCK};
-use crate::owner::{Owner, Wake, dispatch, keep};
+use crate::owner::{Owner, dispatch, keep};
 use crate::rows;
 use async_std::channel;
 use celerythread_adapter::Failure;
@@ -12,6 +12,7 @@
 use celerythread_engine::cell::{MinionId, Order, Refusal, Report, StartResult};
 use celerythread_engine::job::encode;
 use celerythread_engine::time::Time;
+use celerythread_sync::Wake;
 use parking_lot::Mutex;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/scheduler/src/owner/notes.rs
@@ -0,0 +1,52 @@
+//! Log lines for what a plan has given up or taken away.
+
+use crate::clock;
+use crate::owner::Owner;
+use celerythread_engine::cell::Note;
+
+/// Writes a line for each decision that the cell has noted since.
+pub(crate) fn write(owner: &Owner) {
+    let (journal, now) = (&owner.node.journal, clock::now());
+    for note in owner.with(|cell| cell.take_notes()).unwrap_or_default() {
+        match &note {
+            Note::Ended { minion, end } => journal.note(
+                "run_ended",
+                &[
+                    ("job", &end.task.job),
+                    ("task", &end.task),
+                    ("run", &end.run),
+                    ("how", &end.how),
+                    ("minion", minion),
+                ],
+            ),
+            Note::Lapsed { minion, task, run, at } => journal.warn(
+                "run_lapsed",
+                &[
+                    ("job", &task.job),
+                    ("task", task),
+                    ("run", run),
+                    ("minion", minion),
+                    ("since_ms", &now.since(*at).as_millis()),
+                ],
+            ),
+            Note::Vanished { minion, task, run } => journal.warn(
+                "run_vanished",
+                &[("job", &task.job), ("task", task), ("run", run), ("minion", minion)],
+            ),
+            Note::Adopted { minion, task, run } => journal.note(
+                "run_adopted",
+                &[("job", &task.job), ("task", task), ("run", run), ("minion", minion)],
+            ),
+            Note::Stalled { minion, task, percent } => journal.warn(
+                "run_stalled",
+                &[("job", &task.job), ("task", task), ("percent", percent), ("minion", minion)],
+            ),
+            Note::Evacuated { minion, task } => journal
+                .note("run_evacuated", &[("job", &task.job), ("task", task), ("minion", minion)]),
+            Note::Quarantined { minion, until } => journal.warn(
+                "minion_quarantined",
+                &[("minion", minion), ("ms", &until.since(now).as_millis())],
+            ),
+        }
+    }
+}
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -12,7 +12,7 @@
 
 use crate::serve::Server;
 use machine::Machines;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -44,6 +44,17 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
+/// The body of a job of one step, whose tasks do what `spec` says.
+pub fn job(tasks: u32, spec: &str) -> Value {
+    let mut step = json!({ "count": tasks, "cpu": 1000, "memMb": 64, "estimateMs": 200 });
+    if spec.contains("lasts") {
+        step["longRunning"] = json!(true);
+        step["mayMiss"] = json!(1);
+        step["antiAffinity"] = json!(1);
+    }
+    json!({ "spec": spec, "steps": [step] })
+}
+
 impl Site {
     /// Starts a platform with one queue and one service of so many workers.
     ///
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -161,13 +161,7 @@
 }
 
 pub(crate) async fn submit(entry: SocketAddr, id: &str, tasks: u32, spec: &str) -> Option<u16> {
-    let mut step = json!({ "count": tasks, "cpu": 1000, "memMb": 64, "estimateMs": 200 });
-    if spec.contains("lasts") {
-        step["longRunning"] = json!(true);
-        step["mayMiss"] = json!(1);
-        step["antiAffinity"] = json!(1);
-    }
-    let body = json!({ "spec": spec, "steps": [step] });
+    let body = celerythread_standin::site::job(tasks, spec);
     let answer = call(entry, Method::Post, &format!("/q/{id}"), Some(body)).await;
     answer.map(|(status, _)| status)
 }
