A wrong estimate no longer looks like a slow minion

Ruled out: hanging minions (progress went on), room (minions were free). Change: a minion is slow only when different jobs were slow there and none was swift since; a task is begun anew once at most.

--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -118,8 +118,8 @@
     pub(crate) acknowledged: u64,
     /// Jobs whose tasks failed here since the last success.
     pub(crate) failing: BTreeSet<crate::job::Id>,
-    /// How many times its estimate a task takes there, as learnt.
-    pub(crate) slowness: f64,
+    /// Jobs whose tasks were slow here since one was swift.
+    pub(crate) slow_jobs: BTreeSet<crate::job::Id>,
     /// Quarantines in a row.
     pub(crate) strikes: u32,
     /// No tasks are started before.
@@ -145,7 +145,7 @@
             seen: 0,
             acknowledged: 0,
             failing: BTreeSet::new(),
-            slowness: 1.0,
+            slow_jobs: BTreeSet::new(),
             strikes: 0,
             quarantined: Time(0),
         }
--- a/crates/engine/src/cell/straggler.rs
+++ b/crates/engine/src/cell/straggler.rs
@@ -3,9 +3,15 @@
 //! The pattern it answers: a few minions work six times as slowly as their siblings for some
 //! seconds, and look well otherwise.  A job is as late as its last task, so every job with a task
 //! there misses its objective.  Progress against the estimate tells it within the first report.
+//!
+//! But estimates can be far off, too, and then all tasks of one job look slow wherever they run.
+//! So a minion counts as slow only when different jobs were slow there and none was swift since,
+//! and a task is begun anew once at most: without both, a job with a wrong estimate was begun anew
+//! again and again on one minion after the other and never done.
 
 use crate::cell::minion::RunPhase;
 use crate::cell::plan::stop;
+use crate::cell::work::Task;
 use crate::cell::{Cell, MinionId, Note, Order};
 use crate::job::TaskName;
 use crate::time::Time;
@@ -14,13 +20,16 @@
 /// Below this, an elapsed time says nothing: starting up is part of it.
 const LEAST_ELAPSED: Duration = Duration::from_millis(300);
 
-/// Weight of a new observation.  Two or three outweigh what was known before.
-const WEIGHT: f64 = 0.4;
-
-/// Times its estimate from which on a minion counts as slow.  Estimates are off by a fifth and
-/// work away from its data takes half as long again.
+/// Times its estimate from which on a task is slow.  Most estimates are off by a fifth, and work
+/// away from its data takes half as long again.
 const SLOW: f64 = 2.5;
 
+/// Times its estimate up to which a task is swift.
+const SWIFT: f64 = 1.6;
+
+/// Different jobs that make a minion slow.
+const SLOW_JOBS: usize = 2;
+
 /// A run is given up if it would take longer than this many times its estimate from now on, and
 /// [`LEAST_GAIN`] more: stopping it, and its work done again, take about one estimate and a second.
 const WORTHWHILE: f64 = 2.0;
@@ -48,7 +57,11 @@
         let total = if percent >= 100 { Some(elapsed) } else { projected(elapsed, percent) };
         let (Some(total), false) = (total, step.lasting || step.estimate_ms == 0) else { return };
         let ratio = total.as_millis() as f64 / step.estimate_ms as f64;
-        minion.slowness += (ratio - minion.slowness) * WEIGHT;
+        if ratio > SLOW {
+            minion.slow_jobs.insert(name.job);
+        } else if ratio < SWIFT {
+            minion.slow_jobs.clear();
+        }
     }
 
     /// Stops runs that are far behind on slow minions, where another minion has room: begun anew
@@ -60,11 +73,10 @@
             late.extend(runs.map(|(name, _)| (minion.id.clone(), *name)));
         }
         for (id, name) in late.into_iter().take(AT_ONCE) {
-            let Some(job) = self.jobs.get_mut(&name.job) else { continue };
+            let Some(job) = self.jobs.get(&name.job) else { continue };
             let step = job.accepted.definition.steps[name.step as usize].clone();
-            let Some(task) = job.task_mut(&name) else { continue };
-            task.avoid = Some(id.clone());
-            let task = task.clone();
+            let Some(task) = job.task(&name) else { continue };
+            let task = Task { avoid: Some(id.clone()), ..task.clone() };
             let spread = self.spread(&name);
             if self.find_swift(&step, &task, &spread, now).is_none() {
                 continue;
@@ -73,6 +85,10 @@
             let Some(run) = minion.runs.get_mut(&name) else { continue };
             let percent = run.percent;
             orders.push(stop(&id, &name, run, now));
+            if let Some(task) = self.jobs.get_mut(&name.job).and_then(|job| job.task_mut(&name)) {
+                task.avoid = Some(id.clone());
+                task.begun_anew = true;
+            }
             self.note(Note::Stalled { minion: id, task: name, percent });
         }
     }
@@ -81,6 +97,9 @@
         let Some(run) = minion.runs.get(name) else { return false };
         let Some(job) = self.jobs.get(&name.job) else { return false };
         let step = &job.accepted.definition.steps[name.step as usize];
+        if job.task(name).is_none_or(|task| task.begun_anew) {
+            return false;
+        }
         if run.phase != RunPhase::Active || step.lasting || step.gang || step.estimate_ms == 0 {
             return false;
         }
@@ -106,6 +125,6 @@
 impl crate::cell::Minion {
     /// Whether it works much more slowly than estimated.
     pub(crate) fn is_slow(&self) -> bool {
-        self.slowness > SLOW
+        self.slow_jobs.len() >= SLOW_JOBS
     }
 }
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -36,6 +36,8 @@
     pub not_before: Time,
     /// Where it failed last, to try another minion next.
     pub avoid: Option<MinionId>,
+    /// Whether it was stopped once on a slow minion, to be begun anew elsewhere.
+    pub begun_anew: bool,
 }
 
 /// A job.
