Settings and functions that nothing used are gone; dropped log lines are counted

Two settings were read and passed on and decided nothing; four functions had no caller. The count of log lines lost because nobody reads the output is served with the other figures.

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -47,13 +47,8 @@
 pub struct Settings {
     /// Longest time that a minion takes to stop a run.
     pub stop_timeout: Duration,
-    /// How long a lasting task may be away before it counts against its step's allowance; used
-    /// with a margin, so as a lower bound.
-    pub notice: Duration,
     /// How long an ended job is kept for its caller to ask for.
     pub retention: Duration,
-    /// How much longer a task takes away from its data.
-    pub remote_factor: f64,
     /// A run without progress for this many times its estimate, and at least
     /// [`Settings::stall_least`], is taken for hanging.  Declared times are off by a fifth and
     /// slow minions take six times as long while progressing, so only a standstill counts.
@@ -68,9 +63,7 @@
     fn default() -> Self {
         Self {
             stop_timeout: Duration::from_millis(900),
-            notice: Duration::from_millis(4500),
             retention: Duration::from_secs(150),
-            remote_factor: 1.5,
             stall_factor: 1.0,
             stall_least: Duration::from_millis(1500),
             quarantine: Duration::from_millis(2000),
@@ -313,11 +306,6 @@
         self.jobs.get(id)
     }
 
-    /// Jobs that have not ended.
-    pub fn active(&self) -> usize {
-        self.active.len()
-    }
-
     /// Whether tasks of inherited jobs may be started: nothing of them can still be running
     /// where this owner doesn't see it.
     pub(crate) fn is_settled(&self, now: Time) -> bool {
--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -168,11 +168,6 @@
         self.runs.is_empty()
     }
 
-    /// How many runs it has.
-    pub fn load(&self) -> usize {
-        self.runs.len()
-    }
-
     /// Up to which end it may forget.
     pub fn acknowledged(&self) -> u64 {
         self.acknowledged
--- a/crates/engine/src/upkeep.rs
+++ b/crates/engine/src/upkeep.rs
@@ -128,13 +128,6 @@
         }
     }
 
-    /// Whether a machine is wanted by a wave and not begun.
-    pub fn is_due(&self, machine: &str) -> bool {
-        self.waves.values().any(|wave| {
-            wave.machines.iter().any(|due| due == machine) && !wave.begun.contains(machine)
-        })
-    }
-
     /// Whether a machine must not go to another pool just now: it is about to go down.
     pub fn is_emptying(&self, machine: &str) -> bool {
         self.emptying.contains(machine)
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -5,7 +5,6 @@
 use crate::front::Front;
 use crate::journal::Journal;
 use crate::membership;
-use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::owner::keep;
 use crate::peers::{self, Peers};
@@ -95,7 +94,7 @@
             daemon.serve(listener, Arc::new(Front::new(daemon.node.clone())));
         }
         if let Some(listener) = metrics {
-            daemon.serve(listener, Arc::new(Page(daemon.node.metrics.clone())));
+            daemon.serve(listener, Arc::new(Page(daemon.node.clone())));
         }
         daemon.spawn_tasks();
         Ok(daemon)
@@ -199,13 +198,15 @@
 }
 
 /// Serves the figures.
-struct Page(Arc<Metrics>);
+struct Page(Arc<Node>);
 
 #[async_trait::async_trait]
 impl Handler for Page {
     async fn handle(&self, _: Request) -> Response {
         let mut response = Response::new(StatusCode::Ok);
-        response.set_body(self.0.page());
+        let dropped = self.0.journal.dropped();
+        let lines = format!("celerythread_lines_dropped_total {dropped}\n");
+        response.set_body(self.0.metrics.page() + &lines);
         response
     }
 
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -112,9 +112,7 @@
     let progress = store.all(rows::PROGRESS, service, "", CALL_LIMIT).await?;
     let settings = Settings {
         stop_timeout: owner.node.settings.stop_timeout.0,
-        notice: owner.node.settings.notice.0,
         retention: owner.node.settings.retention.0 + Duration::from_secs(30),
-        remote_factor: owner.node.settings.remote_factor,
         ..Settings::default()
     };
     let mut cell = Cell::new(settings, owner.generation, lapse);
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -41,12 +41,8 @@
     pub upkeep_lease: Span,
     /// How long a machine is down for its upkeep.
     pub upkeep_duration: Span,
-    /// How long a lasting task may be away unnoticed.
-    pub notice: Span,
     /// How long ended jobs are kept.
     pub retention: Span,
-    /// How much longer a task takes away from its data.
-    pub remote_factor: f64,
     /// Longest time for a graceful stop.
     pub stop_bound: Span,
     /// Largest body of a caller's request, in bytes.
@@ -79,9 +75,7 @@
             stop_timeout: Span::millis(900),
             upkeep_lease: Span::millis(3000),
             upkeep_duration: Span::millis(2000),
-            notice: Span::millis(4500),
             retention: Span::secs(120),
-            remote_factor: 1.5,
             stop_bound: Span::millis(6000),
             body_limit: 262_144,
         }
@@ -126,8 +120,6 @@
             run_lease: reader.value("run", "lease", base.run_lease),
             extend_alone: reader.value("run", "extend_alone", base.extend_alone),
             stop_timeout: reader.value("run", "stop_timeout", base.stop_timeout),
-            notice: reader.value("run", "notice", base.notice),
-            remote_factor: reader.value("run", "remote_factor", base.remote_factor),
             upkeep_lease: reader.value("upkeep", "lease", base.upkeep_lease),
             upkeep_duration: {
                 let seconds = base.upkeep_duration.0.as_secs_f64();
--- a/tests/all/pages.rs
+++ b/tests/all/pages.rs
@@ -69,8 +69,6 @@
         ("{{#advice}}advice = {{.}}{{/advice}}", "advice = 10.200.0.2:1"),
         ("{{bounds.status_s}}", "120"),
         ("{{bounds.stopTimeoutMs}}", "900"),
-        ("{{bounds.noticeMs}}", "4500"),
-        ("{{bounds.remoteFactor}}", "1.5"),
         ("{{bounds.leaseMs}}", "3000"),
         ("{{bounds.upkeepS}}", "2.5"),
         ("{{bounds.graceS}}", "6"),
