--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -94,7 +94,7 @@
     pub listing: Listing,
     /// Whether the platform's list still has it.
     pub listed: bool,
-    /// Whether its machine is due for upkeep or a move, so that it is to be emptied.
+    /// Whether its machine is due for maintenance or a move, so that it is to be emptied.
     pub leaving: bool,
     /// Whether a former owner may have started something there.
     pub inherited: bool,
--- a/crates/engine/src/cell/place.rs
+++ b/crates/engine/src/cell/place.rs
@@ -165,7 +165,7 @@
     let mut cost = minion.free().cpu - need.cpu.min(minion.free().cpu);
     if step.lasting {
         // Lasting tasks of different jobs go together: their minions can't be given to another
-        // pool and have to be evacuated for upkeep, so they should be few.  Each job loses one
+        // pool and have to be evacuated for maintenance, so they should be few.  Each job loses one
         // task with a minion either way.
         cost = minion.free().cpu + penalty::ALONE * u64::from(minion.lasting == 0);
     }
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -6,7 +6,7 @@
 use crate::job::{State, TaskName};
 use crate::time::Time;
 use std::time::Duration;
-use strum::{Display, EnumString};
+use strum::Display;
 
 /// Failures of this many different jobs in a row, without a success between them, put a minion
 /// in quarantine: one job may be hopeless by itself.
@@ -27,8 +27,8 @@
 const UNHEALTHY_PAUSE: Duration = Duration::from_millis(700);
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, Display, EnumString, Eq, PartialEq)]
-#[strum(serialize_all = "lowercase")]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
 pub enum How {
     /// Its work is done.
     Done,
@@ -36,12 +36,12 @@
     Failed,
     /// It was stopped by an order.
     Stopped,
-    /// Its lease ran out.
-    Lapsed,
+    /// Its lease expired.
+    Expired,
     /// Another member of its gang ended.
-    Broken,
-    /// The other members of its gang did not come.
-    Alone,
+    PeerEnded,
+    /// The other members of its gang did not come in time.
+    PeersMissing,
 }
 
 /// A run that a minion lists.
@@ -85,19 +85,19 @@
 }
 
 /// Why a minion refused a start.
-#[derive(Clone, Copy, Debug, Display, EnumString, Eq, PartialEq)]
-#[strum(serialize_all = "lowercase")]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
 pub enum Refusal {
     /// It has seen a higher fencing token.
-    Fence,
+    Fenced,
     /// A run with this number or a higher one was stopped or ended there.
-    Old,
+    StaleRun,
     /// The order came after its deadline.
-    Late,
+    TooLate,
     /// There is no room.
-    Room,
+    NoRoom,
     /// The ticket is missing or out of date.
-    Ticket,
+    NoTicket,
     /// The order can't be read.
     Malformed,
     /// It is unhealthy and has done nothing.
@@ -419,11 +419,13 @@
             StartResult::Refused(reason) => {
                 minion.remove(task);
                 match reason {
-                    Refusal::Room => minion.quarantined = minion.quarantined.max(now + ROOM_PAUSE),
+                    Refusal::NoRoom => {
+                        minion.quarantined = minion.quarantined.max(now + ROOM_PAUSE)
+                    }
                     Refusal::Unhealthy | Refusal::Malformed => {
                         minion.quarantined = minion.quarantined.max(now + UNHEALTHY_PAUSE);
                     }
-                    Refusal::Ticket => self.drop_ticket(task, id),
+                    Refusal::NoTicket => self.drop_ticket(task, id),
                     _ => {}
                 }
                 self.give_up(id, task, run, now);
--- a/crates/engine/src/upkeep.rs
+++ b/crates/engine/src/maintenance.rs
@@ -1,6 +1,6 @@
-//! Waves of upkeep: which machines are emptied, and when each goes down.
+//! Waves of maintenance: which machines are emptied, and when each goes down.
 //!
-//! A machine's upkeep ends all that runs on it at once, so it is emptied first: its cell's
+//! A machine's maintenance ends all that runs on it at once, so it is emptied first: its cell's
 //! owner moves its lasting tasks within what they may miss and lets the others finish.  Empty
 //! machines go first, and a few more than may be down at once are emptied ahead, so that the
 //! wave never waits for the emptying alone.
@@ -10,10 +10,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Time limits of upkeep.
+/// Time limits of maintenance.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// How long a machine is down for its upkeep.
+    /// How long a machine is down for its maintenance.
     pub duration: Duration,
     /// Time after an order in which the list of machines may not show it yet: two reads of
     /// the list.
@@ -35,8 +35,8 @@
     pub minion: Option<String>,
     /// Whether it serves or could.
     pub up: bool,
-    /// Whether it is down for its upkeep.
-    pub in_upkeep: bool,
+    /// Whether it is down for its maintenance.
+    pub in_maintenance: bool,
 }
 
 /// A wave that was asked for, with how far it is; this is also what is kept of it.
@@ -46,7 +46,7 @@
     pub machines: Vec<String>,
     /// Most of them down at once.
     pub at_once: usize,
-    /// Machines whose upkeep has begun.
+    /// Machines whose maintenance has begun.
     pub begun: BTreeSet<String>,
     /// Whether it was reported as completed.
     pub completed: bool,
@@ -62,7 +62,7 @@
         /// Its minion.
         minion: String,
     },
-    /// Begin a machine's upkeep.
+    /// Begin a machine's maintenance.
     Begin {
         /// The machine.
         machine: String,
@@ -81,7 +81,7 @@
 pub struct Planner {
     settings: Settings,
     waves: BTreeMap<u64, Wave>,
-    /// When each machine's upkeep was last ordered by this holder.
+    /// When each machine's maintenance was last ordered by this holder.
     ordered: BTreeMap<String, Time>,
     /// Machines that this holder has asked to be emptied.
     emptying: BTreeSet<String>,
@@ -108,12 +108,12 @@
         self.waves.values().any(|wave| !wave.completed)
     }
 
-    /// Notes that a machine's upkeep was ordered, whether it is answered or not.
+    /// Notes that a machine's maintenance was ordered, whether it is answered or not.
     pub fn ordered(&mut self, machine: &str, now: Time) {
         self.ordered.insert(machine.into(), now);
     }
 
-    /// Notes that a machine's upkeep has begun.
+    /// Notes that a machine's maintenance has begun.
     pub fn begun(&mut self, number: u64, machine: &str) {
         if let Some(wave) = self.waves.get_mut(&number) {
             wave.begun.insert(machine.into());
@@ -214,7 +214,7 @@
     /// Machines of a wave that are, or may be, down for it.
     fn down(&self, wave: &Wave, machines: &BTreeMap<String, Machine>, now: Time) -> usize {
         let down = |name: &&String| {
-            let listed = machines.get(*name).is_some_and(|machine| machine.in_upkeep);
+            let listed = machines.get(*name).is_some_and(|machine| machine.in_maintenance);
             listed || self.is_fresh(name, now)
         };
         wave.machines.iter().filter(down).count()
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -5,7 +5,7 @@
 //! works through a turn's remainder earns some fifty times what its move costs (16 cores for
 //! 3 s are 48 core-seconds, worth about 4.5 at the users' prices; a move costs 0.1), so
 //! machines follow the demand, and only those are left where they are whose loss would hurt:
-//! with lasting tasks on them, due for upkeep, or needed by their own pool.
+//! with lasting tasks on them, due for maintenance, or needed by their own pool.
 
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
@@ -75,7 +75,7 @@
     pub minion: Option<String>,
     /// Whether it serves or could.
     pub up: bool,
-    /// Whether it must stay where it is: due for upkeep, for one.
+    /// Whether it must stay where it is: due for maintenance, for one.
     pub pinned: bool,
 }
 
--- a/crates/engine/tests/all/jobs.rs
+++ b/crates/engine/tests/all/jobs.rs
@@ -170,7 +170,7 @@
     world.submit(1, definition(vec![gang]));
     let ordered = starts(&world.plan());
     let (minion, name, run) = &ordered[2];
-    let refused = StartResult::Refused(Refusal::Room);
+    let refused = StartResult::Refused(Refusal::NoRoom);
     world.cell.start_result(minion, name, *run, refused, world.now);
     assert_eq!(stops(&world.plan()).len(), 2);
     for (minion, name, run) in &ordered[..2] {
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -2,10 +2,10 @@
 
 mod fixture;
 mod jobs;
+mod maintenance;
 mod ownership;
 mod patience;
 mod pools;
 mod runs;
 mod sharing;
 mod takeover;
-mod upkeep;
--- a/crates/engine/tests/all/upkeep.rs
+++ b/crates/engine/tests/all/maintenance.rs
@@ -1,7 +1,7 @@
 //! Maintenance waves.
 
+use celerythread_engine::maintenance::{Machine, Planner, Settings, Step, Wave};
 use celerythread_engine::time::Time;
-use celerythread_engine::upkeep::{Machine, Planner, Settings, Step, Wave};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
     (0..count)
         .map(|number| {
             let minion = Some(format!("minion-{number}"));
-            (format!("machine-{number}"), Machine { minion, up: true, in_upkeep: false })
+            (format!("machine-{number}"), Machine { minion, up: true, in_maintenance: false })
         })
         .collect()
 }
@@ -45,7 +45,7 @@
             let back = now.since(*since) >= Duration::from_secs(2);
             if back {
                 let minion = Some(format!("{name}-reborn"));
-                machines.insert(name.clone(), Machine { minion, up: true, in_upkeep: false });
+                machines.insert(name.clone(), Machine { minion, up: true, in_maintenance: false });
             }
             !back
         });
@@ -56,8 +56,10 @@
                 Step::Begin { machine, wave } => {
                     planner.ordered(&machine, now);
                     planner.begun(wave, &machine);
-                    machines
-                        .insert(machine.clone(), Machine { in_upkeep: true, ..Machine::default() });
+                    machines.insert(
+                        machine.clone(),
+                        Machine { in_maintenance: true, ..Machine::default() },
+                    );
                     down.insert(machine, now);
                 }
                 Step::Complete { wave } => {
@@ -86,7 +88,7 @@
     assert!(begins(&planner.plan(&machines, &all, &all, Time(300))).is_empty());
 }
 
-/// What runs on a machine ends at once with its upkeep, so it goes down only when it is empty.
+/// What runs on a machine ends at once with its maintenance, so it goes down only when it is empty.
 #[test]
 fn a_machine_that_is_not_empty_stays_up() {
     let mut planner = planner(1, 1);
--- a/crates/engine/tests/all/pools.rs
+++ b/crates/engine/tests/all/pools.rs
@@ -66,7 +66,7 @@
     assert!(planner.plan(&machines(), &loads(240, 0), Some("spare"), Time(300)).is_empty());
 }
 
-/// A minion with a lasting task isn't among the free ones, and one due for upkeep is pinned.
+/// A minion with a lasting task isn't among the free ones, and one due for maintenance is pinned.
 #[test]
 fn machines_that_must_stay_are_not_moved() {
     let mut planner = Planner::new(Settings::default());
--- a/crates/engine/tests/all/runs.rs
+++ b/crates/engine/tests/all/runs.rs
@@ -128,7 +128,7 @@
     let mut world = World::new(1);
     world.submit(1, definition(vec![step(1)]));
     let (minion, name, run) = starts(&world.plan()).remove(0);
-    let refused = StartResult::Refused(Refusal::Room);
+    let refused = StartResult::Refused(Refusal::NoRoom);
     world.cell.start_result(&minion, &name, run, refused, world.now);
     assert!(starts(&world.plan()).is_empty());
     world.pass(200);
@@ -151,7 +151,7 @@
     let mut world = World::new(3);
     let lasting = Step { lasting: true, may_be_away: Some(1), ..step(1) };
     world.submit(1, definition(vec![lasting]));
-    for how in [How::Done, How::Failed, How::Failed, How::Failed, How::Lapsed] {
+    for how in [How::Done, How::Failed, How::Failed, How::Failed, How::Expired] {
         let (minion, name, run) = world.start_all().remove(0);
         world.end(&minion, name, run, how);
         world.pass(150);
@@ -159,7 +159,7 @@
     assert_eq!(world.start_all().len(), 1);
 }
 
-/// A machine is due for upkeep and runs a task of a service that may miss one.  Taken away
+/// A machine is due for maintenance and runs a task of a service that may miss one.  Taken away
 /// while another of its tasks is still starting, the service falls below its budget.
 #[test]
 fn lasting_tasks_leave_one_after_the_other_within_what_may_be_away() {
--- a/crates/engine/tests/all/sharing.rs
+++ b/crates/engine/tests/all/sharing.rs
@@ -114,7 +114,7 @@
     let until = world.now + Duration::from_millis(1000);
     world.cell.advised(&query, vec![(World::minion(0), "first".into())], until);
     let (minion, name, run) = starts(&world.plan()).remove(0);
-    let refused = StartResult::Refused(Refusal::Ticket);
+    let refused = StartResult::Refused(Refusal::NoTicket);
     world.cell.start_result(&minion, &name, run, refused, world.now);
     assert!(starts(&world.plan()).is_empty());
     let query = world.cell.take_queries().remove(0);
--- a/crates/engine/tests/all/takeover.rs
+++ b/crates/engine/tests/all/takeover.rs
@@ -104,7 +104,7 @@
     assert_eq!(world.start_all().len(), 1);
 }
 
-/// The former owner's minion went down for upkeep and its machine has another one by now.
+/// The former owner's minion went down for maintenance and its machine has another one by now.
 #[test]
 fn a_minion_whose_life_is_over_is_not_waited_for() {
     let mut world = successor(1);
--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -1,11 +1,11 @@
-//! The duty for the whole fleet: machines' upkeep and their pools, one entry at a time.
+//! The duty for the whole fleet: machines' maintenance and their pools, one entry at a time.
 //!
-//! [`upkeep`] carries maintenance waves, [`pools`] moves machines between pools.  A machine is
+//! [`maintenance`] carries maintenance waves, [`pools`] moves machines between pools.  A machine is
 //! emptied before either: a row names it for as long as nothing may be started on it, whoever
 //! owns its service's cell meanwhile.
 
+pub(crate) mod maintenance;
 pub(crate) mod pools;
-pub(crate) mod upkeep;
 
 use crate::clock;
 use crate::node::Node;
@@ -16,7 +16,7 @@
 use celerythread_adapter::store::Transaction;
 use celerythread_engine::pools::Load;
 use celerythread_engine::time::Time;
-use celerythread_engine::{pools as pool_plan, upkeep as upkeep_plan};
+use celerythread_engine::{maintenance as maintenance_plan, pools as pool_plan};
 use celerythread_wire::job::{Answer, Question};
 use futures::future::join_all;
 use std::collections::BTreeMap;
@@ -51,7 +51,7 @@
 pub(crate) struct Fleet {
     pub(crate) owner: Arc<Owner>,
     pub(crate) client: machine::Client,
-    pub(crate) waves: upkeep_plan::Planner,
+    pub(crate) waves: maintenance_plan::Planner,
     pub(crate) pools: pool_plan::Planner,
     list: MachineList,
     /// Machines for which an order may have been given, by this holder or the former one, and
@@ -69,14 +69,14 @@
 pub(crate) async fn carry(owner: Arc<Owner>) {
     let node = owner.node.clone();
     let Some(client) = node.machines.clone() else { return };
-    let settings = upkeep_plan::Settings {
-        duration: node.settings.upkeep_duration.0,
-        ..upkeep_plan::Settings::default()
+    let settings = maintenance_plan::Settings {
+        duration: node.settings.maintenance_duration.0,
+        ..maintenance_plan::Settings::default()
     };
     let mut fleet = Fleet {
         owner: owner.clone(),
         client,
-        waves: upkeep_plan::Planner::new(settings),
+        waves: maintenance_plan::Planner::new(settings),
         pools: pool_plan::Planner::new(pool_plan::Settings::default()),
         list: MachineList::default(),
         ordered: BTreeMap::new(),
@@ -106,13 +106,13 @@
                 self.note_order(machine);
             }
         }
-        upkeep::load(&node, &mut self.waves).await
+        maintenance::load(&node, &mut self.waves).await
     }
 
     /// Takes everything a step further; returns how many pools were asked.
     async fn step(&mut self) -> usize {
         let node = self.owner.node.clone();
-        upkeep::take_new(&node, &mut self.waves).await;
+        maintenance::take_new(&node, &mut self.waves).await;
         let services = services(&node);
         let loads = ask_loads(&node, &services).await;
         let emptying = !node.view.read().emptying.is_empty();
@@ -120,7 +120,7 @@
         if self.list.refresh(&node, &self.client, busy).await {
             self.drop_settled().await;
             if self.waves.is_busy() {
-                upkeep::step(self, &loads).await;
+                maintenance::step(self, &loads).await;
             }
         }
         pools::step(self, &loads).await;
@@ -134,7 +134,7 @@
 
     /// Notes that an order for a machine is about to be given, or may have been.
     pub(crate) fn note_order(&mut self, machine: &str) {
-        let lease = self.owner.node.settings.upkeep_lease.0 + CALL_LIMIT / 4;
+        let lease = self.owner.node.settings.maintenance_lease.0 + CALL_LIMIT / 4;
         self.ordered.insert(machine.into(), clock::now() + lease);
     }
 
--- a/crates/scheduler/src/fleet/upkeep.rs
+++ b/crates/scheduler/src/fleet/maintenance.rs
@@ -9,8 +9,8 @@
 use celerythread_adapter::store::{self, Name, Transaction};
 use celerythread_adapter::wave;
 use celerythread_engine::job::{decode, encode};
+use celerythread_engine::maintenance::{Machine, Planner, Step, Wave};
 use celerythread_engine::pools::Load;
-use celerythread_engine::upkeep::{Machine, Planner, Step, Wave};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Reads how far waves were under a former holder.
@@ -70,7 +70,7 @@
     let seen = Machine {
         minion: machine.minion.clone().filter(|id| !id.is_empty()),
         up: machine.state == machine::State::Up,
-        in_upkeep: machine.state == machine::State::Upkeep,
+        in_maintenance: machine.state == machine::State::Upkeep,
     };
     (machine.name.clone(), seen)
 }
@@ -91,13 +91,13 @@
         Err(failure) => failure.to_string(),
     };
     node.journal.note(
-        "upkeep_ordered",
+        "maintenance_ordered",
         &[("machine", &machine), ("wave", &wave), ("token", &token), ("outcome", &outcome)],
     );
     if !matches!(answer, Ok(Ok(()))) {
         return;
     }
-    node.metrics.count(Counter::Upkeeps);
+    node.metrics.count(Counter::Maintenances);
     fleet.waves.begun(wave, machine);
     keep(&node, &fleet.waves, wave).await;
 }
@@ -107,7 +107,7 @@
     let Some(wave) = planner.wave(number) else { return };
     let name = rows::control(rows::WAVE_PREFIX, &number.to_string());
     let change = Transaction { writes: vec![(name, encode(wave))], ..Transaction::default() };
-    // If this is lost, a later holder asks for the same upkeep again, which changes nothing.
+    // If this is lost, a later holder asks for the same maintenance again, which changes nothing.
     let _ = node.commit(&change, CALL_LIMIT).await;
 }
 
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -94,7 +94,7 @@
     }
 }
 
-/// What operators write: the configuration and waves of upkeep.
+/// What operators write: the configuration and waves of maintenance.
 pub(crate) struct Operators(pub(crate) Arc<Node>);
 
 impl Operators {
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -149,7 +149,7 @@
         let took = clock::now().since(context.began);
         node.metrics.time(Timing::Accept, took);
         let (event, counter, response) = match &written {
-            Written::Accepted => ("job_accepted", Counter::JobsAccepted, accepted_answer()),
+            Written::Accepted(_) => ("job_accepted", Counter::JobsAccepted, accepted_answer()),
             Written::Refused(_) => ("job_refused", Counter::JobsRefused, refuse()),
             Written::Unknown => {
                 ("job_unknown", Counter::JobsUnknown, answer(StatusCode::GatewayTimeout))
@@ -171,7 +171,7 @@
                 ("reason", &reason),
             ],
         );
-        if matches!(written, Written::Accepted) {
+        if let Written::Accepted(row) = written {
             let service = queue.service.clone();
             self.tell_owner(Question::Accepted { service, id, row });
         }
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -132,7 +132,7 @@
     }
 }
 
-/// All cells there should be: one for each service that is not the spare pool, and the upkeep.
+/// All cells there should be: one for each service that is not the spare pool, and the maintenance.
 fn cells(node: &Node) -> Vec<String> {
     let Some(configuration) = node.configuration() else { return Vec::new() };
     let services = configuration.services.iter().filter(|service| !service.spare);
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -47,8 +47,8 @@
     PeerFailures,
     /// Machines moved to another pool.
     Moves,
-    /// Machines whose upkeep began.
-    Upkeeps,
+    /// Machines whose maintenance began.
+    Maintenances,
 }
 
 /// What is timed, in milliseconds.
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -110,7 +110,7 @@
     pub(crate) view: RwLock<View>,
     /// Minions as the platform lists them.
     pub(crate) minions: RwLock<BTreeMap<Arc<str>, minion::Entry>>,
-    /// Waves of upkeep that operators asked for.
+    /// Waves of maintenance that operators asked for.
     pub(crate) waves: RwLock<BTreeMap<u64, Wave>>,
     /// Cells owned here.
     pub(crate) owners: RwLock<BTreeMap<String, Arc<Owner>>>,
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -155,7 +155,7 @@
 /// Buries minions of the roster whose life is over: neither the list of machines nor that of
 /// minions has them any more.
 ///
-/// Moves and upkeep give a machine a new minion each time.  Waiting for the old ones to answer
+/// Moves and maintenance give a machine a new minion each time.  Waiting for the old ones to answer
 /// would keep every inherited job waiting until their leases must have lapsed.
 async fn bury_replaced(owner: &Owner, cell: &mut Cell) {
     let node = &owner.node;
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -110,7 +110,7 @@
     let until = clock::now() + SUBMIT_LIMIT;
     let job = submit::Job { service, id, row, until };
     Answer::Submitted(match submit::write_here(node, &job, SUBMIT_LIMIT).await {
-        Written::Accepted => Submission::Accepted,
+        Written::Accepted(row) => Submission::Accepted { row },
         Written::Refused(_) => Submission::Refused,
         Written::Unknown => Submission::Unknown,
     })
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -23,7 +23,7 @@
     pub metrics_listen: Option<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
-    /// The platform's interface to machines; without it no upkeep is carried out.
+    /// The platform's interface to machines; without it no maintenance is carried out.
     pub machines: Option<SocketAddr>,
     /// The platform's advice service; without it queues that need tickets are not served.
     pub advice: Option<SocketAddr>,
@@ -37,10 +37,10 @@
     pub takeover_after: Span,
     /// Longest time that a minion takes to stop a run.
     pub stop_timeout: Span,
-    /// Time for which holders of the upkeep duty must not take turns.
-    pub upkeep_lease: Span,
-    /// How long a machine is down for its upkeep.
-    pub upkeep_duration: Span,
+    /// Time for which holders of the maintenance duty must not take turns.
+    pub maintenance_lease: Span,
+    /// How long a machine is down for its maintenance.
+    pub maintenance_duration: Span,
     /// How long ended jobs are kept.
     pub retention: Span,
     /// Longest time for a graceful stop.
@@ -73,8 +73,8 @@
             renew: Span::millis(500),
             takeover_after: Span::millis(2000),
             stop_timeout: Span::millis(900),
-            upkeep_lease: Span::millis(3000),
-            upkeep_duration: Span::millis(2000),
+            maintenance_lease: Span::millis(3000),
+            maintenance_duration: Span::millis(2000),
             retention: Span::secs(120),
             stop_bound: Span::millis(6000),
             body_limit: 262_144,
@@ -84,7 +84,7 @@
 
 /// The sections of the file.
 const SECTIONS: [&str; 8] =
-    ["instance", "caller", "peer", "metrics", "platform", "run", "upkeep", "stop"];
+    ["instance", "caller", "peer", "metrics", "platform", "run", "maintenance", "stop"];
 
 impl Settings {
     /// Reads a settings file.
@@ -120,10 +120,10 @@
             run_lease: reader.value("run", "lease", base.run_lease),
             extend_alone: reader.value("run", "extend_alone", base.extend_alone),
             stop_timeout: reader.value("run", "stop_timeout", base.stop_timeout),
-            upkeep_lease: reader.value("upkeep", "lease", base.upkeep_lease),
-            upkeep_duration: {
-                let seconds = base.upkeep_duration.0.as_secs_f64();
-                let seconds: f64 = reader.value("upkeep", "duration_s", seconds);
+            maintenance_lease: reader.value("maintenance", "lease", base.maintenance_lease),
+            maintenance_duration: {
+                let seconds = base.maintenance_duration.0.as_secs_f64();
+                let seconds: f64 = reader.value("maintenance", "duration_s", seconds);
                 Span::millis((seconds.max(0.0) * 1000.0) as u64)
             },
             stop_bound: reader.value("stop", "bound", base.stop_bound),
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -29,8 +29,11 @@
 /// What became of writing a job.
 #[derive(Debug)]
 pub(crate) enum Written {
-    /// It is there, by this request or an earlier one.
-    Accepted,
+    /// It is there, by this request or an earlier one; with the row as it is stored.
+    ///
+    /// An earlier request of the same id may have had another content, and that is the job.  An
+    /// owner told of this request's content instead would run what nobody finds in the store.
+    Accepted(Vec<u8>),
     /// It is certainly not there by this request.
     Refused(Error),
     /// Nobody knows.
@@ -65,13 +68,13 @@
             return give_up(unanswered, "the caller's time is over");
         }
         let here = write_here(node, job, limit).await;
-        if matches!(here, Written::Accepted) {
+        if matches!(here, Written::Accepted(_)) {
             return here;
         }
         unanswered |= matches!(here, Written::Unknown);
         if let Some(peer) = peers.next() {
             let there = write_there(node, peer, job).await;
-            if matches!(there, Written::Accepted) {
+            if matches!(there, Written::Accepted(_)) {
                 return there;
             }
             unanswered |= matches!(there, Written::Unknown);
@@ -104,7 +107,11 @@
         ..Transaction::default()
     };
     match node.commit(&change, COMMIT_LIMIT.min(limit)).await {
-        Ok(_) | Err(Error::Conflict { .. }) => Written::Accepted,
+        Ok(_) => Written::Accepted(job.row.to_vec()),
+        Err(Error::Conflict { rows }) => match rows.into_iter().find(|row| !row.value.is_empty()) {
+            Some(stored) => Written::Accepted(stored.value),
+            None => Written::Unknown,
+        },
         Err(error @ Error::Refused { .. }) => Written::Refused(error),
         Err(_) => Written::Unknown,
     }
@@ -116,7 +123,9 @@
         Question::Submit { service: job.service.into(), id: job.id, row: job.row.to_vec() };
     let answer = node.peers.ask(peer, question).await;
     let (outcome, written) = match answer {
-        Some(Answer::Submitted(Submission::Accepted)) => ("accepted", Written::Accepted),
+        Some(Answer::Submitted(Submission::Accepted { row })) => {
+            ("accepted", Written::Accepted(row))
+        }
         Some(Answer::Submitted(Submission::Refused)) => {
             ("refused", give_up(false, "refused through a peer"))
         }
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -87,6 +87,13 @@
         STANDARD.decode(&row.value).ok()
     }
 
+    /// How many rows a table has whose keys begin with `prefix`.
+    pub fn count(&self, table: &str, prefix: &str) -> usize {
+        let tables = self.tables.lock();
+        let of = |key: &&Key| key.0 == table && key.2.starts_with(prefix);
+        tables.rows.keys().filter(of).count()
+    }
+
     fn transact(&self, body: &Value) -> Response {
         let mut tables = self.tables.lock();
         let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -76,10 +76,13 @@
 }
 
 /// What became of a job that a peer was to write.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Submission {
-    /// It is written.
-    Accepted,
+    /// It is written, by this request or an earlier one.
+    Accepted {
+        /// The row as it is stored.
+        row: Vec<u8>,
+    },
     /// It is certainly not written.
     Refused,
     /// Nobody knows.
--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -130,17 +130,17 @@
             ),
             (
                 "no more machines down than allowed",
-                "engine::upkeep::Planner::decide",
+                "engine::maintenance::Planner::decide",
                 "a_wave_is_completed_with_never_more_down_than_allowed",
             ),
             (
                 "an order that the list doesn't show yet counts",
-                "engine::upkeep::Planner::down",
+                "engine::maintenance::Planner::down",
                 "an_order_that_the_list_does_not_show_yet_counts",
             ),
             (
                 "only an empty machine goes down",
-                "engine::upkeep::Planner::decide",
+                "engine::maintenance::Planner::decide",
                 "a_machine_that_is_not_empty_stays_up",
             ),
             (
--- a/tests/all/pages.rs
+++ b/tests/all/pages.rs
@@ -80,7 +80,7 @@
     assert!(!text.contains("{{"), "{text}");
     let settings = Settings::read(&text).unwrap();
     assert_eq!(settings.peer_listen.to_string(), "10.1.0.9:7060");
-    assert_eq!(settings.upkeep_duration.0.as_millis(), 2500);
+    assert_eq!(settings.maintenance_duration.0.as_millis(), 2500);
     assert!(settings.advice.is_some() && settings.machines.is_some());
 }
 
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -3,8 +3,8 @@
 mod explain;
 mod jobs;
 mod loss;
+mod maintenance;
 mod store;
-mod upkeep;
 
 use async_std::task;
 use celerythread_http::client;
@@ -29,7 +29,7 @@
 lease = 2s
 extend_alone = 1s
 
-[upkeep]
+[maintenance]
 lease = 300ms
 duration_s = 0.4
 
--- a/tests/all/site/jobs.rs
+++ b/tests/all/site/jobs.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use celerythread_standin::site::check;
+use celerythread_standin::site::store::Trouble;
 
 #[async_std::test]
 async fn a_job_is_accepted_run_and_shown_at_every_entry() {
@@ -51,6 +52,33 @@
     assert_eq!(history.len(), 2, "{history:?}");
 }
 
+/// An entry writes a job and is lost before it tells the owner; the caller's next request with the
+/// same id has another content and finds the row.  The owner is told of it first by that request;
+/// it must run what is stored, or a later owner would run something else under the same id.
+#[async_std::test]
+async fn the_owner_runs_what_is_stored_and_not_what_came_second() {
+    let mut deployment = Deployment::start("second", 3, 2).await;
+    let owner = deployment.owner().unwrap();
+    let others: Vec<usize> = (0..3).filter(|index| *index != owner).collect();
+    let (first, second) =
+        (deployment.entries[others[0]].callers, deployment.entries[others[1]].callers);
+    deployment.site.store.trouble(Trouble::LosesAnswers);
+    let lost = task::spawn(async move { submit(first, &id(1), 2, "ms=50").await });
+    eventually("the job is written", async || {
+        (deployment.site.store.count("jobs", "job/") == 1).then_some(())
+    })
+    .await;
+    deployment.entries.remove(others[0]);
+    deployment.site.store.trouble(Trouble::None);
+    assert_eq!(submit(second, &id(1), 7, "ms=50").await, Some(200));
+    eventually("the job is completed", async || {
+        (state(second, &id(1)).await? == "completed").then_some(())
+    })
+    .await;
+    assert_eq!(lost.await, None, "the first request was not answered");
+    assert_eq!(deployment.site.history().len(), 2);
+}
+
 #[async_std::test]
 async fn a_cancelled_job_ends_and_stays_so() {
     let deployment = Deployment::start("cancel", 2, 1).await;
--- a/tests/all/site/upkeep.rs
+++ b/tests/all/site/maintenance.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// A wave goes through machines on which a service runs that may miss one task.  Its users see
-/// it whole but for one task at a time, and no upkeep ends anything that runs.
+/// it whole but for one task at a time, and no maintenance ends anything that runs.
 #[async_std::test]
 async fn a_wave_is_completed_without_ending_what_runs() {
     let deployment = Deployment::start("wave", 2, 5).await;
@@ -20,22 +20,25 @@
         (status["state"] == "completed").then_some(())
     })
     .await;
-    let upkeeps = deployment.site.machines.upkeeps();
-    assert_eq!(upkeeps.len(), 5);
-    assert!(upkeeps.iter().all(|upkeep| upkeep.down <= 2), "{upkeeps:?}");
-    assert!(upkeeps.iter().all(|upkeep| upkeep.ended.is_empty()), "{upkeeps:?}");
+    let maintenances = deployment.site.machines.upkeeps();
+    assert_eq!(maintenances.len(), 5);
+    assert!(maintenances.iter().all(|maintenance| maintenance.down <= 2), "{maintenances:?}");
+    assert!(
+        maintenances.iter().all(|maintenance| maintenance.ended.is_empty()),
+        "{maintenances:?}"
+    );
     for number in 2..30 {
         deployment.until(0, &id(number), "completed").await;
     }
 }
 
 /// The entry that carries the wave is killed in the middle of it; another one goes on, and no
-/// machine has its upkeep twice.
+/// machine has its maintenance twice.
 #[async_std::test]
 async fn a_wave_survives_its_carrier() {
     let mut deployment = Deployment::start("wave-kill", 3, 4).await;
     deployment.site.ask_upkeep(1, &["m-0", "m-1", "m-2", "m-3"], 1);
-    eventually("a machine has had its upkeep", async || {
+    eventually("a machine has had its maintenance", async || {
         (!deployment.site.machines.upkeeps().is_empty()).then_some(())
     })
     .await;
@@ -55,6 +58,6 @@
         (status["state"] == "completed").then_some(())
     })
     .await;
-    let upkeeps = deployment.site.machines.upkeeps();
-    assert_eq!(upkeeps.len(), 4, "{upkeeps:?}");
+    let maintenances = deployment.site.machines.upkeeps();
+    assert_eq!(maintenances.len(), 4, "{maintenances:?}");
 }
