--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -159,13 +159,11 @@
         let mut state = self.state.lock();
         self.advance(&mut state);
         let deadline = body["deadlineMs"].as_u64().unwrap_or(0);
-        let token = body["fencingToken"].as_u64().unwrap_or(0);
         let task = body["task"].as_str().unwrap_or_default().to_owned();
         let run = body["run"].as_u64().unwrap_or(0);
-        if token < state.token {
+        if is_fenced(&mut state, body) {
             return self.conflict("fence");
         }
-        state.token = token;
         if deadline <= self.clock_ms() {
             return self.conflict("late");
         }
@@ -188,11 +186,9 @@
     fn stop(&self, body: &Value) -> Response {
         let mut state = self.state.lock();
         self.advance(&mut state);
-        let token = body["fencingToken"].as_u64().unwrap_or(0);
-        if token < state.token {
+        if is_fenced(&mut state, body) {
             return self.conflict("fence");
         }
-        state.token = token;
         let task = body["task"].as_str().unwrap_or_default().to_owned();
         let run = body["run"].as_u64().unwrap_or(0);
         if state.active.get(&task).is_some_and(|active| active.run == run) {
@@ -210,11 +206,9 @@
         {
             let mut state = self.state.lock();
             self.advance(&mut state);
-            let token = body["fencingToken"].as_u64().unwrap_or(0);
-            if token < state.token {
+            if is_fenced(&mut state, body) {
                 return self.conflict("fence");
             }
-            state.token = token;
             let deadline = body["deadlineMs"].as_u64().unwrap_or(0);
             state.deadline = state.deadline.max(deadline);
             state.ends.retain(|end| end.0 > acknowledged);
@@ -248,6 +242,14 @@
     }
 }
 
+/// Whether an order's token is lower than one seen before; otherwise it is the highest from now on.
+fn is_fenced(state: &mut State, body: &Value) -> bool {
+    let token = body["fencingToken"].as_u64().unwrap_or(0);
+    let fenced = token < state.token;
+    state.token = state.token.max(token);
+    fenced
+}
+
 fn percent(active: &Active) -> u64 {
     let elapsed = active.began.elapsed();
     if active.spec.contains("lasts") {
