An accepted configuration stands before its effects on the time line

Cause: the Lamport clock was one number for the table's revisions and for local events. The entry that wrote a configuration may follow its own row, and note it in force, before the answer to the write arrives; the acceptance was noted last and got a higher clock than its effect.

A position is now the table's revision and a count since; a statement of a revision has the count nought wherever and whenever it is noted. In JSON 'clock' stays a number, 'count' is new.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -2,7 +2,7 @@
 
 use crate::node::Node;
 use crate::peers;
-use celerythread_model::event::Kind;
+use celerythread_model::event::{Clock, Kind};
 use celerythread_model::fleet::State;
 use celerythread_model::table::{Row, Space};
 use celerythread_model::unit::Revision;
@@ -40,7 +40,7 @@
 
 /// Takes rows into the view and acts on what changed.
 pub(crate) fn apply(node: &Node, rows: &[Row], upto: Revision) {
-    node.timeline.witness(upto.0);
+    node.timeline.witness(Clock::statement(upto));
     let before = node.view.read().config_number();
     let changed = node.view.write().apply(rows, upto);
     if changed.config {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -32,7 +32,8 @@
 mod router;
 pub mod settings;
 mod table;
-mod timeline;
+pub mod timeline;
 
 pub use daemon::Daemon;
 pub use settings::Settings;
+pub use timeline::Timeline;
--- a/crates/entry/src/table.rs
+++ b/crates/entry/src/table.rs
@@ -4,7 +4,7 @@
 use crate::metrics::{Counter, Metrics};
 use crate::timeline::Timeline;
 use async_trait::async_trait;
-use celerythread_model::event::Kind;
+use celerythread_model::event::{self, Kind};
 use celerythread_model::unit::Revision;
 use celerythread_platform::message::{Changes, Row, Space, Transaction};
 use celerythread_platform::{Error, Table};
@@ -40,7 +40,7 @@
         let result = self.inner.commit(transaction).await;
         self.note(&result);
         if let Ok(revision) = &result {
-            self.timeline.witness(revision.0);
+            self.timeline.witness(event::Clock::statement(*revision));
         }
         result
     }
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -119,13 +119,56 @@
     },
 }
 
+/// A position in causal order: higher than that of every event known to have come before.
+///
+/// A Lamport clock whose upper part is the table's own order.  All that is agreed goes through
+/// the table, so whoever acts by a revision has seen it and stands above its statement.  The two
+/// parts are separate because a process may see its own transaction through the feed, and act by
+/// it, before the answer to the transaction arrives: with one number, what it notes then pushes
+/// the statement behind its own effects, and so do local events that raise the number beyond the
+/// table's.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct Clock {
+    /// The newest revision of the table that was known.
+    #[serde(rename = "clock")]
+    pub revision: Revision,
+    /// Events since; nought for the statement of the revision itself.
+    #[serde(default)]
+    pub count: u64,
+}
+
+impl Clock {
+    /// The position of what a committed revision states.
+    pub fn statement(revision: Revision) -> Self {
+        Self { revision, count: 0 }
+    }
+
+    /// Moves on for an event of this process, and returns its position.
+    pub fn advance(&mut self) -> Self {
+        self.count += 1;
+        *self
+    }
+
+    /// Rises to a position that was heard of.
+    pub fn witness(&mut self, other: Self) {
+        *self = (*self).max(other);
+    }
+}
+
+impl fmt::Display for Clock {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.revision, self.count)
+    }
+}
+
 /// An event with its place in time and causal order.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Event {
     /// The process it happened in.
     pub process: id::Entry,
-    /// A Lamport clock: higher than that of every event known to have come before.
-    pub clock: u64,
+    /// Its position in causal order.
+    #[serde(flatten)]
+    pub clock: Clock,
     /// Milliseconds since the Unix epoch by the process's own clock; for people only.
     pub at: u64,
     /// What happened.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -2,6 +2,7 @@
 
 use crate::job;
 use celerythread_model::code::Code;
+use celerythread_model::event;
 use celerythread_model::id;
 use celerythread_model::request::Class;
 use celerythread_model::table::Row;
@@ -60,8 +61,8 @@
 pub struct Beat {
     /// The sender.
     pub entry: id::Entry,
-    /// The sender's Lamport clock.
-    pub clock: u64,
+    /// The sender's position in causal order.
+    pub clock: event::Clock,
     /// The number of the configuration that it acts by.
     pub config: Revision,
     /// The revision up to which its view is complete.
