Lasting tasks are spread, and find room on a minion that is being emptied

Two tasks of a step go together at most before a further minion is taken. A lasting task that has waited 1.5 s goes to a sound minion that is to be emptied, if that one isn't empty: an empty one may be ordered down at any moment.

Before: runs::the_tasks_of_a_lasting_job_are_spread and runs::a_lasting_task_returns_to_a_minion_that_is_being_emptied_if_nothing_else_has_room fail with their guards taken out; the second fails too when an empty minion is taken. After: 65 pass.

--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -185,10 +185,22 @@
 
     /// Whether it can be given tasks.
     pub(crate) fn takes_work(&self, now: Time) -> bool {
+        !self.leaving && !self.is_empty() && self.is_sound(now)
+    }
+
+    /// Whether it can be given a lasting task that finds no room elsewhere, although it is to be
+    /// emptied.
+    ///
+    /// One that is empty may be ordered down at any moment, and is never filled again.  One that
+    /// isn't can't be before this owner has said that it is.
+    pub(crate) fn is_refuge(&self, now: Time) -> bool {
+        self.leaving && !self.is_empty() && self.is_sound(now)
+    }
+
+    fn is_sound(&self, now: Time) -> bool {
         self.listed
             && self.answered
             && self.reachable
-            && !self.leaving
             && !self.listing.draining
             && !self.reserved
             && now >= self.quarantined
--- a/crates/engine/src/cell/place.rs
+++ b/crates/engine/src/cell/place.rs
@@ -6,6 +6,7 @@
 use crate::job::{Resources, Step, TaskName};
 use crate::time::Time;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Penalties of a placement, in thousandths of a core of free room that would outweigh them.
 /// Only their order matters: first not where the task failed, then near its data, then on a
@@ -15,13 +16,24 @@
     pub(super) const AVOID: u64 = 1_000_000_000;
     /// Away from the rack with its data.
     pub(super) const REMOTE: u64 = 10_000_000;
+    /// Lasting: each task of the same step that is there.  Two of them go together before a
+    /// further minion is kept from moving, a third doesn't: with a minion lost, its users lose a
+    /// part of their service, and tasks that have to leave one after the other can go.
+    pub(super) const SAME_STEP: u64 = 250_000;
+    /// Most tasks of the same step that count, so that they weigh less than a failure.
+    pub(super) const SAME_STEP_MOST: u32 = 3;
     /// Lasting: where no other lasting task is.
-    pub(super) const ALONE: u64 = 100_000;
+    pub(super) const ALONE: u64 = 400_000;
     /// A failure there since its last success, or slowness.
     pub(super) const FAILING: u64 = 1_000_000;
 }
 
-/// Tasks of a step on each minion, for steps with a limit per minion.
+/// How long a lasting task waits for room before it goes to a minion that is being emptied.
+/// Most ending tasks take about a second, so most room that is to come has come by then; its
+/// users notice its absence after some 3 s, of which a start takes up to one.
+const REFUGE_AFTER: Duration = Duration::from_millis(1500);
+
+/// Tasks of a step on each minion, for steps with a limit per minion and lasting ones.
 pub(crate) type Spread = BTreeMap<MinionId, u32>;
 
 impl Cell {
@@ -47,13 +59,43 @@
         spread: &Spread,
         now: Time,
         may_run: impl Fn(&str) -> bool,
+    ) -> Option<MinionId> {
+        let may_run = |minion: &Minion| minion.takes_work(now) && may_run(&minion.id);
+        self.find_among(step, task, spread, may_run)
+    }
+
+    /// A minion that is being emptied, for a lasting task that has waited in vain.
+    ///
+    /// While a wave empties most minions of a pool, the rest may have no room for long: the task
+    /// would stay away although its former minion has room, and while it is away no other task of
+    /// its step may leave, so that the wave would stand still, too.
+    pub(crate) fn find_refuge(
+        &self,
+        step: &Step,
+        task: &Task,
+        spread: &Spread,
+        now: Time,
+        may_run: impl Fn(&str) -> bool,
+    ) -> Option<MinionId> {
+        if !step.lasting || now.since(task.waits_since) < REFUGE_AFTER {
+            return None;
+        }
+        let may_run = |minion: &Minion| minion.is_refuge(now) && may_run(&minion.id);
+        self.find_among(step, task, spread, may_run)
+    }
+
+    fn find_among(
+        &self,
+        step: &Step,
+        task: &Task,
+        spread: &Spread,
+        may_run: impl Fn(&Minion) -> bool,
     ) -> Option<MinionId> {
         let need = step.counted_need();
         self.minions
             .values()
-            .filter(|minion| minion.takes_work(now) && fits(minion, step, &need, spread))
-            .filter(|minion| may_run(&minion.id))
-            .min_by_key(|minion| (cost(minion, step, task, &need), minion.id.clone()))
+            .filter(|minion| may_run(minion) && fits(minion, step, &need, spread))
+            .min_by_key(|minion| (cost(minion, step, task, &need, spread), minion.id.clone()))
             .map(|minion| minion.id.clone())
     }
 
@@ -128,7 +170,9 @@
                 .filter(|(_, room)| room.holds(&need))
                 .filter_map(|(id, _)| self.minions.get(id))
                 .filter(|minion| fits(minion, step, &need, &spread))
-                .min_by_key(|minion| (cost(minion, step, task, &need), minion.id.clone()))?;
+                .min_by_key(|minion| {
+                    (cost(minion, step, task, &need, &spread), minion.id.clone())
+                })?;
             let id = place.id.clone();
             let room = free.get_mut(&id)?;
             *room = room.less(&need);
@@ -161,13 +205,15 @@
     labelled && spaced
 }
 
-fn cost(minion: &Minion, step: &Step, task: &Task, need: &Resources) -> u64 {
+fn cost(minion: &Minion, step: &Step, task: &Task, need: &Resources, spread: &Spread) -> u64 {
     let mut cost = minion.free().cpu - need.cpu.min(minion.free().cpu);
     if step.lasting {
         // Lasting tasks of different jobs go together: their minions can't be given to another
-        // pool and have to be evacuated for maintenance, so they should be few.  Each job loses one
-        // task with a minion either way.
-        cost = minion.free().cpu + penalty::ALONE * u64::from(minion.lasting == 0);
+        // pool and have to be evacuated for maintenance, so they should be few.
+        let same = spread.get(&minion.id).copied().unwrap_or(0).min(penalty::SAME_STEP_MOST);
+        cost = minion.free().cpu
+            + penalty::ALONE * u64::from(minion.lasting == 0)
+            + penalty::SAME_STEP * u64::from(same);
     }
     if step.fills {
         // What fills goes where most is unused, and not beside serving tasks.
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -1,6 +1,6 @@
 //! What is started and stopped now.
 
-use crate::cell::minion::{MinionId, Run, RunPhase};
+use crate::cell::minion::{Minion, MinionId, Run, RunPhase};
 use crate::cell::work::Phase;
 use crate::cell::{Cell, Job, Note};
 use crate::job::{Id, Step, TaskName};
@@ -257,7 +257,8 @@
         self.minions.values_mut().for_each(|minion| minion.reserved = false);
         let mut reserves = true;
         for (rank, id) in ranked {
-            if !self.minions.values().any(|minion| minion.takes_work(now)) {
+            let takes = |minion: &Minion| minion.takes_work(now) || minion.is_refuge(now);
+            if !self.minions.values().any(takes) {
                 return;
             }
             let waiting = self.start_job(id, now, wall_ms, orders);
@@ -334,13 +335,15 @@
             if task.phase != Phase::Waiting || now < task.not_before {
                 continue;
             }
-            if step.per_minion.is_some() && spread.is_none() {
+            if (step.per_minion.is_some() || step.lasting) && spread.is_none() {
                 spread = Some(self.spread(&name));
             }
             let empty = Default::default();
             let used = spread.as_ref().unwrap_or(&empty);
             let may_run = |id: &str| !advised || self.ticket(&name, id, now).is_some();
-            let Some(minion) = self.find_minion(&step, task, used, now, may_run) else {
+            let minion = self.find_minion(&step, task, used, now, may_run);
+            let minion = minion.or_else(|| self.find_refuge(&step, task, used, now, may_run));
+            let Some(minion) = minion else {
                 if advised {
                     self.want_advice(&name, (step.count - index) as usize, now);
                     return None;
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -355,12 +355,13 @@
     }
 
     /// Puts a task back to wait if its run on `minion` was the current one.
-    pub(crate) fn give_up(&mut self, minion: &MinionId, name: &TaskName, run: u32, _now: Time) {
+    pub(crate) fn give_up(&mut self, minion: &MinionId, name: &TaskName, run: u32, now: Time) {
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         let Some(task) = job.task_mut(name) else { return };
         let current = matches!(&task.phase, Phase::Placed { minion: at } if at == minion);
         if current && task.run == run {
             task.phase = Phase::Waiting;
+            task.waits_since = now;
         }
     }
 
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -34,6 +34,8 @@
     pub checkpoint: Option<Box<str>>,
     /// It isn't started before.
     pub not_before: Time,
+    /// When its last run was given up; the start of time before the first one.
+    pub waits_since: Time,
     /// Where it failed last, to try another minion next.
     pub avoid: Option<MinionId>,
     /// Whether it was stopped once on a slow minion, to be begun anew elsewhere.
--- a/crates/engine/tests/all/runs.rs
+++ b/crates/engine/tests/all/runs.rs
@@ -208,6 +208,57 @@
     assert!(active.iter().any(|(_, name, _)| name.job == id(2)));
 }
 
+/// A wave empties all minions of a pool but one, which is full.  A lasting task that has failed
+/// finds no room and stays away for as long as the wave, although the minion it ran on has room;
+/// and while it is away its service's other tasks may not leave, so the wave stands still as well.
+#[test]
+fn a_lasting_task_returns_to_a_minion_that_is_being_emptied_if_nothing_else_has_room() {
+    let mut world = World::new(2);
+    let need = celerythread_engine::job::Resources { cpu: 16_000, memory_mb: 512, gpu: 0 };
+    let lasting = Step { lasting: true, may_be_away: Some(1), ..step(2) };
+    world.submit(1, definition(vec![lasting]));
+    let started = world.start_all();
+    let (home, full) = (started[0].0.clone(), World::minion(1));
+    assert!(started.iter().all(|start| start.0 == home));
+    world.submit(2, definition(vec![Step { need, ..step(1) }]));
+    assert_eq!(world.start_all()[0].0, full);
+
+    world.cell.set_leaving(&home, true);
+    world.end(&home, started[0].1, started[0].2, How::Failed);
+    progress(&mut world, &started[1..], 100);
+    assert!(world.start_all().is_empty(), "room elsewhere may still come");
+    (0..3).for_each(|_| progress(&mut world, &started[1..], 100));
+    let again = world.start_all();
+    assert_eq!(again[0].0, home);
+
+    // Once empty, it may go down at any moment.
+    world.end(&home, again[0].1, again[0].2, How::Failed);
+    world.end(&home, started[1].1, started[1].2, How::Failed);
+    assert_eq!(world.cell.load().empty, [home.to_string()]);
+    world.pass(3000);
+    assert!(world.start_all().is_empty());
+}
+
+/// The six tasks of a lasting job stand on one minion, because lasting tasks are packed.  With
+/// that minion its users lose the whole service, and before maintenance of it the tasks have to
+/// leave one after the other.
+#[test]
+fn the_tasks_of_a_lasting_job_are_spread() {
+    let mut world = World::new(6);
+    let lasting = Step { lasting: true, ..step(6) };
+    world.submit(1, definition(vec![lasting.clone()]));
+    world.submit(2, definition(vec![lasting]));
+    let started = world.start_all();
+    let minions: std::collections::BTreeSet<_> = started.iter().map(|start| &start.0).collect();
+    assert_eq!(minions.len(), 3, "and the second job goes where the first one is");
+    for minion in minions {
+        for job in [1, 2] {
+            let here = started.iter().filter(|s| s.0 == *minion && s.1.job == id(job));
+            assert_eq!(here.count(), 2);
+        }
+    }
+}
+
 /// Reports the same progress of runs on their minions, some time after the last report.
 fn progress(
     world: &mut World,
