Minions that are empty take work again; a new lasting task waits before its refuge, too

A task that was never started waited since the start of time and would have gone to a minion being emptied at once; it waits from its job's acceptance on.

--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -185,7 +185,7 @@
 
     /// Whether it can be given tasks.
     pub(crate) fn takes_work(&self, now: Time) -> bool {
-        !self.leaving && !self.is_empty() && self.is_sound(now)
+        !self.leaving && self.is_sound(now)
     }
 
     /// Whether it can be given a lasting task that finds no room elsewhere, although it is to be
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -34,7 +34,7 @@
     pub checkpoint: Option<Box<str>>,
     /// It isn't started before.
     pub not_before: Time,
-    /// When its last run was given up; the start of time before the first one.
+    /// When its last run was given up, or its job was accepted.
     pub waits_since: Time,
     /// Where it failed last, to try another minion next.
     pub avoid: Option<MinionId>,
@@ -81,7 +81,8 @@
         let occurrences = definition.occurrences();
         let counts: Vec<u32> = definition.steps.iter().map(|step| step.count).collect();
         let open = counts.repeat(occurrences as usize);
-        let tasks = vec![Task::default(); (next * occurrences) as usize];
+        let task = Task { waits_since: since, ..Task::default() };
+        let tasks = vec![task; (next * occurrences) as usize];
         Self {
             accepted,
             inherited,
