An entry that wakes up takes nobody for lost

Cause, from the daemons' lines of a failed run: the woken entry had heard nobody for its own pause of 4 s, judged its living peers lost and took three minions over, one of them being drained by its owner. The drain waited for the outstanding work that the former owner had shown last, until its deadline: 30 s (drain-done 30.1 s after the takeover).

Ruled out: the lease of the fleet's duty (lost at once on waking, as it should), the wave itself.

Silence counts only from the end of the last own pause; pauses are noticed by a gap between looks each 200 ms (before: 500 ms), from half the time to a takeover or 2 s on, whichever is less.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -8,7 +8,7 @@
 use crate::follow;
 use crate::front::Front;
 use crate::membership::{self, Addresses};
-use crate::metrics::{Counter, Metrics};
+use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::operator::Operator;
 use crate::owner;
@@ -24,6 +24,7 @@
 use celerythread_model::event::Kind;
 use celerythread_model::id;
 use celerythread_platform::Platform;
+use celerythread_policy::pause;
 use celerythread_policy::view::View;
 use celerythread_sync::Wake;
 use celerythread_wire::endpoint;
@@ -40,10 +41,16 @@
 /// Time between two looks at whether a stop is complete.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
-/// Time between two ticks of the pause detector, and the gap that counts as a pause.
-const TICK: Duration = Duration::from_millis(500);
+/// Time between two looks at the clock, for noticing pauses of this process.
+const TICK: Duration = Duration::from_millis(200);
+
+/// A gap between two looks that counts as a pause: ten of them in a row left out.
 const PAUSE: Duration = Duration::from_secs(2);
 
+/// Part of the time to a takeover that counts as a pause in any case: after a shorter one, living
+/// peers are heard again before they would be taken for lost.
+const PAUSE_PART: u32 = 2;
+
 /// Most connections of callers at once; each can hold one request body in memory.
 const MAX_CONNECTIONS: usize = 4096;
 
@@ -256,6 +263,7 @@
         clock,
         reachable: AtomicBool::new(true),
     };
+    let pause = PAUSE.min(settings.takeover_after.0 / PAUSE_PART);
     let longest_beat = settings.beat.0.max(settings.far_beat.0);
     Node {
         me,
@@ -272,6 +280,7 @@
         timeline,
         metrics,
         ready: AtomicBool::new(false),
+        pauses: Mutex::new(pause::Watch::new(pause)),
         stopping: AtomicBool::new(false),
         flying: AtomicUsize::new(0),
         wake: Wake::default(),
@@ -312,16 +321,9 @@
     }
 }
 
-/// Notices that this process was paused, and brings the view up to date at once: what it knew
-/// may be long out of date.
+/// Notices that this process was paused.
 async fn watch_pauses(node: Arc<Node>) {
-    let mut last = node.clock.now();
     while node.pause(TICK).await {
-        let now = node.clock.now();
-        if now.since(last) >= PAUSE {
-            node.count(Counter::Pauses);
-            node.wake.wake();
-        }
-        last = now;
+        node.note_running(node.clock.now());
     }
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -2,7 +2,7 @@
 //!
 //! # Lock order
 //!
-//! `view` → `router` → `peers` → `holding` → `timeline`.  A lock is only taken while locks
+//! `view` → `router` → `peers` → `holding` → `timeline` → `pauses`.  A lock is only taken while locks
 //! before it in this list are held, and no lock is held across an await.
 
 use crate::bounded;
@@ -17,12 +17,15 @@
 use celerythread_model::event::Kind;
 use celerythread_model::id;
 use celerythread_platform::Platform;
+use celerythread_policy::pause;
+use celerythread_policy::time::Moment;
 use celerythread_policy::view::View;
 use celerythread_sync::Wake;
 use parking_lot::{Mutex, RwLock};
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
 use stop_token::StopToken;
 
 /// The shared parts of a daemon.
@@ -55,6 +58,8 @@
     pub(crate) memory: bounded::Pool,
     /// Whether the balancer may send callers here.
     pub(crate) ready: AtomicBool,
+    /// Notices when this process stood still.
+    pub(crate) pauses: Mutex<pause::Watch>,
     /// Whether no new work is taken any more.
     pub(crate) stopping: AtomicBool,
     /// Requests of callers being worked on.
@@ -77,11 +82,25 @@
     }
 
     /// Sleeps; tells whether the task should go on.
-    pub(crate) async fn pause(&self, time: std::time::Duration) -> bool {
+    pub(crate) async fn pause(&self, time: Duration) -> bool {
         use stop_token::future::FutureExt;
         async_std::task::sleep(time).timeout_at(self.stop.clone()).await.is_ok()
     }
 
+    /// Notes that this process runs.  After a standstill it brings the view up to date at once:
+    /// what it knew may be long out of date.
+    pub(crate) fn note_running(&self, now: Moment) {
+        if self.pauses.lock().observe(now) {
+            self.count(Counter::Pauses);
+            self.wake.wake();
+        }
+    }
+
+    /// For how long a peer last heard at `heard` could have been heard again and wasn't.
+    pub(crate) fn silence(&self, heard: Moment, now: Moment) -> Duration {
+        self.pauses.lock().silence(heard, now)
+    }
+
     /// Counts one.
     pub(crate) fn count(&self, counter: Counter) {
         self.metrics.count(counter);
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -93,13 +93,15 @@
 
 fn candidates(node: &Node, view: &View) -> BTreeMap<id::Entry, Candidate> {
     let now = node.clock.now();
+    // Woken up, this may run before the regular look at the clock.
+    node.note_running(now);
     let peers = node.peers.read();
     let of = |row: &fleet::Registration| {
         let myself = row.entry == node.me;
         let peer = peers.get(&row.entry);
         // A peer never heard counts from our own start.
         let heard = peer.map_or_else(Default::default, |peer| peer.heard);
-        let silence = now.since(heard);
+        let silence = node.silence(heard, now);
         let stopping = if myself { node.is_stopping() } else { row.stopping };
         let answers = myself || peer.is_some_and(|peer| peer.beat.is_some());
         Candidate {
--- a/tests/all/processes.rs
+++ b/tests/all/processes.rs
@@ -107,6 +107,10 @@
         assert!(matches!(one.told, Told::Answer(200, _)), "{}: {:?}", one.id, one.told);
     }
     assert_eq!(history::check(&asked, &fleet.runs()), []);
+    // Its peers were silent for it only because it stood still itself.
+    let events = get(fleet.daemons[0].operators, "/v1/timeline").await.unwrap();
+    let taken_over = events.as_array().unwrap().iter().filter(|event| event["takeover"] == true);
+    assert_eq!(taken_over.count(), 0, "{events}");
     let rows = fleet.platform.memory.roster.now();
     for minion in rows.iter().filter(|i| i.role == Role::Minion) {
         assert_eq!(minion.boot, 2, "{} booted {} times", minion.name, minion.boot);
