--- a/crates/engine/src/patience.rs
+++ b/crates/engine/src/patience.rs
@@ -23,6 +23,21 @@
 /// Doublings of the wait at most.
 const MOST_DOUBLINGS: u32 = 4;
 
+/// Times a read's duration that a write may take before it counts as lost.  A read waits for
+/// nobody; a write takes its turn in its partition, where up to a second of others wait, some
+/// two to four times what a call takes when the store is a hundred times slower than usual.
+const TIMES_READ: u32 = 4;
+
+/// Whether a write without an answer after `waited` is lost rather than on its way: a read that
+/// took `read` doesn't show it.
+///
+/// A slow store can't be told from a lost answer by the write alone.  Written again each time, a
+/// row would take its partition's turn several times over, and at four turns a second for all of
+/// its rows soon none of them would be answered in time.
+pub fn is_lost(waited: Duration, read: Duration) -> bool {
+    waited >= LEAST.max(read * TIMES_READ)
+}
+
 /// How long to wait, learnt from the answers' times.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
--- a/crates/engine/tests/all/patience.rs
+++ b/crates/engine/tests/all/patience.rs
@@ -1,6 +1,6 @@
 //! How long answers are waited for.
 
-use celerythread_engine::patience::Patience;
+use celerythread_engine::patience::{Patience, is_lost};
 use std::time::Duration;
 
 /// Half of the answers are lost.  A caller who waits a second for each waits through its whole
@@ -34,3 +34,14 @@
     patience.answered(slow);
     assert!(patience.limit() >= slow, "and then at once");
 }
+
+/// Every copy of a write takes its partition's turn.  While the store is slow, an overdue write is
+/// on its way and must not be sent again; while others are answered at once, it is lost.
+#[test]
+fn a_write_is_lost_only_by_the_measure_of_a_read() {
+    let overdue = Duration::from_millis(300);
+    assert!(is_lost(overdue, Duration::from_millis(6)));
+    assert!(!is_lost(overdue, Duration::from_millis(240)));
+    assert!(!is_lost(Duration::from_millis(1400), Duration::from_millis(400)), "its turn may come");
+    assert!(!is_lost(Duration::from_millis(20), Duration::from_millis(1)), "it isn't even late");
+}
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -41,8 +41,13 @@
 pub(crate) async fn renew_forever(node: Arc<Node>, peer: SocketAddr) {
     loop {
         // One that failed leaves less time until others take over, so it is repeated sooner.
+        let began = clock::now();
         let done = renew(&node, peer).await;
         let pause = if done { node.settings.renew.0 } else { node.settings.renew.0 / 5 };
+        // Reckoned from its sending: a slow store takes most of a second for a renewal, and with
+        // a pause after it the last one would be too old to start anything for a third of the
+        // time.
+        let pause = pause.saturating_sub(clock::now().since(began));
         if !node.pause(pause).await {
             return;
         }
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -121,7 +121,7 @@
     /// Figures.
     pub(crate) metrics: Arc<Metrics>,
     /// How long transactions of the store are waited for.
-    patience: Mutex<Patience>,
+    pub(crate) patience: Mutex<Patience>,
     /// When the last successful renewal of this entry's row was sent.
     renewed: AtomicU64,
     /// Whether the store answered last.
@@ -244,8 +244,17 @@
         change: &store::Transaction,
         limit: Duration,
     ) -> Result<u64, store::Error> {
-        let began = clock::now();
         let limit = limit.min(self.patience.lock().limit());
+        self.commit_patiently(change, limit).await
+    }
+
+    /// The same, with the whole of `limit` to wait.
+    pub(crate) async fn commit_patiently(
+        &self,
+        change: &store::Transaction,
+        limit: Duration,
+    ) -> Result<u64, store::Error> {
+        let began = clock::now();
         let result = self.store.commit(change, limit).await;
         let took = clock::now().since(began);
         self.metrics.time(crate::metrics::Timing::Commit, took);
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -10,6 +10,7 @@
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Time between two looks of a feed that waits.
@@ -30,8 +31,16 @@
     Silent,
     /// It carries transactions out and doesn't answer them.
     LosesAnswers,
+    /// Every call takes [`SLOW`], and the transactions of a partition take their turns.
+    Slow,
 }
 
+/// How long a call takes while the store is slow: a hundred times the usual.
+const SLOW: Duration = Duration::from_millis(400);
+
+/// A partition before which transactions of this time wait takes no more.
+const QUEUE: Duration = Duration::from_secs(1);
+
 type Key = (String, String, String);
 
 #[derive(Clone, Debug)]
@@ -53,7 +62,9 @@
 /// The store.
 #[derive(Default)]
 pub struct Store {
-    tables: Mutex<Tables>,
+    tables: Arc<Mutex<Tables>>,
+    /// While the store is slow, when each partition is free again.
+    busy_until: Mutex<BTreeMap<String, Instant>>,
     trouble: Mutex<Trouble>,
     /// The table whose feed brings nothing for now.
     held_feed: Mutex<Option<String>>,
@@ -101,28 +112,26 @@
         tables.rows.keys().filter(of).count()
     }
 
-    fn transact(&self, body: &Value) -> Response {
-        let mut tables = self.tables.lock();
-        let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
-        let wrong: Vec<Value> = list("expect")
-            .iter()
-            .filter(|row| {
-                let known = tables.rows.get(&key(row)).map_or(0, |row| row.version);
-                known != row["ver"].as_u64().unwrap_or(0)
-            })
-            .map(|row| tables.show(&key(row)))
-            .collect();
-        if !wrong.is_empty() {
-            return answer(412, json!({ "rows": wrong, "ver": tables.version }));
-        }
-        tables.version += 1;
-        for row in list("writes") {
-            tables.write_at(key(&row), row["value"].as_str().unwrap_or_default().into());
-        }
-        for row in list("remove") {
-            tables.drop_at(key(&row));
-        }
-        answer(200, json!({ "ver": tables.version }))
+    /// Carries a transaction out in its partition's turn, whether its caller waits or not.
+    async fn transact_slowly(&self, body: Value) -> Response {
+        let entry = ["expect", "writes", "remove"].iter().find_map(|name| body[name].get(0));
+        let part = entry.map(|row| key(row).1).unwrap_or_default();
+        let now = Instant::now();
+        let done = {
+            let mut busy = self.busy_until.lock();
+            let free = busy.get(&part).copied().unwrap_or(now).max(now);
+            if free - now > QUEUE {
+                return answer(429, json!({}));
+            }
+            busy.insert(part, free + SLOW);
+            free + SLOW
+        };
+        let tables = self.tables.clone();
+        task::spawn(async move {
+            task::sleep(done - now).await;
+            transact(&mut tables.lock(), &body)
+        })
+        .await
     }
 
     fn range(&self, request: &Request) -> Response {
@@ -219,6 +228,29 @@
     }
 }
 
+fn transact(tables: &mut Tables, body: &Value) -> Response {
+    let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+    let wrong: Vec<Value> = list("expect")
+        .iter()
+        .filter(|row| {
+            let known = tables.rows.get(&key(row)).map_or(0, |row| row.version);
+            known != row["ver"].as_u64().unwrap_or(0)
+        })
+        .map(|row| tables.show(&key(row)))
+        .collect();
+    if !wrong.is_empty() {
+        return answer(412, json!({ "rows": wrong, "ver": tables.version }));
+    }
+    tables.version += 1;
+    for row in list("writes") {
+        tables.write_at(key(&row), row["value"].as_str().unwrap_or_default().into());
+    }
+    for row in list("remove") {
+        tables.drop_at(key(&row));
+    }
+    answer(200, json!({ "ver": tables.version }))
+}
+
 fn show((table, part, key): &Key, value: &str, version: u64) -> Value {
     json!({ "table": table, "part": part, "key": key, "value": value, "ver": version })
 }
@@ -251,12 +283,16 @@
         match trouble {
             Trouble::Refuses => return answer(503, json!({})),
             Trouble::Silent => return hang().await,
-            Trouble::None | Trouble::LosesAnswers => {}
+            Trouble::Slow if request.path() != "/-/rows-tx" => task::sleep(SLOW).await,
+            Trouble::None | Trouble::LosesAnswers | Trouble::Slow => {}
         }
         match request.path() {
             "/-/rows-tx" => {
                 let body = serde_json::from_slice(&request.body).unwrap_or_default();
-                let response = self.transact(&body);
+                if trouble == Trouble::Slow {
+                    return self.transact_slowly(body).await;
+                }
+                let response = transact(&mut self.tables.lock(), &body);
                 if trouble == Trouble::LosesAnswers { hang().await } else { response }
             }
             "/-/rows-get" => self.range(&request),
--- a/tests/all/site/store.rs
+++ b/tests/all/site/store.rs
@@ -67,3 +67,34 @@
         deployment.until(1, &id(number), "completed").await;
     }
 }
+
+/// Callers of a burst are refused or left in doubt for as long as the store is slow.  Each
+/// unanswered write was sent again, each copy took its partition's turn, and soon no write was
+/// answered within its caller's time.
+#[async_std::test]
+async fn a_slow_store_takes_in_a_burst() {
+    const JOBS: u32 = 60;
+    /// Each partition gets two of the jobs, and carries out two and a half in this time.
+    const GAP: Duration = Duration::from_millis(40);
+    let deployment = Deployment::start("store-slow", 2, 2).await;
+    deployment.site.store.trouble(Trouble::Slow);
+    let mut sent = Vec::new();
+    for number in 0..JOBS {
+        let entry = deployment.entries[number as usize % 2].callers;
+        let job = id(number);
+        sent.push(task::spawn(async move {
+            let status = submit(entry, &job, 2, "ms=50").await.unwrap_or(0);
+            (job, status)
+        }));
+        task::sleep(GAP).await;
+    }
+    let mut answers = BTreeMap::new();
+    for one in sent {
+        let (job, status) = one.await;
+        answers.insert(job, status);
+    }
+    deployment.site.store.trouble(Trouble::None);
+    let accepted = answers.values().filter(|status| **status == 200).count();
+    assert!(accepted as u32 >= JOBS * 9 / 10, "{accepted} of {JOBS}: {answers:?}");
+    check_all(&deployment, &answers).await;
+}
