What nobody could read is nobody's silence

When it was back every row was as old as the outage, and four of five cells changed hands within a second although every holder lived; one changed twice.

Silence is measured up to the last answered read of the control table, and a gap of 1.2 s or more between two of them begins it anew. The table is read with a wait of 0.4 s at most, so that two reads fit into the shortest term.

Test: ownership::an_outage_of_the_store_is_nobodys_silence.

--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -85,6 +85,22 @@
     },
 }
 
+/// Time between two answered reads after which silence isn't judged by them.  They are at most 0.7 s
+/// apart as a rule, and 1.1 s when the store is a hundred times slower.
+const BLIND: Duration = Duration::from_millis(1200);
+
+/// Notes that a read of the table was answered, the one before at `before`; to be called before
+/// what it brought is taken in.
+///
+/// While the store is away nobody can renew, and nobody can see it.  When it is back, every row is
+/// as old as the outage: judged by that, all entries would take cells from holders that live,
+/// and stop each other's tasks.  So what nobody could see doesn't count as silence.
+pub fn note_read(entries: &mut BTreeMap<String, Entry>, before: Time, now: Time) {
+    if now.since(before) >= BLIND {
+        entries.values_mut().for_each(|entry| entry.seen = entry.seen.max(now));
+    }
+}
+
 /// Order of candidates for a cell: the same at every entry, and different for each cell, so
 /// that cells spread over the entries.
 pub fn rank(cell: &str, entry: &str) -> u64 {
@@ -100,7 +116,8 @@
 /// Judges a cell.
 ///
 /// `owned` counts the cells that each entry holds: a candidate with fewer comes first, so that
-/// one entry doesn't end with all cells after its peers restarted in turn.  Then the one with
+/// one entry doesn't end with all cells after its peers restarted in turn.  `now` is when a read
+/// of the rows was last answered: a row that nobody could read since isn't silent.  Then the one with
 /// more of a processor: a large cell on an eighth of a core answers its peers too late, and its
 /// minions' progress looks like a standstill.
 pub fn judge(
--- a/crates/engine/tests/all/ownership.rs
+++ b/crates/engine/tests/all/ownership.rs
@@ -2,7 +2,7 @@
 
 use assert_matches::assert_matches;
 use celerythread_engine::ownership::{
-    Entry, Holding, Settings, Verdict, judge, rank, successor, term,
+    Entry, Holding, Settings, Verdict, judge, note_read, rank, successor, term,
 };
 use celerythread_engine::time::Time;
 use std::collections::BTreeMap;
@@ -120,3 +120,17 @@
     assert_eq!(verdict("a", Some("b"), &entries, 10_000), Verdict::Leave);
     assert_matches!(verdict("a", Some("b"), &entries, 10_500), Verdict::Take { .. });
 }
+
+/// The store was away for two seconds.  In the moment it is back all cells change hands, although
+/// every holder lives: the rows are older than the term, because nobody could renew them, and
+/// each entry reads them before their holders have written again.
+#[test]
+fn an_outage_of_the_store_is_nobodys_silence() {
+    let mut entries = entries(10_000, &[], &["a", "b"]);
+    let (before, after) = (Time(10_000), Time(12_600));
+    note_read(&mut entries, before, after);
+    assert_eq!(verdict("a", Some("b"), &entries, after.0), Verdict::Leave);
+    let later = after + TERM;
+    note_read(&mut entries, Time(later.0 - 600), later);
+    assert_matches!(verdict("a", Some("b"), &entries, later.0), Verdict::Take { .. }, "it is lost");
+}
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -8,9 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Longest wait of one feed call.  A connection that goes silent is found out only when the
-/// answer is overdue, so this bounds the age of a configuration then.
-const FEED_WAIT: Duration = Duration::from_millis(1000);
+/// Longest wait of one feed call as a rule.  A connection that goes silent is found out only when
+/// the answer is overdue, so this bounds the age of a configuration then.
+pub(crate) const FEED_WAIT: Duration = Duration::from_millis(1000);
 
 /// Pause after a failed call.
 const RETRY: Duration = Duration::from_millis(150);
@@ -24,6 +24,8 @@
     fn replace(&self, rows: Vec<Row>, version: u64);
     /// Takes in changes.
     fn change(&self, rows: Vec<Row>);
+    /// Takes in that a read was answered, before what it brought.
+    fn answered(&self) {}
 }
 
 /// A table to follow.
@@ -34,6 +36,8 @@
     pub(crate) has_parts: bool,
     /// Pause between two calls, to gather changes.
     pub(crate) pause: Duration,
+    /// Longest wait of one call for a change.
+    pub(crate) wait: Duration,
 }
 
 /// Follows a table until the node stops or `sink` is dropped by its owner.
@@ -50,10 +54,13 @@
     version: &mut u64,
 ) {
     while node.pause(table.pause).await {
-        let result = node.store.feed(table.name, *version, FEED_WAIT).await;
+        let result = node.store.feed(table.name, *version, table.wait).await;
         node.store_result(&result);
         match result {
-            Ok(page) => take(page, version, sink),
+            Ok(page) => {
+                sink.answered();
+                take(page, version, sink);
+            }
             Err(Error::HistoryGone) => {
                 node.journal.warn("history_gone", &[("table", &table.name), ("after", version)]);
                 let Some(read) = read_whole(node, table, sink).await else { return };
@@ -85,6 +92,7 @@
         };
         node.store_result(&result);
         if let Ok(page) = result {
+            sink.answered();
             sink.replace(page.rows, page.version);
             return Some(page.version);
         }
@@ -217,7 +225,7 @@
 
 /// The table that operators write to.
 pub(crate) fn operator_table() -> Table {
-    Table { name: store::OPERATOR_TABLE, has_parts: false, pause: Duration::ZERO }
+    Table { name: store::OPERATOR_TABLE, has_parts: false, pause: Duration::ZERO, wait: FEED_WAIT }
 }
 
 /// The table that minions register in.
@@ -228,5 +236,6 @@
         // Gathers the entries of minions that come together; an entry's age then is at most
         // this and the time on the way.
         pause: Duration::from_millis(50),
+        wait: FEED_WAIT,
     }
 }
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -34,12 +34,16 @@
 /// entry would read as often as all of them write.
 const CONTROL_PAUSE: Duration = Duration::from_millis(250);
 
+/// Longest wait of one read for a change, so that silence can be judged by reads that were
+/// answered: two of them fit into the shortest term.
+const CONTROL_WAIT: Duration = Duration::from_millis(400);
+
 /// Silence after which an entry's row is dropped; long after its cells were taken.
 const FORGET: Duration = Duration::from_secs(30);
 
 /// The table that entries agree by.
 pub(crate) fn control_table() -> Table {
-    Table { name: rows::CONTROL, has_parts: true, pause: CONTROL_PAUSE }
+    Table { name: rows::CONTROL, has_parts: true, pause: CONTROL_PAUSE, wait: CONTROL_WAIT }
 }
 
 /// Renews this entry's row until the node stops.
@@ -173,7 +177,7 @@
             holding.as_ref(),
             &view.entries,
             &owned,
-            clock::now(),
+            view.read_at,
             &settings,
         );
         (verdict, holding, view.cell_rows.get(cell).cloned())
@@ -283,7 +287,7 @@
     let (successor, holding, row) = {
         let view = node.view.read();
         let owned = view.owned();
-        let to = ownership::successor(cell, &node.me, &view.entries, &owned, clock::now());
+        let to = ownership::successor(cell, &node.me, &view.entries, &owned, view.read_at);
         (to, view.holdings.get(cell).cloned(), view.cell_rows.get(cell).cloned())
     };
     let (Some(successor), Some(holding), Some(row)) = (successor, holding, row) else {
--- a/crates/scheduler/src/membership/control.rs
+++ b/crates/scheduler/src/membership/control.rs
@@ -73,6 +73,10 @@
 }
 
 impl Sink for Control {
+    fn answered(&self) {
+        self.0.view.write().note_read(clock::now());
+    }
+
     fn replace(&self, rows: Vec<Row>, version: u64) {
         let mut fresh = View { version, ..View::default() };
         rows.iter().for_each(|row| self.take(&mut fresh, row));
@@ -86,6 +90,7 @@
             }
         }
         fresh.released = std::mem::take(&mut view.released);
+        fresh.read_at = view.read_at;
         *view = fresh;
     }
 
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -53,9 +53,17 @@
     pub(crate) emptying: BTreeMap<String, String>,
     /// Minions to be emptied by a message that is ahead of its row, and until when that counts.
     pub(crate) released: BTreeMap<String, Time>,
+    /// When a read of it was last answered.
+    pub(crate) read_at: Time,
 }
 
 impl View {
+    /// Notes that a read was answered, before what it brought is taken in.
+    pub(crate) fn note_read(&mut self, now: Time) {
+        ownership::note_read(&mut self.entries, self.read_at, now);
+        self.read_at = now;
+    }
+
     /// How many cells each entry holds.
     pub(crate) fn owned(&self) -> BTreeMap<String, usize> {
         let mut owned = BTreeMap::new();
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -242,6 +242,7 @@
         has_parts: true,
         // Half a second later than a message is far below what callers are promised.
         pause: Duration::from_millis(400),
+        wait: follow::FEED_WAIT,
     };
     let sink = Jobs(owner.clone());
     let mut version = version;
