--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -80,9 +80,20 @@
             ("a cancelled job", &["a_cancelled_job_ends_and_stays_so"]),
             ("a hopeless job", &["a_job_that_always_fails_is_shown_as_failed"]),
             ("history forgotten", &["a_forgotten_history_is_made_good_by_reading_again"]),
+            ("the store is a hundred times slower", &["a_slow_store_takes_in_a_burst"]),
             ("the store turns one entry away", NOT),
         ],
         guards: &[
+            (
+                "an overdue write is looked for before it is sent again",
+                "scheduler::confirm::commit",
+                "a_slow_store_takes_in_a_burst",
+            ),
+            (
+                "a write is lost only by the measure of a read",
+                "engine::patience::is_lost",
+                "a_write_is_lost_only_by_the_measure_of_a_read",
+            ),
             (
                 "steps wait for the steps before them",
                 "engine::cell::work::Job::is_step_ready",
@@ -180,6 +191,11 @@
         cells: &[
             ("any order of candidates", &["only_the_first_candidate_takes_a_vacant_cell"]),
             ("a planned stop", &["a_cell_is_handed_to_a_living_entry_that_stays"]),
+            (
+                "the store away for longer than a term",
+                &["an_outage_of_the_store_is_nobodys_silence"],
+            ),
+            ("the store is a hundred times slower", &["a_slow_store_keeps_its_owners_at_work"]),
             ("a holder that renews at the last moment, over the store", NOT),
         ],
         guards: &[
@@ -188,6 +204,16 @@
                 "engine::ownership::judge",
                 "a_living_holder_keeps_its_cell",
             ),
+            (
+                "the term follows the renewals",
+                "engine::ownership::term",
+                "the_term_follows_the_renewals",
+            ),
+            (
+                "what nobody could read is nobody's silence",
+                "engine::ownership::note_read",
+                "an_outage_of_the_store_is_nobodys_silence",
+            ),
             (
                 "a takeover requires the holder to be silent still",
                 "engine::ownership::judge",
