A new owner doesn't wait for minions whose machines have others by now

After a takeover nothing inherited was started for 6.5 s, because two minions of the roster never answered: their machines had been ordered to maintenance just before, and their entries were still listed when the cell was read; nobody looked again.

Tests: three in engine former; the first fails when only the lists are compared. The view is locked before the minions in sync_minions, as the stated order says.

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -308,7 +308,7 @@
 
     /// Whether tasks of inherited jobs may be started: nothing of them can still be running
     /// where this owner doesn't see it.
-    pub(crate) fn is_settled(&self, now: Time) -> bool {
+    pub fn is_settled(&self, now: Time) -> bool {
         match self.former_lapse {
             None => true,
             Some(lapse) => {
--- /dev/null
+++ b/crates/engine/tests/all/former.rs
@@ -0,0 +1,38 @@
+//! Which minions of a former owner are waited for.
+
+use celerythread_engine::former::is_over;
+use celerythread_engine::maintenance::Machine;
+use std::collections::BTreeMap;
+
+fn machines(minions: &[(&str, Option<&str>)]) -> BTreeMap<String, Machine> {
+    let machine = |(name, minion): &(&str, Option<&str>)| {
+        let minion = minion.map(Into::into);
+        (name.to_string(), Machine { minion, up: true, in_maintenance: false })
+    };
+    minions.iter().map(machine).collect()
+}
+
+/// Nothing of a cell's inherited jobs is started for six seconds, with thirty machines in its pool.
+/// A machine was ordered down just before its cell changed hands; its former minion's entry stood
+/// among the minions for some seconds more, and the new owner waited for it to answer.
+#[test]
+fn a_minion_whose_machine_has_another_one_is_over() {
+    let machines = machines(&[("m1", Some("new")), ("m2", None)]);
+    assert!(is_over("old", &machines, true, Some("m1")));
+    assert!(is_over("old", &machines, true, Some("m2")), "it is down, or on its way");
+}
+
+#[test]
+fn a_minion_that_neither_list_has_is_over() {
+    assert!(is_over("old", &machines(&[("m1", Some("new"))]), false, None));
+}
+
+#[test]
+fn a_minion_that_may_live_is_waited_for() {
+    let list = machines(&[("m1", Some("old"))]);
+    assert!(!is_over("old", &list, false, Some("m1")), "its machine has it");
+    let other = machines(&[("m2", Some("new"))]);
+    assert!(!is_over("old", &other, true, None), "it is listed, and its machine isn't known");
+    assert!(!is_over("old", &other, true, Some("m1")), "its machine isn't listed");
+    assert!(!is_over("old", &BTreeMap::new(), false, Some("m1")), "an empty list proves nothing");
+}
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! The engine's rules, without network or clocks.
 
 mod fixture;
+mod former;
 mod jobs;
 mod maintenance;
 mod matrix;
--- a/crates/scheduler/src/fleet/maintenance.rs
+++ b/crates/scheduler/src/fleet/maintenance.rs
@@ -66,7 +66,8 @@
     }
 }
 
-fn seen(machine: &machine::Machine) -> (String, Machine) {
+/// A machine as the engine sees it, with its name.
+pub(crate) fn seen(machine: &machine::Machine) -> (String, Machine) {
     let seen = Machine {
         minion: machine.minion.clone().filter(|id| !id.is_empty()),
         up: machine.state == machine::State::Up,
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -208,12 +208,12 @@
     /// Brings the cell's minions in line with the platform's list and the machines that are to
     /// be emptied.
     fn sync_minions(&self) {
+        let view = self.node.view.read();
         let minions = self.node.minions.read();
         let buried = self.buried.lock().clone();
         let mine = minions
             .iter()
             .filter(|(id, entry)| entry.service == self.service && !buried.contains(*id));
-        let view = self.node.view.read();
         self.with(|cell| {
             let known: Vec<Arc<str>> = cell.minions().map(|minion| minion.id.clone()).collect();
             for (id, entry) in mine {
@@ -244,6 +244,7 @@
 async fn run(owner: Arc<Owner>) {
     let Some(version) = load::take_over(&owner).await else { return };
     async_std::task::spawn(load::follow_jobs(owner.clone(), version));
+    async_std::task::spawn(load::bury_until_settled(owner.clone()));
     async_std::task::spawn(keep::keep_forever(owner.clone()));
     plan_forever(owner).await;
 }
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -1,11 +1,13 @@
 //! Taking a cell over: fencing the former owner in the store, and reading what it kept.
 
 use crate::clock;
+use crate::fleet;
 use crate::follow::{self, Sink, Table};
 use crate::owner::{Former, Owner};
 use crate::rows;
 use celerythread_adapter::store::{Error, Name, Page, Row, Transaction};
 use celerythread_engine::cell::{Cell, Settings};
+use celerythread_engine::former;
 use celerythread_engine::job::{Accepted, Id, Progress, decode, encode};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -17,6 +19,9 @@
 /// Pause after a failed call.
 const RETRY: Duration = Duration::from_millis(100);
 
+/// Time between two looks for minions that are over, while a new owner waits for some.
+const BURY_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Minions' clocks may be this much slow; a lease lasts that much longer.
 pub(crate) const SLOWEST_CLOCK: f64 = 0.98;
 
@@ -124,7 +129,7 @@
         cell.inherit(&id);
         owner.roster.lock().insert(id);
     }
-    bury_replaced(owner, &mut cell).await;
+    bury(&mut cell, replaced(owner).await);
     *owner.cell.lock() = Some(cell);
     if let Some(configuration) = owner.node.configuration() {
         owner.configure(&configuration);
@@ -152,29 +157,53 @@
     Ok(())
 }
 
-/// Buries minions of the roster whose life is over: neither the list of machines nor that of
-/// minions has them any more.
+/// Looks again and again for minions whose life is over, until all others have answered.
 ///
-/// Moves and maintenance give a machine a new minion each time.  Waiting for the old ones to answer
-/// would keep every inherited job waiting until their leases must have lapsed.
-async fn bury_replaced(owner: &Owner, cell: &mut Cell) {
+/// The lists show it only some time after: a machine that is ordered down while its cell changes
+/// hands was still listed with its minion when the cell was read.
+pub(crate) async fn bury_until_settled(owner: Arc<Owner>) {
+    while owner.pause(BURY_INTERVAL).await {
+        if owner.with(|cell| cell.is_settled(clock::now())).unwrap_or(true) {
+            return;
+        }
+        let over = replaced(&owner).await;
+        owner.with(|cell| bury(cell, over));
+        owner.plan_wake.wake();
+    }
+}
+
+fn bury(cell: &mut Cell, minions: Vec<Arc<str>>) {
+    for id in minions {
+        cell.bury(&id, clock::now());
+    }
+}
+
+/// Minions of the roster whose life is over.
+async fn replaced(owner: &Owner) -> Vec<Arc<str>> {
     let node = &owner.node;
-    let Some(client) = &node.machines else { return };
+    let Some(client) = &node.machines else { return Vec::new() };
     let machines = match client.list(CALL_LIMIT).await {
-        Ok(machines) => machines,
+        Ok(machines) => machines.iter().map(fleet::maintenance::seen).collect(),
         Err(failure) => {
             node.journal.warn("machines_unread", &[("reason", &failure)]);
-            return;
+            return Vec::new();
         }
     };
     let inherited: Vec<Arc<str>> = owner.roster.lock().iter().cloned().collect();
-    for id in inherited {
-        let machine_has = machines.iter().any(|machine| machine.minion.as_deref() == Some(&*id));
-        if !machines.is_empty() && !machine_has && !node.minions.read().contains_key(&id) {
-            node.journal.note("minion_over", &[("minion", &id)]);
-            cell.bury(&id, clock::now());
+    let view = node.view.read();
+    let minions = node.minions.read();
+    let is_over = |id: &Arc<str>| {
+        let mut emptied = view.emptying.iter();
+        let machine = emptied.find(|(_, minion)| **minion == **id).map(|(name, _)| name.as_str());
+        former::is_over(id, &machines, minions.contains_key(id), machine)
+    };
+    let over: Vec<Arc<str>> = inherited.into_iter().filter(is_over).collect();
+    for id in &over {
+        if owner.buried.lock().insert(id.clone()) {
+            node.journal.note("minion_over", &[("minion", id)]);
         }
     }
+    over
 }
 
 /// Fills a cell with kept jobs; returns how many.
--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -40,6 +40,11 @@
                 "engine::cell::Cell::is_settled",
                 "inherited_tasks_wait_until_every_minion_has_answered",
             ),
+            (
+                "a minion whose machine has another one is not waited for",
+                "engine::former::is_over",
+                "a_minion_whose_machine_has_another_one_is_over",
+            ),
             (
                 "a silent minion's runs count until their lease must have lapsed",
                 "engine::cell::plan::lapse",
