A time line from the log files of entries

On the users' platform the entries serve no operators' interface, so the time line could not be had there. 'celerythread timeline FILES' merges the lines that tell what entries did and believed, as text, JSON or SVG; those about single jobs are left to 'explain'. Both read lines in one place, src/logs.rs; the picture draws dots, made of events or of lines.

Test: timeline::a_time_line_is_made_of_log_files.

--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -2,13 +2,9 @@
 
 use super::parsed;
 use crate::Error;
-use crate::error::FileSnafu;
-use crate::explain::{Line, Story};
-use snafu::ResultExt;
+use crate::explain::Story;
+use crate::logs;
 use std::ffi::OsString;
-use std::fs;
-use std::io::Read;
-use std::path::Path;
 
 mod flags {
     #![allow(missing_docs, unreachable_pub, reason = "generated")]
@@ -32,18 +28,7 @@
 
 pub(crate) fn run(arguments: Vec<OsString>) -> Result<(), Error> {
     let flags = parsed(flags::CelerythreadExplain::from_vec(arguments))?;
-    let mut lines = Vec::new();
-    for path in &flags.files {
-        let text = fs::read_to_string(path).context(FileSnafu { path })?;
-        let source = path.file_stem().map(|stem| stem.to_string_lossy()).unwrap_or_default();
-        lines.extend(text.lines().filter_map(|line| Line::parse(line, &source)));
-    }
-    if flags.files.is_empty() {
-        let mut text = String::new();
-        let path = Path::new("standard input");
-        std::io::stdin().read_to_string(&mut text).context(FileSnafu { path })?;
-        lines.extend(text.lines().filter_map(|line| Line::parse(line, "-")));
-    }
+    let lines = logs::read(&flags.files)?;
     let story = Story::tell(&flags.id, &lines);
     if flags.json {
         let cause = story.cause();
@@ -51,11 +36,7 @@
         println!("{all}");
         return Ok(());
     }
-    for line in &story.lines {
-        let fields: Vec<String> =
-            line.fields.iter().map(|(name, value)| format!("{name}={value}")).collect();
-        println!("{} {} {} {}", line.at, line.source, line.event, fields.join(" "));
-    }
+    story.lines.iter().for_each(|line| println!("{line}"));
     println!("cause: {}", story.cause());
     Ok(())
 }
--- a/src/commands/timeline.rs
+++ b/src/commands/timeline.rs
@@ -3,6 +3,7 @@
 use super::parsed;
 use crate::Error;
 use crate::client::{self, Client};
+use crate::logs;
 use crate::output;
 use crate::plot;
 use celerythread_model::event::{self, Event};
@@ -15,14 +16,19 @@
     #![allow(missing_docs, unreachable_pub, reason = "generated")]
 
     use std::net::SocketAddr;
+    use std::path::PathBuf;
 
     xflags::xflags! {
         /// The events of all entries, merged: an event never stands before its cause.
         ///
+        /// With log files of entries, the changes that their lines tell, by the entries' clocks.
+        ///
         /// Example: celerythread timeline --svg > night.svg
         cmd celerythread-timeline {
             /// An entry to ask for the others; may be given several times.
             repeated --entry address: SocketAddr
+            /// Log files of entries; then no entry is asked.
+            repeated files: PathBuf
             /// Prints JSON.
             optional --json
             /// Prints a picture.
@@ -43,6 +49,9 @@
 
 pub(crate) async fn run(arguments: Vec<OsString>) -> Result<(), Error> {
     let flags = parsed(flags::CelerythreadTimeline::from_vec(arguments))?;
+    if !flags.files.is_empty() {
+        return from_logs(&flags);
+    }
     let client = Client::new(&flags.entry)?;
     let status: Status = client.get("/v1/status").await?;
     let mut events: Vec<Event> = Vec::new();
@@ -57,7 +66,7 @@
     }
     let events = event::merge(events);
     if flags.svg {
-        let picture = plot::svg(&events).map_err(|text| Error::Usage { text })?;
+        let picture = plot::svg(&dots(&events)).map_err(|text| Error::Usage { text })?;
         print!("{picture}");
     } else if flags.json {
         output::json(&serde_json::to_value(&events).unwrap_or_default());
@@ -70,6 +79,30 @@
     Ok(())
 }
 
+/// The time line of what entries did and believed, from their log lines; those about single jobs
+/// are left to `explain`.
+fn from_logs(flags: &flags::CelerythreadTimeline) -> Result<(), Error> {
+    let mut lines = logs::read(&flags.files)?;
+    lines.retain(|line| !line.is_of_a_job());
+    lines.sort_by_key(|line| line.at_ms);
+    if flags.svg {
+        let picture = plot::svg(&dots(&lines)).map_err(|text| Error::Usage { text })?;
+        print!("{picture}");
+    } else if flags.json {
+        output::json(&serde_json::to_value(&lines).unwrap_or_default());
+    } else {
+        lines.iter().for_each(|line| println!("{line}"));
+    }
+    Ok(())
+}
+
+fn dots<'a, T>(events: &'a [T]) -> Vec<plot::Dot>
+where
+    plot::Dot: From<&'a T>,
+{
+    events.iter().map(plot::Dot::from).collect()
+}
+
 fn print(events: &[Event]) {
     let first = events.iter().map(|event| event.at).min().unwrap_or(0);
     let rows: Vec<Vec<String>> = events
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -1,59 +1,14 @@
 //! The life of one request or job, from the log lines of any number of entries.
 //!
-//! A log line is a JSON object; what stands before it on its line, as a log collector's time and
-//! host, is taken for the name of its source.  [`Story`] picks the lines that bear on one id and
-//! puts them in order; [`Story::cause`] names what most likely went wrong.
+//! [`Story`] picks the lines that bear on one id and puts them in order; [`Story::cause`] names what
+//! most likely went wrong.
 
-use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::logs::Line;
+use std::collections::BTreeSet;
 
 /// A stretch without a line of the job that is worth naming, in milliseconds.
 const LONG_GAP_MS: i64 = 1000;
 
-/// One log line.
-#[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct Line {
-    /// When, as the source wrote it.
-    pub at: String,
-    /// Milliseconds since 1970.
-    #[serde(skip)]
-    pub at_ms: i64,
-    /// Where it comes from.
-    pub source: String,
-    /// What happened.
-    pub event: String,
-    /// The inputs and the outcome.
-    pub fields: BTreeMap<String, String>,
-}
-
-#[derive(Deserialize)]
-struct Raw {
-    timestamp: String,
-    message: String,
-    #[serde(default)]
-    kvs: BTreeMap<String, String>,
-}
-
-impl Line {
-    /// Reads a line; none for one that is no log line of an entry.
-    pub fn parse(text: &str, source: &str) -> Option<Self> {
-        let start = text.find('{')?;
-        let raw: Raw = serde_json::from_str(&text[start..]).ok()?;
-        let before = text[..start].split_whitespace().last();
-        Some(Self {
-            at_ms: raw.timestamp.parse::<jiff::Timestamp>().ok()?.as_millisecond(),
-            at: raw.timestamp,
-            source: before.unwrap_or(source).into(),
-            event: raw.message,
-            fields: raw.kvs,
-        })
-    }
-
-    fn field(&self, name: &str) -> &str {
-        self.fields.get(name).map_or("", String::as_str)
-    }
-}
-
 /// The lines that bear on one job.
 #[derive(Debug, Default)]
 pub struct Story {
--- a/src/plot.rs
+++ b/src/plot.rs
@@ -1,5 +1,6 @@
 //! The time line as a picture: a lane for each process, a dot for each event.
 
+use crate::logs::Line;
 use celerythread_model::event::Event;
 use plotters::prelude::*;
 
@@ -7,19 +8,45 @@
 const LANE: u32 = 60;
 const WIDTH: u32 = 1200;
 
-/// Draws events, already in order, as SVG.
+/// A dot of the picture.
+#[derive(Clone, Debug)]
+pub struct Dot {
+    /// The process whose lane it is in.
+    pub lane: String,
+    /// Milliseconds since 1970.
+    pub at: u64,
+    /// What stands beside it.
+    pub label: String,
+}
+
+impl From<&Event> for Dot {
+    fn from(event: &Event) -> Self {
+        // The event's kind alone; the details stand in the text form.
+        let label = event.to_string().split(' ').next().unwrap_or_default().to_owned();
+        Self { lane: event.process.to_string(), at: event.at, label }
+    }
+}
+
+impl From<&Line> for Dot {
+    fn from(line: &Line) -> Self {
+        let at = line.at_ms.max(0) as u64;
+        Self { lane: line.source.clone(), at, label: line.event.clone() }
+    }
+}
+
+/// Draws dots as SVG.
 ///
 /// # Errors
 /// The plotting library's words when it cannot draw.
-pub fn svg(events: &[Event]) -> Result<String, String> {
-    let mut lanes: Vec<String> = events.iter().map(|event| event.process.to_string()).collect();
+pub fn svg(dots: &[Dot]) -> Result<String, String> {
+    let mut lanes: Vec<String> = dots.iter().map(|dot| dot.lane.clone()).collect();
     lanes.sort();
     lanes.dedup();
     let mut text = String::new();
     {
         let height = LANE * (lanes.len() as u32 + 2);
         let area = SVGBackend::with_string(&mut text, (WIDTH, height)).into_drawing_area();
-        draw(&area, events, &lanes).map_err(|error| error.to_string())?;
+        draw(&area, dots, &lanes).map_err(|error| error.to_string())?;
         area.present().map_err(|error| error.to_string())?;
     }
     Ok(text)
@@ -27,12 +54,12 @@
 
 fn draw(
     area: &DrawingArea<SVGBackend<'_>, plotters::coord::Shift>,
-    events: &[Event],
+    dots: &[Dot],
     lanes: &[String],
 ) -> Result<(), Box<dyn std::error::Error>> {
     area.fill(&WHITE)?;
-    let first = events.iter().map(|event| event.at).min().unwrap_or(0);
-    let last = events.iter().map(|event| event.at).max().unwrap_or(0).max(first + 1);
+    let first = dots.iter().map(|dot| dot.at).min().unwrap_or(0);
+    let last = dots.iter().map(|dot| dot.at).max().unwrap_or(0).max(first + 1);
     let seconds = (last - first) as f64 / 1000.0;
     let mut chart = ChartBuilder::on(area)
         .margin(10)
@@ -46,18 +73,13 @@
         .y_labels(lanes.len())
         .y_label_formatter(&name)
         .draw()?;
-    let dots = events.iter().map(|event| {
-        let lane = lanes.iter().position(|l| *l == event.process.as_str()).unwrap_or(0);
-        let at = ((event.at - first) as f64 / 1000.0, lane as f64 + 0.5);
+    let shapes = dots.iter().map(|dot| {
+        let lane = lanes.iter().position(|lane| *lane == dot.lane).unwrap_or(0);
+        let at = ((dot.at - first) as f64 / 1000.0, lane as f64 + 0.5);
         EmptyElement::at(at)
             + Circle::new((0, 0), 3, BLUE.filled())
-            + Text::new(label(event), (4, -12), ("sans-serif", 9))
+            + Text::new(dot.label.clone(), (4, -12), ("sans-serif", 9))
     });
-    chart.draw_series(dots)?;
+    chart.draw_series(shapes)?;
     Ok(())
 }
-
-/// The event's kind alone; the details stand in the text form.
-fn label(event: &Event) -> String {
-    event.to_string().split(' ').next().unwrap_or_default().to_owned()
-}
--- a/tests/all/site/explain.rs
+++ b/tests/all/site/explain.rs
@@ -1,7 +1,8 @@
 //! From the id of a failed request to its cause, by the log lines alone.
 
 use super::*;
-use celerythread::explain::{Line, Story};
+use celerythread::explain::Story;
+use celerythread::logs::Line;
 use celerythread_standin::site::store::Trouble as StoreTrouble;
 use celerythread_standin::site::worker::Trouble as WorkerTrouble;
 
--- a/tests/all/timeline.rs
+++ b/tests/all/timeline.rs
@@ -6,6 +6,8 @@
 use celerythread_model::event::{self, Event, Kind};
 use celerythread_model::unit::Revision;
 use serde_json::Value;
+use std::fs;
+use std::process::Command;
 
 async fn merged(cluster: &Cluster) -> Vec<Event> {
     let mut events = Vec::new();
@@ -45,7 +47,8 @@
         assert_eq!(in_force.len(), 3, "{number}");
         assert!(in_force.iter().all(|at| Some(*at) > accepted), "{number}");
     }
-    let picture = plot::svg(&events).unwrap();
+    let dots: Vec<plot::Dot> = events.iter().map(plot::Dot::from).collect();
+    let picture = plot::svg(&dots).unwrap();
     assert!(picture.starts_with("<svg") && picture.contains("config-accepted"));
     cluster.stop().await;
 }
@@ -60,3 +63,39 @@
     assert_eq!(status["config"], 1);
     cluster.stop().await;
 }
+
+/// On call, there are only log files.  What entries did and believed must come out in the order of
+/// time over all files, without the thousands of lines about single jobs.
+#[test]
+fn a_time_line_is_made_of_log_files() {
+    let line = |second: u32, message: &str, fields: &str| {
+        format!(
+            "{{\"timestamp\":\"2026-03-01T00:00:{second:02}Z\",\"message\":\"{message}\",\"kvs\":{{{fields}}}}}\n"
+        )
+    };
+    let folder = std::env::temp_dir().join(format!("ct-logs-{}", std::process::id()));
+    fs::create_dir_all(&folder).unwrap();
+    let files = [
+        ("a.log", line(3, "cell_lost", "\"cell\":\"s\"") + "no log line\n"),
+        ("b.log", line(2, "cell_taken", "\"cell\":\"s\"") + &line(1, "job_known", "\"job\":\"j\"")),
+    ];
+    let paths = files.map(|(name, text)| {
+        let path = folder.join(name);
+        fs::write(&path, text).unwrap();
+        path
+    });
+    let run = |flags: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_celerythread"));
+        let output = command.arg("timeline").args(&paths).args(flags).output().unwrap();
+        assert!(output.status.success(), "{output:?}");
+        String::from_utf8(output.stdout).unwrap()
+    };
+    let text = run(&[]);
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 2, "{text}");
+    assert!(lines[0].contains("b cell_taken cell=s") && lines[1].contains("a cell_lost cell=s"));
+    assert_eq!(serde_json::from_str::<Value>(&run(&["--json"])).unwrap()[0]["source"], "b");
+    let picture = run(&["--svg"]);
+    assert!(picture.starts_with("<svg") && picture.contains("cell_taken"));
+    fs::remove_dir_all(&folder).unwrap();
+}
