--- a/crates/engine/tests/all/model/owner.rs
+++ b/crates/engine/tests/all/model/owner.rs
@@ -10,14 +10,18 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-const RENEW: Duration = Duration::from_millis(500);
-const LOOK: Duration = Duration::from_millis(100);
-/// ... an owner starts nothing from here on after its last renewal ...
-const START_ALONE: Duration = Duration::from_millis(1700);
-pub(crate) const LEASE: Duration = Duration::from_secs(4);
+// The daemon's default settings, and the margins that it adds to them.
+const RENEW: Duration = Duration::from_millis(300);
+/// An owner starts nothing from here on after its last renewal.
+const START_ALONE: Duration = Duration::from_millis(1000);
+/// And it extends no lease from here on.
+pub(crate) const EXTEND_ALONE: Duration = Duration::from_millis(3000);
+pub(crate) const LEASE: Duration = Duration::from_millis(4500);
 pub(crate) const MARGIN: Duration = Duration::from_millis(150);
-/// ... and extends no lease from here on.
-pub(crate) const EXTEND_ALONE: Duration = Duration::from_millis(5000);
+
+/// Time between two looks at a minion.
+const LOOK: Duration = Duration::from_millis(100);
+
 pub(crate) const CAPACITY: Resources = Resources { cpu: 4000, memory_mb: 4096, gpu: 0 };
 
 #[derive(Clone, Debug)]
--- a/crates/engine/tests/all/model/play.rs
+++ b/crates/engine/tests/all/model/play.rs
@@ -11,8 +11,8 @@
 use strum::VariantArray;
 
 const TICK: Duration = Duration::from_millis(20);
-/// As the daemon's settings have it: others take over after this silence ...
-const TAKEOVER: Duration = Duration::from_millis(2000);
+/// Silence after which others take over, by the daemon's default settings.
+const TAKEOVER: Duration = Duration::from_millis(1300);
 /// How long a pause lasts: beyond every lease, and a successor has long taken over.
 const PAUSE: Duration = Duration::from_secs(14);
 /// How long a minion is cut off.
