--- /dev/null
+++ b/tests/all/site/idle.rs
@@ -0,0 +1,42 @@
+//! What an entry costs that has nothing to do.
+
+use super::*;
+
+/// Resident memory of an idle entry, without the program's text, which a debug build makes several
+/// times larger.
+const MOST_RESIDENT_KB: u64 = 20_000;
+
+/// Time over which the processor time is read.
+const SPAN: Duration = Duration::from_secs(5);
+
+/// A field of a process's `stat`, counted from 1, as the manual of `proc` has it.
+fn stat(process: u32, field: usize) -> u64 {
+    let text = fs::read_to_string(format!("/proc/{process}/stat")).unwrap();
+    // The name of the program may hold blanks; what follows it doesn't.
+    let (_, rest) = text.rsplit_once(") ").unwrap();
+    rest.split(' ').nth(field - 3).unwrap().parse().unwrap()
+}
+
+/// Kilobytes of resident memory that no file backs.
+fn resident_kb(process: u32) -> u64 {
+    let text = fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = text.lines().find(|line| line.starts_with("RssAnon:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+/// Resident memory is checked; processor time, which a busy machine changes, is printed: with
+/// renewals each 0.1 s, three times as many as by default.
+#[async_std::test]
+async fn an_idle_entry_is_small() {
+    let deployment = Deployment::start("idle", 2, 2).await;
+    let ticks = |entry: &Entry| stat(entry.child.id(), 14) + stat(entry.child.id(), 15);
+    let before: Vec<u64> = deployment.entries.iter().map(ticks).collect();
+    task::sleep(SPAN).await;
+    for (entry, before) in deployment.entries.iter().zip(before) {
+        let resident = resident_kb(entry.child.id());
+        // A tick is a hundredth of a second.
+        let percent = (ticks(entry) - before) as f64 / SPAN.as_secs_f64();
+        println!("{resident} KB resident, {percent:.1} % of a core");
+        assert!(resident < MOST_RESIDENT_KB, "{resident} KB resident");
+    }
+}
