Looks for replaced minions follow the size of the fleet

With 28 entries and 1,300 machines, each of them taking a cell at once, a look each 0.4 s would be 490 reads a second of the 64 that the platform allows.

--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -9,6 +9,7 @@
 use celerythread_engine::cell::{Cell, Settings};
 use celerythread_engine::former;
 use celerythread_engine::job::{Accepted, Id, Progress, decode, encode};
+use celerythread_engine::maintenance::Machine;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,9 +20,16 @@
 /// Pause after a failed call.
 const RETRY: Duration = Duration::from_millis(100);
 
-/// Time between two looks for minions that are over, while a new owner waits for some.
+/// Time between two looks for minions that are over, while a new owner waits for some, at the least.
 const BURY_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Machines in one answer of the platform's list.
+const MACHINES_A_PAGE: usize = 200;
+
+/// Time that one read of the list stands for when every entry is a new owner at once: half of the
+/// platform's 64 reads a second for all of them.
+const TIME_A_READ: Duration = Duration::from_millis(31);
+
 /// Minions' clocks may be this much slow; a lease lasts that much longer.
 pub(crate) const SLOWEST_CLOCK: f64 = 0.98;
 
@@ -129,7 +137,7 @@
         cell.inherit(&id);
         owner.roster.lock().insert(id);
     }
-    bury(&mut cell, replaced(owner).await);
+    bury(&mut cell, replaced(owner).await.0);
     *owner.cell.lock() = Some(cell);
     if let Some(configuration) = owner.node.configuration() {
         owner.configure(&configuration);
@@ -162,12 +170,16 @@
 /// The lists show it only some time after: a machine that is ordered down while its cell changes
 /// hands was still listed with its minion when the cell was read.
 pub(crate) async fn bury_until_settled(owner: Arc<Owner>) {
-    while owner.pause(BURY_INTERVAL).await {
+    let mut interval = BURY_INTERVAL;
+    while owner.pause(interval).await {
         if owner.with(|cell| cell.is_settled(clock::now())).unwrap_or(true) {
             return;
         }
-        let over = replaced(&owner).await;
+        let (over, machines) = replaced(&owner).await;
         owner.with(|cell| bury(cell, over));
+        let entries = owner.node.view.read().entries.len();
+        let reads = entries * machines.div_ceil(MACHINES_A_PAGE);
+        interval = BURY_INTERVAL.max(TIME_A_READ * reads as u32);
         owner.plan_wake.wake();
     }
 }
@@ -178,15 +190,15 @@
     }
 }
 
-/// Minions of the roster whose life is over.
-async fn replaced(owner: &Owner) -> Vec<Arc<str>> {
+/// Minions of the roster whose life is over, and how many machines there are.
+async fn replaced(owner: &Owner) -> (Vec<Arc<str>>, usize) {
     let node = &owner.node;
-    let Some(client) = &node.machines else { return Vec::new() };
-    let machines = match client.list(CALL_LIMIT).await {
+    let Some(client) = &node.machines else { return (Vec::new(), 0) };
+    let machines: BTreeMap<String, Machine> = match client.list(CALL_LIMIT).await {
         Ok(machines) => machines.iter().map(fleet::maintenance::seen).collect(),
         Err(failure) => {
             node.journal.warn("machines_unread", &[("reason", &failure)]);
-            return Vec::new();
+            return (Vec::new(), 0);
         }
     };
     let inherited: Vec<Arc<str>> = owner.roster.lock().iter().cloned().collect();
@@ -203,7 +215,7 @@
             node.journal.note("minion_over", &[("minion", id)]);
         }
     }
-    over
+    (over, machines.len())
 }
 
 /// Fills a cell with kept jobs; returns how many.
