Machines that idle are in the next pool before its turn begins

Cause: a turn's first callers wait for machines that stood idle in other pools. Moves were decided by what waits now, twelve at a time, and take 1.5 s.

Change: the order of the turns is learnt (engine::pools::turns) and kept; what idles goes to the pool whose turn is next, and stays where a turn still rises.

Ruled out: a period learnt from a clock (turns stretch with outages); sending spare machines ahead (they cost nothing while off).

Tests turns::* fail without it (there is no turn to know).

--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -6,11 +6,18 @@
 //! 3 s are 48 core-seconds, worth about 4.5 at the users' prices; a move costs 0.1), so
 //! machines follow the demand, and only those are left where they are whose loss would hurt:
 //! with lasting tasks on them, due for maintenance, or needed by their own pool.
+//!
+//! [`turns`] tells which pool's turn comes next, so that machines which idle are there before it.
+
+mod turns;
 
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
+use strum::Display;
+pub use turns::History;
+use turns::Turns;
 
 /// Machines kept beyond those that spread lasting tasks need, so that a task whose minion is lost
 /// finds another one at once and not after a move.
@@ -28,8 +35,9 @@
     pub patience: Duration,
     /// A machine stays at least this long after it came: twice the time of a move.
     pub stay: Duration,
-    /// Machines on their way to one pool at a time, or a third of it if that is more: a burst asks
-    /// several times what the pool holds, and each tick can order more.
+    /// Machines chosen for one pool at a time, or a third of it if that is more: a burst asks several
+    /// times what the pool holds.  At four looks a second this is all of the 64 orders a second that
+    /// the platform takes.
     pub at_once: usize,
 }
 
@@ -40,7 +48,7 @@
             least: 2,
             patience: Duration::from_millis(2500),
             stay: Duration::from_millis(3000),
-            at_once: 12,
+            at_once: 16,
         }
     }
 }
@@ -79,6 +87,16 @@
     pub pinned: bool,
 }
 
+/// Why a machine moves.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Reason {
+    /// Its new pool asks for more than it has.
+    Shortage,
+    /// Its new pool will, by the turns seen so far.
+    Ahead,
+}
+
 /// A move.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Move {
@@ -90,10 +108,23 @@
     pub from: String,
     /// The pool that it goes to.
     pub to: String,
+    /// Why.
+    pub reason: Reason,
     /// When it was decided.
     pub since: Time,
 }
 
+/// What one round of planning goes by, and what it has decided.
+struct Round<'a> {
+    machines: &'a BTreeMap<String, Machine>,
+    loads: &'a BTreeMap<String, Load>,
+    spare: Option<&'a str>,
+    now: Time,
+    /// Machines that each pool can do without.
+    surplus: BTreeMap<&'a str, usize>,
+    moves: Vec<Move>,
+}
+
 /// The state of all pools.
 #[derive(Debug, Default)]
 pub struct Planner {
@@ -104,6 +135,8 @@
     arriving: BTreeMap<String, (String, Time)>,
     /// When each machine came to its pool.
     came: BTreeMap<String, Time>,
+    /// Whose turn it is, and whose is next.
+    turns: Turns,
 }
 
 impl Planner {
@@ -112,6 +145,16 @@
         Self { settings, ..Self::default() }
     }
 
+    /// The turns seen so far, to be kept for the next holder of the duty.
+    pub fn history(&self) -> &History {
+        self.turns.history()
+    }
+
+    /// Goes on from the turns that a former holder saw.
+    pub fn restore(&mut self, history: History) {
+        self.turns.restore(history);
+    }
+
     /// Moves that are decided and not ordered.
     pub fn pending(&self) -> impl Iterator<Item = &Move> {
         self.pending.values()
@@ -155,6 +198,8 @@
         now: Time,
     ) -> Vec<Move> {
         self.forget_arrived(machines, now);
+        let demands = loads.iter().map(|(pool, load)| (pool.as_str(), self.passing(load)));
+        self.turns.observe(&demands.collect(), now);
         let mut surplus: BTreeMap<&str, usize> = BTreeMap::new();
         let mut shortage: Vec<(usize, &str)> = Vec::new();
         for (pool, load) in loads {
@@ -167,45 +212,66 @@
             }
         }
         shortage.sort();
-        let mut moves = Vec::new();
+        let mut round = Round { machines, loads, spare, now, surplus, moves: Vec::new() };
         for (missing, to) in shortage.into_iter().rev() {
-            let coming = self.pending.values().filter(|plan| plan.to == to).count();
-            let have = self.strength(to, machines);
-            let room = self.settings.at_once.max(have / 3).saturating_sub(coming);
-            for _ in 0..missing.min(room) {
-                let taken: BTreeSet<&str> =
-                    moves.iter().map(|plan: &Move| plan.machine.as_str()).collect();
-                let candidates = self.candidates(machines, loads, &surplus, spare, &taken, now);
-                let Some((_, machine)) = candidates.into_iter().min() else { break };
-                let seen = &machines[machine];
-                if let Some(left) = surplus.get_mut(seen.pool.as_str()) {
-                    *left -= 1;
-                }
-                moves.push(Move {
-                    machine: machine.into(),
-                    minion: seen.minion.clone(),
-                    from: seen.pool.clone(),
-                    to: to.into(),
-                    since: now,
-                });
-            }
+            self.fill(&mut round, to, missing, Reason::Shortage);
         }
+        self.prepare(&mut round);
+        let moves = round.moves;
         for plan in &moves {
             self.pending.insert(plan.machine.clone(), plan.clone());
         }
         moves
     }
 
+    /// Sends machines that idle where the next demand is expected.  Machines that are off stay so:
+    /// they cost nothing until the demand is there.
+    fn prepare(&self, round: &mut Round<'_>) {
+        let pools: Vec<&str> = round.loads.keys().map(String::as_str).collect();
+        round.spare = None;
+        let mut missing = Vec::new();
+        for (pool, cores) in self.turns.expected(&pools) {
+            let Some((pool, load)) = round.loads.get_key_value(&pool) else { continue };
+            let chosen = round.moves.iter().filter(|plan| plan.to == *pool).count();
+            let have = self.strength(pool, round.machines) + chosen;
+            let wanted = (cores + load.lasting).div_ceil(load.minion_cpu.max(1000)) as usize;
+            if let Some(left) = round.surplus.get_mut(pool.as_str()) {
+                *left = (*left).min(have.saturating_sub(wanted));
+            }
+            missing.push((pool, wanted.saturating_sub(have)));
+        }
+        for (pool, missing) in missing {
+            self.fill(round, pool, missing, Reason::Ahead);
+        }
+    }
+
+    /// Chooses machines to go to a pool that misses some.
+    fn fill(&self, round: &mut Round<'_>, to: &str, missing: usize, reason: Reason) {
+        let coming = self.pending.values().filter(|plan| plan.to == to).count();
+        let chosen = round.moves.iter().filter(|plan| plan.to == to).count();
+        let have = self.strength(to, round.machines);
+        let room = self.settings.at_once.max(have / 3).saturating_sub(coming + chosen);
+        for _ in 0..missing.min(room) {
+            let Some((_, machine)) = self.candidates(round).into_iter().min() else { break };
+            let seen = &round.machines[machine];
+            if let Some(left) = round.surplus.get_mut(seen.pool.as_str()) {
+                *left -= 1;
+            }
+            round.moves.push(Move {
+                machine: machine.into(),
+                minion: seen.minion.clone(),
+                from: seen.pool.clone(),
+                to: to.into(),
+                reason,
+                since: round.now,
+            });
+        }
+    }
+
     /// Machines that could be moved, with what they cost: first those without any work.
-    fn candidates<'a>(
-        &self,
-        machines: &'a BTreeMap<String, Machine>,
-        loads: &BTreeMap<String, Load>,
-        surplus: &BTreeMap<&str, usize>,
-        spare: Option<&str>,
-        taken: &BTreeSet<&str>,
-        now: Time,
-    ) -> Vec<(u64, &'a str)> {
+    fn candidates<'a>(&self, round: &Round<'a>) -> Vec<(u64, &'a str)> {
+        let Round { machines, loads, spare, now, surplus, moves } = round;
+        let taken: BTreeSet<&str> = moves.iter().map(|plan| plan.machine.as_str()).collect();
         let settled = |name: &str| {
             self.came.get(name).is_none_or(|came| now.since(*came) >= self.settings.stay)
         };
@@ -216,7 +282,7 @@
                 && settled(name)
         };
         let cost = |machine: &Machine| {
-            if spare == Some(machine.pool.as_str()) {
+            if *spare == Some(machine.pool.as_str()) {
                 // Costs its time in a pool besides the move, so after machines that idle.
                 return Some(1);
             }
@@ -251,13 +317,15 @@
         here + arriving + pending
     }
 
+    /// Thousandths of cores that a pool's tasks ask for, but for lasting ones.
+    fn passing(&self, load: &Load) -> u64 {
+        let horizon = self.settings.horizon.as_millis() as u64;
+        load.working + load.waiting / horizon * 1000 + load.waiting % horizon * 1000 / horizon
+    }
+
     /// Machines that a pool needs.
     fn need(&self, load: &Load) -> usize {
-        let horizon = self.settings.horizon.as_millis() as u64;
-        let cores = load.working
-            + load.lasting
-            + load.waiting / horizon * 1000
-            + load.waiting % horizon * 1000 / horizon;
+        let cores = self.passing(load) + load.lasting;
         let machine = load.minion_cpu.max(1000);
         let least = self.settings.least.max(load.least + SPREAD_RESERVE);
         (cores.div_ceil(machine) as usize).max(least)
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -12,3 +12,4 @@
 mod runs;
 mod sharing;
 mod takeover;
+mod turns;
--- /dev/null
+++ b/crates/engine/tests/all/turns.rs
@@ -0,0 +1,186 @@
+//! Machines are where the next turn's demand will be.
+
+use celerythread_engine::pools::{Load, Machine, Move, Planner, Settings};
+use celerythread_engine::time::Time;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const CORES: u64 = 16_000;
+const POOLS: [&str; 4] = ["a", "b", "c", "d"];
+/// Between two looks at the demand.
+const TICK: Duration = Duration::from_millis(200);
+
+/// A fleet of nine machines in each of four pools, whose moves are done at once.
+struct Fleet {
+    planner: Planner,
+    machines: BTreeMap<String, Machine>,
+    now: Time,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let machine = |pool: &str, number| {
+            let name = format!("{pool}-{number}");
+            let minion = Some(format!("minion-{name}"));
+            (name, Machine { pool: pool.into(), minion, up: true, pinned: false })
+        };
+        let machines =
+            POOLS.iter().flat_map(|pool| (0..9).map(|number| machine(pool, number))).collect();
+        Self { planner: Planner::new(Settings::default()), machines, now: Time(0) }
+    }
+
+    fn in_pool(&self, pool: &str) -> usize {
+        self.machines.values().filter(|machine| machine.pool == pool).count()
+    }
+
+    fn load(&self, pool: &str, cores: u64) -> Load {
+        let mine = self.machines.values().filter(|machine| machine.pool == pool);
+        let free = mine.filter_map(|machine| Some((machine.minion.clone()?, 0))).collect();
+        Load { working: cores * 1000, minion_cpu: CORES, free, minions: 9, ..Load::default() }
+    }
+
+    /// One look at a demand of so many cores in one pool, and one core in each other.
+    fn look(&mut self, busy: &str, cores: u64) -> Vec<Move> {
+        self.now = self.now + TICK;
+        let loads = POOLS
+            .iter()
+            .map(|pool| {
+                let cores = if *pool == busy { cores } else { 1 };
+                ((*pool).to_owned(), self.load(pool, cores))
+            })
+            .collect();
+        let moves = self.planner.plan(&self.machines, &loads, None, self.now);
+        for plan in &moves {
+            self.planner.ordered(&plan.machine, self.now);
+            self.machines.get_mut(&plan.machine).expect("listed").pool = plan.to.clone();
+        }
+        moves
+    }
+
+    /// A turn of ten seconds: the demand rises to `peak` cores and falls again.
+    fn turn(&mut self, pool: &str, peak: u64) -> Vec<Move> {
+        let shape = [2, 4, 6, 8, 10, 10, 8, 6, 4, 2];
+        let looks = shape.iter().flat_map(|tenths| [peak * tenths / 10; 5]).collect::<Vec<_>>();
+        looks.into_iter().flat_map(|cores| self.look(pool, cores)).collect()
+    }
+
+    /// The time between two turns.
+    fn pause(&mut self) -> Vec<Move> {
+        (0..10).flat_map(|_| self.look("", 1)).collect()
+    }
+}
+
+/// A queue's turn begins, and its first callers wait two seconds for machines that stood idle in
+/// other pools all the while: they were sent for when the demand showed, and not before, although
+/// the queues take their turns in the same order again and again.
+#[test]
+fn machines_are_there_before_a_turn_that_was_seen_before() {
+    let mut fleet = Fleet::new();
+    for pool in POOLS {
+        fleet.turn(pool, 300);
+        fleet.pause();
+    }
+    fleet.turn("a", 300);
+    fleet.pause();
+    assert!(fleet.in_pool("b") >= 19, "300 cores need 19 machines: {}", fleet.in_pool("b"));
+    let moves = fleet.turn("b", 300);
+    assert!(moves.iter().all(|plan| plan.to != "b"), "{moves:?}");
+}
+
+/// In the first round nobody followed the present turn yet.  Those that have not had one may come
+/// next, so each of them gets a share.
+#[test]
+fn before_a_round_is_over_those_without_a_turn_share_what_idles() {
+    let mut fleet = Fleet::new();
+    fleet.turn("a", 300);
+    fleet.pause();
+    fleet.turn("b", 300);
+    fleet.pause();
+    assert!(
+        fleet.in_pool("c") > 9 && fleet.in_pool("d") > 9,
+        "{:?}",
+        POOLS.map(|p| fleet.in_pool(p))
+    );
+}
+
+/// A pool whose turn has begun asks for little as yet.  What idles stays for its peak and isn't
+/// sent on to the next one's.
+#[test]
+fn a_turn_that_rises_keeps_what_its_peak_will_need() {
+    let mut fleet = Fleet::new();
+    for pool in POOLS {
+        fleet.turn(pool, 300);
+        fleet.pause();
+    }
+    fleet.turn("a", 300);
+    fleet.pause();
+    let moves: Vec<Move> = (0..20).flat_map(|_| fleet.look("b", 120)).collect();
+    assert!(moves.iter().all(|plan| plan.from != "b"), "{moves:?}");
+}
+
+/// One pool is the busiest again and again, and no other ever.  After its first turn the others get
+/// a share, as any of them may be next; after its second one it is known that none is, and moving
+/// machines away and back each time would only cost moves.
+#[test]
+fn a_single_busy_pool_keeps_its_machines() {
+    let mut fleet = Fleet::new();
+    for _ in 0..2 {
+        fleet.turn("a", 300);
+        fleet.pause();
+    }
+    fleet.turn("a", 300);
+    let mut moves = fleet.pause();
+    moves.extend(fleet.turn("a", 300));
+    assert_eq!(moves, Vec::<Move>::new());
+}
+
+/// The first turn ends, and the next one's callers find four machines in their pool: all others idle
+/// where they were needed last, and are sent for one look after the other as the demand rises.
+#[test]
+fn after_the_first_turn_its_machines_are_shared_by_those_that_may_come_next() {
+    let mut fleet = Fleet::new();
+    fleet.turn("a", 500);
+    fleet.pause();
+    assert!(POOLS[1..].iter().all(|pool| fleet.in_pool(pool) >= 9), "{:?}", fleet.machines);
+}
+
+/// A turn begins while what waited in the last one is still being worked off.  It counts from its
+/// beginning, not from when it asks for more than the last one's remainder.
+#[test]
+fn the_remainder_of_a_turn_does_not_hide_the_next_one() {
+    let mut fleet = Fleet::new();
+    fleet.turn("a", 400);
+    fleet.now = fleet.now + TICK;
+    for _ in 0..4 {
+        fleet.now = fleet.now + TICK;
+        let of = |pool: &str| {
+            if pool == "a" {
+                200
+            } else if pool == "b" {
+                80
+            } else {
+                1
+            }
+        };
+        let loads = POOLS.iter().map(|pool| ((*pool).to_owned(), fleet.load(pool, of(pool))));
+        let loads = loads.collect();
+        fleet.planner.plan(&fleet.machines, &loads, None, fleet.now);
+    }
+    assert_eq!(fleet.planner.history().turns, ["a", "b"]);
+}
+
+/// The holder of the duty is lost, and the next one knows the turns that it saw.
+#[test]
+fn the_next_holder_goes_on_from_the_kept_turns() {
+    let mut fleet = Fleet::new();
+    for pool in POOLS {
+        fleet.turn(pool, 300);
+        fleet.pause();
+    }
+    let history = fleet.planner.history().clone();
+    assert_eq!(history.turns, POOLS);
+    fleet.planner = Planner::new(Settings::default());
+    fleet.planner.restore(history);
+    fleet.pause();
+    assert!(fleet.in_pool("a") >= 19, "a's turn comes after d's: {}", fleet.in_pool("a"));
+}
--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -106,7 +106,7 @@
                 self.note_order(machine);
             }
         }
-        maintenance::load(&node, &mut self.waves).await
+        pools::load(&node, &mut self.pools).await && maintenance::load(&node, &mut self.waves).await
     }
 
     /// Takes everything a step further; returns how many pools were asked.
--- a/crates/scheduler/src/fleet/pools.rs
+++ b/crates/scheduler/src/fleet/pools.rs
@@ -3,15 +3,45 @@
 use crate::clock;
 use crate::fleet::{CALL_LIMIT, Fleet, drop_emptying, order_allowed, write_emptying};
 use crate::metrics::Counter;
+use crate::node::Node;
 use crate::owner::Owner;
 use crate::peers;
+use crate::rows;
 use celerythread_adapter::machine::{self, Authority, State};
-use celerythread_engine::pools::{Load, Machine, Move};
+use celerythread_adapter::store::{Name, Transaction};
+use celerythread_engine::job::{decode, encode};
+use celerythread_engine::pools::{History, Load, Machine, Move, Planner};
 use celerythread_wire::job::{Answer, Question};
 use futures::future::join_all;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+/// Reads whose turns a former holder saw; true if they are read, or there are none.
+pub(crate) async fn load(node: &Node, planner: &mut Planner) -> bool {
+    let row = node.store.get(rows::CONTROL, "", rows::TURNS_KEY, CALL_LIMIT).await;
+    node.store_result(&row);
+    match row.map(|row| row.map(|row| decode::<History>(&row.value))) {
+        Ok(Some(Ok(history))) => planner.restore(history),
+        Ok(Some(Err(error))) => node.journal.warn("turns_unreadable", &[("reason", &error)]),
+        Ok(None) => {}
+        Err(_) => return false,
+    }
+    true
+}
+
+/// Keeps the turns as they are now, for the next holder.
+async fn keep_turns(node: &Node, planner: &Planner) {
+    let history = planner.history();
+    let pool = history.turns.last().map(String::as_str).unwrap_or_default();
+    node.journal.note("turn_began", &[("pool", &pool), ("turns", &history.turns.len())]);
+    let name = Name::new(rows::CONTROL, "", rows::TURNS_KEY);
+    let change = Transaction { writes: vec![(name, encode(history))], ..Transaction::default() };
+    // If this is lost, the next holder knows one turn less, until it has seen it itself.
+    if let Err(error) = node.commit(&change, CALL_LIMIT).await {
+        node.journal.warn("turns_unkept", &[("reason", &error)]);
+    }
+}
+
 /// Moves machines as the demand asks for.
 pub(crate) async fn step(fleet: &mut Fleet, loads: &BTreeMap<String, Load>) {
     let owner = fleet.owner.clone();
@@ -22,7 +52,11 @@
     let Some(configuration) = node.configuration() else { return };
     let machines: BTreeMap<String, Machine> =
         fleet.machines().iter().map(|machine| seen(machine, fleet)).collect();
+    let turn = fleet.pools.history().turns.last().cloned();
     let moves = fleet.pools.plan(&machines, loads, configuration.spare_pool(), clock::now());
+    if fleet.pools.history().turns.last() != turn.as_ref() {
+        keep_turns(node, &fleet.pools).await;
+    }
     let mut loads = loads.clone();
     release(fleet, &moves, &mut loads).await;
     order_ready(fleet, &loads).await;
@@ -107,6 +141,7 @@
             ("machine", &plan.machine),
             ("from", &plan.from),
             ("to", &plan.to),
+            ("reason", &plan.reason),
             ("token", &owner.token),
             ("waited_ms", &clock::now().since(plan.since).as_millis()),
             ("outcome", &outcome),
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -2,7 +2,8 @@
 //!
 //! Table `control`: an entry's row (`entry/ID`) and a cell's (`cell/SERVICE`), each in a
 //! partition of its own; machines to be emptied (`emptying/MACHINE`), how far waves are
-//! (`wave/N`) and the entries' certificate authority (`authority`) in the empty one.
+//! (`wave/N`), the pools' turns (`turns`) and the entries' certificate authority (`authority`) in
+//! the empty one.
 //!
 //! Table `jobs`: accepted jobs (`job/ID`) and cancellations (`cancel/ID`), in partitions
 //! `SERVICE/SHARD`; the owner's ledger (`ledger`) and the minions that it uses (`roster`) in the
@@ -28,6 +29,7 @@
 pub(crate) const CELL_PREFIX: &str = "cell/";
 pub(crate) const EMPTYING_PREFIX: &str = "emptying/";
 pub(crate) const WAVE_PREFIX: &str = "wave/";
+pub(crate) const TURNS_KEY: &str = "turns";
 pub(crate) const AUTHORITY_KEY: &str = "authority";
 pub(crate) const JOB_PREFIX: &str = "job/";
 pub(crate) const CANCEL_PREFIX: &str = "cancel/";
