Callers get their time back from entries that are cut off

Change: engine::submission decides when a submission is given back. While the store is silent here peers come first, a write is waited for 0.25 s, and after 0.65 s the answer is 504. The margin is a fifth of the caller's time, 150 ms at most. A question that was never sent to a peer no longer counts as one that it may have got. Retry-After is 0 for whoever has less than 1.3 s.

Ruled out: refusing with 503 what may have been written (it must be true); a fixed shorter limit (a store that is a hundred times slower needs two seconds).

The tests submission::* fail without it (there is nothing that decides).

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,7 +7,8 @@
 //! state of one service, the unit that one entry instance schedules at a time; [`ownership`]
 //! decides which entry that is, [`former`] which minions of its predecessor are over;
 //! [`maintenance`] takes machines through maintenance waves, and [`pools`]
-//! moves them to where the demand is; [`patience`] says how long to wait for an answer.
+//! moves them to where the demand is; [`patience`] says how long to wait for an answer, and [`submission`] when to
+//! give a caller its time back.
 
 pub mod cell;
 pub mod former;
@@ -16,4 +17,5 @@
 pub mod ownership;
 pub mod patience;
 pub mod pools;
+pub mod submission;
 pub mod time;
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -11,5 +11,6 @@
 mod pools;
 mod runs;
 mod sharing;
+mod submission;
 mod takeover;
 mod turns;
--- /dev/null
+++ b/crates/engine/tests/all/submission.rs
@@ -0,0 +1,72 @@
+//! When callers get their time back.
+
+use celerythread_engine::submission::{Attempt, retry_after_s, usable};
+use std::time::Duration;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A zone is cut off from the store.  Its callers are told that nobody knows after 2.85 s, ask an
+/// entry of another zone with a tenth of a second left, and are turned away for want of time.
+#[test]
+fn a_caller_of_an_entry_that_is_cut_off_has_time_left_for_another_one() {
+    let attempt = |waited| Attempt {
+        waited,
+        left: ms(2850) - waited,
+        silent: true,
+        unanswered: true,
+        ..Attempt::default()
+    };
+    let over = (0..2850).step_by(50).map(ms).find(|waited| attempt(*waited).is_over());
+    let over = over.expect("is given back");
+    assert!(over * 4 <= ms(2850), "four tries fit into a caller's time: {over:?}");
+}
+
+/// A store that is a hundred times slower answers reads after 0.4 s and writes after some more.  Given
+/// back as if it were silent, no submission would ever be answered.
+#[test]
+fn a_slow_store_is_waited_for() {
+    let slow = Attempt { waited: ms(2000), left: ms(850), unanswered: true, ..Attempt::default() };
+    assert!(!slow.is_over());
+    assert_eq!(slow.write_limit(), ms(850));
+}
+
+/// The store turns one entry away and serves the others: as long as another one can be asked, the
+/// submission isn't over.
+#[test]
+fn peers_are_asked_before_anything_is_given_back() {
+    let silent = Attempt {
+        waited: ms(2000),
+        left: ms(800),
+        silent: true,
+        unanswered: true,
+        ..Attempt::default()
+    };
+    assert!(silent.is_over());
+    assert!(!Attempt { has_peers: true, ..silent }.is_over());
+    assert!(silent.write_limit() < ms(300));
+}
+
+#[test]
+fn what_was_certainly_not_written_is_refused_after_a_few_tries() {
+    let refused = Attempt { waited: ms(300), left: ms(2500), ..Attempt::default() };
+    assert!(!refused.is_over());
+    assert!(Attempt { waited: ms(400), ..refused }.is_over());
+}
+
+/// A caller comes back with 120 ms left.  A write takes ten, but all of its time was kept for the
+/// answer's way, and it was refused unheard.
+#[test]
+fn a_caller_with_little_time_is_served_in_it() {
+    assert!(usable(ms(120)) >= ms(90));
+    assert_eq!(usable(ms(3000)), ms(2850));
+    assert_eq!(usable(ms(0)), ms(0));
+}
+
+/// Told to come back in a second, a caller with less than that left never does.
+#[test]
+fn a_caller_is_told_a_time_that_it_has() {
+    assert_eq!(retry_after_s(ms(2500)), 1);
+    assert_eq!(retry_after_s(ms(900)), 0);
+}
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -11,6 +11,7 @@
 use celerythread_adapter::store::{Error, Transaction};
 use celerythread_adapter::submission;
 use celerythread_engine::job::{Accepted, Id, Problem, Progress, State, decode, encode};
+use celerythread_engine::submission::{Attempt, retry_after_s, usable};
 use celerythread_engine::time::Time;
 use celerythread_http::Fault;
 use celerythread_http::server::{Handler, Request};
@@ -23,9 +24,6 @@
 /// How long a caller waits when it doesn't say.
 const DEFAULT_DEADLINE: Duration = Duration::from_millis(3000);
 
-/// Kept free of a caller's time for the answer's way back.
-const ANSWER_MARGIN: Duration = Duration::from_millis(150);
-
 /// Longest wait for one transaction.  The store answers in some 4 ms; an answer that takes
 /// this long is most likely lost, and asking again is harmless.
 const COMMIT_LIMIT: Duration = Duration::from_millis(1400);
@@ -36,10 +34,6 @@
 /// Pause before a write that was certainly not done is tried again.
 const RETRY: Duration = Duration::from_millis(120);
 
-/// When a refused caller should come back, in seconds: the smallest step of the header, as
-/// other entries can serve it at once.
-const RETRY_AFTER_S: &str = "1";
-
 /// The front of an entry.
 pub(crate) struct Front {
     node: Arc<Node>,
@@ -79,7 +73,7 @@
         let began = clock::now();
         Self {
             request: request.header(submission::REQUEST_HEADER).unwrap_or("-").into(),
-            until: began + deadline.saturating_sub(ANSWER_MARGIN),
+            until: began + usable(deadline),
             began,
         }
     }
@@ -106,7 +100,7 @@
             return self.readiness();
         }
         let Some(configuration) = self.node.configuration() else {
-            return refuse();
+            return refuse(DEFAULT_DEADLINE);
         };
         let host = request.header("host").unwrap_or_default().to_owned();
         let Some(queue) = configuration.queue(&host, &path) else {
@@ -150,7 +144,7 @@
         node.metrics.time(Timing::Accept, took);
         let (event, counter, response) = match &written {
             Written::Accepted(_) => ("job_accepted", Counter::JobsAccepted, accepted_answer()),
-            Written::Refused(_) => ("job_refused", Counter::JobsRefused, refuse()),
+            Written::Refused(_) => ("job_refused", Counter::JobsRefused, refuse(context.left())),
             Written::Unknown => {
                 ("job_unknown", Counter::JobsUnknown, answer(StatusCode::GatewayTimeout))
             }
@@ -232,7 +226,7 @@
                     "state_unread",
                     &[("job", &id), ("request", &context.request), ("reason", &error)],
                 );
-                refuse()
+                refuse(context.left())
             }
         }
     }
@@ -268,20 +262,29 @@
         match row {
             Ok(Some(_)) => {}
             Ok(None) => return answer(StatusCode::Gone),
-            Err(_) => return refuse(),
+            Err(_) => return refuse(context.left()),
         }
         let change = Transaction {
             writes: vec![(rows::cancel(service, &id), vec![1])],
             ..Transaction::default()
         };
-        let mut written = false;
-        while !written && !context.left().is_zero() {
-            let limit = COMMIT_LIMIT.min(context.left());
-            written = node.commit(&change, limit).await.is_ok();
-            if !written {
-                async_std::task::sleep(RETRY.min(context.left())).await;
+        let began = clock::now();
+        let written = loop {
+            let attempt = Attempt {
+                waited: clock::now().since(began),
+                left: context.left(),
+                silent: !node.store_answers(),
+                has_peers: false,
+                unanswered: true,
+            };
+            if attempt.is_over() {
+                break false;
             }
-        }
+            if node.commit(&change, COMMIT_LIMIT.min(attempt.write_limit())).await.is_ok() {
+                break true;
+            }
+            async_std::task::sleep(RETRY.min(context.left())).await;
+        };
         node.journal.note(
             "job_cancelled",
             &[("job", &id), ("request", &context.request), ("written", &written)],
@@ -303,7 +306,7 @@
                 set_json(&mut response, submission::pending_body(pending as usize));
                 response
             }
-            _ => refuse(),
+            _ => refuse(DEFAULT_DEADLINE),
         }
     }
 }
@@ -337,10 +340,11 @@
     response
 }
 
-/// A refusal: whatever was asked was not done and won't be.
-fn refuse() -> Response {
+/// A refusal: whatever was asked was not done and won't be.  Its caller has so much time left to come
+/// back.
+fn refuse(left: Duration) -> Response {
     let mut response = answer(StatusCode::ServiceUnavailable);
-    response.insert_header("retry-after", RETRY_AFTER_S);
+    response.insert_header("retry-after", retry_after_s(left).to_string());
     response
 }
 
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use strum::Display;
 
 /// Longest wait for a peer's answer: dialling takes some 10 ms and an exchange 6 ms at worst
 /// when the peer is well, and whoever asks has the store to fall back on.
@@ -27,6 +28,16 @@
 /// After a question that was not answered, a peer is not asked for this long.
 const REST: Duration = Duration::from_millis(1500);
 
+/// Why a peer gave no answer.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Silence {
+    /// It certainly didn't get the question.
+    NotAsked,
+    /// It may have got the question.
+    Unanswered,
+}
+
 /// The links to other entries.
 #[derive(Default)]
 pub(crate) struct Peers {
@@ -60,15 +71,31 @@
         Some(link)
     }
 
-    /// Asks a peer; none when it doesn't answer in time.
-    pub(crate) async fn ask(&self, address: SocketAddr, question: Question) -> Option<Answer> {
-        let rested = |since: &std::time::Instant| since.elapsed() >= REST;
-        if self.resting.lock().get(&address).is_some_and(|since| !rested(since)) {
-            return None;
+    /// Whether a peer isn't asked for now because it didn't answer lately.
+    pub(crate) fn is_resting(&self, address: SocketAddr) -> bool {
+        self.resting.lock().get(&address).is_some_and(|since| since.elapsed() < REST)
+    }
+
+    /// Asks a peer.
+    ///
+    /// # Errors
+    /// When it doesn't answer in time, with what that says of the question.
+    pub(crate) async fn ask(
+        &self,
+        address: SocketAddr,
+        question: Question,
+    ) -> Result<Answer, Silence> {
+        if self.is_resting(address) {
+            return Err(Silence::NotAsked);
         }
+        let began = std::time::Instant::now();
+        let opening = async { self.link(address).await?.open().await.ok() };
+        let opened = timeout(ANSWER_LIMIT, opening).await.ok().flatten();
+        let Some(mut channel) = opened else {
+            self.rest(address);
+            return Err(Silence::NotAsked);
+        };
         let exchange = async {
-            let link = self.link(address).await?;
-            let mut channel = link.open().await.ok()?;
             channel.send(&Frame::JobQuestion(question)).await.ok()?;
             channel.finish();
             match channel.receive().await {
@@ -76,15 +103,21 @@
                 _ => None,
             }
         };
-        let answer = timeout(ANSWER_LIMIT, exchange).await.ok().flatten();
-        if answer.is_none() {
-            // Something in between may have forgotten the flow; the next link is a new one.
-            if let Some(link) = self.links.lock().remove(&address) {
-                link.close();
-            }
-            self.resting.lock().insert(address, std::time::Instant::now());
+        let left = ANSWER_LIMIT.saturating_sub(began.elapsed());
+        let answer = timeout(left, exchange).await.ok().flatten();
+        answer.ok_or_else(|| {
+            self.rest(address);
+            Silence::Unanswered
+        })
+    }
+
+    /// Asks a peer nothing for a while.  Something in between may have forgotten the flow; the next
+    /// link is a new one.
+    fn rest(&self, address: SocketAddr) {
+        if let Some(link) = self.links.lock().remove(&address) {
+            link.close();
         }
-        answer
+        self.resting.lock().insert(address, std::time::Instant::now());
     }
 }
 
@@ -97,7 +130,7 @@
     if holder == node.me {
         return None;
     }
-    let answer = node.peers.ask(address, question).await;
+    let answer = node.peers.ask(address, question).await.ok();
     if answer.is_none() {
         node.metrics.count(Counter::PeerFailures);
         node.journal.warn("peer_unanswered", &[("peer", &holder), ("service", &service)]);
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -3,9 +3,11 @@
 use crate::clock;
 use crate::confirm::{self, Confirmed};
 use crate::node::Node;
+use crate::peers::Silence;
 use crate::rows;
 use celerythread_adapter::store::{Error, Transaction};
 use celerythread_engine::job::Id;
+use celerythread_engine::submission::Attempt;
 use celerythread_engine::time::Time;
 use celerythread_wire::job::{Answer, Question, Submission};
 use rand::seq::IteratorRandom;
@@ -15,9 +17,6 @@
 /// Pause before a write that was certainly not done is tried again.
 const RETRY: Duration = Duration::from_millis(120);
 
-/// How long a submission is tried while the store refuses it here and at peers.
-const REFUSED_LIMIT: Duration = Duration::from_millis(400);
-
 /// Peers through which a submission is tried when the store turns this entry away: it may
 /// serve all others meanwhile.
 const PEERS: usize = 2;
@@ -57,43 +56,44 @@
 pub(crate) async fn write(node: &Node, job: &Job<'_>) -> Written {
     let began = clock::now();
     let mut unanswered = false;
+    let mut refusal = Error::Refused { reason: "the caller's time is over".into() };
     let mut peers = peers(node).into_iter();
     loop {
-        let limit = job.until.since(clock::now());
-        if limit.is_zero() {
-            return give_up(unanswered, "the caller's time is over");
+        let attempt = Attempt {
+            waited: clock::now().since(began),
+            left: job.until.since(clock::now()),
+            silent: !node.store_answers(),
+            has_peers: peers.len() > 0,
+            unanswered,
+        };
+        if attempt.is_over() {
+            return if unanswered { Written::Unknown } else { Written::Refused(refusal) };
+        }
+        // What the store's silence here would cost is saved by asking the peers first.
+        let peer = if attempt.silent { peers.next() } else { None };
+        let tried = match peer {
+            Some(peer) => write_there(node, peer, job).await,
+            None => write_here(node, job, attempt.write_limit()).await,
+        };
+        match tried {
+            Written::Accepted(_) => return tried,
+            Written::Unknown => unanswered = true,
+            Written::Refused(error) => refusal = error,
         }
-        let here = write_here(node, job, limit).await;
-        if matches!(here, Written::Accepted(_)) {
-            return here;
+        if peer.is_some() {
+            continue;
         }
-        unanswered |= matches!(here, Written::Unknown);
         if let Some(peer) = peers.next() {
-            let there = write_there(node, peer, job).await;
-            if matches!(there, Written::Accepted(_)) {
-                return there;
+            match write_there(node, peer, job).await {
+                written @ Written::Accepted(_) => return written,
+                Written::Unknown => unanswered = true,
+                Written::Refused(_) => {}
             }
-            unanswered |= matches!(there, Written::Unknown);
-        } else if let Written::Refused(error) = here
-            && !unanswered
-            && clock::now().since(began) > REFUSED_LIMIT
-        {
-            return Written::Refused(error);
         }
         async_std::task::sleep(RETRY.min(job.until.since(clock::now()))).await;
     }
 }
 
-/// Unless an earlier try may have been carried out, the job certainly isn't there, and its
-/// caller is better told so than left in doubt.
-fn give_up(unanswered: bool, reason: &str) -> Written {
-    if unanswered {
-        Written::Unknown
-    } else {
-        Written::Refused(Error::Refused { reason: reason.into() })
-    }
-}
-
 /// Tries once through this entry's own way to the store.
 pub(crate) async fn write_here(node: &Node, job: &Job<'_>, limit: Duration) -> Written {
     let name = rows::job(job.service, &job.id);
@@ -118,23 +118,27 @@
 async fn write_there(node: &Node, peer: SocketAddr, job: &Job<'_>) -> Written {
     let question =
         Question::Submit { service: job.service.into(), id: job.id, row: job.row.to_vec() };
-    let answer = node.peers.ask(peer, question).await;
-    let (outcome, written) = match answer {
-        Some(Answer::Submitted(Submission::Accepted { row })) => {
-            ("accepted", Written::Accepted(row))
-        }
-        Some(Answer::Submitted(Submission::Refused)) => {
-            ("refused", give_up(false, "refused through a peer"))
+    let (outcome, written) = match node.peers.ask(peer, question).await {
+        Ok(Answer::Submitted(Submission::Accepted { row })) => {
+            ("accepted".to_owned(), Written::Accepted(row))
         }
-        _ => ("unknown", Written::Unknown),
+        Ok(Answer::Submitted(Submission::Refused)) => ("refused".to_owned(), refused_there()),
+        Ok(_) => ("unknown".to_owned(), Written::Unknown),
+        Err(silence @ Silence::NotAsked) => (silence.to_string(), refused_there()),
+        Err(silence @ Silence::Unanswered) => (silence.to_string(), Written::Unknown),
     };
     node.journal.note("job_relayed", &[("job", &job.id), ("peer", &peer), ("outcome", &outcome)]);
     written
 }
 
+fn refused_there() -> Written {
+    Written::Refused(Error::Refused { reason: "not written through a peer".into() })
+}
+
 /// Some other entries, at random, so that one that is turned away itself isn't asked each time.
 fn peers(node: &Node) -> Vec<SocketAddr> {
     let view = node.view.read();
     let others = view.entry_rows.iter().filter(|(id, row)| **id != node.me && !row.stopping);
-    others.map(|(_, row)| row.peer).choose_multiple(&mut rand::rng(), PEERS)
+    let awake = others.map(|(_, row)| row.peer).filter(|peer| !node.peers.is_resting(*peer));
+    awake.choose_multiple(&mut rand::rng(), PEERS)
 }
--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -89,6 +89,21 @@
             ("the store turns one entry away", NOT),
         ],
         guards: &[
+            (
+                "a caller of an entry that is cut off has time left for another",
+                "engine::submission::Attempt::is_over",
+                "a_caller_of_an_entry_that_is_cut_off_has_time_left_for_another_one",
+            ),
+            (
+                "what time a caller comes back with is used",
+                "engine::submission::usable",
+                "a_caller_with_little_time_is_served_in_it",
+            ),
+            (
+                "a slow store isn't given up on",
+                "engine::submission::Attempt::is_over",
+                "a_slow_store_is_waited_for",
+            ),
             (
                 "an overdue write is looked for before it is sent again",
                 "scheduler::confirm::commit",
@@ -179,6 +194,21 @@
                 "engine::pools::Planner::need",
                 "a_pool_keeps_the_machines_over_which_lasting_tasks_are_spread",
             ),
+            (
+                "what idles is in the next pool before its turn",
+                "engine::pools::turns",
+                "machines_are_there_before_a_turn_that_was_seen_before",
+            ),
+            (
+                "a large remainder doesn't take all machines",
+                "engine::pools::Planner::fill",
+                "a_pool_with_a_large_remainder_does_not_take_all",
+            ),
+            (
+                "what can't be started asks for no machines",
+                "engine::cell::load",
+                "what_may_still_run_elsewhere_asks_for_no_machines",
+            ),
             (
                 "what fills is slowed down before a target is missed",
                 "engine::cell::pace",
@@ -214,6 +244,11 @@
                 "engine::ownership::term",
                 "the_term_follows_the_renewals",
             ),
+            (
+                "a strong entry goes before a weak one",
+                "engine::ownership::burden",
+                "a_strong_instance_with_a_cell_goes_before_a_weak_one_without",
+            ),
             (
                 "what nobody could read is nobody's silence",
                 "engine::ownership::note_read",
