celerythread fleet: who holds what, as the platform's store keeps it

Cause: the operators' commands ask the product's own interface, which entries on the users' platform don't serve; who holds a cell, which machines are being emptied and how far a wave is could be read from log lines only, and not at all when no entry lives.

Change: scheduler::status reads the control table, the command prints it as tables or JSON. The entries' key isn't shown.

Ruled out: asking an entry (none may answer just when it is wanted).

Conclusion: cells, entries, waves, emptied machines and turns; jobs and configurations of the platform have no command yet.

--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -11,7 +11,8 @@
 //! what all of them share, with the lock order; [`rows`] are the rows kept.
 //!
 //! [`settings`] is the checked INI file; [`daemon`] starts it all and stops it gracefully;
-//! [`journal`] and [`metrics`] are what is seen from outside.
+//! [`journal`] and [`metrics`] are what is seen from outside, [`status`] reads what is agreed on for
+//! operators.
 
 mod clock;
 mod confirm;
@@ -27,6 +28,7 @@
 mod peers;
 mod rows;
 pub mod settings;
+pub mod status;
 mod submit;
 
 pub use daemon::Daemon;
--- /dev/null
+++ b/crates/scheduler/src/status.rs
@@ -0,0 +1,161 @@
+//! What the entries agree on, as the platform's store keeps it, for operators.
+//!
+//! It is read from the store alone: it tells who holds what also while no entry answers.
+
+use crate::rows;
+use celerythread_adapter::store::{self, Error, Row};
+use celerythread_adapter::{Caller, Service};
+use celerythread_engine::job::decode;
+use celerythread_engine::maintenance;
+use celerythread_engine::pools::History;
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest wait for one read: a store that is a hundred times slower answers in 0.4 s.
+const READ_LIMIT: Duration = Duration::from_millis(2000);
+
+/// All that is agreed on.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Status {
+    /// The store's version when it was read.
+    pub version: u64,
+    /// The entries that have a row.
+    pub entries: Vec<Entry>,
+    /// Who holds each cell.
+    pub cells: Vec<Cell>,
+    /// Machines that are being emptied, or were ordered lately.
+    pub emptying: Vec<Emptying>,
+    /// Maintenance waves.
+    pub waves: Vec<Wave>,
+    /// Pools in the order of their turns, the present one last.
+    pub turns: Vec<String>,
+    /// Keys of rows that could not be read.
+    pub unreadable: Vec<String>,
+}
+
+/// An entry.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Entry {
+    /// Its process's id.
+    pub id: String,
+    /// Where peers reach it.
+    pub peer: SocketAddr,
+    /// Thousandths of a processor core that it has.
+    pub power: u32,
+    /// How often it renewed its row; two readings tell whether it still does.
+    pub renewal: u64,
+    /// Milliseconds of silence after which its cells may be taken over.
+    pub term_ms: u32,
+    /// Whether it is about to stop.
+    pub stopping: bool,
+}
+
+/// A cell.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Cell {
+    /// The service; `~fleet` for maintenance and moves.
+    pub service: String,
+    /// The process that holds it.
+    pub holder: String,
+    /// Whether that process has a row.
+    pub holder_is_there: bool,
+    /// How many holders it had before.
+    pub generation: u32,
+    /// The holder's fencing token.
+    pub token: u64,
+}
+
+/// A machine that is being emptied.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Emptying {
+    /// The machine.
+    pub machine: String,
+    /// The minion on it that gets no more work.
+    pub minion: String,
+}
+
+/// A maintenance wave.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Wave {
+    /// Its number.
+    pub number: String,
+    /// Machines whose maintenance has begun.
+    pub begun: usize,
+    /// Its machines.
+    pub machines: usize,
+    /// Whether it was reported as completed.
+    pub completed: bool,
+}
+
+/// Reads what is agreed on.
+///
+/// # Errors
+/// When the store doesn't answer.
+pub async fn read(address: SocketAddr) -> Result<Status, Error> {
+    let store = store::Client::new(Service::new(Arc::new(Caller::default()), address));
+    let page = store.whole(rows::CONTROL, "", READ_LIMIT).await?;
+    let mut status = Status { version: page.version, ..Status::default() };
+    page.rows.iter().for_each(|row| status.take(row));
+    let ids: Vec<String> = status.entries.iter().map(|entry| entry.id.clone()).collect();
+    for cell in &mut status.cells {
+        cell.holder_is_there = ids.contains(&cell.holder);
+    }
+    Ok(status)
+}
+
+impl Status {
+    fn take(&mut self, row: &Row) {
+        let key = row.key.as_str();
+        let readable = if let Some(id) = key.strip_prefix(rows::ENTRY_PREFIX) {
+            decode(&row.value).map(|entry| self.entries.push(Entry::new(id, &entry)))
+        } else if let Some(service) = key.strip_prefix(rows::CELL_PREFIX) {
+            decode(&row.value).map(|cell| self.cells.push(Cell::new(service, &cell, row.version)))
+        } else if let Some(machine) = key.strip_prefix(rows::EMPTYING_PREFIX) {
+            let minion = String::from_utf8_lossy(&row.value).into_owned();
+            self.emptying.push(Emptying { machine: machine.into(), minion });
+            Ok(())
+        } else if let Some(number) = key.strip_prefix(rows::WAVE_PREFIX) {
+            decode(&row.value).map(|wave| self.waves.push(Wave::new(number, &wave)))
+        } else if key == rows::TURNS_KEY {
+            decode::<History>(&row.value).map(|history| self.turns = history.turns)
+        } else {
+            // The authority, which is nobody's to see.
+            Ok(())
+        };
+        if readable.is_err() {
+            self.unreadable.push(row.key.clone());
+        }
+    }
+}
+
+impl Entry {
+    fn new(id: &str, row: &rows::Entry) -> Self {
+        let rows::Entry { peer, power, renewal, term_ms, stopping, .. } = *row;
+        Self { id: id.into(), peer, power, renewal, term_ms, stopping }
+    }
+}
+
+impl Cell {
+    fn new(service: &str, row: &rows::Cell, token: u64) -> Self {
+        Self {
+            service: service.into(),
+            holder: row.holder.clone(),
+            holder_is_there: false,
+            generation: row.generation,
+            token,
+        }
+    }
+}
+
+impl Wave {
+    fn new(number: &str, wave: &maintenance::Wave) -> Self {
+        Self {
+            number: number.into(),
+            begun: wave.begun.len(),
+            machines: wave.machines.len(),
+            completed: wave.completed,
+        }
+    }
+}
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -3,6 +3,7 @@
 mod codes;
 mod config;
 mod explain;
+mod fleet;
 mod job;
 mod keys;
 mod maintenance;
@@ -24,6 +25,7 @@
   maintenance  declare, list, cancel
   job          submit, list, cancel
   status       what the entries know
+  fleet        who holds what, as the users' platform keeps it
   explain      the life of one request or job, from the log lines of entries
   timeline     the events of all entries, in order
   keys         make an authority and instances' keys
@@ -46,6 +48,7 @@
         "minion" => minion::run(arguments).await,
         "maintenance" => maintenance::run(arguments).await,
         "job" => job::run(arguments).await,
+        "fleet" => fleet::run(arguments).await,
         "status" => status::run(arguments).await,
         "timeline" => timeline::run(arguments).await,
         "explain" => explain::run(arguments),
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -1,6 +1,7 @@
 //! Real daemons as processes on a stand-in of the users' platform.
 
 mod explain;
+mod fleet;
 mod idle;
 mod jobs;
 mod loss;
