--- /dev/null
+++ b/benches/measures/moves.rs
@@ -0,0 +1,127 @@
+//! How many minions change pools in a week, and how many are short.
+
+use crate::{SEEDS, id, spread};
+use celerythread_model::id;
+use celerythread_policy::sizing::{Pool, Settings, Sizer};
+use celerythread_policy::time::Moment;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::VecDeque;
+
+/// Minutes of a week, of a move, and between two looks of the baseline that follows demand.
+const WEEK: u64 = 7 * 24 * 60;
+const MOVE: u64 = 3;
+const FOLLOW: u64 = 15;
+
+#[derive(Clone, Copy)]
+enum MovePolicy {
+    Chosen,
+    /// Sizes follow demand every quarter of an hour.
+    Follow,
+    Never,
+}
+
+/// Demand of a pool in minions: a day's wave with its own peak, a step change in the middle of
+/// the week for the first pool, and noise.
+fn demand(pool: usize, size: f64, minute: u64, random: &mut StdRng) -> f64 {
+    let day = minute as f64 / (24.0 * 60.0);
+    let phase = pool as f64 / 5.0;
+    let wave = 0.55 + 0.2 * (std::f64::consts::TAU * (day + phase)).sin();
+    let step = if pool == 0 && day > 3.5 { 0.35 } else { 0.0 };
+    (size * (wave + step) + random.random_range(-0.4..0.4)).max(0.0)
+}
+
+/// Moves and minion-hours short, in a week.
+fn run_moves(sizes: &[u32], policy: MovePolicy, seed: u64) -> (f64, f64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut serving: Vec<u32> = sizes.to_vec();
+    let mut travelling: VecDeque<(u64, usize)> = VecDeque::new();
+    let mut smoothed: Vec<f64> = vec![0.5; sizes.len()];
+    let mut sizer = Sizer::default();
+    let (mut moves, mut short) = (0.0, 0.0);
+    for minute in 0..WEEK {
+        while travelling.front().is_some_and(|(at, _)| *at <= minute) {
+            if let Some((_, pool)) = travelling.pop_front() {
+                serving[pool] += 1;
+            }
+        }
+        let needs: Vec<f64> = sizes
+            .iter()
+            .enumerate()
+            .map(|(pool, size)| demand(pool, f64::from(*size), minute, &mut random))
+            .collect();
+        for pool in 0..sizes.len() {
+            short += (needs[pool] - f64::from(serving[pool])).max(0.0) / 60.0;
+            let used = needs[pool] / f64::from(serving[pool].max(1));
+            smoothed[pool] += 0.1 * (used - smoothed[pool]);
+        }
+        for (from, to) in decide(policy, sizes, &serving, &needs, &smoothed, &mut sizer, minute) {
+            serving[from] -= 1;
+            travelling.push_back((minute + MOVE, to));
+            moves += 1.0;
+        }
+    }
+    (moves, short)
+}
+
+fn decide(
+    policy: MovePolicy,
+    sizes: &[u32],
+    serving: &[u32],
+    needs: &[f64],
+    smoothed: &[f64],
+    sizer: &mut Sizer,
+    minute: u64,
+) -> Vec<(usize, usize)> {
+    match policy {
+        MovePolicy::Never => Vec::new(),
+        MovePolicy::Chosen => {
+            let pools: Vec<Pool> = (0..sizes.len())
+                .map(|n| Pool {
+                    service: id(format!("s{n}")),
+                    serving: serving[n],
+                    wanted: sizes[n],
+                    floor: sizes[n] - 2,
+                    utilisation: smoothed[n],
+                    lends: true,
+                })
+                .collect();
+            let decided = sizer.decide(&pools, Moment(minute * 60_000), Settings::default());
+            let find = |service: &id::Service| pools.iter().position(|p| p.service == *service);
+            let pair = decided.and_then(|m| Some((find(&m.from)?, find(&m.to)?)));
+            pair.into_iter().collect()
+        }
+        MovePolicy::Follow => {
+            if !minute.is_multiple_of(FOLLOW) {
+                return Vec::new();
+            }
+            let total: u32 = serving.iter().sum();
+            let all: f64 = needs.iter().sum();
+            let wanted: Vec<u32> =
+                needs.iter().map(|need| (need / all * f64::from(total)) as u32).collect();
+            let mut over: VecDeque<usize> = VecDeque::new();
+            let mut under: VecDeque<usize> = VecDeque::new();
+            for pool in 0..sizes.len() {
+                let (has, wants) = (serving[pool], wanted[pool]);
+                (wants..has).for_each(|_| over.push_back(pool));
+                (has..wants).for_each(|_| under.push_back(pool));
+            }
+            over.into_iter().zip(under).collect()
+        }
+    }
+}
+
+pub(crate) fn print() {
+    println!("\nMOVES: a week of demand that goes up and down, and once for good");
+    println!("{:28} {:>18} {:>24}", "policy", "moves a week", "minion-hours short");
+    for (name, policy) in [
+        ("chosen", MovePolicy::Chosen),
+        ("sizes follow demand", MovePolicy::Follow),
+        ("never", MovePolicy::Never),
+    ] {
+        let runs: Vec<(f64, f64)> =
+            SEEDS.map(|seed| run_moves(&[9, 9, 11, 12, 8], policy, seed)).collect();
+        let column = |f: fn(&(f64, f64)) -> f64| spread(&runs.iter().map(f).collect::<Vec<_>>());
+        println!("{name:28} {:>18} {:>24}", column(|r| r.0), column(|r| r.1));
+    }
+}
