Entries and rows of other writers are left out, and the others hold

Cause, found by reading: a list of machines with one unknown state was refused whole; a page of rows with one value that isn't base64 too, so a feed stood still for good; an entry of a minion with an unknown or no state was taken for one that serves; an answer to a look that can't be read counted as an empty one, after which what ran there would be started again; a key with a line break among the minions would end the process in a header. Rows of machines to be emptied were dropped in one transaction of any size: over 100 the store refuses it, each time it is sent.

Change: adapter::lenient reads a list without the elements that can't be read, and counts them; the counts are logged. A row with spoiled bytes is there with an empty value, so nobody takes it for missing. A minion's entry needs a service, an address, a zone, a known state and a capacity; an earlier entry of the same id doesn't hold on. Transactions over the store's size are not sent, and the rows of machines go in several.

The stand-in's store refuses transactions over 100 entries from now on.

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -13,7 +13,7 @@
 use crate::peers;
 use crate::rows;
 use celerythread_adapter::machine;
-use celerythread_adapter::store::Transaction;
+use celerythread_adapter::store::{MAX_ENTRIES, Transaction};
 use celerythread_engine::pools::Load;
 use celerythread_engine::time::Time;
 use celerythread_engine::{maintenance as maintenance_plan, pools as pool_plan};
@@ -188,8 +188,12 @@
             return false;
         }
         match client.list(CALL_LIMIT).await {
-            Ok(machines) => {
-                self.machines = machines;
+            Ok(list) => {
+                if list.unreadable > 0 {
+                    let unreadable = list.unreadable;
+                    node.journal.warn("machines_unreadable", &[("machines", &unreadable)]);
+                }
+                self.machines = list.machines;
                 self.read = Some(clock::now());
                 true
             }
@@ -212,30 +216,38 @@
     let row = |(machine, minion): &(String, String)| {
         (rows::control(rows::EMPTYING_PREFIX, machine), minion.as_bytes().to_vec())
     };
-    let writes = machines.iter().map(row).collect();
-    let written =
-        node.commit(&Transaction { writes, ..Transaction::default() }, CALL_LIMIT).await.is_ok();
-    if written {
+    for chunk in machines.chunks(MAX_ENTRIES) {
+        let writes = chunk.iter().map(row).collect();
+        let change = Transaction { writes, ..Transaction::default() };
+        if node.commit(&change, CALL_LIMIT).await.is_err() {
+            return false;
+        }
         let mut view = node.view.write();
-        for (machine, minion) in machines {
+        for (machine, minion) in chunk {
             view.emptying.insert(machine.clone(), minion.clone());
             node.journal.note("machine_emptying", &[("machine", machine), ("minion", minion)]);
         }
     }
-    written
+    true
 }
 
 /// Drops the rows of machines that no longer are to be emptied.
+///
+/// They are independent of each other, so many go in several transactions: after an outage more
+/// were settled than one may hold, it was refused each time, and no row was dropped any more.
 pub(crate) async fn drop_emptying(node: &Node, machines: &[String]) {
-    if machines.is_empty() {
-        return;
-    }
     let row = |machine: &String| rows::control(rows::EMPTYING_PREFIX, machine);
-    let change =
-        Transaction { drops: machines.iter().map(row).collect(), ..Transaction::default() };
-    if node.commit(&change, CALL_LIMIT).await.is_ok() {
+    for chunk in machines.chunks(MAX_ENTRIES) {
+        let change =
+            Transaction { drops: chunk.iter().map(row).collect(), ..Transaction::default() };
+        if let Err(error) = node.commit(&change, CALL_LIMIT).await {
+            // Looked at again with the next list of machines.
+            let left = machines.len();
+            node.journal.warn("emptying_left", &[("machines", &left), ("reason", &error)]);
+            return;
+        }
         let mut view = node.view.write();
-        for machine in machines {
+        for machine in chunk {
             view.emptying.remove(machine);
         }
     }
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -74,6 +74,7 @@
         match result {
             Ok(page) => {
                 sink.answered();
+                note_unreadable(node, table, &page);
                 take(page, version, sink);
             }
             Err(Error::HistoryGone) => {
@@ -90,6 +91,15 @@
     }
 }
 
+/// Rows of another writer that can't be read don't hold up the others.
+fn note_unreadable(node: &Node, table: &Table, page: &Page) {
+    if page.unreadable > 0 {
+        let fields: [(&'static str, &dyn std::fmt::Display); 3] =
+            [("table", &table.name), ("rows", &page.unreadable), ("version", &page.version)];
+        node.journal.warn("rows_unreadable", &fields);
+    }
+}
+
 fn take(page: Page, version: &mut u64, sink: &dyn Sink) {
     if !page.rows.is_empty() {
         sink.change(page.rows);
@@ -108,6 +118,7 @@
         node.store_result(&result);
         if let Ok(page) = result {
             sink.answered();
+            note_unreadable(node, table, &page);
             sink.replace(page.rows, page.version);
             return Some(page.version);
         }
@@ -194,15 +205,16 @@
     fn take(&self, row: &Row) {
         let node = &self.0;
         let id: Arc<str> = row.key.as_str().into();
-        if row.dropped {
+        let entry = if row.dropped { None } else { Entry::decode(&id, &row.value) };
+        let Some(entry) = entry else {
+            // What can't be read names no minion to use, also where an earlier entry did.
+            if !row.dropped {
+                node.journal.warn("minion_unreadable", &[("minion", &id)]);
+            }
             if node.minions.write().remove(&id).is_some() {
                 node.journal.note("minion_gone", &[("minion", &id), ("version", &row.version)]);
             }
             return;
-        }
-        let Some(entry) = Entry::decode(&row.value) else {
-            node.journal.warn("minion_unreadable", &[("minion", &id)]);
-            return;
         };
         let (service, draining) = (entry.service.clone(), entry.listing.draining);
         let known = node.minions.write().insert(id.clone(), entry);
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -199,7 +199,12 @@
     let node = &owner.node;
     let Some(client) = &node.machines else { return (Vec::new(), 0) };
     let machines: BTreeMap<String, Machine> = match client.list(CALL_LIMIT).await {
-        Ok(machines) => machines.iter().map(fleet::maintenance::seen).collect(),
+        // One of those that can't be read may have the minion that no other has.
+        Ok(list) if list.unreadable > 0 => {
+            node.journal.warn("machines_unreadable", &[("machines", &list.unreadable)]);
+            return (Vec::new(), 0);
+        }
+        Ok(list) => list.machines.iter().map(fleet::maintenance::seen).collect(),
         Err(failure) => {
             node.journal.warn("machines_unread", &[("reason", &failure)]);
             return (Vec::new(), 0);
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -19,6 +19,9 @@
 /// Rows of one answer.
 const PAGE: usize = 500;
 
+/// Entries of one transaction.
+const ENTRIES: usize = 100;
+
 /// What the store does to calls.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Trouble {
@@ -232,6 +235,9 @@
 
 fn transact(tables: &mut Tables, body: &Value) -> Response {
     let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+    if ["expect", "writes", "remove"].iter().map(|name| list(name).len()).sum::<usize>() > ENTRIES {
+        return answer(400, json!({}));
+    }
     let wrong: Vec<Value> = list("expect")
         .iter()
         .filter(|row| {
--- a/tests/all/site/store.rs
+++ b/tests/all/site/store.rs
@@ -116,3 +116,47 @@
     assert_eq!(deployment.owner(), owner);
     assert!(deployment.entries.iter().all(|entry| !entry.noted("cell_lost")));
 }
+
+/// Callers wait for good: another writer's entries stand among the minions', with fields missing or of
+/// another type, states that nobody knows, keys that no header can hold, and bytes that can't be read,
+/// and nothing of that page is taken in; or tasks are sent to minions that aren't there.
+#[async_std::test]
+async fn entries_of_another_writer_name_no_minions() {
+    let deployment = Deployment::start("store-others", 2, 2).await;
+    let entry = |state: &str| {
+        json!({
+            "service": "svc", "address": "127.0.0.1:9", "zone": "zone", "state": state,
+            "capacity": { "cpu": 16000, "memMb": 32768 }, "labels": ["a", "rack-1"],
+        })
+    };
+    let store = &deployment.site.store;
+    store.put("servers", "", "i-unknown", entry("retired").to_string().as_bytes());
+    store.put("servers", "", "i-bad\r\nkey", entry("ready").to_string().as_bytes());
+    store.put("servers", "", "i-bytes", &[0xff, 0x00, 0x7b]);
+    store.put("servers", "", "i-part", br#"{"state":"ready"}"#);
+    store.put("servers", "", "i-type", br#"{"service":5,"address":[],"state":{}}"#);
+    for number in 0..10 {
+        assert_eq!(deployment.submit(0, &id(number), 2, "ms=50").await, 200);
+    }
+    for number in 0..10 {
+        deployment.until(1, &id(number), "completed").await;
+    }
+    let history = deployment.site.history();
+    assert_eq!(check::once(&history), Vec::<String>::new());
+}
+
+/// Machines that were to be emptied once get no work any more.  A former holder of the duty left more
+/// rows than one transaction may drop; the next one sent it all the same, and it was refused each time.
+#[async_std::test]
+async fn any_number_of_machines_is_released() {
+    let deployment = Deployment::start("store-many", 1, 2).await;
+    for number in 0..130 {
+        let key = format!("emptying/old-{number}");
+        deployment.site.store.put("control", "", &key, b"i-gone");
+    }
+    let began = Instant::now();
+    while deployment.site.store.count("control", "emptying/") > 0 {
+        assert!(began.elapsed() < PATIENCE, "rows are left");
+        task::sleep(Duration::from_millis(50)).await;
+    }
+}
