A turn is an eighth of the fleet, and who has had none comes next

Cause: what is left of a turn flickers up again, and between turns one large job is the most that any pool asks for.

Change: a turn counts from an eighth of the fleet's cores on, and again only after 1.5 s of rest; in the first round those without a turn come next, later the one whose turn is longest ago.

Two of the four new tests are red before.

--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -215,7 +215,8 @@
     ) -> Vec<Move> {
         self.forget_arrived(machines, now);
         let demands = loads.iter().map(|(pool, load)| (pool.as_str(), self.passing(load)));
-        self.turns.observe(&demands.collect(), now);
+        let machine = loads.values().map(|load| load.minion_cpu).max().unwrap_or(0);
+        self.turns.observe(&demands.collect(), machine * machines.len() as u64, now);
         let mut surplus: BTreeMap<&str, usize> = BTreeMap::new();
         let mut lacks = Vec::new();
         for (pool, load) in loads {
--- a/crates/engine/src/pools/turns.rs
+++ b/crates/engine/src/pools/turns.rs
@@ -7,28 +7,45 @@
 //! Machines that idle meanwhile can be in the next pool before its turn begins, for a move that they
 //! would make in any case.
 //!
-//! What is known of the order comes from the turns that were seen: after the pool that followed the
-//! present one the last time, or, before that is known, after those that have not had a turn yet.
+//! What is known of the order comes from the turns that were seen.  In the first round those come next
+//! that have not had one; later the one whose turn is longest ago.
+//!
+//! Not everything that looks like a turn is one.  What is left of a turn flickers up again seconds after
+//! it, and between two turns a single large job is the most that any pool asks for.  Counted as turns,
+//! they hid which pool had not had its own yet: on days with four turns 5 to 10 were noted, machines that
+//! idled were sent to the wrong pools, and the last turn began with half of its jobs late.  So a turn is
+//! one only from an eighth of the fleet on, and a pool that had one must have rested before its next.
 
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// How long a pool must ask for most before that counts as its turn: shorter peaks come from single
-/// large jobs.
-const LEAST_TURN: Duration = Duration::from_millis(400);
+/// How long a pool must ask for most before that counts: shorter peaks come from single large jobs.
+const LEAST_RISE: Duration = Duration::from_millis(400);
 
-/// Cores that a pool must ask for to have a turn, in thousandths: two machines'.  Between turns the
+/// Cores that a pool must ask for to be the one that asks for most, in thousandths.  Between turns the
 /// twentieth part of a queue's mean and its largest jobs stay below.
 const LEAST_DEMAND: u64 = 32_000;
 
+/// The part of the fleet's cores that a pool must ask for before it has a turn.  A turn asks for more
+/// than its pool holds, so for a quarter where four take turns; half of that, for those that ask for less.
+const LEAST_TURN: u64 = 8;
+
+/// The part of the fleet's cores below which a pool rests.  A queue asks for a twentieth of its mean
+/// then, which is a hundredth of what it asks for in its turn.
+const RESTS: u64 = 32;
+
+/// How long a pool must have rested before it can have a turn again: longer than the tasks at hand last
+/// on average, which leave gaps in a remainder, and far shorter than the others' turns.
+const LEAST_REST: Duration = Duration::from_millis(1500);
+
 /// A pool whose demand fell below this share of its turn's peak won't need more machines in this
 /// turn: demand rises once and falls once in a turn.
 const DECLINING: f64 = 0.6;
 
 /// A pool that asked for less than this share of its turn's peak, and then for as much as in a turn
-/// again, has another one.
+/// again, rises anew.
 const OVER: f64 = 0.3;
 
 /// Times its demand so far that a pool is expected to ask for in its first turn.  A turn's demand
@@ -47,62 +64,101 @@
     pub peaks: BTreeMap<String, u64>,
 }
 
+/// How long a pool has asked for hardly anything.
+#[derive(Debug, Default)]
+struct Rest {
+    since: Option<Time>,
+    /// Whether that was long enough for another turn.
+    enough: bool,
+}
+
+/// The pool that asks for most, and didn't before.
+#[derive(Debug, Default)]
+struct Present {
+    pool: String,
+    /// What it asked for when it was seen last.
+    demand: u64,
+    /// The most that it asked for.
+    highest: u64,
+    /// Whether it asked for so little since that it may rise anew.
+    over: bool,
+    /// Whether this is noted as its turn.
+    is_turn: bool,
+}
+
+impl Present {
+    /// Whether its demand is below a share of its peak.
+    fn is_below(&self, share: f64) -> bool {
+        (self.demand as f64) < self.highest as f64 * share
+    }
+}
+
 /// What is known and observed of the turns.
 #[derive(Debug, Default)]
 pub(crate) struct Turns {
     history: History,
     /// A pool that asks for most and didn't before, and since when.
     rising: Option<(String, Time)>,
-    /// What the pool whose turn it is asked for when it was seen last.
-    demand: u64,
-    /// The most that it asked for since its turn began.
-    highest: u64,
-    /// Whether it asked for so little since that its turn is over.
-    over: bool,
+    present: Option<Present>,
+    rests: BTreeMap<String, Rest>,
 }
 
 impl Turns {
     /// Goes on from a kept history.  How high the present turn rose isn't kept; that it rose as
     /// high as usual lets a low demand count as its end.
     pub(crate) fn restore(&mut self, history: History) {
+        self.present = history.turns.last().map(|pool| {
+            let highest = history.peaks.get(pool).copied().unwrap_or(0);
+            Present { pool: pool.clone(), highest, is_turn: true, ..Present::default() }
+        });
         self.history = history;
-        self.highest = self.history.turns.last().map_or(0, |present| self.peak(present));
     }
 
     pub(crate) fn history(&self) -> &History {
         &self.history
     }
 
-    /// Takes in what each pool asks for now, in thousandths of cores.
-    pub(crate) fn observe(&mut self, demands: &BTreeMap<&str, u64>, now: Time) {
-        if let Some(present) = self.history.turns.last() {
-            self.demand = demands.get(present.as_str()).copied().unwrap_or(self.demand);
-            self.highest = self.highest.max(self.demand);
-            self.over |= self.is_below(OVER);
+    /// Takes in what each pool asks for now, in thousandths of cores; `fleet` is what all machines
+    /// have.
+    pub(crate) fn observe(&mut self, demands: &BTreeMap<&str, u64>, fleet: u64, now: Time) {
+        self.note_rests(demands, fleet, now);
+        if let Some(present) = &mut self.present {
+            present.demand = demands.get(present.pool.as_str()).copied().unwrap_or(present.demand);
+            present.highest = present.highest.max(present.demand);
+            present.over |= present.is_below(OVER);
         }
+        let declines = self.present.as_ref().is_some_and(|present| present.is_below(DECLINING));
+        let present = self.present.as_ref().map(|present| present.pool.as_str());
         // What is left of a turn that is ending doesn't hide the next one's beginning.
-        let present = self.history.turns.last().map(String::as_str);
-        let left_out = if self.is_below(DECLINING) { present } else { None };
+        let left_out = if declines { present } else { None };
         let rivals = demands.iter().filter(|(pool, _)| Some(**pool) != left_out);
         let total: u64 = rivals.clone().map(|(_, demand)| *demand).sum();
         let most = rivals.max_by_key(|(_, demand)| **demand);
         let most = most.filter(|(_, demand)| **demand >= LEAST_DEMAND && **demand * 2 > total);
-        let again = self.over && !self.is_below(DECLINING);
+        let again = !declines && self.present.as_ref().is_some_and(|present| present.over);
         match most {
             Some((pool, _)) if again || present != Some(*pool) => self.rise(pool, now),
             _ => self.rising = None,
         }
+        self.note_turn(fleet);
     }
 
-    /// Whether the present turn's demand is below a share of its peak.
-    fn is_below(&self, share: f64) -> bool {
-        (self.demand as f64) < self.highest as f64 * share
+    fn note_rests(&mut self, demands: &BTreeMap<&str, u64>, fleet: u64, now: Time) {
+        for (pool, demand) in demands {
+            let rest = self.rests.entry((*pool).to_owned()).or_default();
+            if *demand >= fleet / RESTS {
+                rest.since = None;
+                continue;
+            }
+            let since = *rest.since.get_or_insert(now);
+            rest.enough |= now.since(since) >= LEAST_REST;
+        }
     }
 
     fn rise(&mut self, pool: &str, now: Time) {
         match &self.rising {
             Some((rising, since)) if rising == pool => {
-                if now.since(*since) >= LEAST_TURN {
+                if now.since(*since) >= LEAST_RISE {
                     self.begin(pool);
                 }
             }
@@ -112,50 +168,73 @@
 
     fn begin(&mut self, pool: &str) {
         self.rising = None;
-        if let Some(present) = self.history.turns.last() {
-            self.history.peaks.insert(present.clone(), self.highest);
+        let fresh = Present { pool: pool.into(), ..Present::default() };
+        if let Some(last) = self.present.replace(fresh).filter(|last| last.is_turn) {
+            self.history.peaks.insert(last.pool, last.highest);
+        }
+    }
+
+    /// Notes the present pool's turn once it asks for enough, if it isn't the remainder of its last one.
+    fn note_turn(&mut self, fleet: u64) {
+        let Some(present) = &mut self.present else { return };
+        if present.is_turn || present.demand < fleet / LEAST_TURN {
+            return;
         }
-        (self.highest, self.over) = (0, false);
+        let rest = self.rests.entry(present.pool.clone()).or_default();
+        if self.history.turns.contains(&present.pool) && !rest.enough {
+            return;
+        }
+        rest.enough = false;
+        present.is_turn = true;
         if self.history.turns.len() >= MAX_HISTORY {
             self.history.turns.remove(0);
         }
-        self.history.turns.push(pool.into());
+        self.history.turns.push(present.pool.clone());
     }
 
     /// What pools are expected to ask for soon, in thousandths of cores: the present turn's pool
     /// until its demand falls, then those that may come next, each an equal share of one turn.
     pub(crate) fn expected(&self, pools: &[&str]) -> Vec<(String, u64)> {
-        let Some(present) = self.history.turns.last() else { return Vec::new() };
-        if !self.is_below(DECLINING) {
-            let known = self.history.peaks.get(present).copied();
-            let expected = known.unwrap_or(self.highest * FIRST_RISE).max(self.highest);
-            return vec![(present.clone(), expected)];
+        let Some(present) = &self.present else { return Vec::new() };
+        let rises = !present.is_below(DECLINING);
+        let rise = present.highest * FIRST_RISE;
+        if present.is_turn && rises {
+            let known = self.history.peaks.get(&present.pool).copied();
+            let expected = known.unwrap_or(rise).max(present.highest);
+            return vec![(present.pool.clone(), expected)];
         }
-        let next = self.next(present, pools);
+        let next = self.next(pools);
         let count = next.len().max(1) as u64;
-        next.into_iter().map(|pool| (pool.to_owned(), self.peak(pool) / count)).collect()
+        let share = |pool: &str| self.peak(pool) / count;
+        if rises {
+            // Whether a turn begins or a single job is large: what idles goes where something waits.
+            let ahead = if next.contains(&&*present.pool) { share(&present.pool) } else { 0 };
+            return vec![(present.pool.clone(), rise.max(ahead))];
+        }
+        next.into_iter().map(|pool| (pool.to_owned(), share(pool))).collect()
     }
 
     /// The most that a pool asked for in a turn; for one without a turn, the most of any.
     fn peak(&self, pool: &str) -> u64 {
         let known = self.history.peaks.get(pool).copied();
-        let any = self.history.peaks.values().max().copied().unwrap_or(0).max(self.highest);
+        let present = self.present.as_ref().filter(|present| present.is_turn);
+        let highest = present.map_or(0, |present| present.highest);
+        let any = self.history.peaks.values().max().copied().unwrap_or(0).max(highest);
         known.unwrap_or(any)
     }
 
-    /// Pools whose turn may come after `present`.
-    fn next<'a>(&'a self, present: &str, pools: &[&'a str]) -> Vec<&'a str> {
+    /// Pools whose turn may come after the last one.
+    fn next<'a>(&'a self, pools: &[&'a str]) -> Vec<&'a str> {
         let turns = &self.history.turns;
-        let followed = turns.windows(2).rev().find(|pair| pair[0] == present);
-        if let Some(pair) = followed {
-            return vec![pair[1].as_str()];
-        }
+        let Some(last) = turns.last() else { return Vec::new() };
+        let repeats = turns.iter().enumerate().any(|(at, turn)| turns[..at].contains(turn));
         let fresh = |pool: &&&str| !turns.iter().any(|turn| turn == **pool);
         let waiting: Vec<&str> = pools.iter().filter(fresh).copied().collect();
-        if !waiting.is_empty() {
+        if !repeats && !waiting.is_empty() {
             return waiting;
         }
-        // Everybody had a turn and nobody followed the present one: a round begins anew.
-        turns.first().map(String::as_str).filter(|first| *first != present).into_iter().collect()
+        let ago = |pool: &str| turns.iter().rev().position(|turn| turn == pool);
+        let had = pools.iter().copied().filter(|pool| pool != last && ago(pool).is_some());
+        had.max_by_key(|pool| ago(pool)).into_iter().collect()
     }
 }
--- a/crates/engine/tests/all/turns.rs
+++ b/crates/engine/tests/all/turns.rs
@@ -201,3 +201,83 @@
     fleet.pause();
     assert!(fleet.in_pool("a") >= 19, "a's turn comes after d's: {}", fleet.in_pool("a"));
 }
+
+impl Fleet {
+    /// Looks for `seconds` at the same demands, in cores; one core in each pool that isn't named.
+    fn looks(&mut self, seconds: u64, demands: &[(&str, u64)]) {
+        for _ in 0..seconds * 5 {
+            self.now = self.now + TICK;
+            let of = |pool: &str| {
+                demands.iter().find(|(name, _)| *name == pool).map_or(1, |(_, cores)| *cores)
+            };
+            let loads = POOLS.iter().map(|pool| ((*pool).to_owned(), self.load(pool, of(pool))));
+            let loads = loads.collect();
+            let moves = self.planner.plan(&self.machines, &loads, None, self.now);
+            for plan in &moves {
+                self.planner.ordered(&plan.machine, self.now);
+                self.machines.get_mut(&plan.machine).expect("listed").pool = plan.to.clone();
+            }
+        }
+    }
+}
+
+/// The last queue's turn begins, and its callers find as few machines as ever, while those that idle
+/// wait where a single large job had been: between two turns it was the most that any pool asked for,
+/// so it counted as a turn, and its pool as the one that is followed by another.
+#[test]
+fn a_single_large_job_is_no_turn() {
+    let mut fleet = Fleet::new();
+    fleet.turn("a", 300);
+    fleet.looks(1, &[("c", 60)]);
+    fleet.turn("b", 300);
+    fleet.looks(1, &[("a", 60)]);
+    fleet.turn("c", 300);
+    fleet.looks(1, &[("a", 60)]);
+    fleet.looks(1, &[("b", 60)]);
+    fleet.pause();
+    assert_eq!(fleet.planner.history().turns, ["a", "b", "c"]);
+    assert!(fleet.in_pool("d") >= 19, "d alone has had no turn: {}", fleet.in_pool("d"));
+}
+
+/// What is left of a turn asks for much once more, when the next one's demand is served.  Counted as a
+/// turn, it hid which pool comes next.
+#[test]
+fn a_remainder_that_flickers_up_is_no_turn() {
+    let mut fleet = Fleet::new();
+    fleet.turn("a", 400);
+    fleet.looks(2, &[("a", 80), ("b", 150)]);
+    fleet.looks(1, &[("a", 120), ("b", 20)]);
+    fleet.turn("b", 300);
+    fleet.pause();
+    assert_eq!(fleet.planner.history().turns, ["a", "b"]);
+}
+
+/// Two queues take turns and two never do.  After each has had a second turn it is known who comes next,
+/// and nothing is kept ready for those that never ask.
+#[test]
+fn pools_that_never_have_a_turn_are_not_waited_for() {
+    let mut fleet = Fleet::new();
+    for _ in 0..2 {
+        fleet.turn("a", 300);
+        fleet.pause();
+        fleet.turn("b", 300);
+        fleet.pause();
+    }
+    assert!(fleet.in_pool("a") >= 19, "a comes after b: {}", fleet.in_pool("a"));
+}
+
+/// Pools of very different demand take turns of different lengths; the order is the same all the same.
+#[test]
+fn turns_of_any_length_and_height_are_told_apart() {
+    let mut fleet = Fleet::new();
+    for _ in 0..2 {
+        fleet.looks(3, &[("c", 90)]);
+        fleet.pause();
+        fleet.looks(20, &[("a", 500)]);
+        fleet.pause();
+        fleet.looks(6, &[("d", 200)]);
+        fleet.pause();
+    }
+    assert_eq!(fleet.planner.history().turns, ["c", "a", "d", "c", "a", "d"]);
+    assert!(fleet.in_pool("c") >= 5, "c comes after d: {}", fleet.in_pool("c"));
+}
--- a/crates/scheduler/src/fleet/pools.rs
+++ b/crates/scheduler/src/fleet/pools.rs
@@ -52,9 +52,9 @@
     let Some(configuration) = node.configuration() else { return };
     let machines: BTreeMap<String, Machine> =
         fleet.machines().iter().map(|machine| seen(machine, fleet)).collect();
-    let turn = fleet.pools.history().turns.last().cloned();
+    let turns = fleet.pools.history().turns.clone();
     let moves = fleet.pools.plan(&machines, loads, configuration.spare_pool(), clock::now());
-    if fleet.pools.history().turns.last() != turn.as_ref() {
+    if fleet.pools.history().turns != turns {
         keep_turns(node, &fleet.pools).await;
     }
     let mut loads = loads.clone();
