The end of a run that was carried out late lets its task start again

Change: a task's phase names its run, and no longer the highest number known stands for it; a start that nobody carries out is taken back; jobs that could run and don't are noted with what keeps them.

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -5,7 +5,8 @@
 //! [`report`] takes in what minions say, [`plan`] decides what starts and stops, [`place`]
 //! finds a minion for a task, [`sequence`] orders the waiting jobs, [`keep`] says what must be
 //! written before an end may be acknowledged, [`advice`] holds tickets, [`pace`] slows down what
-//! disturbs serving tasks, [`straggler`] finds slow minions.
+//! disturbs serving tasks, [`straggler`] finds slow minions, [`idle`] notes jobs that could run and
+//! don't.
 //!
 //! Three rules carry the promise that no task runs twice:
 //! - a run counts as over only when its minion listed its end, answered a stop and no longer
@@ -15,6 +16,7 @@
 //! - an end is acknowledged only after it is kept.
 
 pub mod advice;
+pub mod idle;
 pub mod keep;
 mod load;
 pub mod minion;
@@ -29,6 +31,7 @@
 use crate::job::{Accepted, Id, Progress, State, TaskName};
 use crate::time::Time;
 pub use advice::Query;
+pub use idle::Guard;
 pub use keep::Batch;
 pub use minion::{Listing, Minion, MinionId};
 pub use plan::Order;
@@ -107,6 +110,8 @@
     pub(crate) minions: BTreeMap<MinionId, Minion>,
     /// When all runs were last looked at for what must stop; none while that can't wait.
     pub(crate) swept: Option<Time>,
+    /// When it was last looked for jobs that could run and don't.
+    pub(crate) looked: Option<Time>,
     /// Needs for which no minion has room, in the plan being made.
     pub(crate) full: place::Full,
     /// When runs that the former owner started must have lapsed on minions that don't answer;
@@ -180,6 +185,15 @@
         /// The task.
         task: TaskName,
     },
+    /// Nothing of a job runs although some minion has room for it.
+    Idle {
+        /// The task that could run.
+        task: TaskName,
+        /// Where it counts as placed.
+        placed: Option<MinionId>,
+        /// What keeps it from each minion.
+        guards: Vec<(MinionId, Guard)>,
+    },
     /// A minion gets no tasks for a while.
     Quarantined {
         /// The minion.
@@ -204,6 +218,7 @@
             changed: BTreeSet::new(),
             minions: BTreeMap::new(),
             swept: None,
+            looked: None,
             full: place::Full::default(),
             former_lapse,
             mean_work: BTreeMap::new(),
--- a/crates/engine/src/cell/place.rs
+++ b/crates/engine/src/cell/place.rs
@@ -227,7 +227,7 @@
 }
 
 /// Whether a step's tasks may run on a minion, room apart.
-fn is_suitable(minion: &Minion, step: &Step, spread: &Spread) -> bool {
+pub(crate) fn is_suitable(minion: &Minion, step: &Step, spread: &Spread) -> bool {
     let labelled = step
         .requires
         .as_ref()
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -78,6 +78,7 @@
             self.stop_stragglers(now, &mut orders);
             self.evacuate(now, &mut orders);
             self.start_waiting(now, wall_ms, &mut orders);
+            self.note_idle(now, wall_ms);
         }
         orders
     }
@@ -242,9 +243,9 @@
         let at_work = |index: u32| {
             let other = TaskName { index, ..*name };
             let Some(task) = job.task(&other) else { return false };
-            let Phase::Placed { minion } = &task.phase else { return false };
+            let Phase::Placed { minion, run } = &task.phase else { return false };
             let Some(minion) = self.minions.get(minion) else { return false };
-            let run = minion.run(&other, task.run);
+            let run = minion.run(&other, *run);
             minion.reachable
                 && run.is_some_and(|run| run.phase == RunPhase::Active && run.percent >= 100)
         };
@@ -372,7 +373,7 @@
             if let Some(spread) = &mut spread {
                 *spread.entry(minion.clone()).or_default() += 1;
             }
-            let run = self.next_run(task.run);
+            let run = self.next_run(task.last_run);
             let checkpoint = task.checkpoint.clone();
             self.place(name, &minion, run, &step, now);
             let spec = spec.clone();
@@ -396,7 +397,7 @@
         let members: Vec<TaskName> =
             (0..step.count).map(|index| TaskName { index, ..first }).collect();
         let tasks = || members.iter().filter_map(|name| job.task(name));
-        let last = tasks().map(|task| task.run).max().unwrap_or(0);
+        let last = tasks().map(|task| task.last_run).max().unwrap_or(0);
         // A checkpoint of any member holds for all, and all must resume from the same one.
         let checkpoint = tasks().filter_map(|task| task.checkpoint.clone()).max();
         let advised = self.needs_ticket(&job.accepted.queue);
@@ -420,8 +421,8 @@
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         job.started = true;
         if let Some(task) = job.task_mut(&name) {
-            task.phase = Phase::Placed { minion: id.clone() };
-            task.run = number;
+            task.phase = Phase::Placed { minion: id.clone(), run: number };
+            task.last_run = number;
         }
         if let Some(minion) = self.minions.get_mut(id) {
             minion.insert(name, Run::new(number, RunPhase::Ordered, Some(step), now));
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -270,8 +270,8 @@
             orders.push(stop);
             return;
         }
-        task.phase = Phase::Placed { minion: id.clone() };
-        task.run = task.run.max(number);
+        task.phase = Phase::Placed { minion: id.clone(), run: number };
+        task.last_run = task.last_run.max(number);
         if let Some(checkpoint) = &running.checkpoint {
             task.checkpoint = Some(checkpoint.clone());
         }
@@ -366,8 +366,8 @@
     pub(crate) fn give_up(&mut self, minion: &MinionId, name: &TaskName, run: u32, now: Time) {
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         let Some(task) = job.task_mut(name) else { return };
-        let current = matches!(&task.phase, Phase::Placed { minion: at } if at == minion);
-        if current && task.run == run {
+        let current = Phase::Placed { minion: minion.clone(), run };
+        if task.phase == current {
             task.phase = Phase::Waiting;
             task.waits_since = now;
         }
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -16,6 +16,10 @@
     Placed {
         /// Where.
         minion: MinionId,
+        /// The run's number.  It isn't always the highest one: a run whose start was carried out late is
+        /// older than those that failed meanwhile.  Compared with the highest, its end was taken for that
+        /// of an older run, and the task counted as placed for ever.
+        run: u32,
     },
     /// It has ended as done.
     Done,
@@ -26,8 +30,8 @@
 pub struct Task {
     /// Where it stands.
     pub phase: Phase,
-    /// The highest number of a run known.
-    pub run: u32,
+    /// The highest number of a run known; the next one is higher.
+    pub last_run: u32,
     /// Runs that failed.
     pub failed: SmallVec<[u32; 2]>,
     /// The newest checkpoint.
@@ -254,7 +258,7 @@
         for (flat, failed) in &progress.failed {
             if let Some(task) = self.tasks.get_mut(*flat as usize) {
                 task.failed = failed.clone();
-                task.run = failed.iter().copied().max().unwrap_or(0);
+                task.last_run = failed.iter().copied().max().unwrap_or(0);
                 self.started = true;
             }
         }
--- a/crates/engine/tests/all/runs.rs
+++ b/crates/engine/tests/all/runs.rs
@@ -1,7 +1,7 @@
 //! Runs: unanswered orders, lapses, minions that fail or hang.
 
 use crate::fixture::*;
-use celerythread_engine::cell::{How, Refusal, Report, StartResult};
+use celerythread_engine::cell::{Guard, How, Note, Refusal, Report, StartResult};
 use celerythread_engine::job::Step;
 use std::time::Duration;
 
@@ -344,3 +344,64 @@
         assert!(world.plan().is_empty());
     }
 }
+
+/// A job is never done, though its minions idle.  A run whose start was carried out late was found where
+/// it had been given up, after a newer run had failed elsewhere; when it ended, its end was taken for that
+/// of an older run, and the task counted as placed for ever.
+#[test]
+fn the_end_of_a_late_run_lets_its_task_start_again() {
+    let mut world = World::new(2);
+    world.submit(1, definition(vec![step(1)]));
+    let (first, name, run) = world.start_all().remove(0);
+    world.cell.missed(&first);
+    let (second, _, newer) = world.start_all().remove(0);
+    assert!(second != first && newer > run);
+    world.end(&second, name, newer, How::Failed);
+    let number = (0..2).find(|number| World::minion(*number) == first).expect("one of two");
+    world.answer(number, Report { running: vec![running(name, run, 10)], ..Report::default() });
+    assert_eq!(starts(&world.plan()), [], "it runs");
+    world.end(&first, name, run, How::Stopped);
+    let again = world.start_all();
+    assert!(again.iter().any(|(_, task, number)| *task == name && *number > newer), "{again:?}");
+}
+
+/// The same, when the late run's lease lapses and no end of it is ever listed.
+#[test]
+fn a_late_run_that_lapses_lets_its_task_start_again() {
+    let mut world = World::new(2);
+    world.submit(1, definition(vec![step(1)]));
+    let (first, name, run) = world.start_all().remove(0);
+    world.cell.missed(&first);
+    let (second, _, newer) = world.start_all().remove(0);
+    world.end(&second, name, newer, How::Failed);
+    let number = (0..2).find(|number| World::minion(*number) == first).expect("one of two");
+    world.answer(number, Report { running: vec![running(name, run, 10)], ..Report::default() });
+    world.cell.missed(&first);
+    let again = world.start_all();
+    assert!(again.iter().any(|(_, task, number)| *task == name && *number > newer), "{again:?}");
+}
+
+/// A caller's job stands still while minions idle, and no line tells why.  Its task would fit, but each
+/// minion is kept from it by another guard.
+#[test]
+fn a_job_that_could_run_and_does_not_is_noted_with_what_keeps_it() {
+    let mut world = World::new(3);
+    world.cell.set_leaving(&World::minion(0), true);
+    world.cell.missed(&World::minion(1));
+    world.cell.unlist(&World::minion(2));
+    world.submit(1, definition(vec![step(1)]));
+    world.plan();
+    world.pass(1100);
+    world.plan();
+    let notes = world.cell.take_notes();
+    let idle = notes.iter().find_map(|note| match note {
+        Note::Idle { task, placed: None, guards } => Some((*task, guards.clone())),
+        _ => None,
+    });
+    let (name, guards) = idle.expect("is noted");
+    assert_eq!(name, task(1, 0, 0));
+    let said: Vec<Guard> = guards.into_iter().map(|(_, guard)| guard).collect();
+    assert_eq!(said, [Guard::Leaving, Guard::Unreachable, Guard::Unlisted]);
+    world.plan();
+    assert_eq!(world.cell.take_notes(), [], "once a second at most");
+}
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -17,12 +17,13 @@
 use crate::rows;
 use attend::Attendant;
 use celerythread_adapter::configuration::Configuration;
-use celerythread_engine::cell::{Cell, Order, Queue};
-use celerythread_engine::job::{Accepted, Id, decode};
+use celerythread_engine::cell::{Cell, Order, Queue, Refusal, StartResult};
+use celerythread_engine::job::{Accepted, Id, TaskName, decode};
 use celerythread_sync::Wake;
 use celerythread_wire::job::{Answer, Question};
 use parking_lot::Mutex;
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -318,23 +319,37 @@
         };
         let (Order::Start { task, run, .. }
         | Order::Stop { task, run, .. }
-        | Order::Pace { task, run, .. }) = &order;
+        | Order::Pace { task, run, .. }) = order;
         owner.node.metrics.count(counter);
         let (age, look) = owner.with(|cell| ages(cell, &task.job, minion)).unwrap_or_default();
         owner.node.journal.note(
             event,
             &[
                 ("job", &task.job),
-                ("task", task),
-                ("run", run),
+                ("task", &task),
+                ("run", &run),
                 ("minion", minion),
                 ("token", &owner.token),
                 ("job_age_ms", &age.as_millis()),
                 ("look_age_ms", &look.as_millis()),
             ],
         );
-        if let Some(attendant) = attendants.get(minion) {
-            attendant.order(order);
+        let (minion, starts) = (minion.clone(), matches!(order, Order::Start { .. }));
+        let queued = attendants.get(&minion).is_some_and(|attendant| attendant.order(order));
+        if !queued && starts {
+            give_back(owner, &minion, &task, run);
         }
     }
 }
+
+/// Takes a start back that nobody carries out, because its minion isn't attended.
+///
+/// Left as ordered, its run would be neither listed nor answered by anybody: the task would count as
+/// placed for as long as the minion lives.
+fn give_back(owner: &Owner, minion: &Arc<str>, task: &TaskName, run: u32) {
+    let fields: [(&'static str, &dyn Display); 4] =
+        [("job", &task.job), ("task", task), ("run", &run), ("minion", minion)];
+    owner.node.journal.warn("start_given_back", &fields);
+    let refused = StartResult::Refused(Refusal::Unhealthy);
+    owner.with(|cell| cell.start_result(minion, task, run, refused, clock::now()));
+}
--- a/crates/scheduler/src/owner/attend.rs
+++ b/crates/scheduler/src/owner/attend.rs
@@ -76,11 +76,11 @@
 }
 
 impl Attendant {
-    /// Queues an order, and looks soon at what comes of it.
-    pub(crate) fn order(&self, order: Order) {
-        // Fails only when the attendant has ended; the minion's lapse then settles the run.
-        let _ = self.orders.try_send(order);
+    /// Queues an order, and looks soon at what comes of it; false if nobody carries it out any more.
+    pub(crate) fn order(&self, order: Order) -> bool {
+        let queued = self.orders.try_send(order).is_ok();
         self.kick.wake();
+        queued
     }
 }
 
--- a/crates/scheduler/src/owner/notes.rs
+++ b/crates/scheduler/src/owner/notes.rs
@@ -43,6 +43,20 @@
             ),
             Note::Evacuated { minion, task } => journal
                 .note("run_evacuated", &[("job", &task.job), ("task", task), ("minion", minion)]),
+            Note::Idle { task, placed, guards } => {
+                let said: Vec<String> =
+                    guards.iter().map(|(minion, guard)| format!("{minion}:{guard}")).collect();
+                let placed = placed.as_deref().unwrap_or("nowhere");
+                journal.warn(
+                    "job_idle",
+                    &[
+                        ("job", &task.job),
+                        ("task", task),
+                        ("placed", &placed),
+                        ("guards", &said.join(" ")),
+                    ],
+                );
+            }
             Note::Quarantined { minion, until } => journal.warn(
                 "minion_quarantined",
                 &[("minion", minion), ("ms", &until.since(now).as_millis())],
