While the store is away callers are told that nothing ran, and come back

A single failed call also made an entry unready.

Change: engine::outage counts calls in a row that brought nothing; from four on, and 100 ms without an answer, the store counts as away until the next answer of any call. Readiness goes by the same.

Measured: tests/all/site/store.rs while_the_store_is_away_..., red before (504 in place of 503); four tests of the rule.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,13 +7,14 @@
 //! state of one service, the unit that one entry instance schedules at a time; [`ownership`]
 //! decides which entry that is, [`former`] which minions of its predecessor are over;
 //! [`maintenance`] takes machines through maintenance waves, and [`pools`]
-//! moves them to where the demand is; [`patience`] says how long to wait for an answer, and [`submission`] when to
-//! give a caller its time back.
+//! moves them to where the demand is; [`patience`] says how long to wait for an answer, [`outage`] whether
+//! there is anybody to wait for, and [`submission`] when to give a caller its time back.
 
 pub mod cell;
 pub mod former;
 pub mod job;
 pub mod maintenance;
+pub mod outage;
 pub mod ownership;
 pub mod patience;
 pub mod pools;
--- /dev/null
+++ b/crates/engine/src/outage.rs
@@ -0,0 +1,58 @@
+//! Whether a service that everybody waits for is away.
+//!
+//! The pattern it answers: the store is away for some seconds at a turn's peak.  Each entry's callers
+//! went on sending it their jobs, ten times each, and none of those writes could be taken back: whether
+//! they were carried out nobody knew, so callers were told so (504) and could not ask again, though a
+//! second later they would have been served.  While it is known to be away, nothing is sent but what looks
+//! whether it is back, and callers are told the truth: not run, come back in a second (503).  It also
+//! saves two fifths of an outage day's calls (of 58,000 at 41 entries, 22,000 were such writes and reads).
+
+use crate::time::Time;
+use std::time::Duration;
+
+/// Calls in a row that brought nothing, from which on the service counts as away.  One that turns away
+/// half of its calls shows four in a row once in sixteen, and is asked again some 100 ms later.
+const LEAST_FAILURES: u32 = 4;
+
+/// See [`Outage::is_likely`]: one failure is most often a single lost answer.
+const LIKELY_FAILURES: u32 = 2;
+
+/// The least time without an answer: a few round trips, so that one lost connection with several calls
+/// on it isn't an outage.
+const LEAST_SILENCE: Duration = Duration::from_millis(100);
+
+/// What the calls to a service showed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outage {
+    /// Calls in a row that brought nothing.
+    failures: u32,
+    /// When it answered last.
+    answered: Time,
+    /// Whether it was away when a call was last taken in.
+    was_on: bool,
+}
+
+impl Outage {
+    /// Takes in that a call was answered, or that it brought nothing; true if the service is away since,
+    /// or back.
+    pub fn note(&mut self, answered: bool, now: Time) -> bool {
+        if answered {
+            (self.failures, self.answered) = (0, now);
+        } else {
+            self.failures = self.failures.saturating_add(1);
+        }
+        let is_on = self.is_on(now);
+        std::mem::replace(&mut self.was_on, is_on) != is_on
+    }
+
+    /// Whether the last calls brought nothing, so that it may be away.  An entry that only helps another
+    /// one doesn't try then: what it sends might be neither done nor given back.
+    pub fn is_likely(&self) -> bool {
+        self.failures >= LIKELY_FAILURES
+    }
+
+    /// Whether the service is away, as far as is known.
+    pub fn is_on(&self, now: Time) -> bool {
+        self.failures >= LEAST_FAILURES && now.since(self.answered) >= LEAST_SILENCE
+    }
+}
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod maintenance;
 mod matrix;
 mod model;
+mod outage;
 mod ownership;
 mod patience;
 mod pools;
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -90,7 +90,7 @@
 
     fn readiness(&self) -> Response {
         let node = &self.node;
-        let ready = node.configuration().is_some() && node.store_answers() && !node.is_stopping();
+        let ready = node.configuration().is_some() && !node.is_store_away() && !node.is_stopping();
         answer(if ready { StatusCode::Ok } else { StatusCode::ServiceUnavailable })
     }
 
@@ -205,6 +205,8 @@
         let asked = peers::ask_owner(&self.node, &queue.service, Question::State { service, id });
         let state = match asked.await {
             Some(Answer::State(Some(state))) => Ok(Some(state)),
+            // Nobody can tell now, and whoever asks does so again.
+            _ if self.node.is_store_away() => return refuse(context.left()),
             // A job that the owner doesn't know may have been accepted a moment ago.
             _ => self.read_state(queue, id).await,
         };
@@ -273,7 +275,7 @@
             let attempt = Attempt {
                 waited: clock::now().since(began),
                 left: context.left(),
-                silent: !node.store_answers(),
+                silent: node.is_store_away(),
                 has_peers: false,
                 unanswered: true,
             };
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -16,6 +16,7 @@
 use celerythread_adapter::configuration::Configuration;
 use celerythread_adapter::wave::Wave;
 use celerythread_adapter::{Caller, Service, advice, machine, minion, store};
+use celerythread_engine::outage::Outage;
 use celerythread_engine::ownership::{self, Holding};
 use celerythread_engine::patience::Patience;
 use celerythread_engine::time::Time;
@@ -148,8 +149,8 @@
     pub(crate) patience: Mutex<Patience>,
     /// What is known of the renewals of this entry's row.
     renewal: Mutex<Renewal>,
-    /// Whether the store answered last.
-    store_answers: AtomicBool,
+    /// Whether the store is away.
+    outage: Mutex<Outage>,
     /// Whether the entry is about to stop.
     pub(crate) stopping: AtomicBool,
     /// Requests of callers being worked on.
@@ -184,7 +185,7 @@
             metrics: Arc::default(),
             patience: Mutex::default(),
             renewal: Mutex::default(),
-            store_answers: AtomicBool::new(false),
+            outage: Mutex::default(),
             stopping: AtomicBool::new(false),
             flying: AtomicU64::new(0),
             stop,
@@ -262,25 +263,30 @@
 
     /// Takes note of how a call to the store went, and notes a change.
     pub(crate) fn store_result<T>(&self, result: &Result<T, store::Error>) {
-        let answers = match result {
-            Ok(_) | Err(store::Error::Conflict { .. } | store::Error::HistoryGone) => true,
-            Err(_) => {
-                self.metrics.count(Counter::StoreFailures);
-                false
-            }
-        };
-        if self.store_answers.swap(answers, Ordering::SeqCst) == answers {
+        let answered = matches!(
+            result,
+            Ok(_) | Err(store::Error::Conflict { .. } | store::Error::HistoryGone)
+        );
+        if !answered {
+            self.metrics.count(Counter::StoreFailures);
+        }
+        if !self.outage.lock().note(answered, clock::now()) {
             return;
         }
         match result {
-            Err(error) if !answers => self.journal.warn("store_lost", &[("reason", error)]),
+            Err(error) if !answered => self.journal.warn("store_lost", &[("reason", error)]),
             _ => self.journal.note("store_back", &[("address", &self.settings.store)]),
         }
     }
 
-    /// Whether the store answered last.
-    pub(crate) fn store_answers(&self) -> bool {
-        self.store_answers.load(Ordering::SeqCst)
+    /// Whether the store may be away.
+    pub(crate) fn may_store_be_away(&self) -> bool {
+        self.outage.lock().is_likely()
+    }
+
+    /// Whether the store is away, as far as this entry knows.
+    pub(crate) fn is_store_away(&self) -> bool {
+        self.outage.lock().is_on(clock::now())
     }
 
     /// Commits a transaction and takes note of how it went; waits at most `limit`, and less when
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -140,6 +140,9 @@
 
 /// Writes a job for an entry that the store turns away.
 async fn submit(node: &Node, service: &str, id: Id, row: &[u8]) -> Answer {
+    if node.may_store_be_away() {
+        return Answer::Submitted(Submission::Refused);
+    }
     let until = clock::now() + SUBMIT_LIMIT;
     let job = submit::Job { service, id, row, until };
     Answer::Submitted(match submit::write_here(node, &job, SUBMIT_LIMIT).await {
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -17,6 +17,10 @@
 /// Pause before a write that was certainly not done is tried again.
 const RETRY: Duration = Duration::from_millis(120);
 
+/// Pause before it is looked again whether a store that is away is back: without a call, since what
+/// follows the store's tables finds that out.
+const LOOK: Duration = Duration::from_millis(30);
+
 /// Peers through which a submission is tried when the store turns this entry away: it may
 /// serve all others meanwhile.
 const PEERS: usize = 2;
@@ -53,6 +57,9 @@
 /// row that is there already is ours or an earlier one of the same caller, and it is one job
 /// either way.  Only when every try was certainly not done may the caller be told that the job
 /// never runs.
+///
+/// To a store that is away nothing is written: of such a write nobody knows whether it will be carried
+/// out, and its caller could not be told to come back.
 pub(crate) async fn write(node: &Node, job: &Job<'_>) -> Written {
     let began = clock::now();
     let mut unanswered = false;
@@ -62,7 +69,7 @@
         let attempt = Attempt {
             waited: clock::now().since(began),
             left: job.until.since(clock::now()),
-            silent: !node.store_answers(),
+            silent: node.is_store_away(),
             has_peers: peers.len() > 0,
             unanswered,
         };
@@ -73,6 +80,11 @@
         let peer = if attempt.silent { peers.next() } else { None };
         let tried = match peer {
             Some(peer) => write_there(node, peer, job).await,
+            None if attempt.silent => {
+                refusal = Error::Refused { reason: "the store is away".into() };
+                async_std::task::sleep(LOOK.min(job.until.since(clock::now()))).await;
+                continue;
+            }
             None => write_here(node, job, attempt.write_limit()).await,
         };
         match tried {
--- a/tests/all/site/store.rs
+++ b/tests/all/site/store.rs
@@ -160,3 +160,29 @@
         task::sleep(Duration::from_millis(50)).await;
     }
 }
+
+/// The store is away for some seconds at a turn's peak.  Callers were told that nobody knows whether their
+/// jobs run, because each was sent to the store although it was known to be away, and they could not ask
+/// again.  Told that it didn't run, they come back and are served.
+#[async_std::test]
+async fn while_the_store_is_away_callers_are_told_that_nothing_ran() {
+    let deployment = Deployment::start("store-away", 2, 2).await;
+    assert_eq!(deployment.submit(0, &id(1), 1, "ms=50").await, 200);
+    deployment.site.store.trouble(Trouble::Silent);
+    let ready = async |entry: usize| {
+        let callers = deployment.entries[entry].callers;
+        Some(call(callers, Method::Get, "/-/ready", None).await?.0 == 200)
+    };
+    let seen = async || (!ready(0).await? && !ready(1).await?).then_some(());
+    eventually("the outage is seen", seen).await;
+    for number in 2..6 {
+        assert_eq!(deployment.submit(0, &id(number), 1, "ms=50").await, 503);
+    }
+    deployment.site.store.trouble(Trouble::None);
+    eventually("its end is seen", async || ready(0).await?.then_some(())).await;
+    for number in 2..6 {
+        assert_eq!(deployment.submit(0, &id(number), 1, "ms=50").await, 200);
+        deployment.until(0, &id(number), "completed").await;
+    }
+    assert_eq!(check::once(&deployment.site.history()), Vec::<String>::new());
+}
