Ranking a job reads two kept figures; idle entries read the list of minions less

Cause: each plan ranked each waiting job by walking its steps. Buffers of idle connections kept 16 KB each.

--- a/crates/engine/src/cell/sequence.rs
+++ b/crates/engine/src/cell/sequence.rs
@@ -57,24 +57,12 @@
     if definition.is_lasting() {
         return base;
     }
-    let steps = definition.steps.len();
-    let is_open = |step: usize| job.open.iter().skip(step).step_by(steps).any(|open| *open > 0);
-    let objective = definition.chain_ms(|_| true) as f64 * queue.stretch + queue.target_ms as f64;
+    let objective = job.whole.chain_ms as f64 * queue.stretch + queue.target_ms as f64;
     let age = now.since(job.since).as_millis() as f64;
-    let left = definition.chain_ms(is_open) as f64;
-    let can_meet = age + left <= objective || definition.schedule.is_some();
-    let work_left: u64 = definition
-        .steps
-        .iter()
-        .enumerate()
-        .map(|(number, step)| {
-            let open: u32 = job.open.iter().skip(number).step_by(steps).sum();
-            u64::from(open) * step.need.cpu * step.estimate_ms / 1000
-        })
-        .sum();
-    let size = definition.work() as f64 / mean_work.max(1.0);
+    let can_meet = age + job.left.chain_ms as f64 <= objective || definition.schedule.is_some();
+    let size = job.whole.work as f64 / mean_work.max(1.0);
     let worth = FIXED_WORTH + (1.0 - FIXED_WORTH) * size;
-    let density = worth / (work_left as f64).max(1.0);
+    let density = worth / (job.left.work as f64).max(1.0);
     if can_meet || age > objective * PATIENCE {
         Rank { class: 1, density, ..base }
     } else {
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -1,7 +1,7 @@
 //! A job in the hands of its cell's owner.
 
 use crate::cell::minion::MinionId;
-use crate::job::{Accepted, Id, Progress, State, TaskName};
+use crate::job::{Accepted, Definition, Id, Progress, State, Step, TaskName};
 use crate::time::Time;
 use smallvec::SmallVec;
 use std::collections::BTreeSet;
@@ -71,6 +71,35 @@
     offsets: SmallVec<[u32; 8]>,
     /// Tasks of each occurrence and step that are not done.
     pub(crate) open: Vec<u32>,
+    /// All of its estimated work, and what is left of it.
+    pub(crate) whole: Estimate,
+    /// See [`Job::whole`].
+    pub(crate) left: Estimate,
+}
+
+/// What a job's steps, or those that are left, take as estimated.
+///
+/// Kept, since every plan ranks every job that waits, and it changes only when a task is done.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Estimate {
+    /// Milliseconds of the longest chain.
+    pub(crate) chain_ms: u64,
+    /// Core-milliseconds.
+    pub(crate) work: u64,
+}
+
+impl Estimate {
+    fn of(definition: &Definition, open: &[u32]) -> Self {
+        let steps = definition.steps.len();
+        let open_of = |step: usize| -> u32 { open.iter().skip(step).step_by(steps).sum() };
+        let work_of = |(number, step): (usize, &Step)| {
+            u64::from(open_of(number)) * step.need.cpu * step.estimate_ms / 1000
+        };
+        Self {
+            chain_ms: definition.chain_ms(|step| open_of(step) > 0),
+            work: definition.steps.iter().enumerate().map(work_of).sum(),
+        }
+    }
 }
 
 impl Job {
@@ -87,6 +116,8 @@
         let open = counts.repeat(occurrences as usize);
         let task = Task { waits_since: since, ..Task::default() };
         let tasks = vec![task; (next * occurrences) as usize];
+        let whole = Estimate { chain_ms: definition.chain_ms(|_| true), work: definition.work() };
+        let left = Estimate::of(definition, &open);
         Self {
             accepted,
             inherited,
@@ -100,6 +131,8 @@
             tasks,
             offsets,
             open,
+            whole,
+            left,
         }
     }
 
@@ -218,6 +251,7 @@
         let (occurrence, step, _) = self.place_of(flat as u32);
         let steps = self.accepted.definition.steps.len();
         self.open[occurrence as usize * steps + step as usize] -= 1;
+        self.left = Estimate::of(&self.accepted.definition, &self.open);
         self.change();
         true
     }
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -7,8 +7,12 @@
 use snafu::ResultExt;
 use std::time::Duration;
 
-/// Bytes read from the other end at once.
-const CHUNK: usize = 16 * 1024;
+/// Bytes read from the other end at once, at least: most messages are shorter.
+const LEAST_CHUNK: usize = 4 * 1024;
+
+/// The same at most; a long message is read in chunks as long as what has come of it, so that few reads
+/// are needed for a list of a megabyte.
+const MOST_CHUNK: usize = 64 * 1024;
 
 /// What both ends need of a connection.
 pub trait Duplex: Read + Write + Send + Sync + Unpin {}
@@ -44,6 +48,8 @@
         if self.start == self.buffer.len() {
             self.buffer.clear();
             self.start = 0;
+            // A connection that idles keeps no long buffer: an entry has hundreds of them.
+            self.buffer.shrink_to(LEAST_CHUNK);
         }
         bytes
     }
@@ -58,7 +64,7 @@
             self.start = 0;
         }
         let length = self.buffer.len();
-        self.buffer.resize(length + CHUNK, 0);
+        self.buffer.resize(length + length.clamp(LEAST_CHUNK, MOST_CHUNK), 0);
         let read = timeout(wait, self.io.read(&mut self.buffer[length..])).await;
         let count = match &read {
             Ok(Ok(count)) => *count,
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -21,9 +21,10 @@
 
 /// The same for entries that own no cell and only need the list when they take one; they read it
 /// at once then.  Every minion's entry changes at each of its heartbeats, so each entry would read as
-/// often as it may: at 50 ms that was 45 of 100 calls to the store with 9 entries and 50 minions.
-/// Half of the time after which a minion that leaves may get no more work.
-const MINIONS_IDLE_PAUSE: Duration = Duration::from_millis(1000);
+/// often as it may, and all entries of all minions each time: at 50 ms that was 44 of 100 calls to the
+/// store with 9 entries and 50 minions.  Two heartbeats; the history that a read goes on from lasts ten
+/// times as long.
+const MINIONS_IDLE_PAUSE: Duration = Duration::from_millis(3000);
 
 /// Longest wait for a read.
 const READ_LIMIT: Duration = Duration::from_millis(800);
@@ -66,8 +67,10 @@
     version: &mut u64,
 ) {
     while node.pause(table.pause).await {
-        if node.owners.read().is_empty() {
-            node.owning.wait(table.idle_pause.saturating_sub(table.pause)).await;
+        let idle_pause = table.idle_pause.saturating_sub(table.pause);
+        // Tables without one must not take the wake-up that is meant for the others.
+        if !idle_pause.is_zero() && node.owners.read().is_empty() {
+            node.owning.wait(idle_pause).await;
         }
         let result = node.store.feed(table.name, *version, table.wait).await;
         node.store_result(&result);
