Accepted work goes on for as long as leases may be extended while the store is away

Cause: an owner that can't renew its row started nothing from 1 s on, since a successor may have adopted what it sees lapse.

Change: cell::Permit. From the end of certain ownership until leases may no longer be extended (2.7 s after the last renewal) tasks that were never started are started, of jobs known before. A successor finds such a task where it runs or waits for its lapse, as for all of its predecessor's.

Ruled out: starting what was started before (its run may have been adopted), gangs, and jobs known later (they may have been accepted after the takeover).

--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -4,7 +4,7 @@
 //! when ends come one by one.  Without network: the calls come on top.
 
 use celerythread_engine::cell::{
-    Cell, End, How, Listing, MinionId, Order, Queue, Report, Running, Settings, StartResult,
+    Cell, End, How, Listing, MinionId, Order, Permit, Queue, Report, Running, Settings, StartResult,
 };
 use celerythread_engine::job::{Accepted, Definition, Id, Resources, Step, TaskName};
 use celerythread_engine::time::Time;
@@ -64,7 +64,7 @@
     /// Plans and carries the starts out; returns the plan's time and how many starts it gave.
     fn plan(&mut self) -> (Duration, usize) {
         let began = Instant::now();
-        let orders = self.cell.plan(self.now, self.now.0, true);
+        let orders = self.cell.plan(self.now, self.now.0, Permit::All);
         let took = began.elapsed();
         for order in &orders {
             if let Order::Start { minion, task, run, .. } = order {
--- a/benches/recovery.rs
+++ b/benches/recovery.rs
@@ -4,7 +4,9 @@
 //! minion's first report, the plan that starts what waits.  Without network: the reads come on
 //! top, each some 4 ms, and are counted.
 
-use celerythread_engine::cell::{Cell, Listing, MinionId, Queue, Report, Running, Settings};
+use celerythread_engine::cell::{
+    Cell, Listing, MinionId, Permit, Queue, Report, Running, Settings,
+};
 use celerythread_engine::job::{
     Accepted, Definition, Id, Progress, Resources, Step, TaskName, decode, encode,
 };
@@ -74,7 +76,7 @@
         cell.report(&minion, &Report { running, finished: Vec::new() }, NOW, NOW);
     }
     let reported = began.elapsed();
-    let orders = black_box(cell.plan(NOW, NOW.0, true)).len();
+    let orders = black_box(cell.plan(NOW, NOW.0, Permit::All)).len();
     let planned = began.elapsed();
     ([loaded, reported - loaded, planned - reported], orders)
 }
--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -6,7 +6,7 @@
 //! finds a minion for a task, [`sequence`] orders the waiting jobs, [`keep`] says what must be
 //! written before an end may be acknowledged, [`advice`] holds tickets, [`pace`] slows down what
 //! disturbs serving tasks, [`straggler`] finds slow minions, [`idle`] notes jobs that could run and
-//! don't.
+//! don't, [`permit`] says what may be started while the store is away.
 //!
 //! Three rules carry the promise that no task runs twice:
 //! - a run counts as over only when its minion listed its end, answered a stop and no longer
@@ -21,6 +21,7 @@
 mod load;
 pub mod minion;
 mod pace;
+pub mod permit;
 pub mod place;
 pub mod plan;
 pub mod report;
@@ -34,6 +35,7 @@
 pub use idle::Guard;
 pub use keep::Batch;
 pub use minion::{Listing, Minion, MinionId};
+pub use permit::Permit;
 pub use plan::Order;
 pub use report::{End, How, Refusal, Report, Running, StartResult};
 use std::collections::{BTreeMap, BTreeSet};
@@ -260,6 +262,7 @@
         // follows a change of the mix within a few seconds.
         *mean += (work - *mean) * 0.05;
         let mut job = Job::new(accepted, inherited, now - age);
+        job.known = now;
         if let Some(progress) = progress {
             job.restore(progress);
         }
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -2,7 +2,7 @@
 
 use crate::cell::minion::{Minion, MinionId, Run, RunPhase};
 use crate::cell::work::Phase;
-use crate::cell::{Cell, Job, Note};
+use crate::cell::{Cell, Job, Note, Permit};
 use crate::job::{Id, Step, TaskName};
 use crate::time::Time;
 use std::sync::Arc;
@@ -32,6 +32,8 @@
         task: TaskName,
         /// The run's number.
         run: u32,
+        /// Whether no run of the task was started before.
+        first: bool,
         /// Passed on from the definition.
         spec: Arc<str>,
         /// Where to resume.
@@ -63,8 +65,8 @@
 
 impl Cell {
     /// Decides what to order now.  `wall_ms` is the time of day in milliseconds since 1970, for
-    /// scheduled occurrences; without `may_start` nothing is started or moved.
-    pub fn plan(&mut self, now: Time, wall_ms: u64, may_start: bool) -> Vec<Order> {
+    /// scheduled occurrences.  Nothing is moved unless everything may be started.
+    pub fn plan(&mut self, now: Time, wall_ms: u64, permit: Permit) -> Vec<Order> {
         let mut orders = Vec::new();
         self.lapse(now);
         if self.swept.is_none_or(|swept| now.since(swept) >= SWEEP) {
@@ -74,10 +76,12 @@
             self.stop_stalled(now, &mut orders);
             self.pace(now, &mut orders);
         }
-        if may_start {
+        if permit == Permit::All {
             self.stop_stragglers(now, &mut orders);
             self.evacuate(now, &mut orders);
-            self.start_waiting(now, wall_ms, &mut orders);
+        }
+        if permit != Permit::Nothing {
+            self.start_waiting(now, wall_ms, permit, &mut orders);
             self.note_idle(now, wall_ms);
         }
         orders
@@ -253,13 +257,13 @@
         (away as u32) < allowance
     }
 
-    fn start_waiting(&mut self, now: Time, wall_ms: u64, orders: &mut Vec<Order>) {
+    fn start_waiting(&mut self, now: Time, wall_ms: u64, permit: Permit, orders: &mut Vec<Order>) {
         let settled = self.is_settled(now);
         let mut ranked: Vec<_> = self
             .active
             .iter()
             .filter_map(|id| self.jobs.get(id).map(|job| (id, job)))
-            .filter(|(_, job)| settled || !job.inherited)
+            .filter(|(_, job)| (settled || !job.inherited) && permit.covers(job))
             .map(|(id, job)| (self.rank(job, now), *id))
             .collect();
         ranked.sort();
@@ -271,7 +275,7 @@
             if !self.minions.values().any(takes) {
                 return;
             }
-            let waiting = self.start_job(id, now, wall_ms, orders);
+            let waiting = self.start_job(id, now, wall_ms, permit, orders);
             if let Some(task) = waiting.filter(|_| reserves) {
                 self.reserve(&task, now);
                 reserves = rank.class == 0;
@@ -300,6 +304,7 @@
         id: Id,
         now: Time,
         wall_ms: u64,
+        permit: Permit,
         orders: &mut Vec<Order>,
     ) -> Option<TaskName> {
         let job = self.jobs.get(&id)?;
@@ -315,7 +320,7 @@
                 }
                 if job.is_step_ready(occurrence, step) {
                     let first = TaskName { job: id, occurrence, step, index: 0 };
-                    let left = self.start_step(first, now, orders);
+                    let left = self.start_step(first, now, permit, orders);
                     waiting = waiting.or(left);
                 }
             }
@@ -328,6 +333,7 @@
         &mut self,
         first: TaskName,
         now: Time,
+        permit: Permit,
         orders: &mut Vec<Order>,
     ) -> Option<TaskName> {
         let job = self.jobs.get(&first.job)?;
@@ -340,14 +346,17 @@
         let step = step.clone();
         let spec = job.accepted.definition.spec.clone();
         if step.gang {
-            self.start_gang(first, &step, &spec, now, orders);
+            // Its members could be started by two owners in part, and wait for each other.
+            if permit == Permit::All {
+                self.start_gang(first, &step, &spec, now, orders);
+            }
             return None;
         }
         let mut spread = None;
         for index in 0..step.count {
             let name = TaskName { index, ..first };
             let task = self.jobs.get(&first.job)?.task(&name)?;
-            if task.phase != Phase::Waiting || now < task.not_before {
+            if task.phase != Phase::Waiting || now < task.not_before || !permit.covers_task(task) {
                 continue;
             }
             if (step.per_minion.is_some() || step.lasting) && spread.is_none() {
@@ -374,10 +383,11 @@
                 *spread.entry(minion.clone()).or_default() += 1;
             }
             let run = self.next_run(task.last_run);
+            let first = task.last_run == 0;
             let checkpoint = task.checkpoint.clone();
             self.place(name, &minion, run, &step, now);
             let spec = spec.clone();
-            orders.push(Order::Start { minion, task: name, run, spec, checkpoint, ticket });
+            orders.push(Order::Start { minion, task: name, run, first, spec, checkpoint, ticket });
         }
         None
     }
@@ -413,7 +423,8 @@
             self.place(task, &minion, run, step, now);
             let (spec, checkpoint) = (spec.clone(), checkpoint.clone());
             let ticket = self.ticket(&task, &minion, now);
-            orders.push(Order::Start { minion, task, run, spec, checkpoint, ticket });
+            let first = last == 0;
+            orders.push(Order::Start { minion, task, run, first, spec, checkpoint, ticket });
         }
     }
 
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -55,6 +55,8 @@
     pub inherited: bool,
     /// When it was accepted, on this process's clock.
     pub since: Time,
+    /// When this owner came to know it.
+    pub known: Time,
     /// Whether its caller has cancelled it.
     pub cancelled: bool,
     /// Completed or failed.
@@ -122,6 +124,7 @@
             accepted,
             inherited,
             since,
+            known: since,
             cancelled: false,
             outcome: None,
             started: false,
--- a/crates/engine/tests/all/fixture.rs
+++ b/crates/engine/tests/all/fixture.rs
@@ -1,7 +1,7 @@
 //! A cell with minions that a test moves by hand.
 
 use celerythread_engine::cell::{
-    Cell, End, How, Listing, MinionId, Order, Queue, Report, Running, Settings, StartResult,
+    Cell, End, How, Listing, MinionId, Order, Permit, Queue, Report, Running, Settings, StartResult,
 };
 use celerythread_engine::job::{Accepted, Definition, Id, Resources, Step, TaskName};
 use celerythread_engine::time::Time;
@@ -83,7 +83,7 @@
     }
 
     pub(crate) fn plan(&mut self) -> Vec<Order> {
-        self.cell.plan(self.now, self.now.0, true)
+        self.cell.plan(self.now, self.now.0, Permit::All)
     }
 
     /// Plans, and has every start accepted.
--- a/crates/engine/tests/all/matrix.rs
+++ b/crates/engine/tests/all/matrix.rs
@@ -52,8 +52,15 @@
 fn the_check_sees_a_history_that_is_wrong() {
     let mut play = Play::new(BTreeMap::new());
     let name = task(CHAINED, 1, 0);
-    let start =
-        |run| Start { task: name, run, need: CAPACITY, work: None, deadline: END, token: 1 };
+    let start = |run| Start {
+        task: name,
+        run,
+        first: run == 1,
+        need: CAPACITY,
+        work: None,
+        deadline: END,
+        token: 1,
+    };
     for (minion, run) in [("a", 1), ("b", 2)] {
         play.carry_out(1, &Call::Start { minion: minion.into(), start: start(run) });
     }
--- a/crates/engine/tests/all/model.rs
+++ b/crates/engine/tests/all/model.rs
@@ -52,6 +52,8 @@
 pub(crate) struct Start {
     pub(crate) task: TaskName,
     pub(crate) run: u32,
+    /// Whether the task was never started before, as its owner knows.
+    pub(crate) first: bool,
     pub(crate) need: Resources,
     /// How long it works; none for a task that lasts.
     pub(crate) work: Option<Duration>,
--- a/crates/engine/tests/all/model/owner.rs
+++ b/crates/engine/tests/all/model/owner.rs
@@ -3,7 +3,7 @@
 use super::Start;
 use super::play::step_of;
 use celerythread_engine::cell::{
-    Batch, Cell, Listing, MinionId, Order, Refusal, Report, StartResult,
+    Batch, Cell, Listing, MinionId, Order, Permit, Refusal, Report, StartResult,
 };
 use celerythread_engine::job::{Resources, TaskName};
 use celerythread_engine::time::Time;
@@ -12,9 +12,9 @@
 
 // The daemon's default settings, and the margins that it adds to them.
 const RENEW: Duration = Duration::from_millis(300);
-/// An owner starts nothing from here on after its last renewal.
+/// From here on after its last renewal an owner starts only what was never started.
 const START_ALONE: Duration = Duration::from_millis(1000);
-/// And it extends no lease from here on.
+/// And from here on it starts nothing and extends no lease.
 pub(crate) const EXTEND_ALONE: Duration = Duration::from_millis(3000);
 pub(crate) const LEASE: Duration = Duration::from_millis(4500);
 pub(crate) const MARGIN: Duration = Duration::from_millis(150);
@@ -103,8 +103,14 @@
         }
     }
 
-    fn may_start(&self, now: Time) -> bool {
-        now.since(self.renewed) <= START_ALONE
+    fn permit(&self, now: Time) -> Permit {
+        match now.since(self.renewed) {
+            silence if silence <= START_ALONE => Permit::All,
+            silence if silence <= EXTEND_ALONE => {
+                Permit::Fresh { known_by: self.renewed + START_ALONE }
+            }
+            _ => Permit::Nothing,
+        }
     }
 
     /// Whether it reaches a minion, or the table.
@@ -115,7 +121,12 @@
 
     /// Whether a call may no longer be made: an order is checked again right before it is sent.
     pub(crate) fn is_forbidden(&self, call: &Call, now: Time) -> bool {
-        matches!(call, Call::Start { .. }) && !self.may_start(now)
+        let Call::Start { start, .. } = call else { return false };
+        match self.permit(now) {
+            Permit::All => false,
+            Permit::Fresh { .. } => !start.first,
+            Permit::Nothing => true,
+        }
     }
 
     /// Decides on calls.
@@ -142,8 +153,7 @@
             let deadline = if missed { None } else { self.promise(&minion, now) };
             self.calls.push_back(Call::Hold { minion, acknowledged, deadline });
         }
-        let may_start = self.may_start(now);
-        let orders = self.cell.plan(now, now.0, may_start);
+        let orders = self.cell.plan(now, now.0, self.permit(now));
         self.give(orders, now);
         if let Some(batch) = self.cell.unkept(90) {
             self.calls.push_back(Call::Keep { batch, version: ledger });
@@ -161,7 +171,7 @@
     fn give(&mut self, orders: Vec<Order>, now: Time) {
         for order in orders {
             match order {
-                Order::Start { minion, task, run, .. } => {
+                Order::Start { minion, task, run, first, .. } => {
                     let step = step_of(&task);
                     let work = Duration::from_millis(step.estimate_ms);
                     let Some(deadline) = self.promise(&minion, now) else {
@@ -172,6 +182,7 @@
                     let start = Start {
                         task,
                         run,
+                        first,
                         need: step.need,
                         work: (!step.lasting).then_some(work),
                         deadline,
--- a/crates/engine/tests/all/runs.rs
+++ b/crates/engine/tests/all/runs.rs
@@ -1,7 +1,7 @@
 //! Runs: unanswered orders, lapses, minions that fail or hang.
 
 use crate::fixture::*;
-use celerythread_engine::cell::{Guard, How, Note, Refusal, Report, StartResult};
+use celerythread_engine::cell::{Guard, How, Note, Permit, Refusal, Report, StartResult};
 use celerythread_engine::job::Step;
 use std::time::Duration;
 
@@ -67,7 +67,7 @@
 fn without_leave_to_start_nothing_is_started() {
     let mut world = World::new(1);
     world.submit(1, definition(vec![step(1)]));
-    assert!(world.cell.plan(world.now, world.now.0, false).is_empty());
+    assert!(world.cell.plan(world.now, world.now.0, Permit::Nothing).is_empty());
     assert_eq!(starts(&world.plan()).len(), 1);
 }
 
--- a/crates/engine/tests/all/takeover.rs
+++ b/crates/engine/tests/all/takeover.rs
@@ -1,8 +1,8 @@
 //! A new owner: what it starts when, and under which numbers.
 
 use crate::fixture::*;
-use celerythread_engine::cell::{Cell, How, Report, Settings};
-use celerythread_engine::job::{Progress, State};
+use celerythread_engine::cell::{Cell, How, Permit, Report, Settings};
+use celerythread_engine::job::{Progress, State, Step};
 use celerythread_engine::time::Time;
 use std::time::Duration;
 
@@ -130,3 +130,36 @@
     world.now = Time(30_000);
     assert!(world.cell.load(world.now).waiting > 4 * 500, "and now of both");
 }
+
+/// The store is away for three seconds, for everybody.  A job accepted before it stands still between
+/// two of its steps until the store is back, since its owner starts nothing while it can't prove that it
+/// still is the owner.  What was never started harms nobody: a successor waits for where it may run.
+#[test]
+fn what_was_never_started_is_started_while_the_store_is_away() {
+    let mut world = World::new(2);
+    let second = Step { after: [0].into_iter().collect(), ..step(1) };
+    world.submit(1, definition(vec![step(1), second]));
+    let (minion, first, run) = world.start_all().remove(0);
+    let fresh = Permit::Fresh { known_by: world.now };
+    world.pass(1500);
+    world.end(&minion, first, run, How::Done);
+    let orders = world.cell.plan(world.now, world.now.0, fresh);
+    assert_eq!(starts(&orders).first().map(|(_, task, _)| *task), Some(task(1, 1, 0)));
+}
+
+/// A task's run lapses on a minion that this owner can't reach and its successor can.  Started again
+/// elsewhere, it runs twice: the successor has adopted the first run.  And a job that came to be known
+/// after a takeover was possible may be a successor's, which doesn't wait for where this owner started it.
+#[test]
+fn what_a_successor_may_run_is_not_started_while_the_store_is_away() {
+    let mut world = World::new(2);
+    world.submit(1, definition(vec![step(1)]));
+    let (minion, ..) = world.start_all().remove(0);
+    let fresh = Permit::Fresh { known_by: world.now };
+    world.pass(1500);
+    world.cell.missed(&minion);
+    world.submit(2, definition(vec![step(1)]));
+    let orders = world.cell.plan(world.now, world.now.0, fresh);
+    assert_eq!(starts(&orders), []);
+    assert_eq!(starts(&world.plan()).len(), 2, "both, once it is known to be the owner");
+}
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -16,6 +16,7 @@
 use celerythread_adapter::configuration::Configuration;
 use celerythread_adapter::wave::Wave;
 use celerythread_adapter::{Caller, Service, advice, machine, minion, store};
+use celerythread_engine::cell::Permit;
 use celerythread_engine::outage::Outage;
 use celerythread_engine::ownership::{self, Holding};
 use celerythread_engine::patience::Patience;
@@ -250,15 +251,23 @@
         self.since_renewal() < self.settings.extend_alone.0
     }
 
-    /// Whether tasks may be started.
+    /// Which tasks may be started.
     ///
     /// After the silence for which others wait before they take a cell over, a successor may
     /// have adopted what this owner started.  An owner cut off with some of the minions would
     /// see the rest lapse and start their tasks a second time, on minions that its successor
-    /// can't reach to fence; so it starts nothing from shortly before that moment on.
-    pub(crate) fn may_start(&self) -> bool {
-        let term = self.renewal.lock().term;
-        self.since_renewal() + START_MARGIN < term
+    /// can't reach to fence; so from shortly before that moment on it starts only what was never
+    /// started.
+    pub(crate) fn permit(&self) -> Permit {
+        let Renewal { sent, term, .. } = *self.renewal.lock();
+        let silence = clock::now().since(sent) + START_MARGIN;
+        if silence < term {
+            Permit::All
+        } else if silence < self.settings.extend_alone.0 {
+            Permit::Fresh { known_by: sent + term.saturating_sub(START_MARGIN) }
+        } else {
+            Permit::Nothing
+        }
     }
 
     /// Takes note of how a call to the store went, and notes a change.
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -282,8 +282,8 @@
         // An owner that may have been replaced starts and stops nothing.
         if owner.node.may_extend() {
             let now = clock::now();
-            let may_start = owner.node.may_start();
-            let plan = |cell: &mut Cell| cell.plan(now, clock::wall_ms(), may_start);
+            let permit = owner.node.permit();
+            let plan = |cell: &mut Cell| cell.plan(now, clock::wall_ms(), permit);
             let orders = owner.with(plan).unwrap_or_default();
             dispatch(&owner, orders);
             notes::write(&owner);
--- a/crates/scheduler/src/owner/attend.rs
+++ b/crates/scheduler/src/owner/attend.rs
@@ -9,7 +9,7 @@
 use celerythread_adapter::Failure;
 use celerythread_adapter::minion::{Hold, Reply, Target};
 use celerythread_adapter::store::{Name, Transaction};
-use celerythread_engine::cell::{MinionId, Order, Refusal, Report, StartResult};
+use celerythread_engine::cell::{MinionId, Order, Permit, Refusal, Report, StartResult};
 use celerythread_engine::job::encode;
 use celerythread_engine::time::Time;
 use celerythread_sync::Wake;
@@ -358,7 +358,13 @@
 }
 
 async fn start(owner: &Owner, attendant: &Attendant, order: &Order) -> StartResult {
-    if !owner.node.may_start() {
+    // What is queued may have waited; which jobs it is for was decided when it was planned.
+    let allowed = match owner.node.permit() {
+        Permit::All => true,
+        Permit::Fresh { .. } => matches!(order, Order::Start { first: true, .. }),
+        Permit::Nothing => false,
+    };
+    if !allowed {
         return StartResult::Refused(Refusal::Unhealthy);
     }
     let Some(deadline_ms) = promise(owner, attendant) else {
