A stop that is repeated stays confirmed, and the look after it is sent later

Unanswered starts were never settled where minions stop runs within 0.2 s, and up to 1.5 s late elsewhere.

--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -123,8 +123,8 @@
                     RunPhase::Ordered | RunPhase::Active => ended,
                     RunPhase::Stopping { ordered, confirmed } => {
                         // A confirmed stop that its minion still lists long after is repeated.
-                        let wait = confirmed.map_or(STOP_AGAIN, |_| self.settings.stop_timeout * 2);
-                        now.since(ordered) >= wait
+                        let slow = confirmed.map_or(STOP_AGAIN, |_| self.settings.stop_timeout * 2);
+                        now.since(ordered) >= slow.max(STOP_AGAIN)
                     }
                 };
                 if due {
@@ -442,7 +442,16 @@
 }
 
 /// Marks a run as being stopped and returns the order.
+///
+/// A stop that is ordered again stays confirmed: from then on the run can't begin, and the next look that
+/// doesn't list it settles it.  Where minions stop runs within 0.2 s the stop was repeated before that look,
+/// its confirmation was forgotten each time, and the task of a start that wasn't answered was never
+/// started again.
 pub(crate) fn stop(id: &MinionId, task: &TaskName, run: &mut Run, now: Time) -> Order {
-    run.phase = RunPhase::Stopping { ordered: now, confirmed: None };
+    let confirmed = match run.phase {
+        RunPhase::Stopping { confirmed, .. } => confirmed,
+        RunPhase::Ordered | RunPhase::Active => None,
+    };
+    run.phase = RunPhase::Stopping { ordered: now, confirmed };
     Order::Stop { minion: id.clone(), task: *task, run: run.number }
 }
--- a/crates/engine/tests/all/runs.rs
+++ b/crates/engine/tests/all/runs.rs
@@ -1,7 +1,9 @@
 //! Runs: unanswered orders, lapses, minions that fail or hang.
 
 use crate::fixture::*;
-use celerythread_engine::cell::{Guard, How, Note, Permit, Refusal, Report, StartResult};
+use celerythread_engine::cell::{
+    Cell, Guard, How, Note, Permit, Refusal, Report, Settings, StartResult,
+};
 use celerythread_engine::job::Step;
 use std::time::Duration;
 
@@ -405,3 +407,24 @@
     world.plan();
     assert_eq!(world.cell.take_notes(), [], "once a second at most");
 }
+
+/// A job is never done where minions stop runs within 0.2 s: a start isn't answered, its stop is confirmed,
+/// and the next look at the idle minion, which would show that nothing runs, is due a second later.  Before
+/// that the stop was ordered again, and its confirmation forgotten, again and again.
+#[test]
+fn a_confirmed_stop_stays_confirmed_until_the_next_look() {
+    let settings = Settings { stop_timeout: Duration::from_millis(200), ..Settings::default() };
+    let mut world = World::with_cell(Cell::new(settings, 0, None), 1);
+    world.submit(1, definition(vec![step(1)]));
+    let (minion, name, run) = starts(&world.plan()).remove(0);
+    world.cell.start_result(&minion, &name, run, StartResult::Unknown, world.now);
+    for _ in 0..4 {
+        if !stops(&world.plan()).is_empty() {
+            world.cell.stop_confirmed(&minion, &name, run, world.now);
+        }
+        world.pass(500);
+        world.plan();
+    }
+    world.answer(0, Report::default());
+    assert_eq!(starts(&world.plan()).len(), 1, "the run never began and never will");
+}
--- a/crates/scheduler/src/owner/attend.rs
+++ b/crates/scheduler/src/owner/attend.rs
@@ -40,6 +40,9 @@
 /// Longest wait for ends to be kept before looking again all the same.
 const KEPT_WAIT: Duration = Duration::from_millis(500);
 
+/// The step in which the process's clock counts.
+const CLOCK_STEP: Duration = Duration::from_millis(1);
+
 /// Orders given to one minion at a time: one that isn't answered must not hold up the rest.
 const LANES: usize = 3;
 
@@ -349,7 +352,11 @@
 
 /// Looks at once after a confirmed stop: only a report from after it tells that a start which
 /// was not answered never ran, and the look under way may wait a second for an end.
+///
+/// A look that is sent in the millisecond of the confirmation can't be told from one sent before it,
+/// which settles nothing; so it is sent in the next one.
 async fn look_after_stop(owner: &Arc<Owner>, attendant: &Attendant) {
+    async_std::task::sleep(CLOCK_STEP).await;
     let known = owner.with(|cell| cell.minion(&attendant.target.id).map(|m| m.acknowledged()));
     let Some(acknowledged) = known.flatten() else { return };
     let next = Look { acknowledged, wait: Duration::ZERO };
--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -141,6 +141,11 @@
                 "engine::cell::work::Phase",
                 "the_end_of_a_late_run_lets_its_task_start_again",
             ),
+            (
+                "a stop that is repeated stays confirmed",
+                "engine::cell::plan::stop",
+                "a_confirmed_stop_stays_confirmed_until_the_next_look",
+            ),
             (
                 "what time a caller comes back with is used",
                 "engine::submission::usable",
