--- a/crates/engine/tests/all/takeover.rs
+++ b/crates/engine/tests/all/takeover.rs
@@ -163,3 +163,26 @@
     assert_eq!(starts(&orders), []);
     assert_eq!(starts(&world.plan()).len(), 2, "both, once it is known to be the owner");
 }
+
+/// A caller cancels its job and its task runs on.  The start was sent before the cancellation, carried out
+/// twelve seconds later on a minion that was cut off, and the entry that sent it is gone.  Whoever owns the
+/// cell then stops it as soon as the minion lists it.
+#[test]
+fn a_late_run_of_a_cancelled_job_is_stopped_by_the_next_owner() {
+    let mut world = successor(2);
+    world.add(1, definition(vec![step(1)]), true);
+    world.cell.cancel(&id(1), world.now);
+    world.plan();
+    world.pass(12_000);
+    let late = Report { running: vec![running(task(1, 0, 0), 1, 0)], ..Report::default() };
+    let mut ordered = world.answer(0, late.clone());
+    ordered.extend(world.plan());
+    assert_eq!(
+        stops(&ordered).first().map(|(_, name, run)| (*name, *run)),
+        Some((task(1, 0, 0), 1))
+    );
+    // The stop isn't answered, and is ordered again.
+    world.pass(800);
+    world.answer(0, late);
+    assert_eq!(stops(&world.plan()).len(), 1);
+}
