--- a/crates/engine/src/cell/permit.rs
+++ b/crates/engine/src/cell/permit.rs
@@ -2,8 +2,8 @@
 //!
 //! The pattern it answers: the store is away for some seconds.  Nobody can prove anything then, so nobody
 //! may take the cell over either, but the owner can't know whether the store is away for all or for it alone.
-//! Starting nothing, it left jobs standing that were accepted before: a third of those of the seconds
-//! before an outage were late, each with steps that only waited for the ones before.
+//! Starting nothing from 1 s on, it left accepted jobs standing between two of their steps, for two of the
+//! three seconds of an outage and longer in longer ones.
 //!
 //! A successor can take the cell over from some silence on, and then starts nothing of what was accepted
 //! before until every minion of its predecessor has answered it or its leases must have lapsed.  So
--- a/crates/engine/src/cell/place.rs
+++ b/crates/engine/src/cell/place.rs
@@ -40,8 +40,8 @@
 /// At a turn's peak hundreds of jobs wait for a pool that is full, and the owner plans after each end.
 /// Room only shrinks while a plan is made, so what found none leaves none for anything as large; without
 /// this every plan looked for each waiting job at every minion.  A plan for 85 minions and 400 jobs takes
-/// three quarters of the time with it (0.75 ms of a core for 1.0 ms, `cargo bench --bench owner`), and
-/// there are some hundred plans a second then, on instances with an eighth to half of a core.
+/// three quarters of the time with it (0.75 ms of a core for 1.0 ms, `cargo bench --bench owner`), on
+/// instances with an eighth to half of a core.
 #[derive(Debug, Default)]
 pub(crate) struct Full(SmallVec<[Resources; 8]>);
 
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -14,7 +14,8 @@
 
 /// Time between two looks at all runs for what must stop or slow down, where nothing says that something
 /// must at once.  At a turn's peak plans follow each other by milliseconds, and a cell has a thousand
-/// runs; the shortest of the waits that are looked for is ten times this.
+/// runs; the shortest of the waits that are looked for is ten times this.  It saves two fifths of a plan's
+/// time at 85 minions and 400 jobs (0.46 ms for 0.75 ms, the owner bench).
 const SWEEP: Duration = Duration::from_millis(50);
 
 /// With less than this left, a leaving minion's lasting tasks go whatever their step may miss:
--- a/crates/engine/src/outage.rs
+++ b/crates/engine/src/outage.rs
@@ -4,8 +4,9 @@
 //! went on sending it their jobs, ten times each, and none of those writes could be taken back: whether
 //! they were carried out nobody knew, so callers were told so (504) and could not ask again, though a
 //! second later they would have been served.  While it is known to be away, nothing is sent but what looks
-//! whether it is back, and callers are told the truth: not run, come back in a second (503).  It also
-//! saves two fifths of an outage day's calls (of 58,000 at 41 entries, 22,000 were such writes and reads).
+//! whether it is back, and callers are told the truth: not run, come back in a second (503).  On a day with
+//! an outage of 6 s at 41 entries, 312 tries ended with 504 in place of 1,564, and a third of the calls
+//! to the store were saved (41,100 in place of 59,300; one play each).
 
 use crate::time::Time;
 use std::time::Duration;
--- a/crates/engine/src/pools/turns.rs
+++ b/crates/engine/src/pools/turns.rs
@@ -12,9 +12,9 @@
 //!
 //! Not everything that looks like a turn is one.  What is left of a turn flickers up again seconds after
 //! it, and between two turns a single large job is the most that any pool asks for.  Counted as turns,
-//! they hid which pool had not had its own yet: on days with four turns 5 to 10 were noted, machines that
-//! idled were sent to the wrong pools, and the last turn began with half of its jobs late.  So a turn is
-//! one only from an eighth of the fleet on, and a pool that had one must have rested before its next.
+//! they hid which pool had not had its own yet: on one day with four turns eleven were noted, and the pool
+//! of the last one got no machine ahead.  So a turn is one only from an eighth of
+//! the fleet on, and a pool that had one must have rested before its next.
 
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
