--- a/crates/engine/src/maintenance.rs
+++ b/crates/engine/src/maintenance.rs
@@ -1,11 +1,14 @@
 //! Waves of maintenance: which machines are emptied, and when each goes down.
 //!
 //! A machine's maintenance ends all that runs on it at once, so it is emptied first: its cell's
-//! owner moves its lasting tasks within what they may miss and lets the others finish.  Empty
-//! machines go first, and a few more than may be down at once are emptied ahead, so that the
-//! wave never waits for the emptying alone.
+//! owner moves its lasting tasks within what they may miss and lets the others finish.  Machines
+//! that are off or rest go first; how many of the others are out of service at a time is for
+//! [`pace`].
+
+mod pace;
 
 use crate::time::Time;
+use pace::{Pace, Window};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -28,6 +31,18 @@
     }
 }
 
+/// What a machine does, by what its absence costs.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Occupation {
+    /// It has no minion, or its pool does without it.
+    #[default]
+    Idle,
+    /// It works on tasks that end; thousandths of cores in use.
+    Working(u64),
+    /// It has lasting tasks, which leave one after the other, or nobody tells what it does.
+    Lasting,
+}
+
 /// A machine as the platform lists it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Machine {
@@ -37,21 +52,36 @@
     pub up: bool,
     /// Whether it is down for its maintenance.
     pub in_maintenance: bool,
+    /// What it does.
+    pub occupation: Occupation,
 }
 
-/// A wave that was asked for, with how far it is; this is also what is kept of it.
+/// A wave that was asked for, with how far it is.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Wave {
     /// Its machines.
     pub machines: Vec<String>,
     /// Most of them down at once.
     pub at_once: usize,
+    /// Milliseconds in which the maintenance of all must have begun; 0 if none were told.
+    pub window_ms: u64,
+    /// When a holder first saw it, by the time of day in milliseconds since 1970.
+    pub seen_ms: u64,
     /// Machines whose maintenance has begun.
     pub begun: BTreeSet<String>,
     /// Whether it was reported as completed.
     pub completed: bool,
 }
 
+impl Wave {
+    fn window(&self, wall_ms: u64) -> Window {
+        Window {
+            whole: Duration::from_millis(self.window_ms),
+            passed: Duration::from_millis(wall_ms.saturating_sub(self.seen_ms)),
+        }
+    }
+}
+
 /// What to do next.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Step {
@@ -83,8 +113,30 @@
     waves: BTreeMap<u64, Wave>,
     /// When each machine's maintenance was last ordered by this holder.
     ordered: BTreeMap<String, Time>,
-    /// Machines that this holder has asked to be emptied.
-    emptying: BTreeSet<String>,
+    /// Machines that this holder has asked to be emptied, and since when.
+    emptying: BTreeMap<String, Time>,
+    pace: Pace,
+}
+
+/// What a plan goes by.
+struct Seen<'a> {
+    machines: &'a BTreeMap<String, Machine>,
+    /// Minions asked to be emptied.
+    emptying: &'a BTreeSet<String>,
+    /// Those of them that are empty.
+    empty: &'a BTreeSet<String>,
+    now: Time,
+}
+
+/// How far a wave is, for the log and for operators.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Extent {
+    /// Machines whose maintenance has not begun.
+    pub left: usize,
+    /// Machines that are being emptied.
+    pub emptying: usize,
+    /// Machines that are down, or may be.
+    pub down: usize,
 }
 
 impl Planner {
@@ -103,9 +155,14 @@
         self.waves.get(&number)
     }
 
+    /// The numbers of the waves that are not completed.
+    pub fn open(&self) -> impl Iterator<Item = u64> {
+        self.waves.iter().filter(|(_, wave)| !wave.completed).map(|(number, _)| *number)
+    }
+
     /// Whether any wave is not completed.
     pub fn is_busy(&self) -> bool {
-        self.waves.values().any(|wave| !wave.completed)
+        self.open().next().is_some()
     }
 
     /// Notes that a machine's maintenance was ordered, whether it is answered or not.
@@ -113,12 +170,23 @@
         self.ordered.insert(machine.into(), now);
     }
 
+    /// Notes that an order was refused before anything was done, so that it can be given again at once.
+    ///
+    /// Taken for one that may have been carried out, it kept its machine emptied and its place among
+    /// those that may be down for seconds; a rate limit hits dozens of machines at a time.
+    pub fn put_off(&mut self, machine: &str) {
+        self.ordered.remove(machine);
+    }
+
     /// Notes that a machine's maintenance has begun.
     pub fn begun(&mut self, number: u64, machine: &str) {
         if let Some(wave) = self.waves.get_mut(&number) {
             wave.begun.insert(machine.into());
         }
-        self.emptying.remove(machine);
+        let asked = self.emptying.remove(machine);
+        if let (Some(asked), Some(ordered)) = (asked, self.ordered.get(machine)) {
+            self.pace.observe(ordered.since(asked));
+        }
     }
 
     /// Notes that a wave was reported as completed.
@@ -130,79 +198,97 @@
 
     /// Whether a machine must not go to another pool just now: it is about to go down.
     pub fn is_emptying(&self, machine: &str) -> bool {
-        self.emptying.contains(machine)
+        self.emptying.contains_key(machine)
+    }
+
+    /// Notes that a machine could not be asked to empty, so that it is chosen again.
+    pub fn not_asked(&mut self, machine: &str) {
+        self.emptying.remove(machine);
+    }
+
+    /// How far a wave is.
+    pub fn extent(&self, number: u64, machines: &BTreeMap<String, Machine>, now: Time) -> Extent {
+        let Some(wave) = self.waves.get(&number) else { return Extent::default() };
+        let open = wave.machines.iter().filter(|name| !wave.begun.contains(*name));
+        let listed = open.filter(|name| machines.contains_key(*name));
+        let (mut left, mut emptying) = (0, 0);
+        for name in listed {
+            left += 1;
+            emptying += usize::from(self.is_emptying(name));
+        }
+        Extent { left, emptying, down: self.down(wave, machines, now) }
     }
 
     /// What to do next.
     ///
-    /// `emptying` are minions asked to be emptied, `empty` those of them that are.
+    /// `emptying` are minions asked to be emptied, `empty` those of them that are; `wall_ms` is the
+    /// time of day in milliseconds since 1970, by which a wave's window is reckoned, since it is kept
+    /// for the next holder.
     pub fn plan(
         &mut self,
         machines: &BTreeMap<String, Machine>,
         emptying: &BTreeSet<String>,
         empty: &BTreeSet<String>,
         now: Time,
+        wall_ms: u64,
     ) -> Vec<Step> {
-        let steps = self.decide(machines, emptying, empty, now);
+        let seen = Seen { machines, emptying, empty, now };
+        let mut steps = Vec::new();
+        for (number, wave) in self.waves.iter().filter(|(_, wave)| !wave.completed) {
+            self.plan_wave(*number, wave, &seen, wall_ms, &mut steps);
+        }
         for step in &steps {
-            if let Step::Empty { machine, .. } = step {
-                self.emptying.insert(machine.clone());
+            if let Step::Empty { machine, .. } | Step::Begin { machine, .. } = step {
+                self.emptying.entry(machine.clone()).or_insert(now);
             }
         }
         steps
     }
 
-    fn decide(
+    fn plan_wave(
         &self,
-        machines: &BTreeMap<String, Machine>,
-        emptying: &BTreeSet<String>,
-        empty: &BTreeSet<String>,
-        now: Time,
-    ) -> Vec<Step> {
-        let mut steps = Vec::new();
-        for (number, wave) in &self.waves {
-            if wave.completed {
-                continue;
-            }
-            let mut room = wave.at_once.saturating_sub(self.down(wave, machines, now));
-            let mut ahead =
-                (wave.at_once + self.settings.ahead).saturating_sub(self.down(wave, machines, now));
-            let mut open = 0;
-            for name in &wave.machines {
-                // One that the platform no longer has won't come back: nothing is owed for it.
-                let Some(machine) = machines.get(name) else { continue };
-                if wave.begun.contains(name) {
-                    continue;
-                }
-                open += 1;
-                if !machine.up {
-                    continue;
-                }
-                let minion = machine.minion.as_ref();
-                let ready = minion.is_none_or(|minion| empty.contains(minion));
-                if ready && room > 0 && !self.is_fresh(name, now) {
-                    room -= 1;
-                    ahead = ahead.saturating_sub(1);
-                    steps.push(Step::Begin { machine: name.clone(), wave: *number });
-                } else if minion.is_some_and(|minion| emptying.contains(minion)) {
-                    ahead = ahead.saturating_sub(1);
-                }
-            }
-            for name in &wave.machines {
-                let Some(machine) = machines.get(name) else { continue };
-                let Some(minion) = &machine.minion else { continue };
-                let waits = machine.up && !wave.begun.contains(name) && !emptying.contains(minion);
-                if waits && ahead > 0 {
-                    ahead -= 1;
-                    let (machine, minion) = (name.clone(), minion.clone());
-                    steps.push(Step::Empty { machine, minion });
+        number: u64,
+        wave: &Wave,
+        seen: &Seen<'_>,
+        wall_ms: u64,
+        steps: &mut Vec<Step>,
+    ) {
+        // One that the platform no longer has won't come back: nothing is owed for it.
+        let open = wave.machines.iter().filter(|name| !wave.begun.contains(*name));
+        let open = open.filter_map(|name| Some((name, seen.machines.get(name)?)));
+        let open: Vec<(&String, &Machine)> = open.collect();
+        if open.is_empty() && !seen.machines.is_empty() {
+            steps.push(Step::Complete { wave: number });
+        }
+        let down = self.down(wave, seen.machines, seen.now);
+        let mut room = wave.at_once.saturating_sub(down);
+        let mut under_way = down;
+        let mut candidates = Vec::new();
+        for (name, machine) in open.iter().filter(|(_, machine)| machine.up) {
+            let minion = machine.minion.as_ref();
+            // Empty by chance isn't enough: the next task may be on its way there.
+            let ready = minion
+                .is_none_or(|minion| seen.emptying.contains(minion) && seen.empty.contains(minion));
+            if ready && room > 0 && !self.is_fresh(name, seen.now) {
+                room -= 1;
+                under_way += 1;
+                steps.push(Step::Begin { machine: (*name).clone(), wave: number });
+            } else if let Some(minion) = minion {
+                if seen.emptying.contains(minion) {
+                    under_way += 1;
+                } else {
+                    candidates.push((machine.occupation, *name, minion));
                 }
             }
-            if open == 0 && !machines.is_empty() {
-                steps.push(Step::Complete { wave: *number });
-            }
         }
-        steps
+        let most = wave.at_once + self.settings.ahead;
+        let down_time = self.settings.duration + self.settings.list_lag;
+        let paced = self.pace.under_way(open.len(), wave.window(wall_ms), down_time);
+        candidates.sort();
+        let places = Places { most, paced: paced.unwrap_or(most).min(most), under_way };
+        for (machine, minion) in places.fill(&candidates) {
+            steps.push(Step::Empty { machine: machine.into(), minion: minion.into() });
+        }
     }
 
     /// Whether an order for a machine is too fresh for the list to show.
@@ -220,3 +306,50 @@
         wave.machines.iter().filter(down).count()
     }
 }
+
+/// Places for machines that are to be emptied.
+struct Places {
+    /// Most that may be emptying or down.
+    most: usize,
+    /// The same for machines whose absence costs something.
+    paced: usize,
+    /// Those that are.
+    under_way: usize,
+}
+
+impl Places {
+    /// Chooses among candidates in the order of what their absence costs.
+    ///
+    /// Machines that idle go as far as is allowed.  Of the rest every other one has lasting tasks:
+    /// those leave within what their steps may miss, so they take long and must begin early, but all
+    /// places given to them would stand still together.
+    fn fill<'a>(
+        mut self,
+        candidates: &[(Occupation, &'a String, &'a String)],
+    ) -> Vec<(&'a str, &'a str)> {
+        let of = |wanted: fn(Occupation) -> bool| {
+            candidates
+                .iter()
+                .filter(move |(occupation, ..)| wanted(*occupation))
+                .map(|(_, machine, minion)| (machine.as_str(), minion.as_str()))
+        };
+        let free = self.most.saturating_sub(self.under_way);
+        let mut chosen: Vec<_> = of(|one| one == Occupation::Idle).take(free).collect();
+        self.under_way += chosen.len();
+        let mut lasting = of(|one| one == Occupation::Lasting);
+        let mut working = of(|one| matches!(one, Occupation::Working(_)));
+        let mut turn = false;
+        while self.under_way < self.paced {
+            turn = !turn;
+            let next = if turn {
+                lasting.next().or_else(|| working.next())
+            } else {
+                working.next().or_else(|| lasting.next())
+            };
+            let Some(next) = next else { break };
+            chosen.push(next);
+            self.under_way += 1;
+        }
+        chosen
+    }
+}
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -13,7 +13,7 @@
 
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 use strum::Display;
 pub use turns::History;
@@ -23,12 +23,13 @@
 /// finds another one at once and not after a move.
 const SPREAD_RESERVE: usize = 1;
 
+/// In what time a pool should be able to work off what waits.  About the slack that jobs have within
+/// their objective (some 2 s), less the time that a move takes.
+pub const HORIZON: Duration = Duration::from_millis(1000);
+
 /// Weights and limits.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// In what time a pool should be able to work off what waits.  About the slack that jobs
-    /// have within their objective (some 2 s), less the time that a move takes.
-    pub horizon: Duration,
     /// Machines that a pool keeps whatever its demand: one may fail.
     pub least: usize,
     /// A move that isn't ordered after this time is given up, and its machine used again.
@@ -36,7 +37,7 @@
     /// A machine stays at least this long after it came: twice the time of a move.
     pub stay: Duration,
     /// Machines chosen for one pool at a time, or a third of it if that is more: a burst asks several
-    /// times what the pool holds.  At four looks a second this is all of the 64 orders a second that
+    /// times what the pool holds.  At four looks a second this is to be all of the orders a second that
     /// the platform takes.
     pub at_once: usize,
 }
@@ -44,7 +45,6 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            horizon: Duration::from_millis(1000),
             least: 2,
             patience: Duration::from_millis(2500),
             stay: Duration::from_millis(3000),
@@ -56,7 +56,7 @@
 /// What an owner tells of its cell.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
-    /// Core-milliseconds of the tasks of jobs that have not ended and are not running.  Here and below
+    /// Core-milliseconds of waiting tasks that could be worked on within [`HORIZON`].  Here and below
     /// a task counts for the cores that it keeps from others, by its memory or accelerators if those
     /// are scarcer.
     pub waiting: u64,
@@ -116,6 +116,30 @@
     pub since: Time,
 }
 
+/// What a pool asks for and has, for the log and for other duties.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Balance {
+    /// Cores that its tasks ask for, but for lasting ones.
+    pub asked: u64,
+    /// Cores in use by lasting tasks.
+    pub lasting: u64,
+    /// Machines in it that stay.
+    pub has: usize,
+    /// Machines that are to come.
+    pub on_their_way: usize,
+    /// Machines that it needs.
+    pub needs: usize,
+    /// Minions without any task.
+    pub idle: usize,
+}
+
+impl Balance {
+    /// Machines that it can do without.
+    pub fn surplus(&self) -> usize {
+        (self.has + self.on_their_way).saturating_sub(self.needs)
+    }
+}
+
 /// What one round of planning goes by, and what it has decided.
 struct Round<'a> {
     machines: &'a BTreeMap<String, Machine>,
@@ -127,6 +151,14 @@
     moves: Vec<Move>,
 }
 
+impl Round<'_> {
+    /// Whether the machine's pool can do without one more.
+    fn can_spare(&self, machine: &str) -> bool {
+        let pool = self.machines[machine].pool.as_str();
+        self.spare == Some(pool) || self.surplus.get(pool).is_some_and(|left| *left > 0)
+    }
+}
+
 /// A pool that needs more machines than it has.
 struct Lack<'a> {
     pool: &'a str,
@@ -186,6 +218,11 @@
         self.pending.contains_key(machine)
     }
 
+    /// Whether a machine is about to move, or on its way.
+    pub fn is_underway(&self, machine: &str) -> bool {
+        self.is_pending(machine) || self.arriving.contains_key(machine)
+    }
+
     /// Notes that a move was ordered.
     pub fn ordered(&mut self, machine: &str, now: Time) {
         if let Some(done) = self.pending.remove(machine) {
@@ -205,6 +242,28 @@
         self.pending.values().filter(late).cloned().collect()
     }
 
+    /// What each pool asks for, has and needs.
+    pub fn balances(
+        &self,
+        machines: &BTreeMap<String, Machine>,
+        loads: &BTreeMap<String, Load>,
+    ) -> BTreeMap<String, Balance> {
+        let balance = |(pool, load): (&String, &Load)| {
+            let on_their_way = self.arriving.values().filter(|(to, _)| to == pool).count()
+                + self.pending.values().filter(|plan| plan.to == *pool).count();
+            let balance = Balance {
+                asked: self.passing(load) / 1000,
+                lasting: load.lasting / 1000,
+                has: self.strength(pool, machines) - on_their_way,
+                on_their_way,
+                needs: self.need(load),
+                idle: load.free.iter().filter(|(_, cpu)| *cpu == 0).count(),
+            };
+            (pool.clone(), balance)
+        };
+        loads.iter().map(balance).collect()
+    }
+
     /// Decides on further moves.  `spare` is the pool whose machines are off.
     pub fn plan(
         &mut self,
@@ -271,17 +330,23 @@
                 (lack, most.saturating_sub(pending + chosen))
             })
             .collect();
+        // Sorted once: what a machine's move costs doesn't depend on where it goes, and a pool that can
+        // do without no more machines never can again in this round.
+        let mut candidates = self.candidates(round, reason);
+        candidates.sort_unstable();
+        let mut candidates = candidates.into_iter();
         loop {
             lacks.retain(|(lack, room)| *room > 0 && lack.need > lack.have);
             let Some((lack, room)) = lacks.iter_mut().min_by_key(|(lack, _)| lack.share()) else {
                 return;
             };
-            let candidates = self.candidates(round, reason);
-            let Some((_, machine)) = candidates.into_iter().min() else { return };
+            let Some((_, machine)) = candidates.find(|(_, name)| round.can_spare(name)) else {
+                return;
+            };
             (lack.have, *room) = (lack.have + 1, *room - 1);
             let seen = &round.machines[machine];
             if let Some(left) = round.surplus.get_mut(seen.pool.as_str()) {
-                *left -= 1;
+                *left = left.saturating_sub(1);
             }
             round.moves.push(Move {
                 machine: machine.into(),
@@ -296,7 +361,7 @@
 
     /// Machines that could be moved, with what they cost: first those without any work.
     fn candidates<'a>(&self, round: &Round<'a>, reason: Reason) -> Vec<(u64, &'a str)> {
-        let Round { machines, loads, spare, now, surplus, moves } = round;
+        let Round { machines, loads, spare, now, moves, .. } = round;
         let taken: BTreeSet<&str> = moves.iter().map(|plan| plan.machine.as_str()).collect();
         let settled = |name: &str| match self.came.get(name) {
             // What came ahead of a demand that shows elsewhere has nothing to do here.
@@ -310,17 +375,16 @@
                 && !self.arriving.contains_key(name)
                 && settled(name)
         };
+        let in_use: HashMap<&str, u64> = loads
+            .values()
+            .flat_map(|load| load.free.iter().map(|(minion, cpu)| (minion.as_str(), *cpu)))
+            .collect();
         let cost = |machine: &Machine| {
             if *spare == Some(machine.pool.as_str()) {
                 // Costs its time in a pool besides the move, so after machines that idle.
                 return Some(1);
             }
-            if surplus.get(machine.pool.as_str()).is_none_or(|left| *left == 0) {
-                return None;
-            }
-            let minion = machine.minion.as_ref()?;
-            let load = loads.get(&machine.pool)?;
-            load.free.iter().find(|(id, _)| id == minion).map(|(_, cpu)| 2 * cpu)
+            in_use.get(machine.minion.as_deref()?).map(|cpu| 2 * cpu)
         };
         machines
             .iter()
@@ -348,7 +412,7 @@
 
     /// Thousandths of cores that a pool's tasks ask for, but for lasting ones.
     fn passing(&self, load: &Load) -> u64 {
-        let horizon = self.settings.horizon.as_millis() as u64;
+        let horizon = HORIZON.as_millis() as u64;
         load.working + load.waiting / horizon * 1000 + load.waiting % horizon * 1000 / horizon
     }
 
--- a/crates/engine/tests/all/former.rs
+++ b/crates/engine/tests/all/former.rs
@@ -7,7 +7,10 @@
 fn machines(minions: &[(&str, Option<&str>)]) -> BTreeMap<String, Machine> {
     let machine = |(name, minion): &(&str, Option<&str>)| {
         let minion = minion.map(Into::into);
-        (name.to_string(), Machine { minion, up: true, in_maintenance: false })
+        (
+            name.to_string(),
+            Machine { minion, up: true, in_maintenance: false, ..Machine::default() },
+        )
     };
     minions.iter().map(machine).collect()
 }
--- a/crates/engine/tests/all/maintenance.rs
+++ b/crates/engine/tests/all/maintenance.rs
@@ -1,6 +1,6 @@
 //! Maintenance waves.
 
-use celerythread_engine::maintenance::{Machine, Planner, Settings, Step, Wave};
+use celerythread_engine::maintenance::{Machine, Occupation, Planner, Settings, Step, Wave};
 use celerythread_engine::time::Time;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -9,7 +9,10 @@
     (0..count)
         .map(|number| {
             let minion = Some(format!("minion-{number}"));
-            (format!("machine-{number}"), Machine { minion, up: true, in_maintenance: false })
+            (
+                format!("machine-{number}"),
+                Machine { minion, up: true, in_maintenance: false, ..Machine::default() },
+            )
         })
         .collect()
 }
@@ -45,12 +48,15 @@
             let back = now.since(*since) >= Duration::from_secs(2);
             if back {
                 let minion = Some(format!("{name}-reborn"));
-                machines.insert(name.clone(), Machine { minion, up: true, in_maintenance: false });
+                machines.insert(
+                    name.clone(),
+                    Machine { minion, up: true, in_maintenance: false, ..Machine::default() },
+                );
             }
             !back
         });
         let empty = emptying.clone();
-        for step in planner.plan(&machines, &emptying, &empty, now) {
+        for step in planner.plan(&machines, &emptying, &empty, now, 0) {
             match step {
                 Step::Empty { minion, .. } => drop(emptying.insert(minion)),
                 Step::Begin { machine, wave } => {
@@ -82,10 +88,10 @@
     let mut planner = planner(4, 1);
     let machines = machines(4);
     let all: BTreeSet<String> = (0..4).map(|number| format!("minion-{number}")).collect();
-    let first = begins(&planner.plan(&machines, &all, &all, Time(0)));
+    let first = begins(&planner.plan(&machines, &all, &all, Time(0), 0));
     assert_eq!(first.len(), 1);
     planner.ordered(&first[0], Time(0));
-    assert!(begins(&planner.plan(&machines, &all, &all, Time(300))).is_empty());
+    assert!(begins(&planner.plan(&machines, &all, &all, Time(300), 0)).is_empty());
 }
 
 /// What runs on a machine ends at once with its maintenance, so it goes down only when it is empty.
@@ -94,16 +100,174 @@
     let mut planner = planner(1, 1);
     let machines = machines(1);
     let emptying: BTreeSet<String> = ["minion-0".to_string()].into();
-    assert!(begins(&planner.plan(&machines, &emptying, &BTreeSet::new(), Time(0))).is_empty());
+    assert!(begins(&planner.plan(&machines, &emptying, &BTreeSet::new(), Time(0), 0)).is_empty());
 }
 
 #[test]
 fn a_machine_that_is_gone_for_good_is_not_waited_for() {
     let mut planner = planner(1, 1);
-    let steps = planner.plan(&machines(0), &BTreeSet::new(), &BTreeSet::new(), Time(0));
+    let steps = planner.plan(&machines(0), &BTreeSet::new(), &BTreeSet::new(), Time(0), 0);
     assert!(steps.is_empty(), "an empty list of machines proves nothing");
     let mut other = machines(2);
     other.remove("machine-0");
-    let steps = planner.plan(&other, &BTreeSet::new(), &BTreeSet::new(), Time(0));
+    let steps = planner.plan(&other, &BTreeSet::new(), &BTreeSet::new(), Time(0), 0);
     assert_eq!(steps, [Step::Complete { wave: 1 }]);
 }
+
+/// A fleet in a wave, played by steps of a tenth of a second: a machine empties in the time that its work
+/// takes, is down for two seconds and comes back with another minion.
+struct Play {
+    planner: Planner,
+    machines: BTreeMap<String, Machine>,
+    /// When each machine that was asked to empty is empty.
+    empties: BTreeMap<String, Time>,
+    down: BTreeMap<String, Time>,
+    now: Time,
+    most_under_way: usize,
+    first_begun: Vec<String>,
+}
+
+impl Play {
+    fn new(count: usize, at_once: usize, window_ms: u64) -> Self {
+        let mut planner = Planner::new(Settings::default());
+        let names = (0..count).map(|number| format!("machine-{number}")).collect();
+        planner.add(1, Wave { machines: names, at_once, window_ms, ..Wave::default() });
+        Self {
+            planner,
+            machines: machines(count),
+            empties: BTreeMap::new(),
+            down: BTreeMap::new(),
+            now: Time(0),
+            most_under_way: 0,
+            first_begun: Vec::new(),
+        }
+    }
+
+    fn occupy(&mut self, numbers: std::ops::Range<usize>, occupation: Occupation) {
+        for number in numbers {
+            self.machines.get_mut(&format!("machine-{number}")).unwrap().occupation = occupation;
+        }
+    }
+
+    fn begun(&self) -> usize {
+        self.planner.wave(1).unwrap().begun.len()
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + Duration::from_millis(100);
+        let now = self.now;
+        let back = |since: &Time| now.since(*since) >= Duration::from_secs(2);
+        for (name, _) in self.down.extract_if(.., |_, since| back(since)) {
+            let minion = Some(format!("{name}-reborn"));
+            self.machines.insert(name, Machine { minion, up: true, ..Machine::default() });
+        }
+        let minion = |name: &String| name.replace("machine", "minion");
+        let emptying = self.empties.keys().map(minion).collect();
+        let empty = self.empties.iter().filter(|(_, at)| now >= **at);
+        let empty = empty.map(|(name, _)| minion(name)).collect();
+        for step in self.planner.plan(&self.machines, &emptying, &empty, now, now.0) {
+            match step {
+                Step::Empty { machine, .. } => {
+                    let takes = match self.machines[&machine].occupation {
+                        Occupation::Idle => 0,
+                        Occupation::Working(_) => 1000,
+                        Occupation::Lasting => 3000,
+                    };
+                    self.empties.insert(machine, now + Duration::from_millis(takes));
+                }
+                Step::Begin { machine, wave } => {
+                    self.planner.ordered(&machine, now);
+                    self.planner.begun(wave, &machine);
+                    self.empties.remove(&machine);
+                    self.first_begun.push(machine.clone());
+                    let under = Machine { in_maintenance: true, ..Machine::default() };
+                    self.machines.insert(machine.clone(), under);
+                    self.down.insert(machine, now);
+                }
+                Step::Complete { wave } => self.planner.completed(wave),
+            }
+        }
+        self.most_under_way = self.most_under_way.max(self.empties.len() + self.down.len());
+    }
+
+    fn run(&mut self, until: Time) {
+        while self.now < until {
+            self.step();
+        }
+    }
+}
+
+/// Half of a fleet is due within 26 seconds, and a fifth of it may be down at once.  With all of that taken
+/// at once, the callers of the worst seconds miss a fifth of the room, and the window is used for a third.
+#[test]
+fn a_wave_takes_no_more_working_machines_than_its_window_asks_for() {
+    let mut play = Play::new(580, 225, 26_000);
+    play.occupy(0..580, Occupation::Working(8000));
+    play.run(Time(26_000));
+    assert_eq!(play.begun(), 580);
+    assert!(play.most_under_way <= 160, "{} at once", play.most_under_way);
+}
+
+/// Machines with lasting tasks empty one after the other; begun last, they would miss the window.
+#[test]
+fn machines_that_take_long_to_empty_are_not_left_for_the_end() {
+    let mut play = Play::new(60, 20, 26_000);
+    play.occupy(0..40, Occupation::Working(8000));
+    play.occupy(40..60, Occupation::Lasting);
+    play.run(Time(26_000));
+    assert_eq!(play.begun(), 60);
+    let lasting = |name: &&String| name["machine-".len()..].parse::<usize>().unwrap() >= 40;
+    let early = play.first_begun[..30].iter().filter(lasting).count();
+    assert!(early >= 8, "{early} of the first thirty");
+}
+
+/// Machines that are off or rest cost nobody anything, so they go as soon as is allowed.
+#[test]
+fn machines_that_idle_go_first_and_as_many_as_allowed() {
+    let mut play = Play::new(100, 30, 26_000);
+    play.occupy(0..60, Occupation::Working(8000));
+    play.run(Time(3000));
+    assert!(play.begun() >= 30, "{} in three seconds", play.begun());
+    let idle = |name: &&String| name["machine-".len()..].parse::<usize>().unwrap() >= 60;
+    assert!(play.first_begun[..30].iter().all(|name| idle(&name)), "{:?}", play.first_begun);
+}
+
+/// The store is away in the middle of a wave, or its window is short: what is left goes as fast as is
+/// allowed, and no faster.
+#[test]
+fn a_wave_that_falls_behind_catches_up() {
+    let mut play = Play::new(150, 40, 26_000);
+    play.occupy(0..150, Occupation::Working(8000));
+    play.run(Time(5000));
+    let before = play.begun();
+    play.now = Time(12_000);
+    play.run(Time(26_000));
+    assert!(before < 60, "{before} in the first five seconds");
+    assert_eq!(play.begun(), 150);
+    let mut short = Play::new(40, 10, 3000);
+    short.occupy(0..40, Occupation::Working(8000));
+    short.run(Time(2000));
+    assert_eq!(short.most_under_way, 10 + Settings::default().ahead);
+}
+
+/// Dozens of orders are refused for their rate.  Taken for orders that may have been carried out, they kept
+/// their machines emptied, and their places, for three and a half seconds.
+#[test]
+fn an_order_that_is_put_off_is_given_again_at_once() {
+    let mut planner = planner(2, 1);
+    let machines = machines(2);
+    let all: BTreeSet<String> = (0..2).map(|number| format!("minion-{number}")).collect();
+    let first = begins(&planner.plan(&machines, &all, &all, Time(0), 0));
+    planner.ordered(&first[0], Time(0));
+    planner.put_off(&first[0]);
+    assert_eq!(begins(&planner.plan(&machines, &all, &all, Time(100), 0)), first);
+}
+
+/// A minion that is empty for a moment and was not asked to stay so may get a task at any time.
+#[test]
+fn a_machine_goes_down_only_after_it_was_asked_to_empty() {
+    let mut planner = planner(1, 1);
+    let empty: BTreeSet<String> = ["minion-0".to_string()].into();
+    let steps = planner.plan(&machines(1), &BTreeSet::new(), &empty, Time(0), 0);
+    assert!(begins(&steps).is_empty(), "{steps:?}");
+}
--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -1,45 +1,37 @@
 //! The duty for the whole fleet: machines' maintenance and their pools, one entry at a time.
 //!
-//! [`maintenance`] carries maintenance waves, [`pools`] moves machines between pools.  A machine is
-//! emptied before either: a row names it for as long as nothing may be started on it, whoever
-//! owns its service's cell meanwhile.
+//! [`list`] reads the platform's machines, [`pools`] asks the pools for their demand and moves
+//! machines between them, [`maintenance`] carries waves.  The three run beside each other over one
+//! [`State`], which says whose machine is whose, so that none waits for another's calls.  In one loop
+//! after the other, a wave of 583 machines, at two rows and an order each, kept every move waiting for
+//! eight seconds while two pools of callers had next to nothing.
+//!
+//! A machine is emptied before it is moved or goes down ([`emptying`]): a row names it for as long as
+//! nothing may be started on it, whoever owns its service's cell meanwhile.
 
+pub(crate) mod emptying;
+mod list;
 pub(crate) mod maintenance;
 pub(crate) mod pools;
 
 use crate::clock;
 use crate::node::Node;
 use crate::owner::Owner;
-use crate::peers;
 use crate::rows;
-use celerythread_adapter::machine;
-use celerythread_adapter::store::{MAX_ENTRIES, Transaction};
+use celerythread_adapter::machine::{self, Authority, Refusal};
 use celerythread_engine::pools::Load;
 use celerythread_engine::time::Time;
 use celerythread_engine::{maintenance as maintenance_plan, pools as pool_plan};
-use celerythread_wire::job::{Answer, Question};
-use futures::future::join_all;
-use std::collections::BTreeMap;
+use futures::StreamExt;
+use list::MachineList;
+use parking_lot::Mutex;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Longest wait for a call.
 pub(crate) const CALL_LIMIT: Duration = Duration::from_millis(1000);
 
-/// Shortest time between two looks at the pools' demand.  A burst that lasts some seconds must
-/// be seen well within its first one.
-const TICK: Duration = Duration::from_millis(200);
-
-/// Added to a tick for each pool, so that asking many of them takes at most fifty questions a
-/// second, some 10 ms of processor time.
-const TICK_PER_POOL: Duration = Duration::from_millis(20);
-
-/// Age at which the list of machines is read again while something is under way.
-const LIST_BUSY: Duration = Duration::from_millis(350);
-
-/// The same otherwise.
-const LIST_IDLE: Duration = Duration::from_secs(3);
-
 /// Pause before something that failed is tried again.
 const RETRY: Duration = Duration::from_millis(500);
 
@@ -47,13 +39,33 @@
 /// been silent for the takeover time, and then waits the lease before its own orders.
 const FRESH_RENEWAL: Duration = Duration::from_millis(1500);
 
-/// What the holder of the duty knows and plans.
+/// Looks at the pools' demand in a second, at most; each pool may be given its share of the orders that
+/// the platform takes in a second.
+const LOOKS_PER_S: f64 = 4.0;
+
+/// Orders under way at once.  An answer takes some 5 ms, so this many are more than the platform takes in
+/// a second, and few enough for the connections that are kept open.
+const ORDERS_AT_ONCE: usize = 16;
+
+/// The duty in the hands of this entry.
 pub(crate) struct Fleet {
     pub(crate) owner: Arc<Owner>,
     pub(crate) client: machine::Client,
+    /// Locked after the entry's view, and never across a call.
+    pub(crate) state: Mutex<State>,
+}
+
+/// What the holder of the duty knows and plans.
+pub(crate) struct State {
     pub(crate) waves: maintenance_plan::Planner,
     pub(crate) pools: pool_plan::Planner,
-    list: MachineList,
+    pub(crate) list: MachineList,
+    /// What each pool's owner told last.
+    pub(crate) loads: BTreeMap<String, Load>,
+    /// Machines whose maintenance has begun and is not kept yet, with their wave.
+    pub(crate) unkept: BTreeSet<(u64, String)>,
+    /// Machines whose rows are being dropped.
+    pub(crate) dropping: BTreeSet<String>,
     /// Machines for which an order may have been given, by this holder or the former one, and
     /// until when nobody else may give one.
     ///
@@ -65,6 +77,30 @@
     ordered: BTreeMap<String, Time>,
 }
 
+impl State {
+    /// Whether a machine must be left alone: somebody may have given an order for it lately.
+    pub(crate) fn is_held_back(&self, machine: &str) -> bool {
+        self.ordered.get(machine).is_some_and(|until| clock::now() < *until)
+    }
+
+    /// Whether either duty is about to order a machine.
+    pub(crate) fn is_planned(&self, machine: &str) -> bool {
+        self.pools.is_pending(machine) || self.waves.is_emptying(machine)
+    }
+
+    /// Takes back that an order was given: it was refused before anything was done.
+    pub(crate) fn release_order(&mut self, machine: &str) {
+        self.ordered.remove(machine);
+        self.waves.put_off(machine);
+    }
+
+    /// Machines whose lease of orders is over are anybody's again.
+    pub(crate) fn forget_orders(&mut self) {
+        let now = clock::now();
+        self.ordered.retain(|_, until| now < *until);
+    }
+}
+
 /// Carries the duty until it is lost.
 pub(crate) async fn carry(owner: Arc<Owner>) {
     let node = owner.node.clone();
@@ -73,31 +109,40 @@
         duration: node.settings.maintenance_duration.0,
         ..maintenance_plan::Settings::default()
     };
-    let mut fleet = Fleet {
-        owner: owner.clone(),
-        client,
+    let state = State {
         waves: maintenance_plan::Planner::new(settings),
-        pools: pool_plan::Planner::new(pool_plan::Settings::default()),
+        pools: pool_plan::Planner::new(pool_plan::Settings {
+            at_once: (node.settings.orders_per_s / LOOKS_PER_S).max(1.0) as usize,
+            ..pool_plan::Settings::default()
+        }),
         list: MachineList::default(),
+        loads: BTreeMap::new(),
+        unkept: BTreeSet::new(),
+        dropping: BTreeSet::new(),
         ordered: BTreeMap::new(),
     };
+    let fleet = Fleet { owner: owner.clone(), client, state: Mutex::new(state) };
     while !fleet.load().await {
         if !owner.pause(RETRY).await {
             return;
         }
     }
-    loop {
-        let pools = fleet.step().await;
-        if !owner.pause(TICK.max(TICK_PER_POOL * pools as u32)).await {
-            return;
-        }
-    }
+    futures::join!(
+        list::read_forever(&fleet),
+        pools::move_forever(&fleet),
+        maintenance::carry_forever(&fleet)
+    );
 }
 
 impl Fleet {
+    /// The entry's shared parts.
+    pub(crate) fn node(&self) -> &Node {
+        &self.owner.node
+    }
+
     /// Reads what a former holder kept; true if it is read.
-    async fn load(&mut self) -> bool {
-        let node = self.owner.node.clone();
+    async fn load(&self) -> bool {
+        let node = self.node();
         let rows = node.store.all(rows::CONTROL, "", rows::EMPTYING_PREFIX, CALL_LIMIT).await;
         node.store_result(&rows);
         let Ok(rows) = rows else { return false };
@@ -106,161 +151,56 @@
                 self.note_order(machine);
             }
         }
-        pools::load(&node, &mut self.pools).await && maintenance::load(&node, &mut self.waves).await
-    }
-
-    /// Takes everything a step further; returns how many pools were asked.
-    async fn step(&mut self) -> usize {
-        let node = self.owner.node.clone();
-        maintenance::take_new(&node, &mut self.waves).await;
-        let services = services(&node);
-        let loads = ask_loads(&node, &services).await;
-        let emptying = !node.view.read().emptying.is_empty();
-        let busy = self.waves.is_busy() || self.pools.is_busy() || emptying;
-        if self.list.refresh(&node, &self.client, busy).await {
-            self.drop_settled().await;
-            if self.waves.is_busy() {
-                maintenance::step(self, &loads).await;
-            }
-        }
-        pools::step(self, &loads).await;
-        services.len()
-    }
-
-    /// The list of machines as last read.
-    pub(crate) fn machines(&self) -> &[machine::Machine] {
-        &self.list.machines
+        pools::load(self).await && maintenance::load(self).await
     }
 
     /// Notes that an order for a machine is about to be given, or may have been.
-    pub(crate) fn note_order(&mut self, machine: &str) {
-        let lease = self.owner.node.settings.maintenance_lease.0 + CALL_LIMIT / 4;
-        self.ordered.insert(machine.into(), clock::now() + lease);
+    pub(crate) fn note_order(&self, machine: &str) {
+        let lease = self.node().settings.maintenance_lease.0 + CALL_LIMIT / 4;
+        self.state.lock().ordered.insert(machine.into(), clock::now() + lease);
     }
 
-    /// Whether a machine must be left alone: somebody may have given an order for it lately.
-    pub(crate) fn is_held_back(&self, machine: &str) -> bool {
-        self.ordered.get(machine).is_some_and(|until| clock::now() < *until)
+    /// Whether this holder may give an order for a machine now.
+    pub(crate) fn may_order(&self) -> bool {
+        let node = self.node();
+        let stops = self.owner.is_stopped() || node.is_stopping();
+        !stops && node.since_renewal() <= FRESH_RENEWAL
     }
 
-    /// Drops the rows of machines that nobody is about to order any more: they have another
-    /// minion, or a former holder asked for them, and its orders are over.
-    async fn drop_settled(&mut self) {
-        let now = clock::now();
-        let settled: Vec<String> = {
-            let view = self.owner.node.view.read();
-            let mine = |name: &str| self.pools.is_pending(name) || self.waves.is_emptying(name);
-            let keeps = |name: &str, minion: &str| {
-                let listed = self.list.machines.iter().find(|machine| machine.name == name);
-                let same = listed
-                    .is_some_and(|machine| machine.minion.as_deref().unwrap_or_default() == minion);
-                same && mine(name)
-            };
-            let over = |name: &str| self.ordered.get(name).is_none_or(|until| now >= *until);
-            let rows = view.emptying.iter();
-            rows.filter(|(name, minion)| over(name) && !keeps(name, minion))
-                .map(|(name, _)| name.clone())
-                .collect()
-        };
-        self.ordered.retain(|_, until| now < *until);
-        drop_emptying(&self.owner.node, &settled).await;
+    /// In whose name orders are given.
+    pub(crate) fn authority(&self) -> Authority {
+        Authority { holder: self.node().me.clone(), token: self.owner.token }
     }
 }
 
-/// The services that have minions.
-fn services(node: &Node) -> Vec<String> {
-    let Some(configuration) = node.configuration() else { return Vec::new() };
-    configuration.serving().map(Into::into).collect()
+/// Gives orders, some at a time.
+pub(crate) async fn order_all(orders: impl Iterator<Item = impl Future<Output = ()>>) {
+    futures::stream::iter(orders).buffer_unordered(ORDERS_AT_ONCE).for_each(|()| async {}).await;
 }
 
-/// The list of machines as last read.
-#[derive(Default)]
-struct MachineList {
-    machines: Vec<machine::Machine>,
-    read: Option<Time>,
+/// What became of an order for a machine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Ordered {
+    /// It was carried out.
+    Done,
+    /// Nothing was done, and it can be given again.
+    PutOff,
+    /// Nothing was done, and giving it again is of no use now.
+    Refused,
+    /// Nobody knows.
+    Unknown,
 }
 
-impl MachineList {
-    /// Reads the list if it is too old; true if it was read.
-    async fn refresh(&mut self, node: &Node, client: &machine::Client, busy: bool) -> bool {
-        let limit = if busy { LIST_BUSY } else { LIST_IDLE };
-        if self.read.is_some_and(|read| clock::now().since(read) < limit) {
-            return false;
-        }
-        match client.list(CALL_LIMIT).await {
-            Ok(list) => {
-                if list.unreadable > 0 {
-                    let unreadable = list.unreadable;
-                    node.journal.warn("machines_unreadable", &[("machines", &unreadable)]);
-                }
-                self.machines = list.machines;
-                self.read = Some(clock::now());
-                true
-            }
-            Err(failure) => {
-                node.journal.warn("machines_unread", &[("reason", &failure)]);
-                false
-            }
+impl Ordered {
+    /// What an answer says, with a word for the log.
+    pub(crate) fn read(
+        answer: Result<Result<(), Refusal>, celerythread_adapter::Failure>,
+    ) -> (Self, String) {
+        match answer {
+            Ok(Ok(())) => (Self::Done, "done".to_owned()),
+            Ok(Err(Refusal::Rate | Refusal::Unavailable)) => (Self::PutOff, "put off".to_owned()),
+            Ok(Err(reason)) => (Self::Refused, reason.to_string()),
+            Err(failure) => (Self::Unknown, failure.to_string()),
         }
     }
 }
-
-/// Whether this holder may give an order for a machine now.
-pub(crate) fn order_allowed(owner: &Owner) -> bool {
-    let node = &owner.node;
-    !owner.is_stopped() && !node.is_stopping() && node.since_renewal() <= FRESH_RENEWAL
-}
-
-/// Writes that machines are to be emptied; true if it is written.
-pub(crate) async fn write_emptying(node: &Node, machines: &[(String, String)]) -> bool {
-    let row = |(machine, minion): &(String, String)| {
-        (rows::control(rows::EMPTYING_PREFIX, machine), minion.as_bytes().to_vec())
-    };
-    for chunk in machines.chunks(MAX_ENTRIES) {
-        let writes = chunk.iter().map(row).collect();
-        let change = Transaction { writes, ..Transaction::default() };
-        if node.commit(&change, CALL_LIMIT).await.is_err() {
-            return false;
-        }
-        let mut view = node.view.write();
-        for (machine, minion) in chunk {
-            view.emptying.insert(machine.clone(), minion.clone());
-            node.journal.note("machine_emptying", &[("machine", machine), ("minion", minion)]);
-        }
-    }
-    true
-}
-
-/// Drops the rows of machines that no longer are to be emptied.
-///
-/// They are independent of each other, so many go in several transactions: after an outage more
-/// were settled than one may hold, it was refused each time, and no row was dropped any more.
-pub(crate) async fn drop_emptying(node: &Node, machines: &[String]) {
-    let row = |machine: &String| rows::control(rows::EMPTYING_PREFIX, machine);
-    for chunk in machines.chunks(MAX_ENTRIES) {
-        let change =
-            Transaction { drops: chunk.iter().map(row).collect(), ..Transaction::default() };
-        if let Err(error) = node.commit(&change, CALL_LIMIT).await {
-            // Looked at again with the next list of machines.
-            let left = machines.len();
-            node.journal.warn("emptying_left", &[("machines", &left), ("reason", &error)]);
-            return;
-        }
-        let mut view = node.view.write();
-        for machine in chunk {
-            view.emptying.remove(machine);
-        }
-    }
-}
-
-/// Asks the owners of all pools for their demand.
-async fn ask_loads(node: &Node, services: &[String]) -> BTreeMap<String, Load> {
-    let ask = async |service: &String| {
-        let question = Question::Load { service: service.clone() };
-        match peers::ask_owner(node, service, question).await {
-            Some(Answer::Load(load)) => Some((service.clone(), load)),
-            _ => None,
-        }
-    };
-    join_all(services.iter().map(ask)).await.into_iter().flatten().collect()
-}
--- a/crates/scheduler/src/fleet/pools.rs
+++ b/crates/scheduler/src/fleet/pools.rs
@@ -1,27 +1,40 @@
 //! Moving machines between pools with the decisions of the engine.
 
+use super::emptying::{self, Leaver};
+use super::{CALL_LIMIT, Fleet, Ordered, State, order_all};
 use crate::clock;
-use crate::fleet::{CALL_LIMIT, Fleet, drop_emptying, order_allowed, write_emptying};
 use crate::metrics::Counter;
 use crate::node::Node;
-use crate::owner::Owner;
 use crate::peers;
 use crate::rows;
-use celerythread_adapter::machine::{self, Authority, State};
+use celerythread_adapter::machine;
 use celerythread_adapter::store::{Name, Transaction};
 use celerythread_engine::job::{decode, encode};
-use celerythread_engine::pools::{History, Load, Machine, Move, Planner};
+use celerythread_engine::pools::{Balance, History, Load, Machine, Move};
+use celerythread_engine::time::Time;
 use celerythread_wire::job::{Answer, Question};
 use futures::future::join_all;
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::time::Duration;
+
+/// Shortest time between two looks at the pools' demand.  A burst that lasts some seconds must
+/// be seen well within its first one.
+const TICK: Duration = Duration::from_millis(200);
+
+/// Added to a tick for each pool, so that asking many of them takes at most fifty questions a
+/// second, some 10 ms of processor time.
+const TICK_PER_POOL: Duration = Duration::from_millis(20);
+
+/// Shortest time between two log lines on one pool.
+const TELL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Reads whose turns a former holder saw; true if they are read, or there are none.
-pub(crate) async fn load(node: &Node, planner: &mut Planner) -> bool {
-    let row = node.store.get(rows::CONTROL, "", rows::TURNS_KEY, CALL_LIMIT).await;
+pub(crate) async fn load(fleet: &Fleet) -> bool {
+    let node = fleet.node();
+    let row = node.store.get(rows::FLEET, "", rows::TURNS_KEY, CALL_LIMIT).await;
     node.store_result(&row);
     match row.map(|row| row.map(|row| decode::<History>(&row.value))) {
-        Ok(Some(Ok(history))) => planner.restore(history),
+        Ok(Some(Ok(history))) => fleet.state.lock().pools.restore(history),
         Ok(Some(Err(error))) => node.journal.warn("turns_unreadable", &[("reason", &error)]),
         Ok(None) => {}
         Err(_) => return false,
@@ -30,11 +43,10 @@
 }
 
 /// Keeps the turns as they are now, for the next holder.
-async fn keep_turns(node: &Node, planner: &Planner) {
-    let history = planner.history();
+async fn keep_turns(node: &Node, history: &History) {
     let pool = history.turns.last().map(String::as_str).unwrap_or_default();
     node.journal.note("turn_began", &[("pool", &pool), ("turns", &history.turns.len())]);
-    let name = Name::new(rows::CONTROL, "", rows::TURNS_KEY);
+    let name = Name::new(rows::FLEET, "", rows::TURNS_KEY);
     let change = Transaction { writes: vec![(name, encode(history))], ..Transaction::default() };
     // If this is lost, the next holder knows one turn less, until it has seen it itself.
     if let Err(error) = node.commit(&change, CALL_LIMIT).await {
@@ -42,99 +54,123 @@
     }
 }
 
+/// Moves machines until the duty is lost.
+pub(crate) async fn move_forever(fleet: &Fleet) {
+    let mut told = Telling::default();
+    while !fleet.owner.is_stopped() {
+        let services = services(fleet.node());
+        let loads = ask_loads(fleet.node(), &services).await;
+        fleet.state.lock().loads = loads;
+        step(fleet).await;
+        told.tell(fleet);
+        if !fleet.owner.pause(TICK.max(TICK_PER_POOL * services.len() as u32)).await {
+            return;
+        }
+    }
+}
+
+/// The services that have minions.
+fn services(node: &Node) -> Vec<String> {
+    let Some(configuration) = node.configuration() else { return Vec::new() };
+    configuration.serving().map(Into::into).collect()
+}
+
+/// Asks the owners of all pools for their demand.
+async fn ask_loads(node: &Node, services: &[String]) -> BTreeMap<String, Load> {
+    let ask = async |service: &String| {
+        let question = Question::Load { service: service.clone() };
+        match peers::ask_owner(node, service, question).await {
+            Some(Answer::Load(load)) => Some((service.clone(), load)),
+            _ => None,
+        }
+    };
+    join_all(services.iter().map(ask)).await.into_iter().flatten().collect()
+}
+
 /// Moves machines as the demand asks for.
-pub(crate) async fn step(fleet: &mut Fleet, loads: &BTreeMap<String, Load>) {
-    let owner = fleet.owner.clone();
-    let node = &owner.node;
-    if fleet.machines().is_empty() || !order_allowed(&owner) {
+async fn step(fleet: &Fleet) {
+    let node = fleet.node();
+    if fleet.state.lock().list.machines.is_empty() || !fleet.may_order() {
         return;
     }
     let Some(configuration) = node.configuration() else { return };
-    let machines: BTreeMap<String, Machine> =
-        fleet.machines().iter().map(|machine| seen(machine, fleet)).collect();
-    let turns = fleet.pools.history().turns.clone();
-    let moves = fleet.pools.plan(&machines, loads, configuration.spare_pool(), clock::now());
-    if fleet.pools.history().turns != turns {
-        keep_turns(node, &fleet.pools).await;
+    let (moves, turn) = plan(&mut fleet.state.lock(), configuration.spare_pool());
+    if let Some(history) = turn {
+        keep_turns(node, &history).await;
     }
-    let mut loads = loads.clone();
-    release(fleet, &moves, &mut loads).await;
-    order_ready(fleet, &loads).await;
+    release(fleet, &moves).await;
+    order_ready(fleet).await;
     give_up_overdue(fleet).await;
 }
 
-fn seen(machine: &machine::Machine, fleet: &Fleet) -> (String, Machine) {
+/// Further moves, and the turns if another one began.
+fn plan(state: &mut State, spare: Option<&str>) -> (Vec<Move>, Option<History>) {
+    let machines = seen_all(state);
+    let turns = state.pools.history().turns.clone();
+    let moves = state.pools.plan(&machines, &state.loads, spare, clock::now());
+    let history = state.pools.history();
+    let began = (history.turns != turns).then(|| history.clone());
+    (moves, began)
+}
+
+/// All machines as the engine sees them.
+pub(crate) fn seen_all(state: &State) -> BTreeMap<String, Machine> {
+    state.list.machines.iter().map(|machine| seen(machine, state)).collect()
+}
+
+fn seen(machine: &machine::Machine, state: &State) -> (String, Machine) {
     let name = machine.name.clone();
     let seen = Machine {
         pool: machine.pool.clone(),
         minion: machine.minion.clone().filter(|id| !id.is_empty()),
-        up: machine.state == State::Up,
-        pinned: fleet.waves.is_emptying(&name) || fleet.is_held_back(&name),
+        up: machine.state == machine::State::Up,
+        pinned: state.waves.is_emptying(&name)
+            || state.is_held_back(&name)
+            || state.dropping.contains(&name),
     };
     (name, seen)
 }
 
-/// Has machines emptied: by a row first, so that a later owner and a later holder of the duty
-/// know it too, then by a message, so that the present owner knows it at once and tells which
-/// are empty already.
-async fn release(fleet: &mut Fleet, moves: &[Move], loads: &mut BTreeMap<String, Load>) {
-    let node = fleet.owner.node.clone();
-    let mut by_pool: BTreeMap<&str, Vec<(String, String)>> = BTreeMap::new();
-    for plan in moves {
-        let minion = plan.minion.clone().unwrap_or_default();
-        by_pool.entry(&plan.from).or_default().push((plan.machine.clone(), minion));
-    }
-    for (pool, machines) in by_pool {
-        if !write_emptying(&node, &machines).await {
-            machines.iter().for_each(|(machine, _)| fleet.pools.abandon(machine));
-            continue;
-        }
-        let question = Question::Release { service: pool.into(), machines };
-        // Without an answer the owner learns it from the row.
-        if let Some(Answer::Load(load)) = peers::ask_owner(&node, pool, question).await {
-            loads.insert(pool.into(), load);
-        }
+/// Has machines emptied; the moves of those that couldn't be asked are given up.
+async fn release(fleet: &Fleet, moves: &[Move]) {
+    if moves.is_empty() {
+        return;
     }
+    let leaver = |plan: &Move| Leaver {
+        machine: plan.machine.clone(),
+        pool: plan.from.clone(),
+        minion: plan.minion.clone().unwrap_or_default(),
+    };
+    let left = emptying::begin(fleet, moves.iter().map(leaver).collect()).await;
+    let mut state = fleet.state.lock();
+    left.iter().for_each(|machine| state.pools.abandon(machine));
 }
 
 /// Orders the moves of machines that are empty by now.
-async fn order_ready(fleet: &mut Fleet, loads: &BTreeMap<String, Load>) {
+async fn order_ready(fleet: &Fleet) {
+    let ready = ready(&fleet.state.lock());
+    order_all(ready.into_iter().map(|plan| async move { order(fleet, &plan).await })).await;
+}
+
+fn ready(state: &State) -> Vec<Move> {
     let is_ready = |plan: &&Move| match &plan.minion {
         None => true,
-        Some(minion) => loads.get(&plan.from).is_some_and(|load| load.empty.contains(minion)),
+        Some(minion) => state.loads.get(&plan.from).is_some_and(|load| load.empty.contains(minion)),
     };
-    let ready: Vec<Move> = fleet.pools.pending().filter(is_ready).cloned().collect();
-    ready.iter().for_each(|plan| fleet.note_order(&plan.machine));
-    let orders = ready.iter().map(|plan| order(&fleet.owner, &fleet.client, plan));
-    let moved = join_all(orders).await;
-    for (plan, moved) in ready.iter().zip(moved) {
-        match moved {
-            // Its row stays for the lease, and until the list shows another minion, so that
-            // nothing is started on the old one, which may be listed for some seconds more.
-            Some(true) => fleet.pools.ordered(&plan.machine, clock::now()),
-            Some(false) => fleet.pools.abandon(&plan.machine),
-            None => {}
-        }
-    }
+    state.pools.pending().filter(is_ready).cloned().collect()
 }
 
-/// Orders one move; none when it isn't certain, so that it is ordered again.
-async fn order(owner: &Arc<Owner>, client: &machine::Client, plan: &Move) -> Option<bool> {
-    let node = &owner.node;
-    if !order_allowed(owner) {
-        return None;
-    }
-    let by = Authority { holder: node.me.clone(), token: owner.token };
-    let answer = client.change_pool(&plan.machine, &plan.to, &by, CALL_LIMIT).await;
-    let (outcome, moved) = match &answer {
-        Ok(Ok(())) => ("moving".to_owned(), Some(true)),
-        Ok(Err(machine::Refusal::Rate | machine::Refusal::Unavailable)) => ("put off".into(), None),
-        Ok(Err(reason)) => (reason.to_string(), Some(false)),
-        Err(failure) => (failure.to_string(), None),
-    };
-    if moved == Some(true) {
-        node.metrics.count(Counter::Moves);
+/// Orders one move.
+async fn order(fleet: &Fleet, plan: &Move) {
+    let node = fleet.node();
+    if !fleet.may_order() {
+        return;
     }
+    fleet.note_order(&plan.machine);
+    let by = fleet.authority();
+    let answer = fleet.client.change_pool(&plan.machine, &plan.to, &by, CALL_LIMIT).await;
+    let (ordered, outcome) = Ordered::read(answer);
+    let waited = clock::now().since(plan.since);
     node.journal.note(
         "move_ordered",
         &[
@@ -142,24 +178,73 @@
             ("from", &plan.from),
             ("to", &plan.to),
             ("reason", &plan.reason),
-            ("token", &owner.token),
-            ("waited_ms", &clock::now().since(plan.since).as_millis()),
+            ("token", &by.token),
+            ("waited_ms", &waited.as_millis()),
             ("outcome", &outcome),
         ],
     );
-    moved
+    let mut state = fleet.state.lock();
+    match ordered {
+        // Its row stays for the lease, and until the list shows another minion, so that
+        // nothing is started on the old one, which may be listed for some seconds more.
+        Ordered::Done => {
+            node.metrics.count(Counter::Moves);
+            state.pools.ordered(&plan.machine, clock::now());
+        }
+        Ordered::Refused | Ordered::Unknown => state.pools.abandon(&plan.machine),
+        // Ordered again with the next step.
+        Ordered::PutOff => {}
+    }
 }
 
-async fn give_up_overdue(fleet: &mut Fleet) {
-    let node = fleet.owner.node.clone();
+async fn give_up_overdue(fleet: &Fleet) {
+    let node = fleet.node();
+    let overdue = fleet.state.lock().pools.overdue(clock::now());
     let mut rows = Vec::new();
-    for plan in fleet.pools.overdue(clock::now()) {
-        fleet.pools.abandon(&plan.machine);
+    for plan in overdue {
+        let mut state = fleet.state.lock();
+        state.pools.abandon(&plan.machine);
         node.journal.note("move_given_up", &[("machine", &plan.machine), ("to", &plan.to)]);
         // One that may have been ordered keeps its row for the lease.
-        if !fleet.is_held_back(&plan.machine) {
+        if !state.is_held_back(&plan.machine) {
             rows.push(plan.machine.clone());
         }
     }
-    drop_emptying(&node, &rows).await;
+    emptying::drop_rows(fleet, &rows).await;
+}
+
+/// What was last told of each pool, and when.
+#[derive(Default)]
+struct Telling(BTreeMap<String, (Balance, Time)>);
+
+impl Telling {
+    /// Writes a line for each pool of which something else is believed, once a second at most.
+    fn tell(&mut self, fleet: &Fleet) {
+        let now = clock::now();
+        let state = fleet.state.lock();
+        if state.list.machines.is_empty() {
+            return;
+        }
+        for (pool, balance) in state.pools.balances(&seen_all(&state), &state.loads) {
+            let known = self.0.get(&pool);
+            let due =
+                known.is_none_or(|(told, at)| *told != balance && now.since(*at) >= TELL_INTERVAL);
+            if !due {
+                continue;
+            }
+            fleet.node().journal.note(
+                "pool_balance",
+                &[
+                    ("pool", &pool),
+                    ("asked", &balance.asked),
+                    ("lasting", &balance.lasting),
+                    ("has", &balance.has),
+                    ("on_their_way", &balance.on_their_way),
+                    ("needs", &balance.needs),
+                    ("idle", &balance.idle),
+                ],
+            );
+            self.0.insert(pool, (balance, now));
+        }
+    }
 }
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -1,9 +1,12 @@
 //! The rows that entries keep in the platform's store: tables, keys and values.
 //!
 //! Table `control`: an entry's row (`entry/ID`) and a cell's (`cell/SERVICE`), each in a
-//! partition of its own; machines to be emptied (`emptying/MACHINE`), how far waves are
-//! (`wave/N`), the pools' turns (`turns`) and the entries' certificate authority (`authority`) in
-//! the empty one.
+//! partition of its own; machines to be emptied (`emptying/MACHINE`) and the entries' certificate
+//! authority (`authority`) in the empty one.  All entries follow this table.
+//!
+//! Table `fleet`, which only the holder of the fleet's duty reads: waves (`wave/N`), the machines
+//! whose maintenance has begun (`begun/N/MACHINE`), and the pools' turns (`turns`).  In the control
+//! table, and as one row a wave, each machine of a wave of 583 brought all 147 entries all names.
 //!
 //! Table `jobs`: accepted jobs (`job/ID`) and cancellations (`cancel/ID`), in partitions
 //! `SERVICE/SHARD`; the owner's ledger (`ledger`) and the minions that it uses (`roster`) in the
@@ -20,6 +23,8 @@
 
 /// What entries agree on.
 pub(crate) const CONTROL: &str = "control";
+/// What the holder of the fleet's duty keeps for the next one.
+pub(crate) const FLEET: &str = "fleet";
 /// Accepted jobs.
 pub(crate) const JOBS: &str = "jobs";
 /// How far jobs are.
@@ -29,6 +34,7 @@
 pub(crate) const CELL_PREFIX: &str = "cell/";
 pub(crate) const EMPTYING_PREFIX: &str = "emptying/";
 pub(crate) const WAVE_PREFIX: &str = "wave/";
+pub(crate) const BEGUN_PREFIX: &str = "begun/";
 pub(crate) const TURNS_KEY: &str = "turns";
 pub(crate) const AUTHORITY_KEY: &str = "authority";
 pub(crate) const JOB_PREFIX: &str = "job/";
@@ -98,6 +104,17 @@
     Name::new(CONTROL, "", format!("{prefix}{key}"))
 }
 
+/// The row that says that a machine's maintenance in a wave has begun.
+pub(crate) fn begun(wave: u64, machine: &str) -> Name {
+    Name::new(FLEET, "", format!("{BEGUN_PREFIX}{wave}/{machine}"))
+}
+
+/// The wave and the machine of such a row; none for another key.
+pub(crate) fn begun_machine(key: &str) -> Option<(u64, &str)> {
+    let (wave, machine) = key.strip_prefix(BEGUN_PREFIX)?.split_once('/')?;
+    Some((wave.parse().ok()?, machine))
+}
+
 /// The row of an entry.
 pub(crate) fn entry(id: &str) -> Name {
     let key = format!("{ENTRY_PREFIX}{id}");
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -42,6 +42,8 @@
     pub maintenance_lease: Span,
     /// How long a machine is down for its maintenance.
     pub maintenance_duration: Span,
+    /// Orders for machines that the platform takes in a second, from all entries together.
+    pub orders_per_s: f64,
     /// How long ended jobs are kept.
     pub retention: Span,
     /// Longest time for a graceful stop.
@@ -79,6 +81,7 @@
             stop_timeout: Span::millis(900),
             maintenance_lease: Span::millis(3000),
             maintenance_duration: Span::millis(2000),
+            orders_per_s: 64.0,
             retention: Span::secs(120),
             stop_bound: Span::millis(6000),
             body_limit: 262_144,
@@ -130,6 +133,7 @@
                 let seconds: f64 = reader.value("maintenance", "duration_s", seconds);
                 Span::millis((seconds.max(0.0) * 1000.0) as u64)
             },
+            orders_per_s: reader.value("maintenance", "orders_per_s", base.orders_per_s),
             stop_bound: reader.value("stop", "bound", base.stop_bound),
         }
     }
@@ -144,6 +148,10 @@
             );
             reader.note(Code::Contradiction, "peer", "takeover_after", text);
         }
+        if !self.orders_per_s.is_finite() || self.orders_per_s < 1.0 {
+            let text = format!("{} orders a second; no machine would ever move", self.orders_per_s);
+            reader.note(Code::Contradiction, "maintenance", "orders_per_s", text);
+        }
         if self.run_lease.0 < self.takeover_after.0 {
             let text = format!(
                 "lease {} is less than takeover_after {}; whatever runs would end with its owner",
--- a/crates/scheduler/src/status.rs
+++ b/crates/scheduler/src/status.rs
@@ -97,7 +97,9 @@
     let store = store::Client::new(Service::new(Arc::new(Caller::default()), address));
     let page = store.whole(rows::CONTROL, "", READ_LIMIT).await?;
     let mut status = Status { version: page.version, ..Status::default() };
-    page.rows.iter().for_each(|row| status.take(row));
+    let fleet = store.all(rows::FLEET, "", "", READ_LIMIT).await?;
+    // In the order of their keys machines whose maintenance has begun come before their waves.
+    page.rows.iter().chain(fleet.rows.iter().rev()).for_each(|row| status.take(row));
     let ids: Vec<String> = status.entries.iter().map(|entry| entry.id.clone()).collect();
     for cell in &mut status.cells {
         cell.holder_is_there = ids.contains(&cell.holder);
@@ -118,6 +120,11 @@
             Ok(())
         } else if let Some(number) = key.strip_prefix(rows::WAVE_PREFIX) {
             decode(&row.value).map(|wave| self.waves.push(Wave::new(number, &wave)))
+        } else if let Some((number, _)) = rows::begun_machine(key) {
+            let number = number.to_string();
+            let wave = self.waves.iter_mut().find(|wave| wave.number == number);
+            wave.into_iter().for_each(|wave| wave.begun += 1);
+            Ok(())
         } else if key == rows::TURNS_KEY {
             decode::<History>(&row.value).map(|history| self.turns = history.turns)
         } else {
