An unanswered start is looked for before it is stopped; a standstill is judged by what minions told

Change: after a start without an answer its minion is looked at at once; a run that it lists goes on, one that it doesn't list is stopped for certain as before, and without any look for 0.9 s the stop is sent unseen. A run stands still if its minion's reports say so, not if there are none.

One existing test asserted the stop in the plan right after the missing answer; it now asserts that there is neither stop nor start before the look, and then the same as before. Another one lets the 0.9 s pass first.

--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -25,8 +25,13 @@
 /// How far a run has come, as its owner knows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunPhase {
-    /// Its start was ordered and is not answered.
+    /// Its start was ordered and is being waited for.
     Ordered,
+    /// Its start was not answered in time: it may run, or begin later.
+    Unanswered {
+        /// When the wait was given up.
+        since: Time,
+    },
     /// Its minion has it.
     Active,
     /// It is to be stopped; `confirmed` is when the minion answered the stop.
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -12,6 +12,14 @@
 /// and a slow answer.
 const STOP_AGAIN: Duration = Duration::from_millis(700);
 
+/// How long a look is waited for that tells what became of an unanswered start, before it is stopped
+/// unseen: the look is sent at once and repeated once.
+///
+/// Most starts without an answer were carried out, and only the answer was lost or late.  Stopped at
+/// once, the work was thrown away, and where a lasting task was at work by then, its users lost it while
+/// others of its step were away: on an entry with a thin link 117 times in a minute.
+const LOOK_FIRST: Duration = Duration::from_millis(900);
+
 /// Time between two looks at all runs for what must stop or slow down, where nothing says that something
 /// must at once.  At a turn's peak plans follow each other by milliseconds, and a cell has a thousand
 /// runs; the shortest of the waits that are looked for is ten times this.  It saves two fifths of a plan's
@@ -122,6 +130,7 @@
                 let ended = jobs.get(&task.job).is_none_or(|job| job.state().is_final());
                 let due = match run.phase {
                     RunPhase::Ordered | RunPhase::Active => ended,
+                    RunPhase::Unanswered { since } => ended || now.since(since) >= LOOK_FIRST,
                     RunPhase::Stopping { ordered, confirmed } => {
                         // A confirmed stop that its minion still lists long after is repeated.
                         let slow = confirmed.map_or(STOP_AGAIN, |_| self.settings.stop_timeout * 2);
@@ -163,7 +172,7 @@
             for minion in self.minions.values_mut() {
                 for name in members() {
                     let Some(run) = minion.runs.get_mut(&name) else { continue };
-                    if matches!(run.phase, RunPhase::Ordered | RunPhase::Active) {
+                    if !matches!(run.phase, RunPhase::Stopping { .. }) {
                         orders.push(stop(&minion.id, &name, run, now));
                     }
                 }
@@ -189,7 +198,9 @@
                 let step = &job.accepted.definition.steps[task.step as usize];
                 let estimate = Duration::from_millis(step.estimate_ms).mul_f64(factor);
                 let bound = estimate.max(least);
-                let still = now.since(run.moved) > bound;
+                // Judged by what the minion told: an owner that is late with its looks has no news of
+                // progress, and would stop whatever it looks at next.
+                let still = minion.reported.since(run.moved) > bound;
                 if run.phase == RunPhase::Active && still && !(step.lasting && run.percent >= 100) {
                     let percent = run.percent;
                     let minion = minion.id.clone();
@@ -451,7 +462,7 @@
 pub(crate) fn stop(id: &MinionId, task: &TaskName, run: &mut Run, now: Time) -> Order {
     let confirmed = match run.phase {
         RunPhase::Stopping { confirmed, .. } => confirmed,
-        RunPhase::Ordered | RunPhase::Active => None,
+        RunPhase::Ordered | RunPhase::Unanswered { .. } | RunPhase::Active => None,
     };
     run.phase = RunPhase::Stopping { ordered: now, confirmed };
     Order::Stop { minion: id.clone(), task: *task, run: run.number }
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -26,6 +26,9 @@
 /// Pause for a minion that says it is unhealthy.
 const UNHEALTHY_PAUSE: Duration = Duration::from_millis(700);
 
+/// To be stopped, and ordered so long ago that the next plan sends the stop.
+pub(crate) const STOP_DUE: RunPhase = RunPhase::Stopping { ordered: Time(0), confirmed: None };
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -188,9 +191,22 @@
             self.running(id, running, now, &mut orders);
         }
         self.drop_vanished(id, report, sent, now);
+        self.stop_unanswered(id, sent);
         orders
     }
 
+    /// Has runs stopped whose start wasn't answered and that a look from after that doesn't list: they
+    /// may still begin.
+    fn stop_unanswered(&mut self, id: &MinionId, sent: Time) {
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        for run in minion.runs.values_mut() {
+            if matches!(run.phase, RunPhase::Unanswered { since } if since <= sent) {
+                run.phase = STOP_DUE;
+                self.swept = None;
+            }
+        }
+    }
+
     /// Gives up runs that the minion no longer lists although it had them when the hold was
     /// sent, and unanswered starts of which a stop has made sure that they never run.
     fn drop_vanished(&mut self, id: &MinionId, report: &Report, sent: Time, now: Time) {
@@ -203,7 +219,7 @@
             report.running.iter().any(|running| running.task == *task && running.run == number)
         };
         let gone = |task: &TaskName, run: &Run| match run.phase {
-            RunPhase::Ordered => false,
+            RunPhase::Ordered | RunPhase::Unanswered { .. } => false,
             RunPhase::Active => run.moved < sent && !listed(task, run.number),
             RunPhase::Stopping { confirmed, .. } => {
                 confirmed.is_some_and(|at| at < sent) && !listed(task, run.number)
@@ -232,7 +248,7 @@
                 orders.push(stop);
                 return;
             }
-            if run.phase == RunPhase::Ordered {
+            if matches!(run.phase, RunPhase::Ordered | RunPhase::Unanswered { .. }) {
                 run.phase = RunPhase::Active;
                 run.moved = now;
             }
@@ -423,9 +439,7 @@
             }
             StartResult::Unknown => {
                 if entry.phase == RunPhase::Ordered {
-                    // Ordered in the past: the next plan sends the stop.
-                    entry.phase = RunPhase::Stopping { ordered: Time(0), confirmed: None };
-                    self.swept = None;
+                    entry.phase = RunPhase::Unanswered { since: now };
                 }
             }
             StartResult::Refused(reason) => {
--- a/crates/engine/tests/all/runs.rs
+++ b/crates/engine/tests/all/runs.rs
@@ -4,7 +4,7 @@
 use celerythread_engine::cell::{
     Cell, Guard, How, Note, Permit, Refusal, Report, Settings, StartResult,
 };
-use celerythread_engine::job::Step;
+use celerythread_engine::job::{State, Step};
 use std::time::Duration;
 
 /// A start isn't answered and is carried out seconds later.  Started elsewhere meanwhile, the
@@ -16,6 +16,8 @@
     world.submit(1, definition(vec![step(1)]));
     let (minion, name, run) = starts(&world.plan()).remove(0);
     world.cell.start_result(&minion, &name, run, StartResult::Unknown, world.now);
+    assert!(world.plan().is_empty(), "a look comes first");
+    world.cell.report(&minion, &Report::default(), world.now, world.now);
     let orders = world.plan();
     assert_eq!(stops(&orders), [(minion.clone(), name, run)]);
     assert!(starts(&orders).is_empty());
@@ -418,6 +420,8 @@
     world.submit(1, definition(vec![step(1)]));
     let (minion, name, run) = starts(&world.plan()).remove(0);
     world.cell.start_result(&minion, &name, run, StartResult::Unknown, world.now);
+    // No look is answered either, so the stop is sent unseen.
+    world.pass(900);
     for _ in 0..4 {
         if !stops(&world.plan()).is_empty() {
             world.cell.stop_confirmed(&minion, &name, run, world.now);
@@ -428,3 +432,50 @@
     world.answer(0, Report::default());
     assert_eq!(starts(&world.plan()).len(), 1, "the run never began and never will");
 }
+
+/// A minion carries a start out and only its answer is lost.  Stopped unseen, the work was thrown away, and
+/// the users of a lasting task lost it while others of its step were away.
+#[test]
+fn a_run_whose_start_was_not_answered_goes_on_if_its_minion_lists_it() {
+    let mut world = World::new(2);
+    world.submit(1, definition(vec![step(1)]));
+    let (minion, name, run) = starts(&world.plan()).remove(0);
+    world.pass(300);
+    world.cell.start_result(&minion, &name, run, StartResult::Unknown, world.now);
+    let report = Report { running: vec![running(name, run, 10)], ..Report::default() };
+    world.cell.report(&minion, &report, world.now, world.now);
+    world.pass(1000);
+    assert!(world.plan().is_empty());
+    let end = world.end(&minion, name, run, How::Done);
+    assert_eq!(end, 1);
+    world.keep();
+    assert_eq!(world.cell.state(&id(1)), Some(State::Completed));
+}
+
+/// The same, and the minion answers no look: the stop is sent unseen, so that the task isn't held back
+/// until the lease lapses.
+#[test]
+fn an_unanswered_start_is_stopped_unseen_when_no_look_is_answered() {
+    let mut world = World::new(2);
+    world.submit(1, definition(vec![step(1)]));
+    let (minion, name, run) = starts(&world.plan()).remove(0);
+    world.cell.start_result(&minion, &name, run, StartResult::Unknown, world.now);
+    world.pass(800);
+    assert!(stops(&world.plan()).is_empty());
+    world.pass(100);
+    assert_eq!(stops(&world.plan()), [(minion, name, run)]);
+}
+
+/// An owner is late with its looks for three seconds, and a task went on all the while.  Taken for hanging
+/// by the age of the last news, it was stopped, and its minion left out.
+#[test]
+fn a_run_without_news_is_not_taken_for_one_that_stands_still() {
+    let mut world = World::new(1);
+    world.submit(1, definition(vec![Step { estimate_ms: 600, ..step(1) }]));
+    let (minion, name, run) = world.start_all().remove(0);
+    world.pass(3000);
+    assert!(stops(&world.plan()).is_empty());
+    let report = Report { running: vec![running(name, run, 50)], ..Report::default() };
+    world.cell.report(&minion, &report, world.now, world.now);
+    assert!(stops(&world.plan()).is_empty());
+}
--- a/crates/scheduler/src/owner/attend.rs
+++ b/crates/scheduler/src/owner/attend.rs
@@ -320,6 +320,9 @@
                 }
                 let id = &attendant.target.id;
                 owner.with(|cell| cell.start_result(id, &task, run, result, clock::now()));
+                if result == StartResult::Unknown {
+                    look_at_once(&owner, &attendant).await;
+                }
                 if result != StartResult::Started {
                     owner.plan_wake.wake();
                 }
@@ -339,7 +342,7 @@
                     Ok(Reply::Done(..)) => {
                         let now = clock::now();
                         owner.with(|cell| cell.stop_confirmed(&to.id, &task, run, now));
-                        look_after_stop(&owner, &attendant).await;
+                        look_at_once(&owner, &attendant).await;
                     }
                     Ok(Reply::OtherLife) => bury(&owner, &to.id),
                     // Ordered again by a later plan.
@@ -350,12 +353,13 @@
     }
 }
 
-/// Looks at once after a confirmed stop: only a report from after it tells that a start which
-/// was not answered never ran, and the look under way may wait a second for an end.
+/// Looks at once: after a start without an answer, to learn whether it runs, and after a confirmed
+/// stop, since only a report from after it tells that such a start never ran.  The look under way may
+/// wait a second for an end.
 ///
-/// A look that is sent in the millisecond of the confirmation can't be told from one sent before it,
+/// A look that is sent in the millisecond of what it is to settle can't be told from one sent before it,
 /// which settles nothing; so it is sent in the next one.
-async fn look_after_stop(owner: &Arc<Owner>, attendant: &Attendant) {
+async fn look_at_once(owner: &Arc<Owner>, attendant: &Attendant) {
     async_std::task::sleep(CLOCK_STEP).await;
     let known = owner.with(|cell| cell.minion(&attendant.target.id).map(|m| m.acknowledged()));
     let Some(acknowledged) = known.flatten() else { return };
