Holders of cells renew often whatever the number of entries, and are missed soon

A holder of the fleet's duty that the store turned away kept it for seven seconds without an order, while 681 of a pool's 761 machines idled and the next pool had 39 of 631; a cut zone's cell was taken after six.

Change: only holders renew at the short interval, by the number of cells; who takes a cell renews at once. Candidates seen since the holder was seen come first, since idle entries of a cut zone still count as living. A new owner's looks for minions that are over go by the number of cells that can change hands, not of entries.

--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -40,9 +40,16 @@
 /// Renewals that fit into a term at the least.
 const RENEWALS_PER_TERM: u32 = 3;
 
-/// Time between two renewals of an entry's row, at least `least`.
-pub fn interval(least: Duration, entries: usize) -> Duration {
-    least.max(INTERVAL_PER_ENTRY * entries as u32)
+/// Time between two renewals of an entry's row, at least `least`: `owns` says whether it holds any of
+/// the `cells`.
+///
+/// The pattern it answers: many entries, of which a few hold the cells.  With one interval for all, 147
+/// entries renewed each 2.65 s and had a term of 8 s: a cell whose holder was cut off stood still for
+/// that long, and a holder gave orders only in the first 1.5 s after each of its renewals.  Only the
+/// silence of holders matters to callers, so they renew as often as they would among themselves.
+pub fn interval(least: Duration, entries: usize, cells: usize, owns: bool) -> Duration {
+    let renewing = if owns { cells } else { entries };
+    least.max(INTERVAL_PER_ENTRY * renewing as u32)
 }
 
 /// For how long an entry that renews now may be silent before its cells are taken over, as it
@@ -165,10 +172,15 @@
         .filter(|(name, entry)| !entry.stopping && (name.as_str() == me || !silent(entry)))
         .map(|(name, _)| name)
         .collect();
+    // Entries without cells renew seldom, so those of a zone that is cut off with the holder still count
+    // as living.  Whoever was seen since the holder was comes before them.
+    let holder_seen = holding.and_then(|holding| entries.get(&holding.holder)).map(|row| row.seen);
     candidates.sort_by_key(|name| {
-        let power = entries.get(*name).map_or(0, |entry| entry.power);
+        let entry = entries.get(*name);
+        let power = entry.map_or(0, |entry| entry.power);
         let cells = owned.get(*name).copied().unwrap_or(0);
-        (burden(cells, power), rank(cell, name), (*name).clone())
+        let is_seen = name.as_str() == me || entry.map(|entry| entry.seen) > holder_seen;
+        (!is_seen, burden(cells, power), rank(cell, name), (*name).clone())
     });
     let Some(place) = candidates.iter().position(|name| *name == me) else {
         return Verdict::Leave;
--- a/crates/engine/tests/all/ownership.rs
+++ b/crates/engine/tests/all/ownership.rs
@@ -142,9 +142,9 @@
 #[test]
 fn many_entries_renew_less_often_and_are_given_more_time() {
     let least = Duration::from_millis(300);
-    assert_eq!(interval(least, 9), least);
-    assert_eq!(interval(least, 28), Duration::from_millis(504));
-    let pause = interval(least, 100);
+    assert_eq!(interval(least, 9, 5, false), least);
+    assert_eq!(interval(least, 28, 5, false), Duration::from_millis(504));
+    let pause = interval(least, 100, 5, false);
     assert!(term(Duration::from_millis(1300), pause, Duration::ZERO) >= pause * 3);
 }
 
@@ -165,3 +165,36 @@
     assert!(take("strong", 3) && !take("weak", 3), "four on half a core: eight for each core");
     assert!(take("weak", 4) && !take("strong", 4), "ten for each core against eight");
 }
+
+/// One of 147 entries holds a cell and is cut off.  With as long a term as the idle ones, nobody takes its
+/// cell for eight seconds, and all of its callers' jobs stand still.
+#[test]
+fn a_holder_among_many_entries_is_missed_as_soon_as_among_few() {
+    let least = Duration::from_millis(300);
+    let taken = Duration::from_millis(1300);
+    let few = term(taken, interval(least, 9, 5, true), Duration::ZERO);
+    let many = term(taken, interval(least, 147, 5, true), Duration::ZERO);
+    assert_eq!(few, many);
+    assert_eq!(
+        interval(least, 147, 31, true),
+        Duration::from_millis(558),
+        "by the holders there are"
+    );
+}
+
+/// A zone is cut off with the holder of a cell and thirty entries without one, which renew seldom and
+/// still count as living.  Each of them that comes first in the order delays the takeover.
+#[test]
+fn entries_seen_since_the_holder_come_before_those_that_may_be_cut_off_with_it() {
+    let names = ["a", "b", "c", "d", "e", "f", "holder"];
+    let mut entries = entries(9000, &[], &names);
+    let living = "d";
+    let others = names.iter().filter(|name| **name != "holder");
+    assert_eq!(others.filter(|name| rank("cell", name) < rank("cell", living)).count(), 3);
+    for (name, entry) in &mut entries {
+        entry.seen = if name == living { Time(9000) } else { Time(8000) };
+    }
+    entries.get_mut("holder").unwrap().term = Duration::from_millis(1300);
+    let verdict = verdict(living, Some("holder"), &entries, 9310);
+    assert_matches!(verdict, Verdict::Take { .. }, "at once, whatever its rank");
+}
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use stop_token::future::FutureExt;
 
 /// Longest wait for a transaction on the control table.
 const COMMIT_LIMIT: Duration = Duration::from_millis(1000);
@@ -65,7 +66,9 @@
         // a pause after it the last one would be too old to start anything for a third of the
         // time.
         let pause = pause.saturating_sub(clock::now().since(began));
-        if !node.pause(pause).await {
+        // An entry that takes a cell renews at once: its row's term is that of one without cells.
+        let woken = node.renewing.wait(pause);
+        if woken.timeout_at(node.stop.clone()).await.is_err() {
             return;
         }
     }
@@ -230,6 +233,7 @@
     }
     drop(owners);
     node.owning.wake();
+    node.renewing.wake();
     node.metrics.count(Counter::CellsTaken);
     node.journal.note(
         "cell_taken",
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -138,8 +138,10 @@
     pub(crate) waves: RwLock<BTreeMap<u64, Wave>>,
     /// Cells owned here.
     pub(crate) owners: RwLock<BTreeMap<String, Arc<Owner>>>,
-    /// Woken when this entry begins to own a cell.
+    /// Woken when this entry begins to own a cell, for whoever follows the minions.
     pub(crate) owning: Wake,
+    /// The same, for whoever renews this entry's row.
+    pub(crate) renewing: Wake,
     /// The other entries.
     pub(crate) peers: Peers,
     /// Log lines.
@@ -181,6 +183,7 @@
             waves: RwLock::default(),
             owners: RwLock::default(),
             owning: Wake::default(),
+            renewing: Wake::default(),
             peers,
             journal: Arc::default(),
             metrics: Arc::default(),
@@ -215,7 +218,10 @@
 
     /// Time between two renewals.
     pub(crate) fn renewal_interval(&self) -> Duration {
-        ownership::interval(self.settings.renew.0, self.view.read().entries.len())
+        let owns = !self.owners.read().is_empty();
+        let view = self.view.read();
+        let (entries, cells) = (view.entries.len(), view.holdings.len());
+        ownership::interval(self.settings.renew.0, entries, cells, owns)
     }
 
     /// The number and the term of a renewal that is about to be sent.
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -30,7 +30,7 @@
 /// Machines in one answer of the platform's list.
 const MACHINES_A_PAGE: usize = 200;
 
-/// Time that one read of the list stands for when every entry is a new owner at once: half of the
+/// Time that one read of the list stands for when every cell has a new owner at once: half of the
 /// platform's 64 reads a second for all of them.
 const TIME_A_READ: Duration = Duration::from_millis(31);
 
@@ -181,8 +181,8 @@
         }
         let (over, machines) = replaced(&owner).await;
         owner.with(|cell| bury(cell, over));
-        let entries = owner.node.view.read().entries.len();
-        let reads = entries * machines.div_ceil(MACHINES_A_PAGE);
+        let cells = owner.node.view.read().holdings.len();
+        let reads = cells * machines.div_ceil(MACHINES_A_PAGE);
         interval = BURY_INTERVAL.max(TIME_A_READ * reads as u32);
         owner.plan_wake.wake();
     }
