Machines go ahead of a turn that is due, although the last one's pool still asks for most of its peak

Change: the time between turns is learnt and kept; 3.5 s before the next one is expected, machines that the present pool doesn't need now go ahead.

--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -203,6 +203,11 @@
         self.turns.restore(history);
     }
 
+    /// Goes on from a turn that a former holder saw begin.
+    pub fn resume_turn(&mut self, began: Time) {
+        self.turns.resume(began);
+    }
+
     /// Moves that are decided and not ordered.
     pub fn pending(&self) -> impl Iterator<Item = &Move> {
         self.pending.values()
@@ -302,7 +307,7 @@
         let pools: Vec<&str> = round.loads.keys().map(String::as_str).collect();
         round.spare = None;
         let mut lacks = Vec::new();
-        for (pool, cores) in self.turns.expected(&pools) {
+        for (pool, cores) in self.turns.expected(&pools, round.now) {
             let Some((pool, load)) = round.loads.get_key_value(&pool) else { continue };
             let chosen = round.moves.iter().filter(|plan| plan.to == *pool).count();
             let have = self.strength(pool, round.machines) + chosen;
--- a/crates/engine/src/pools/turns.rs
+++ b/crates/engine/src/pools/turns.rs
@@ -10,6 +10,10 @@
 //! What is known of the order comes from the turns that were seen.  In the first round those come next
 //! that have not had one; later the one whose turn is longest ago.
 //!
+//! What a turn leaves waiting hides its end: its pool goes on asking for most of its peak when the next
+//! turn's callers are there already.  So the time between the turns' beginnings is learnt, and when the
+//! next one is due, machines that the present pool doesn't need now go ahead of it.
+//!
 //! Not everything that looks like a turn is one.  What is left of a turn flickers up again seconds after
 //! it, and between two turns a single large job is the most that any pool asks for.  Counted as turns,
 //! they hid which pool had not had its own yet: on one day with four turns eleven were noted, and the pool
@@ -52,6 +56,10 @@
 /// doubles from its second second to its peak.
 const FIRST_RISE: u64 = 2;
 
+/// How long before the next turn is expected to be noted machines go ahead of it: the 2 s in which they
+/// come, and the 1.5 s that pass from a turn's first callers until it asks for an eighth of the fleet.
+const LEAD: Duration = Duration::from_millis(3500);
+
 /// Turns that are remembered: several rounds of the pools that take turns at today's sizes.
 const MAX_HISTORY: usize = 64;
 
@@ -62,6 +70,10 @@
     pub turns: Vec<String>,
     /// The most that each pool asked for in its last turn, in thousandths of cores.
     pub peaks: BTreeMap<String, u64>,
+    /// Milliseconds between the beginnings of two turns, on average; 0 before the second one.
+    pub gap_ms: u64,
+    /// When the last one began, by the time of day in milliseconds since 1970; set by whoever keeps it.
+    pub began_ms: u64,
 }
 
 /// How long a pool has asked for hardly anything.
@@ -100,6 +112,8 @@
     /// A pool that asks for most and didn't before, and since when.
     rising: Option<(String, Time)>,
     present: Option<Present>,
+    /// When the last turn was noted.
+    began: Option<Time>,
     rests: BTreeMap<String, Rest>,
 }
 
@@ -114,6 +128,11 @@
         self.history = history;
     }
 
+    /// Goes on from a turn that a former holder saw begin.
+    pub(crate) fn resume(&mut self, began: Time) {
+        self.began = Some(began);
+    }
+
     pub(crate) fn history(&self) -> &History {
         &self.history
     }
@@ -140,7 +159,7 @@
             Some((pool, _)) if again || present != Some(*pool) => self.rise(pool, now),
             _ => self.rising = None,
         }
-        self.note_turn(fleet);
+        self.note_turn(fleet, now);
     }
 
     fn note_rests(&mut self, demands: &BTreeMap<&str, u64>, fleet: u64, now: Time) {
@@ -175,7 +194,7 @@
     }
 
     /// Notes the present pool's turn once it asks for enough, if it isn't the remainder of its last one.
-    fn note_turn(&mut self, fleet: u64) {
+    fn note_turn(&mut self, fleet: u64, now: Time) {
         let Some(present) = &mut self.present else { return };
         if present.is_turn || present.demand < fleet / LEAST_TURN {
             return;
@@ -190,13 +209,28 @@
             self.history.turns.remove(0);
         }
         self.history.turns.push(present.pool.clone());
+        if let Some(last) = self.began.replace(now) {
+            let gap = now.since(last).as_millis() as u64;
+            let known = self.history.gap_ms;
+            self.history.gap_ms = if known == 0 { gap } else { (known + gap) / 2 };
+        }
+    }
+
+    /// Whether the next turn should begin soon, or should have begun lately.
+    fn is_next_due(&self, now: Time) -> bool {
+        let gap = Duration::from_millis(self.history.gap_ms);
+        // Turns that follow each other faster than machines do are left to the demand.
+        let Some(began) = self.began.filter(|_| gap > LEAD * 2) else { return false };
+        let passed = now.since(began);
+        passed + LEAD >= gap && passed < gap + gap / 2
     }
 
     /// What pools are expected to ask for soon, in thousandths of cores: the present turn's pool
-    /// until its demand falls, then those that may come next, each an equal share of one turn.
-    pub(crate) fn expected(&self, pools: &[&str]) -> Vec<(String, u64)> {
+    /// until its demand falls or the next turn is due, then those that may come next, each an equal share of one turn.
+    pub(crate) fn expected(&self, pools: &[&str], now: Time) -> Vec<(String, u64)> {
         let Some(present) = &self.present else { return Vec::new() };
-        let rises = !present.is_below(DECLINING);
+        let ends = present.is_turn && self.is_next_due(now);
+        let rises = !ends && !present.is_below(DECLINING);
         let rise = present.highest * FIRST_RISE;
         if present.is_turn && rises {
             let known = self.history.peaks.get(&present.pool).copied();
--- a/crates/engine/tests/all/turns.rs
+++ b/crates/engine/tests/all/turns.rs
@@ -281,3 +281,22 @@
     assert_eq!(fleet.planner.history().turns, ["c", "a", "d", "c", "a", "d"]);
     assert!(fleet.in_pool("c") >= 5, "c comes after d: {}", fleet.in_pool("c"));
 }
+
+/// Turns follow each other without a pause, and each leaves so much waiting that its pool still asks for
+/// most of its peak when the next one's callers come.  By the demand alone their machines are sent for when
+/// they wait already, two seconds too late; so they go ahead when the next turn is due.
+#[test]
+fn machines_go_ahead_of_a_turn_that_is_due_although_the_last_one_still_asks() {
+    let mut fleet = Fleet::new();
+    for pool in ["a", "b", "c"] {
+        for _ in 0..50 {
+            fleet.look(pool, 260);
+        }
+    }
+    // The third turn has lasted as long as the others did, and its pool asks for what it did.
+    for _ in 0..5 {
+        fleet.look("c", 260);
+    }
+    assert!(fleet.in_pool("d") >= 14, "{:?}", POOLS.map(|pool| fleet.in_pool(pool)));
+    assert!(fleet.in_pool("c") >= 17, "and the present one keeps what it needs");
+}
--- a/crates/scheduler/src/fleet/pools.rs
+++ b/crates/scheduler/src/fleet/pools.rs
@@ -34,7 +34,12 @@
     let row = node.store.get(rows::FLEET, "", rows::TURNS_KEY, CALL_LIMIT).await;
     node.store_result(&row);
     match row.map(|row| row.map(|row| decode::<History>(&row.value))) {
-        Ok(Some(Ok(history))) => fleet.state.lock().pools.restore(history),
+        Ok(Some(Ok(history))) => {
+            let ago = Duration::from_millis(clock::wall_ms().saturating_sub(history.began_ms));
+            let mut state = fleet.state.lock();
+            state.pools.resume_turn(clock::now() - ago);
+            state.pools.restore(history);
+        }
         Ok(Some(Err(error))) => node.journal.warn("turns_unreadable", &[("reason", &error)]),
         Ok(None) => {}
         Err(_) => return false,
@@ -109,7 +114,8 @@
     let turns = state.pools.history().turns.clone();
     let moves = state.pools.plan(&machines, &state.loads, spare, clock::now());
     let history = state.pools.history();
-    let began = (history.turns != turns).then(|| history.clone());
+    let began_ms = clock::wall_ms();
+    let began = (history.turns != turns).then(|| History { began_ms, ..history.clone() });
     (moves, began)
 }
 
