Entries spread their rereadings of the control table

Change: an entry whose feed can't go on waits a random part of 40 ms for each entry before it reads all rows again, and as long after a reading that failed; 0.36 s at nine entries.

--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -52,6 +52,21 @@
     least.max(INTERVAL_PER_ENTRY * renewing as u32)
 }
 
+/// Time for each entry over which rereadings of the whole table are spread.  One takes a call for each
+/// entry's row, so with 20 ms on average for each all entries together read 50 times as often as there are
+/// entries: 7,400 calls a second at 147, half of what a store for that many takes.
+const REREAD_PER_ENTRY: Duration = Duration::from_millis(40);
+
+/// How long an entry waits before it reads the whole table again, where a feed can't go on; `draw` is a
+/// random number from 0 to 1.
+///
+/// The pattern it answers: the store forgets its history, and all entries read everything at once, a call
+/// for each of each other's rows.  At 147 entries that is 22,000 calls: the store refuses most for their
+/// rate, and refused ones are repeated at once, so that it stays so for as long as the day lasts.
+pub fn reread_pause(entries: usize, draw: f64) -> Duration {
+    (REREAD_PER_ENTRY * entries as u32).mul_f64(draw.clamp(0.0, 1.0))
+}
+
 /// For how long an entry that renews now may be silent before its cells are taken over, as it
 /// writes into its row.
 ///
--- a/crates/engine/tests/all/ownership.rs
+++ b/crates/engine/tests/all/ownership.rs
@@ -2,7 +2,8 @@
 
 use assert_matches::assert_matches;
 use celerythread_engine::ownership::{
-    Entry, Holding, Settings, Verdict, interval, judge, note_read, rank, successor, term,
+    Entry, Holding, Settings, Verdict, interval, judge, note_read, rank, reread_pause, successor,
+    term,
 };
 use celerythread_engine::time::Time;
 use std::collections::BTreeMap;
@@ -198,3 +199,16 @@
     let verdict = verdict(living, Some("holder"), &entries, 9310);
     assert_matches!(verdict, Verdict::Take { .. }, "at once, whatever its rank");
 }
+
+/// The store forgets its history while 147 entries follow the table.  All read it whole at once, a call for
+/// each row; most calls are refused for their rate and repeated, and no entry learns anything any more.
+#[test]
+fn entries_that_read_all_again_keep_within_the_stores_rate() {
+    for (entries, calls_a_second) in [(9, 2000), (41, 6000), (147, 16_000)] {
+        let draws = (0..=100).map(|draw| reread_pause(entries, f64::from(draw) / 100.0));
+        let mean = draws.sum::<Duration>().as_secs_f64() / 101.0;
+        let calls = (entries * entries) as f64 / mean;
+        assert!(calls <= f64::from(calls_a_second) / 2.0, "{calls} calls a second of {entries}");
+    }
+    assert!(reread_pause(9, 1.0) <= Duration::from_millis(400), "few entries read again soon");
+}
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -5,6 +5,7 @@
 use celerythread_adapter::minion::Entry;
 use celerythread_adapter::store::{self, Error, Page, Row};
 use celerythread_adapter::wave::{self, Wave};
+use celerythread_engine::ownership;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -82,6 +83,9 @@
             }
             Err(Error::HistoryGone) => {
                 node.journal.warn("history_gone", &[("table", &table.name), ("after", version)]);
+                if !node.pause(spread(node, table)).await {
+                    return;
+                }
                 let Some(read) = read_whole(node, table, sink).await else { return };
                 *version = read;
             }
@@ -125,12 +129,21 @@
             sink.replace(page.rows, page.version);
             return Some(page.version);
         }
-        if !node.pause(RETRY).await {
+        if !node.pause(RETRY + spread(node, table)).await {
             return None;
         }
     }
 }
 
+/// How long to wait so that not all entries read a table with a row for each of them at once.
+fn spread(node: &Node, table: &Table) -> Duration {
+    if !table.has_parts {
+        return Duration::ZERO;
+    }
+    let entries = node.view.read().entries.len();
+    ownership::reread_pause(entries, rand::random())
+}
+
 /// What operators write: the configuration and waves of maintenance.
 pub(crate) struct Operators(pub(crate) Arc<Node>);
 
