Owners read their jobs again at once when the store forgets its history

Only the control table is read by every entry; the jobs' few readers are no storm.

Change: the spread holds for the control table alone.

--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -1,6 +1,7 @@
 //! Following the platform's tables: what operators write, and the minions that register.
 
 use crate::node::Node;
+use crate::rows;
 use celerythread_adapter::configuration::{self, Configuration};
 use celerythread_adapter::minion::Entry;
 use celerythread_adapter::store::{self, Error, Page, Row};
@@ -137,7 +138,8 @@
 
 /// How long to wait so that not all entries read a table with a row for each of them at once.
 fn spread(node: &Node, table: &Table) -> Duration {
-    if !table.has_parts {
+    // Jobs are read by their few owners, who must learn of cancellations at once.
+    if table.name != rows::CONTROL {
         return Duration::ZERO;
     }
     let entries = node.view.read().entries.len();
