--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -13,6 +13,7 @@
 mod list;
 pub(crate) mod maintenance;
 pub(crate) mod pools;
+mod telling;
 
 use crate::clock;
 use crate::node::Node;
@@ -63,6 +64,7 @@
 }
 
 /// What the holder of the duty knows and plans.
+#[derive(Default)]
 pub(crate) struct State {
     pub(crate) waves: maintenance_plan::Planner,
     pub(crate) pools: pool_plan::Planner,
@@ -165,14 +167,7 @@
             at_once: (node.settings.orders_per_s / LOOKS_PER_S).max(1.0) as usize,
             ..pool_plan::Settings::default()
         }),
-        list: MachineList::default(),
-        loads: BTreeMap::new(),
-        asked: BTreeMap::new(),
-        named: BTreeMap::new(),
-        asking: BTreeSet::new(),
-        unkept: BTreeSet::new(),
-        dropping: BTreeSet::new(),
-        ordered: BTreeMap::new(),
+        ..State::default()
     };
     let state = Mutex::new(state);
     let fleet = Arc::new(Fleet { owner: owner.clone(), client, state, answered: Wake::default() });
--- a/crates/scheduler/src/fleet/emptying.rs
+++ b/crates/scheduler/src/fleet/emptying.rs
@@ -29,12 +29,9 @@
     let written = write(fleet.node(), &leavers).await;
     let (asked, left): (Vec<Leaver>, Vec<Leaver>) =
         leavers.into_iter().partition(|leaver| written.contains(&leaver.machine));
-    {
-        let mut state = fleet.state.lock();
-        asked.iter().for_each(|leaver| state.note_named(&leaver.minion));
-    }
     let mut by_pool: BTreeMap<String, Vec<(String, String)>> = BTreeMap::new();
     for leaver in asked.into_iter().filter(|leaver| !leaver.minion.is_empty()) {
+        fleet.state.lock().note_named(&leaver.minion);
         by_pool.entry(leaver.pool).or_default().push((leaver.machine, leaver.minion));
     }
     let ask = async |(pool, machines): (String, Vec<(String, String)>)| {
--- a/crates/scheduler/src/fleet/maintenance.rs
+++ b/crates/scheduler/src/fleet/maintenance.rs
@@ -1,6 +1,7 @@
 //! Carrying maintenance waves with the decisions of the engine.
 
 use super::emptying::{self, Leaver};
+use super::telling::Telling;
 use super::{CALL_LIMIT, Fleet, Ordered, State, order_all};
 use crate::clock;
 use crate::metrics::Counter;
@@ -11,16 +12,12 @@
 use celerythread_adapter::wave;
 use celerythread_engine::job::{decode, encode};
 use celerythread_engine::maintenance::{Extent, Machine, Occupation, Step, Wave};
-use celerythread_engine::time::Time;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 /// Time between two steps of the waves: a fraction of the two seconds that a machine is down.
 const TICK: Duration = Duration::from_millis(150);
 
-/// Shortest time between two log lines on one wave.
-const TELL_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Reads how far waves were under a former holder; true if it is read.
 pub(crate) async fn load(fleet: &Fleet) -> bool {
     let node = fleet.node();
@@ -50,7 +47,7 @@
         if fleet.state.lock().waves.is_busy() {
             step(fleet).await;
             keep_begun(fleet).await;
-            told.tell(fleet);
+            tell(fleet, &mut told);
         }
         if !fleet.owner.pause(TICK).await {
             return;
@@ -140,7 +137,7 @@
 /// A machine as the platform lists it, with its name.
 pub(crate) fn seen(machine: &machine::Machine) -> (String, Machine) {
     let seen = Machine {
-        minion: machine.minion.clone().filter(|id| !id.is_empty()),
+        minion: machine.minion.clone(),
         up: machine.state == machine::State::Up,
         in_maintenance: machine.state == machine::State::Upkeep,
         ..Machine::default()
@@ -167,7 +164,7 @@
     }
 
     fn occupation(&mut self, machine: &machine::Machine) -> Occupation {
-        let Some(minion) = machine.minion.as_deref().filter(|minion| !minion.is_empty()) else {
+        let Some(minion) = machine.minion.as_deref() else {
             return Occupation::Idle;
         };
         match self.in_use.get(minion) {
@@ -280,40 +277,32 @@
     written
 }
 
-/// What was last told of each wave, and when.
-#[derive(Default)]
-struct Telling(BTreeMap<u64, (Extent, Time)>);
-
-impl Telling {
-    /// Writes a line for each wave that got further, once a second at most.
-    fn tell(&mut self, fleet: &Fleet) {
-        let now = clock::now();
-        let state = fleet.state.lock();
-        let machines: BTreeMap<String, Machine> = state.list.machines.iter().map(seen).collect();
-        for number in state.waves.open() {
-            let due = self.0.get(&number).is_none_or(|(_, at)| now.since(*at) >= TELL_INTERVAL);
-            if !due {
-                continue;
-            }
-            let extent = state.waves.extent(number, &machines, now);
-            let told = self.0.insert(number, (extent, now));
-            if told.is_some_and(|(told, _)| told == extent) {
-                continue;
-            }
-            let left_ms = state
-                .waves
-                .wave(number)
-                .map_or(0, |wave| (wave.seen_ms + wave.window_ms).saturating_sub(clock::wall_ms()));
-            fleet.node().journal.note(
-                "wave_progress",
-                &[
-                    ("wave", &number),
-                    ("left", &extent.left),
-                    ("emptying", &extent.emptying),
-                    ("down", &extent.down),
-                    ("left_ms", &left_ms),
-                ],
-            );
+/// Writes a line for each wave that got further.
+fn tell(fleet: &Fleet, told: &mut Telling<u64, Extent>) {
+    let now = clock::now();
+    if !told.is_due(now) {
+        return;
+    }
+    let state = fleet.state.lock();
+    let machines: BTreeMap<String, Machine> = state.list.machines.iter().map(seen).collect();
+    for number in state.waves.open() {
+        let extent = state.waves.extent(number, &machines, now);
+        if !told.is_news(number, extent) {
+            continue;
         }
+        let left_ms = state
+            .waves
+            .wave(number)
+            .map_or(0, |wave| (wave.seen_ms + wave.window_ms).saturating_sub(clock::wall_ms()));
+        fleet.node().journal.note(
+            "wave_progress",
+            &[
+                ("wave", &number),
+                ("left", &extent.left),
+                ("emptying", &extent.emptying),
+                ("down", &extent.down),
+                ("left_ms", &left_ms),
+            ],
+        );
     }
 }
--- a/crates/scheduler/src/fleet/pools.rs
+++ b/crates/scheduler/src/fleet/pools.rs
@@ -1,6 +1,7 @@
 //! Moving machines between pools with the decisions of the engine.
 
 use super::emptying::{self, Leaver};
+use super::telling::Telling;
 use super::{CALL_LIMIT, Fleet, Ordered, State, order_all};
 use crate::clock;
 use crate::metrics::Counter;
@@ -11,7 +12,6 @@
 use celerythread_adapter::store::{Name, Transaction};
 use celerythread_engine::job::{decode, encode};
 use celerythread_engine::pools::{Balance, History, Machine, Move};
-use celerythread_engine::time::Time;
 use celerythread_wire::job::{Answer, Question};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -29,9 +29,6 @@
 /// exchange takes as a rule.
 const GATHER: Duration = Duration::from_millis(100);
 
-/// Shortest time between two log lines on one pool.
-const TELL_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Reads whose turns a former holder saw; true if they are read, or there are none.
 pub(crate) async fn load(fleet: &Fleet) -> bool {
     let node = fleet.node();
@@ -70,7 +67,7 @@
         let services = services(fleet.node());
         ask_loads(fleet, &services).await;
         step(fleet).await;
-        told.tell(fleet);
+        tell(fleet, &mut told);
         if !fleet.owner.pause(TICK.max(TICK_PER_POOL * services.len() as u32)).await {
             return;
         }
@@ -149,7 +146,7 @@
     let name = machine.name.clone();
     let seen = Machine {
         pool: machine.pool.clone(),
-        minion: machine.minion.clone().filter(|id| !id.is_empty()),
+        minion: machine.minion.clone(),
         up: machine.state == machine::State::Up,
         pinned: state.waves.is_emptying(&name)
             || state.is_held_back(&name)
@@ -238,38 +235,27 @@
     emptying::drop_rows(fleet, &rows).await;
 }
 
-/// What was last told of each pool, and when.
-#[derive(Default)]
-struct Telling(BTreeMap<String, (Balance, Time)>);
-
-impl Telling {
-    /// Writes a line for each pool of which something else is believed, once a second at most.
-    fn tell(&mut self, fleet: &Fleet) {
-        let now = clock::now();
-        let state = fleet.state.lock();
-        if state.list.machines.is_empty() {
-            return;
-        }
-        for (pool, balance) in state.pools.balances(&seen_all(&state), &state.loads) {
-            let known = self.0.get(&pool);
-            let due =
-                known.is_none_or(|(told, at)| *told != balance && now.since(*at) >= TELL_INTERVAL);
-            if !due {
-                continue;
-            }
-            fleet.node().journal.note(
-                "pool_balance",
-                &[
-                    ("pool", &pool),
-                    ("asked", &balance.asked),
-                    ("lasting", &balance.lasting),
-                    ("has", &balance.has),
-                    ("on_their_way", &balance.on_their_way),
-                    ("needs", &balance.needs),
-                    ("idle", &balance.idle),
-                ],
-            );
-            self.0.insert(pool, (balance, now));
+/// Writes a line for each pool of which something else is believed.
+fn tell(fleet: &Fleet, told: &mut Telling<String, Balance>) {
+    let state = fleet.state.lock();
+    if state.list.machines.is_empty() || !told.is_due(clock::now()) {
+        return;
+    }
+    for (pool, balance) in state.pools.balances(&seen_all(&state), &state.loads) {
+        if !told.is_news(pool.clone(), balance) {
+            continue;
         }
+        fleet.node().journal.note(
+            "pool_balance",
+            &[
+                ("pool", &pool),
+                ("asked", &balance.asked),
+                ("lasting", &balance.lasting),
+                ("has", &balance.has),
+                ("on_their_way", &balance.on_their_way),
+                ("needs", &balance.needs),
+                ("idle", &balance.idle),
+            ],
+        );
     }
 }
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -1,7 +1,6 @@
 //! Following the platform's tables: what operators write, and the minions that register.
 
 use crate::node::Node;
-use crate::rows;
 use celerythread_adapter::configuration::{self, Configuration};
 use celerythread_adapter::minion::Entry;
 use celerythread_adapter::store::{self, Error, Page, Row};
@@ -47,6 +46,9 @@
     pub(crate) name: &'static str,
     /// Whether it has more partitions than the empty one.
     pub(crate) has_parts: bool,
+    /// Whether each entry keeps a row in it and all follow it, so that reading it whole takes each a call
+    /// for each other.
+    pub(crate) has_all_entries: bool,
     /// Pause between two calls, to gather changes.
     pub(crate) pause: Duration,
     /// The same while this entry owns no cell.
@@ -138,8 +140,8 @@
 
 /// How long to wait so that not all entries read a table with a row for each of them at once.
 fn spread(node: &Node, table: &Table) -> Duration {
-    // Jobs are read by their few owners, who must learn of cancellations at once.
-    if table.name != rows::CONTROL {
+    // Other tables are read by few, and at once: owners must learn of cancellations.
+    if !table.has_all_entries {
         return Duration::ZERO;
     }
     let entries = node.view.read().entries.len();
@@ -237,14 +239,20 @@
             return known;
         };
         let (service, draining) = (entry.service.clone(), entry.listing.draining);
-        let known = node.minions.write().insert(id.clone(), entry.clone());
-        let changed = known.as_ref().is_none_or(|known| known.listing.draining != draining);
-        if changed {
+        let mut minions = node.minions.write();
+        let known = minions.get(&id);
+        if known == Some(&entry) {
+            return false;
+        }
+        let is_told = known.is_some_and(|known| known.listing.draining == draining);
+        minions.insert(id.clone(), entry);
+        drop(minions);
+        if !is_told {
             let event = if draining { "minion_draining" } else { "minion_seen" };
             node.journal
                 .note(event, &[("minion", &id), ("service", &service), ("version", &row.version)]);
         }
-        known.is_none_or(|known| known != entry)
+        true
     }
 
     fn tell_owners(&self) {
@@ -282,6 +290,7 @@
     Table {
         name: store::OPERATOR_TABLE,
         has_parts: false,
+        has_all_entries: false,
         pause: Duration::ZERO,
         idle_pause: Duration::ZERO,
         wait: FEED_WAIT,
@@ -293,6 +302,7 @@
     Table {
         name: store::MINION_TABLE,
         has_parts: false,
+        has_all_entries: false,
         pause: MINIONS_PAUSE,
         idle_pause: MINIONS_IDLE_PAUSE,
         wait: FEED_WAIT,
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -48,6 +48,7 @@
     Table {
         name: rows::CONTROL,
         has_parts: true,
+        has_all_entries: true,
         pause: CONTROL_PAUSE,
         idle_pause: CONTROL_PAUSE,
         wait: CONTROL_WAIT,
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -290,6 +290,7 @@
     let table = Table {
         name: rows::JOBS,
         has_parts: true,
+        has_all_entries: false,
         pause: JOBS_PAUSE,
         idle_pause: JOBS_PAUSE,
         wait: follow::FEED_WAIT,
