What ended with a minion's life is told: run_lost, runs_lost

Each run lost with its minion is noted now with its age, whether it was ever listed and how many were beside it; explain names it in a late job's story.

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -153,6 +153,21 @@
         /// When the lease must have lapsed.
         at: Time,
     },
+    /// A run ended with its minion's life.
+    Lost {
+        /// The minion.
+        minion: MinionId,
+        /// The task.
+        task: TaskName,
+        /// The run's number.
+        run: u32,
+        /// Time since it was ordered.
+        age: Duration,
+        /// Whether its minion was ever seen to run it.
+        listed: bool,
+        /// How many other runs ended with it.
+        beside: usize,
+    },
     /// Its minion no longer lists a run that it had.
     Vanished {
         /// The minion.
--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -69,6 +69,8 @@
     pub percent: u8,
     /// When the percentage last changed.
     pub moved: Time,
+    /// When its minion first listed it as running, as far as was seen.
+    pub listed: Option<Time>,
 }
 
 impl Run {
@@ -86,6 +88,7 @@
             paced: Time(0),
             percent: 0,
             moved: now,
+            listed: None,
         }
     }
 }
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -163,7 +163,16 @@
     /// Notes that a minion's life is over for certain: all that it ran is gone.
     pub fn bury(&mut self, id: &str, now: Time) {
         let Some(minion) = self.minions.remove(id) else { return };
+        let beside = minion.runs.len().saturating_sub(1);
         for (task, run) in minion.runs {
+            self.note(Note::Lost {
+                minion: minion.id.clone(),
+                task,
+                run: run.number,
+                age: now.since(run.since),
+                listed: run.listed.is_some(),
+                beside,
+            });
             self.give_up(&minion.id, &task, run.number, now);
         }
     }
@@ -253,6 +262,7 @@
                 run.moved = now;
             }
             run.load = running.load;
+            run.listed.get_or_insert(now);
             if run.percent != running.percent {
                 run.percent = running.percent;
                 run.moved = now;
@@ -292,8 +302,13 @@
             task.checkpoint = Some(checkpoint.clone());
         }
         job.started = true;
-        let run = Run::new(number, RunPhase::Active, step.as_ref(), now);
-        minion.insert(running.task, Run { percent: running.percent, load: running.load, ..run });
+        let run = Run {
+            percent: running.percent,
+            load: running.load,
+            listed: Some(now),
+            ..Run::new(number, RunPhase::Active, step.as_ref(), now)
+        };
+        minion.insert(running.task, run);
         self.note(Note::Adopted { minion: id.clone(), task: running.task, run: number });
     }
 
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -27,6 +27,8 @@
     StartsUnknown,
     /// Runs ordered to stop.
     Stops,
+    /// Runs that ended with their minion's life.
+    RunsLost,
     /// Runs ordered to another pace.
     Paces,
     /// Looks at minions.
--- a/crates/scheduler/src/owner/notes.rs
+++ b/crates/scheduler/src/owner/notes.rs
@@ -1,6 +1,7 @@
 //! Log lines for what a plan has given up or taken away.
 
 use crate::clock;
+use crate::metrics::Counter;
 use crate::owner::Owner;
 use celerythread_engine::cell::Note;
 
@@ -29,6 +30,21 @@
                     ("since_ms", &now.since(*at).as_millis()),
                 ],
             ),
+            Note::Lost { minion, task, run, age, listed, beside } => {
+                owner.node.metrics.count(Counter::RunsLost);
+                journal.warn(
+                    "run_lost",
+                    &[
+                        ("job", &task.job),
+                        ("task", task),
+                        ("run", run),
+                        ("minion", minion),
+                        ("age_ms", &age.as_millis()),
+                        ("listed", listed),
+                        ("beside", beside),
+                    ],
+                );
+            }
             Note::Vanished { minion, task, run } => journal.warn(
                 "run_vanished",
                 &[("job", &task.job), ("task", task), ("run", run), ("minion", minion)],
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -162,6 +162,10 @@
             let minion = line.field("minion");
             return format!("until the lease of its run on {minion}, which was silent, had lapsed");
         }
+        if let Some(line) = between("run_lost") {
+            let (minion, beside) = (line.field("minion"), line.field("beside"));
+            return format!("until {minion} was known to be over, with {beside} other runs on it");
+        }
         if let Some(line) = between("run_stalled") {
             return format!("until its run on {} was found hanging", line.field("minion"));
         }
