--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! The engine's rules, without network or clocks.
 
+mod crashes;
 mod fixture;
 mod former;
 mod jobs;
