Tasks of minions that are cut off start again together

Runs that were well under way on a minion that falls silent, or that goes down with others on which nothing was just started, get one point and not two: nothing says that the minion crashed under them.

--- a/crates/engine/src/cell/crash.rs
+++ b/crates/engine/src/cell/crash.rs
@@ -8,8 +8,9 @@
 //!
 //! Tasks with [`LIKELY`] points are started apart from each other.  From [`GUARDED`] points on a task is started with
 //! nothing else to blame beside it: on a minion where nothing was started just before, which starts nothing else
-//! until the run has outlived its [`TRIAL`].  At [`GIVEN_UP`] points its job fails.  Two crashes with nothing else to blame are enough; a task that was only
-//! beside such a one, or on minions that went down together, is started again until it is done.
+//! until the run has outlived its [`TRIAL`].  At [`GIVEN_UP`] points its job fails.  Two crashes with nothing else
+//! to blame are enough; a task that was only beside such a one, or on minions that went down together, is started
+//! again until it is done.
 
 use crate::cell::minion::{Minion, MinionId, Run, RunPhase};
 use crate::cell::work::{Job, Phase, Task};
@@ -166,10 +167,10 @@
         let loss =
             Loss { silent: minion.silent_since.unwrap_or(now), has_suspect: minion.has_suspect() };
         self.remember(loss, now);
-        let suspects = self.suspects(minion);
-        let is_sole = suspects.len() == 1
-            && certainty == Certainty::Certain
-            && !self.has_common_cause(loss.silent, &minion.id);
+        let is_unexplained =
+            certainty == Certainty::Certain && !self.has_common_cause(loss.silent, &minion.id);
+        let suspects = self.suspects(minion, is_unexplained);
+        let is_sole = suspects.len() == 1 && is_unexplained;
         for (name, run) in minion.runs.iter().filter(|(_, run)| run.may_have_begun()) {
             let points = match suspects.contains(name) {
                 true if is_sole && run.begun => SOLE,
@@ -181,8 +182,8 @@
     }
 
     /// The likely causes among a minion's runs: those on trial that had crashed others before; if there is none, all
-    /// on trial and all that had; if there is none of these either, all.
-    fn suspects(&self, minion: &Minion) -> SmallVec<[TaskName; 4]> {
+    /// on trial and all that had; if there is none of these either and nothing else explains the loss, all.
+    fn suspects(&self, minion: &Minion, is_unexplained: bool) -> SmallVec<[TaskName; 4]> {
         let has_record =
             |name: &TaskName| self.task(name).is_some_and(|task| task.suspicion.points > 0);
         let chosen = |likely: &dyn Fn(&TaskName, &Run) -> bool| {
@@ -195,7 +196,7 @@
             return on_trial_again;
         }
         let likely = chosen(&|name, run| run.is_on_trial() || has_record(name));
-        if likely.is_empty() { chosen(&|_, _| true) } else { likely }
+        if likely.is_empty() && is_unexplained { chosen(&|_, _| true) } else { likely }
     }
 
     /// Whether another minion fell silent at the same time that nothing started there can explain: a rack or an
--- a/crates/engine/tests/all/crashes.rs
+++ b/crates/engine/tests/all/crashes.rs
@@ -326,3 +326,31 @@
     world.cell.list(&minion, room(16_000));
     assert_eq!(world.start_all().len(), 3);
 }
+
+/// An availability zone is cut off with minions whose tasks were well under way.  When their leases have lapsed all
+/// of them start again elsewhere in one plan; taken for likely causes of crashes, one of a job was tried at a time,
+/// and callers waited a quarter of a second more for each.
+#[test]
+fn tasks_of_minions_that_are_cut_off_start_again_together() {
+    let mut world = World::new(4);
+    world.submit(1, definition(vec![step(40)]));
+    let started = world.start_all();
+    world.pass(300);
+    for number in 0..4 {
+        let minion = World::minion(number);
+        world.cell.promise(&minion, world.now + LEASE);
+        let mine = started.iter().filter(|start| start.0 == minion);
+        let listed = mine.map(|(_, task, run)| running(*task, *run, 50)).collect();
+        world.answer(number, Report { running: listed, finished: vec![] });
+    }
+    let cut = [started[0].0.clone(), started[39].0.clone()];
+    assert_ne!(cut[0], cut[1]);
+    cut.iter().for_each(|minion| world.cell.missed(minion, world.now));
+    let lost = started.iter().filter(|start| cut.contains(&start.0)).count();
+    for number in 10..14 {
+        world.list(number);
+        world.answer(number, Report::default());
+    }
+    world.now = world.now + LEASE;
+    assert_eq!(world.start_all().len(), lost);
+}
