A task that stands still everywhere leaves no minions out

Shown by the new test, red before: after three stalls of one task one of three minions took work. A task that stood still on another minion before is taken for the cause; its minion keeps taking work.

--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -189,7 +189,8 @@
     /// Stops runs that stand still, and leaves their minion out for a while.
     ///
     /// A hanging minion keeps answering, so nothing else would show it: its tasks would hold
-    /// their jobs until their callers gave up.
+    /// their jobs until their callers gave up.  A task that stood still on another minion before is the cause
+    /// itself: left out for it, one minion after the other would idle while others wait for room.
     fn stop_stalled(&mut self, now: Time, orders: &mut Vec<Order>) {
         let (factor, least) = (self.settings.stall_factor, self.settings.stall_least);
         let quarantine = self.settings.quarantine;
@@ -200,7 +201,7 @@
             }
             let mut stalled = false;
             for (task, run) in &mut minion.runs {
-                let Some(job) = self.jobs.get(&task.job) else { continue };
+                let Some(job) = self.jobs.get_mut(&task.job) else { continue };
                 let step = &job.accepted.definition.steps[task.step as usize];
                 let estimate = Duration::from_millis(step.estimate_ms).mul_f64(factor);
                 let bound = estimate.max(least);
@@ -212,7 +213,7 @@
                     let minion = minion.id.clone();
                     self.notes.push(Note::Stalled { minion: minion.clone(), task: *task, percent });
                     orders.push(stop(&minion, task, run, now));
-                    stalled = true;
+                    stalled |= job.stood_still(task, minion);
                 }
             }
             if stalled {
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -45,6 +45,8 @@
     pub avoid: Option<MinionId>,
     /// Whether it was stopped once on a slow minion, to be begun anew elsewhere.
     pub begun_anew: bool,
+    /// Where it stood still last.
+    pub stood_on: Option<MinionId>,
     /// What crashes of its minions hold against it.
     pub suspicion: Suspicion,
 }
@@ -168,6 +170,14 @@
         self.changes += 1;
     }
 
+    /// Notes that a task stood still on a minion; whether the minion may be the cause, as far as is known.
+    pub(crate) fn stood_still(&mut self, name: &TaskName, minion: MinionId) -> bool {
+        let Some(task) = self.task_mut(name) else { return true };
+        task.avoid = Some(minion.clone());
+        let before = task.stood_on.replace(minion.clone());
+        before.is_none_or(|before| before == minion)
+    }
+
     /// Whether a task of it has crashed so many minions that it is to be given up.
     pub(crate) fn crashes_minions(&self) -> bool {
         self.tasks.iter().any(|task| task.suspicion.is_proved())
--- a/crates/engine/tests/all/runs.rs
+++ b/crates/engine/tests/all/runs.rs
@@ -5,6 +5,7 @@
     Cell, Guard, How, Note, Permit, Refusal, Report, Settings, StartResult,
 };
 use celerythread_engine::job::{State, Step};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// A start isn't answered and is carried out seconds later.  Started elsewhere meanwhile, the
@@ -127,6 +128,29 @@
     assert!(starts(&world.plan()).iter().all(|(place, _, _)| *place != minion));
 }
 
+/// A task stands still wherever it runs.  Each minion that had it was left out as if it hung, one after the
+/// other, and callers of everything else waited for room beside idle minions.
+#[test]
+fn a_task_that_stands_still_everywhere_leaves_no_minions_out() {
+    let mut world = World::new(3);
+    world.submit(1, definition(vec![step(1)]));
+    let mut stood = BTreeSet::new();
+    while stood.len() < 3 {
+        let (minion, name, run) = world.start_all().remove(0);
+        for _ in 0..2 {
+            world.pass(1600);
+            let report = Report { running: vec![running(name, run, 50)], finished: vec![] };
+            world.cell.report(&minion, &report, world.now, world.now);
+        }
+        assert_eq!(stops(&world.plan()), [(minion.clone(), name, run)]);
+        world.end(&minion, name, run, How::Stopped);
+        stood.insert(minion);
+    }
+    world.submit(2, definition(vec![step(48)]));
+    let used: BTreeSet<_> = world.start_all().into_iter().map(|(minion, ..)| minion).collect();
+    assert_eq!(used.len(), 3, "of three minions {used:?} take work");
+}
+
 #[test]
 fn a_start_without_room_waits_for_the_next_report() {
     let mut world = World::new(1);
