--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -87,6 +87,67 @@
             ),
         ],
     },
+    Promise {
+        name: "On the platform: a task that crashes its minions costs few of them, and no other task is blamed",
+        cells: &[
+            ("it runs alone", &["a_task_that_crashes_its_minions_is_given_up"]),
+            ("others run beside it", &["tasks_beside_a_crashing_one_are_not_given_up"]),
+            ("all tasks of a job", &["a_job_of_crashing_tasks_is_given_up_with_the_first"]),
+            (
+                "owner killed",
+                &[
+                    "what_is_held_against_a_task_outlives_its_owner",
+                    "a_task_that_crashes_its_workers_is_given_up_whoever_owns_it",
+                ],
+            ),
+            (
+                "owner killed before the crash is known",
+                &["a_crash_that_the_owner_did_not_live_to_know_is_doubted"],
+            ),
+            (
+                "call lost, answer lost, late; owner killed, paused, cut off; minion crashed or cut off; table down: \
+                 at every call, and two to four at once",
+                &["every_fault_at_every_call", "several_faults"],
+            ),
+            ("the store is away", &["a_suspected_task_waits_until_that_is_kept"]),
+            (
+                "minions go down together",
+                &["a_task_on_minions_that_went_down_together_is_not_given_up"],
+            ),
+            ("minions are cut off", &["tasks_of_minions_that_are_cut_off_start_again_together"]),
+            ("minions are emptied or drain", &["planned_ends_count_against_no_task"]),
+            ("its job is cancelled", &["a_cancelled_job_stays_cancelled"]),
+            ("it crashes them only after it was at work for five seconds", NOT),
+            ("a minion's room shrinks", &["nothing_is_started_beyond_a_room_that_has_shrunk"]),
+        ],
+        guards: &[
+            (
+                "each unplanned end counts against what it ended",
+                "engine::cell::crash::note_loss",
+                "a_task_that_crashes_its_minions_is_given_up",
+            ),
+            (
+                "likely causes of one job are tried one at a time, the likeliest first",
+                "engine::cell::crash::is_next_suspect",
+                "a_job_of_crashing_tasks_is_given_up_with_the_first",
+            ),
+            (
+                "a loss with a common cause proves nothing",
+                "engine::cell::crash::has_common_cause",
+                "a_task_on_minions_that_went_down_together_is_not_given_up",
+            ),
+            (
+                "a minion that is silent stays to be emptied",
+                "engine::cell::Cell::set_leaving",
+                "planned_ends_count_against_no_task",
+            ),
+            (
+                "what is at work for long is acquitted",
+                "engine::cell::crash::note_life",
+                "a_task_that_was_at_work_for_long_is_acquitted",
+            ),
+        ],
+    },
     Promise {
         name: "On the platform: what is accepted is done, what is refused as not run never runs",
         cells: &[
