A run of a job that its owner doesn't know keeps its minion until it has ended

Found by reading; test red before (16 tasks started beside it). What it takes isn't known, so nothing is started there until its end is listed.

--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -302,6 +302,12 @@
             return;
         }
         let Some(job) = self.jobs.get_mut(&running.task.job) else {
+            // A former owner's, and not known here yet or any more.  What it takes isn't known either, so nothing
+            // is started beside it: a minion that doesn't guard its capacity would be overloaded.
+            let phase = RunPhase::Stopping { ordered: now, confirmed: None };
+            let need = minion.free();
+            let run = Run { need, ..Run::new(running.run, phase, None, now) };
+            minion.insert(running.task, run);
             orders.push(stop);
             return;
         };
--- a/crates/engine/tests/all/takeover.rs
+++ b/crates/engine/tests/all/takeover.rs
@@ -186,3 +186,17 @@
     world.answer(0, late);
     assert_eq!(stops(&world.plan()).len(), 1);
 }
+
+/// A former owner started a job that its successor doesn't know yet.  Its run is being stopped, and a minion that
+/// doesn't guard its capacity would be overloaded by what is started beside it meanwhile.
+#[test]
+fn a_run_of_an_unknown_job_keeps_its_minion_until_it_has_ended() {
+    let mut world = successor(1);
+    world.submit(1, definition(vec![step(16)]));
+    let report = Report { running: vec![running(task(9, 0, 0), 3, 50)], finished: vec![] };
+    let orders = world.answer(0, report);
+    assert_eq!(stops(&orders), [(World::minion(0), task(9, 0, 0), 3)]);
+    assert_eq!(starts(&world.plan()), [], "how much it takes isn't known");
+    world.end(&World::minion(0), task(9, 0, 0), 3, How::Stopped);
+    assert_eq!(world.start_all().len(), 16);
+}
