What a suspected task waits for, in one place

plan::start_step had grown past a screen; crash::may_try holds the conditions under which a likely cause is tried. The doubt is noted where it arises: collected for the end of the step, it was left out when a sibling found no room.

--- a/crates/engine/src/cell/crash.rs
+++ b/crates/engine/src/cell/crash.rs
@@ -296,12 +296,20 @@
         }
     }
 
-    /// Whether a likely cause of a crash is the one of its job that is to be tried next: none is on trial, and none
-    /// of its step that waits is likelier.
+    /// Whether a likely cause of a crash may be tried: what is held against it is kept, and it is its job's next one.
+    /// A lasting task doesn't wait for others, as its users are without it.
+    pub(crate) fn may_try(&self, job: &Job, name: &TaskName) -> bool {
+        let lasting = job.accepted.definition.steps[name.step as usize].lasting;
+        let is_kept = job.is_kept() || !self.suspicion(name).is_guarded();
+        is_kept && (lasting || self.is_next_suspect(job, name))
+    }
+
+    /// Whether a likely cause is the one of its job to be tried next: none is on trial, and none of its step that
+    /// waits is likelier.
     ///
     /// A job whose tasks all crash their minions is given up with the first of them; started side by side, each would
     /// take a minion with it once more.
-    pub(crate) fn is_next_suspect(&self, job: &Job, name: &TaskName) -> bool {
+    fn is_next_suspect(&self, job: &Job, name: &TaskName) -> bool {
         let mut runs = self.minions.values().flat_map(|minion| &minion.runs);
         let is_tried = |run: &Run| run.suspicion.is_likely() && run.is_on_trial();
         if runs.any(|(other, run)| other.job == name.job && is_tried(run)) {
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -6,7 +6,7 @@
 use crate::cell::{Cell, Job, Note, Permit};
 use crate::job::{Id, Step, TaskName};
 use crate::time::Time;
-use smallvec::SmallVec;
+use smallvec::smallvec;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -372,7 +372,6 @@
             return None;
         }
         let mut spread = None;
-        let (mut to_try, mut untried) = (SmallVec::new(), SmallVec::new());
         for index in 0..step.count {
             let name = TaskName { index, ..first };
             let job = self.jobs.get(&first.job)?;
@@ -380,21 +379,16 @@
             if task.phase != Phase::Waiting || now < task.not_before || !permit.covers_task(task) {
                 continue;
             }
-            if (step.per_minion.is_some() || step.lasting) && spread.is_none() {
-                spread = Some(self.spread(&name));
-            }
-            let empty = Default::default();
-            let used = spread.as_ref().unwrap_or(&empty);
             let suspicion = task.suspicion;
             let suspected = suspicion.is_likely();
-            // Tried again only after that is kept: an owner lost during the trial would leave a successor that knows
-            // nothing of it.
-            if suspicion.is_guarded() && !job.is_kept() {
+            if suspected && !self.may_try(job, &name) {
                 continue;
             }
-            if suspected && !step.lasting && !self.is_next_suspect(job, &name) {
-                continue;
+            if (step.per_minion.is_some() || step.lasting) && spread.is_none() {
+                spread = Some(self.spread(&name));
             }
+            let empty = Default::default();
+            let used = spread.as_ref().unwrap_or(&empty);
             let can_try = |id: &str| {
                 let minion = || self.minions.get(id);
                 !suspected || minion().is_some_and(|minion| minion.can_try(suspicion, now))
@@ -410,7 +404,7 @@
                 }
                 // There may be room, and others need not wait.
                 if suspected {
-                    untried.push(name);
+                    self.set_doubt(smallvec![name], false);
                     continue;
                 }
                 // A label or a limit for each minion may be what it lacks.
@@ -420,7 +414,9 @@
                 return Some(name);
             };
             if suspicion.is_guarded() && !suspicion.is_doubted() {
-                to_try.push(name);
+                // Kept before it is started: an owner lost during the trial would leave a successor that knows
+                // nothing of it.
+                self.set_doubt(smallvec![name], true);
                 continue;
             }
             let ticket = self.ticket(&name, &minion, now);
@@ -443,8 +439,6 @@
                 ticket,
             });
         }
-        self.set_doubt(to_try, true);
-        self.set_doubt(untried, false);
         None
     }
 
