--- a/crates/engine/tests/all/crashes.rs
+++ b/crates/engine/tests/all/crashes.rs
@@ -157,12 +157,7 @@
     let mut world = World::new(4);
     world.submit(1, definition(vec![step(1)]));
     for round in 0..3 {
-        let (minion, name, run) = loop {
-            if let Some(start) = starts(&world.plan_kept()).pop() {
-                break start;
-            }
-            world.pass(50);
-        };
+        let (minion, name, run) = world.next_start();
         world.cell.start_result(&minion, &name, run, StartResult::Started, world.now);
         let all: Vec<MinionId> = world.cell.minions().map(|minion| minion.id.clone()).collect();
         all.iter().for_each(|minion| world.cell.missed(minion, world.now));
@@ -267,12 +262,7 @@
     let mut world = World::new(1);
     world.submit(1, definition(vec![Step { lasting: true, ..step(1) }]));
     for round in 0..6 {
-        let (minion, name, run) = loop {
-            if let Some(start) = starts(&world.plan_kept()).pop() {
-                break start;
-            }
-            world.pass(50);
-        };
+        let (minion, name, run) = world.next_start();
         world.cell.start_result(&minion, &name, run, StartResult::Started, world.now);
         for _ in 0..6 {
             world.pass(1000);
@@ -354,3 +344,40 @@
     world.now = world.now + LEASE;
     assert_eq!(world.start_all().len(), lost);
 }
+
+/// A task that is all but proved is tried once more.  Started beside it, another job's task would end with the
+/// minion, too, and be as likely a cause; it waits until the trial is over.
+#[test]
+fn nothing_is_started_beside_a_task_on_trial() {
+    let mut world = World::new(1);
+    world.submit(1, definition(vec![step(1)]));
+    let (minion, ..) = world.start_all().remove(0);
+    world.cell.missed(&minion, world.now);
+    world.pass(3000);
+    world.cell.bury(&minion, world.now);
+    world.list(1);
+    world.answer(1, Report::default());
+    let (tried, name, run) = world.next_start();
+    world.cell.start_result(&tried, &name, run, StartResult::Started, world.now);
+    world.submit(2, definition(vec![step(1)]));
+    assert_eq!(starts(&world.plan_kept()), []);
+    world.pass(300);
+    world.answer(1, Report { running: vec![running(name, run, 5)], finished: vec![] });
+    assert_eq!(world.start_all().len(), 1, "it has outlived its trial");
+}
+
+/// Two tasks are started on a minion together, and it crashes: either may be the cause.  Tried side by side again,
+/// they would be as hard to tell apart.
+#[test]
+fn likely_causes_are_tried_apart() {
+    let mut world = World::new(1);
+    world.submit(1, definition(vec![step(1)]));
+    world.submit(2, definition(vec![step(1)]));
+    assert_eq!(world.start_all().len(), 2);
+    world.cell.missed(&World::minion(0), world.now);
+    world.pass(3000);
+    world.cell.bury(&World::minion(0), world.now);
+    world.list(1);
+    world.answer(1, Report::default());
+    assert_eq!(starts(&world.plan_kept()).len(), 1);
+}
--- a/crates/engine/tests/all/fixture.rs
+++ b/crates/engine/tests/all/fixture.rs
@@ -105,6 +105,17 @@
         }
     }
 
+    /// The next start, once what comes before it is kept and over.
+    pub(crate) fn next_start(&mut self) -> (MinionId, TaskName, u32) {
+        for _ in 0..100 {
+            if let Some(start) = starts(&self.plan_kept()).pop() {
+                return start;
+            }
+            self.pass(50);
+        }
+        panic!("nothing is started within five seconds");
+    }
+
     /// Plans, and has every start accepted.
     pub(crate) fn start_all(&mut self) -> Vec<(MinionId, TaskName, u32)> {
         let started = starts(&self.plan());
--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -131,6 +131,26 @@
                 "engine::cell::crash::is_next_suspect",
                 "a_job_of_crashing_tasks_is_given_up_with_the_first",
             ),
+            (
+                "likely causes are tried apart",
+                "engine::cell::crash::can_try",
+                "likely_causes_are_tried_apart",
+            ),
+            (
+                "nothing is started beside a task on trial",
+                "engine::cell::crash::is_proving_ground",
+                "nothing_is_started_beside_a_task_on_trial",
+            ),
+            (
+                "what is on trial when its minion falls silent is kept as doubted",
+                "engine::cell::crash::doubt",
+                "a_crash_that_the_owner_did_not_live_to_know_is_doubted",
+            ),
+            (
+                "a suspected task is tried only after that is kept",
+                "engine::cell::crash::may_try",
+                "a_suspected_task_waits_until_that_is_kept",
+            ),
             (
                 "a loss with a common cause proves nothing",
                 "engine::cell::crash::has_common_cause",
