--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -5,8 +5,8 @@
 //! [`report`] takes in what minions say, [`plan`] decides what starts and stops, [`place`]
 //! finds a minion for a task, [`sequence`] orders the waiting jobs, [`keep`] says what must be
 //! written before an end may be acknowledged, [`advice`] holds tickets, [`pace`] slows down what
-//! disturbs serving tasks, [`straggler`] finds slow minions, [`crash`] tasks that crash theirs, [`idle`] notes jobs that could run and
-//! don't, [`permit`] says what may be started while the store is away.
+//! disturbs serving tasks, [`straggler`] finds slow minions, [`crash`] tasks that crash theirs,
+//! [`idle`] notes jobs that could run and don't, [`permit`] says what may be started while the store is away.
 //!
 //! Three rules carry the promise that no task runs twice:
 //! - a run counts as over only when its minion listed its end, answered a stop and no longer
