A start that came to nobody blames no other task

A job whose task was well under way was shown as failed after two crashes of its minions, although nothing pointed at it. Cause, found by reading the change again: a start that was still in flight when its minion was known to be over counted as the run on trial, but not among the likely causes, so the fall-back named every other run, and a single one became the only likely cause. Test red before (failed after two rounds), green now.

The fall-back goes: without a run on trial a loss was already never held against one task alone, since it counted as its own common cause; the condition is written out.

--- a/crates/engine/src/cell/crash.rs
+++ b/crates/engine/src/cell/crash.rs
@@ -137,8 +137,9 @@
         self.leaving || self.listing.draining
     }
 
+    /// Whether a run there may be what crashed it.
     fn has_suspect(&self) -> bool {
-        self.runs.values().any(Run::is_on_trial)
+        self.runs.values().any(|run| run.may_have_begun() && run.is_on_trial())
     }
 
     /// Whether a task that may crash it was started there and has not outlived its trial.
@@ -167,10 +168,12 @@
         let loss =
             Loss { silent: minion.silent_since.unwrap_or(now), has_suspect: minion.has_suspect() };
         self.remember(loss, now);
-        let is_unexplained =
-            certainty == Certainty::Certain && !self.has_common_cause(loss.silent, &minion.id);
-        let suspects = self.suspects(minion, is_unexplained);
-        let is_sole = suspects.len() == 1 && is_unexplained;
+        let suspects = self.suspects(minion);
+        // What has outlived its trial is never the only cause: minions crash for other causes, too.
+        let is_sole = suspects.len() == 1
+            && certainty == Certainty::Certain
+            && loss.has_suspect
+            && !self.has_common_cause(loss.silent, &minion.id);
         for (name, run) in minion.runs.iter().filter(|(_, run)| run.may_have_begun()) {
             let points = match suspects.contains(name) {
                 true if is_sole && run.begun => SOLE,
@@ -182,8 +185,8 @@
     }
 
     /// The likely causes among a minion's runs: those on trial that had crashed others before; if there is none, all
-    /// on trial and all that had; if there is none of these either and nothing else explains the loss, all.
-    fn suspects(&self, minion: &Minion, is_unexplained: bool) -> SmallVec<[TaskName; 4]> {
+    /// on trial and all that had.
+    fn suspects(&self, minion: &Minion) -> SmallVec<[TaskName; 4]> {
         let has_record =
             |name: &TaskName| self.task(name).is_some_and(|task| task.suspicion.points > 0);
         let chosen = |likely: &dyn Fn(&TaskName, &Run) -> bool| {
@@ -195,8 +198,7 @@
         if !on_trial_again.is_empty() {
             return on_trial_again;
         }
-        let likely = chosen(&|name, run| run.is_on_trial() || has_record(name));
-        if likely.is_empty() && is_unexplained { chosen(&|_, _| true) } else { likely }
+        chosen(&|name, run| run.is_on_trial() || has_record(name))
     }
 
     /// Whether another minion fell silent at the same time that nothing started there can explain: a rack or an
--- a/crates/engine/tests/all/crashes.rs
+++ b/crates/engine/tests/all/crashes.rs
@@ -168,6 +168,7 @@
             world.answer(10 * (round + 1) + number, Report::default());
         }
     }
+    world.keep();
     assert_eq!(world.cell.state(&id(1)), Some(State::Running));
     let (minion, name, run) = starts(&world.plan_kept()).remove(0);
     world.end(&minion, name, run, How::Done);
@@ -196,6 +197,7 @@
             world.pass(2000);
             world.cell.bury(&minion, world.now);
         }
+        world.keep();
         assert_eq!(world.cell.state(&id(1)), Some(State::Running));
         assert_eq!(starts(&world.plan()).len(), 1, "at once, with nothing to keep before");
     }
@@ -275,6 +277,7 @@
         world.list(round + 1);
         world.answer(round + 1, Report::default());
     }
+    world.keep();
     assert_eq!(world.cell.state(&id(1)), Some(State::Running));
 }
 
@@ -381,3 +384,27 @@
     world.answer(1, Report::default());
     assert_eq!(starts(&world.plan_kept()).len(), 1);
 }
+
+/// A minion crashes unnoticed with a task well under way, and a start is sent to it before that shows.  The start
+/// came to nobody and explains nothing; counted as the one on trial, it made the other task the only likely
+/// cause, and its job was shown as failed after two such crashes.
+#[test]
+fn a_start_that_came_to_nobody_blames_no_one_else() {
+    let mut world = World::new(1);
+    world.submit(1, definition(vec![step(1)]));
+    for round in 0..2 {
+        let (minion, name, run) = world.next_start();
+        world.cell.start_result(&minion, &name, run, StartResult::Started, world.now);
+        world.pass(300);
+        world.answer(round, Report { running: vec![running(name, run, 50)], finished: vec![] });
+        let other = round as u8 + 2;
+        world.submit(other, definition(vec![step(1)]));
+        assert_eq!(starts(&world.plan()).len(), 1, "ordered, and not answered yet");
+        world.cell.bury(&minion, world.now);
+        world.cell.cancel(&id(other), world.now);
+        world.list(round + 1);
+        world.answer(round + 1, Report::default());
+    }
+    world.keep();
+    assert_eq!(world.cell.state(&id(1)), Some(State::Running));
+}
