Owners' bookkeeping of crashes holds nothing twice

Whether a minion answers was kept beside since when it doesn't, from which it follows; the order to start a run was put together in two places after placing it, which place does now; a doubt was dropped where a loss is judged and again where the run is given up, which alone is left; what counts as a run's life stands with its trial; a time was a number in the middle of a function.

--- a/crates/engine/src/cell/crash.rs
+++ b/crates/engine/src/cell/crash.rs
@@ -14,7 +14,7 @@
 
 use crate::cell::minion::{Minion, MinionId, Run, RunPhase};
 use crate::cell::work::{Job, Phase, Task};
-use crate::cell::{Cell, Note};
+use crate::cell::{Cell, Note, Running};
 use crate::job::TaskName;
 use crate::time::Time;
 use smallvec::{SmallVec, smallvec};
@@ -41,6 +41,9 @@
 /// for orders that wait in an entry under load.
 pub const TRIAL: Duration = Duration::from_millis(250);
 
+/// Percent done from which on a run counts as having outlived its trial: what crashes minions has hardly begun.
+const WELL_UNDER_WAY: u8 = 10;
+
 /// A run that was at work for this long didn't crash the minion that started it: what was held against its
 /// task is dropped.  Lasting tasks would else collect points over weeks.
 const ACQUITTED: Duration = Duration::from_secs(5);
@@ -49,7 +52,11 @@
 /// every second and a half, and a look without an answer takes up to half a second more.
 const TOGETHER: Duration = Duration::from_secs(2);
 
-/// Losses of minions that are remembered, to tell which came together.
+/// How long losses of minions are remembered: one that fell silent at the same time is judged only when its lease
+/// must have lapsed.
+const REMEMBERED: Duration = Duration::from_secs(10);
+
+/// How many of them at most.
 const MAX_LOSSES: usize = 64;
 
 /// What is held against a task.
@@ -94,7 +101,6 @@
 
     fn add(&mut self, points: u8) {
         self.points = self.points.saturating_add(points);
-        self.doubted = false;
     }
 }
 
@@ -116,6 +122,13 @@
     Possible,
 }
 
+impl Running {
+    /// How long the run has lived at least, by its age and by how far it has come.
+    pub(crate) fn life(&self, age: Duration) -> Duration {
+        if self.percent >= WELL_UNDER_WAY { age.max(TRIAL) } else { age }
+    }
+}
+
 impl Run {
     /// Whether it may have been carried out before its minion was known to be over.
     ///
@@ -161,7 +174,6 @@
 impl Cell {
     /// Takes note of what runs on a minion whose life ended, or may have: an unplanned end counts against it.
     pub(crate) fn note_loss(&mut self, minion: &Minion, certainty: Certainty, now: Time) {
-        self.set_doubt(minion.runs.keys().copied().collect(), false);
         if minion.ends_by_plan() || !minion.answered {
             return;
         }
@@ -216,9 +228,7 @@
     }
 
     fn remember(&mut self, loss: Loss, now: Time) {
-        // A minion that is silent at the same time is judged seconds later, when its lease must have lapsed.
-        let recent = Duration::from_secs(10);
-        self.losses.retain(|known| now.since(known.silent) < recent);
+        self.losses.retain(|known| now.since(known.silent) < REMEMBERED);
         if self.losses.len() < MAX_LOSSES {
             self.losses.push(loss);
         }
@@ -302,7 +312,8 @@
     /// A lasting task doesn't wait for others, as its users are without it.
     pub(crate) fn may_try(&self, job: &Job, name: &TaskName) -> bool {
         let lasting = job.accepted.definition.steps[name.step as usize].lasting;
-        let is_kept = job.is_kept() || !self.suspicion(name).is_guarded();
+        let guarded = job.task(name).is_some_and(|task| task.suspicion.is_guarded());
+        let is_kept = job.is_kept() || !guarded;
         is_kept && (lasting || self.is_next_suspect(job, name))
     }
 
@@ -324,11 +335,6 @@
         !others.any(|task| task.phase == Phase::Waiting && points(task) > own)
     }
 
-    /// What is held against a task.
-    pub(crate) fn suspicion(&self, name: &TaskName) -> Suspicion {
-        self.task(name).map_or_else(Suspicion::default, |task| task.suspicion)
-    }
-
     fn task(&self, name: &TaskName) -> Option<&Task> {
         self.jobs.get(&name.job).and_then(|job: &Job| job.task(name))
     }
--- a/crates/engine/src/cell/idle.rs
+++ b/crates/engine/src/cell/idle.rs
@@ -110,7 +110,7 @@
     let checks = [
         (!minion.listed, Guard::Unlisted),
         (!minion.answered, Guard::Unanswered),
-        (!minion.reachable, Guard::Unreachable),
+        (!minion.is_reachable(), Guard::Unreachable),
         (minion.listing.draining, Guard::Draining),
         (minion.leaving, Guard::Leaving),
         (minion.reserved, Guard::Reserved),
--- a/crates/engine/src/cell/load.rs
+++ b/crates/engine/src/cell/load.rs
@@ -47,7 +47,7 @@
                 if minion.answered && minion.is_empty() {
                     load.empty.push(id());
                 }
-            } else if minion.lasting == 0 && minion.reachable && !minion.listing.draining {
+            } else if minion.lasting == 0 && minion.is_reachable() && !minion.listing.draining {
                 load.free.push((id(), working));
             }
         }
--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -118,8 +118,6 @@
     pub answered: bool,
     /// When it last told what runs there.
     pub reported: Time,
-    /// Whether its last call was answered.
-    pub reachable: bool,
     /// Since when calls go unanswered; none while it answers.
     pub(crate) silent_since: Option<Time>,
     /// When all leases that it may have been given must have lapsed, on any clock.
@@ -156,7 +154,6 @@
             inherited: false,
             answered: false,
             reported: Time(0),
-            reachable: false,
             silent_since: None,
             lapse: Time(0),
             runs: BTreeMap::new(),
@@ -173,6 +170,11 @@
         }
     }
 
+    /// Whether its last call was answered.
+    pub fn is_reachable(&self) -> bool {
+        self.answered && self.silent_since.is_none()
+    }
+
     /// What is free, as far as known.
     pub fn free(&self) -> Resources {
         self.listing.capacity.less(&self.used)
@@ -222,7 +224,7 @@
     fn is_sound(&self, now: Time) -> bool {
         self.listed
             && self.answered
-            && self.reachable
+            && self.is_reachable()
             && !self.listing.draining
             && !self.reserved
             && !self.is_proving_ground()
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -107,7 +107,7 @@
             let known = minion.answered
                 || !minion.inherited
                 || self.former_lapse.is_none_or(|lapse| now >= lapse);
-            known && now >= minion.lapse && !minion.reachable
+            known && now >= minion.lapse && !minion.is_reachable()
         };
         let has_something = |minion: &&crate::cell::Minion| !minion.is_empty() || !minion.listed;
         let over = self.minions.values().filter(|minion| has_something(minion) && over(minion));
@@ -196,7 +196,7 @@
         let quarantine = self.settings.quarantine;
         for minion in self.minions.values_mut() {
             // Without an answer there is no news of progress either.
-            if !minion.reachable {
+            if !minion.is_reachable() {
                 continue;
             }
             let mut stalled = false;
@@ -269,7 +269,7 @@
             let Phase::Placed { minion, run } = &task.phase else { return false };
             let Some(minion) = self.minions.get(minion) else { return false };
             let run = minion.run(&other, *run);
-            minion.reachable
+            minion.is_reachable()
                 && run.is_some_and(|run| run.phase == RunPhase::Active && run.percent >= 100)
         };
         let away = (0..step.count).filter(|index| *index != name.index && !at_work(*index)).count();
@@ -363,11 +363,10 @@
             return job.first_waiting(first, now);
         }
         let step = step.clone();
-        let spec = job.accepted.definition.spec.clone();
         if step.gang {
             // Its members could be started by two owners in part, and wait for each other.
             if permit == Permit::All {
-                self.start_gang(first, &step, &spec, now, orders);
+                self.start_gang(first, &step, now, orders);
             }
             return None;
         }
@@ -419,37 +418,16 @@
                 self.set_doubt(smallvec![name], true);
                 continue;
             }
-            let ticket = self.ticket(&name, &minion, now);
             if let Some(spread) = &mut spread {
                 *spread.entry(minion.clone()).or_default() += 1;
             }
-            let run = self.next_run(task.last_run);
-            let first = task.last_run == 0;
-            let checkpoint = task.checkpoint.clone();
-            self.place(name, &minion, run, &step, now);
-            let spec = spec.clone();
-            orders.push(Order::Start {
-                minion,
-                task: name,
-                run,
-                first,
-                suspected,
-                spec,
-                checkpoint,
-                ticket,
-            });
+            let (last, checkpoint) = (task.last_run, task.checkpoint.clone());
+            orders.extend(self.place(name, minion, last, checkpoint, now));
         }
         None
     }
 
-    fn start_gang(
-        &mut self,
-        first: TaskName,
-        step: &Step,
-        spec: &Arc<str>,
-        now: Time,
-        orders: &mut Vec<Order>,
-    ) {
+    fn start_gang(&mut self, first: TaskName, step: &Step, now: Time, orders: &mut Vec<Order>) {
         let Some(job) = self.jobs.get(&first.job) else { return };
         if !self.all_wait(job, &first, step) {
             return;
@@ -468,37 +446,44 @@
             }
             return;
         };
-        let run = self.next_run(last);
-        for (task, minion) in members.into_iter().zip(places) {
-            self.place(task, &minion, run, step, now);
-            let (spec, checkpoint) = (spec.clone(), checkpoint.clone());
-            let ticket = self.ticket(&task, &minion, now);
-            let first = last == 0;
-            let suspected = self.suspicion(&task).is_likely();
-            orders.push(Order::Start {
-                minion,
-                task,
-                run,
-                first,
-                suspected,
-                spec,
-                checkpoint,
-                ticket,
-            });
+        for (name, minion) in members.into_iter().zip(places) {
+            orders.extend(self.place(name, minion, last, checkpoint.clone(), now));
         }
     }
 
-    fn place(&mut self, name: TaskName, id: &MinionId, number: u32, step: &Step, now: Time) {
-        let Some(job) = self.jobs.get_mut(&name.job) else { return };
+    /// Places a task, whose highest run so far is `last`, on a minion; returns the order to start it.
+    fn place(
+        &mut self,
+        name: TaskName,
+        id: MinionId,
+        last: u32,
+        checkpoint: Option<Box<str>>,
+        now: Time,
+    ) -> Option<Order> {
+        let number = self.next_run(last);
+        let ticket = self.ticket(&name, &id, now);
+        let job = self.jobs.get_mut(&name.job)?;
         job.started = true;
-        let Some(task) = job.task_mut(&name) else { return };
+        let task = job.task_mut(&name)?;
         task.phase = Phase::Placed { minion: id.clone(), run: number };
         task.last_run = number;
         let suspicion = task.suspicion;
-        if let Some(minion) = self.minions.get_mut(id) {
-            let run = Run::new(number, RunPhase::Ordered, Some(step), now);
+        let definition = &job.accepted.definition;
+        if let Some(minion) = self.minions.get_mut(&id) {
+            let step = definition.steps.get(name.step as usize);
+            let run = Run::new(number, RunPhase::Ordered, step, now);
             minion.insert(name, Run { suspicion, ..run });
         }
+        Some(Order::Start {
+            minion: id,
+            task: name,
+            run: number,
+            first: last == 0,
+            suspected: suspicion.is_likely(),
+            spec: definition.spec.clone(),
+            checkpoint,
+            ticket,
+        })
     }
 }
 
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -1,6 +1,6 @@
 //! Taking in what minions say, and what becomes of orders.
 
-use crate::cell::crash::{Certainty, TRIAL};
+use crate::cell::crash::Certainty;
 use crate::cell::minion::{Listing, Minion, MinionId, Run, RunPhase};
 use crate::cell::work::{Phase, Task};
 use crate::cell::{Cell, Note, Order};
@@ -28,14 +28,6 @@
 /// Pause for a minion that says it is unhealthy.
 const UNHEALTHY_PAUSE: Duration = Duration::from_millis(700);
 
-/// Percent done from which on a run counts as having outlived its trial: what crashes minions has hardly begun.
-const WELL_UNDER_WAY: u8 = 10;
-
-/// How long a run has lived at least, by its age and by how far it has come.
-fn life(running: &Running, age: Duration) -> Duration {
-    if running.percent >= WELL_UNDER_WAY { age.max(TRIAL) } else { age }
-}
-
 /// To be stopped, and ordered so long ago that the next plan sends the stop.
 pub(crate) const STOP_DUE: RunPhase = RunPhase::Stopping { ordered: Time(0), confirmed: None };
 
@@ -194,7 +186,6 @@
     /// Notes that a minion didn't answer.
     pub fn missed(&mut self, id: &str, now: Time) {
         if let Some(minion) = self.minions.get_mut(id) {
-            minion.reachable = false;
             minion.silent_since.get_or_insert(now);
             self.doubt(id);
         }
@@ -205,7 +196,6 @@
     pub fn report(&mut self, id: &MinionId, report: &Report, sent: Time, now: Time) -> Vec<Order> {
         let Some(minion) = self.minions.get_mut(id) else { return Vec::new() };
         minion.answered = true;
-        minion.reachable = true;
         minion.reported = now;
         let seen = minion.seen;
         if minion.silent_since.take().is_some() {
@@ -282,7 +272,7 @@
             }
             run.load = running.load;
             run.begun = true;
-            run.listed_for = Some(life(running, now.since(run.since)));
+            run.listed_for = Some(running.life(now.since(run.since)));
             if run.percent != running.percent {
                 run.percent = running.percent;
                 run.moved = now;
@@ -332,7 +322,7 @@
             task.checkpoint = Some(checkpoint.clone());
         }
         job.started = true;
-        let listed_for = life(running, Duration::ZERO);
+        let listed_for = running.life(Duration::ZERO);
         let run = Run {
             percent: running.percent,
             load: running.load,
--- a/crates/engine/src/cell/straggler.rs
+++ b/crates/engine/src/cell/straggler.rs
@@ -68,7 +68,9 @@
     /// there they are done sooner.
     pub(crate) fn stop_stragglers(&mut self, now: Time, orders: &mut Vec<Order>) {
         let mut late: Vec<(MinionId, TaskName)> = Vec::new();
-        for minion in self.minions.values().filter(|minion| minion.reachable && minion.is_slow()) {
+        for minion in
+            self.minions.values().filter(|minion| minion.is_reachable() && minion.is_slow())
+        {
             let runs = minion.runs.iter().filter(|(name, _)| self.is_straggler(minion, name, now));
             late.extend(runs.map(|(name, _)| (minion.id.clone(), *name)));
         }
--- a/crates/scheduler/src/owner/attend.rs
+++ b/crates/scheduler/src/owner/attend.rs
@@ -280,7 +280,7 @@
 }
 
 fn take_report(owner: &Arc<Owner>, id: &MinionId, report: &Report, sent: Time) {
-    let before = owner.with(|cell| cell.minion(id).map(|minion| minion.reachable)).flatten();
+    let before = owner.with(|cell| cell.minion(id).map(|minion| minion.is_reachable())).flatten();
     let orders = owner.with(|cell| cell.report(id, report, sent, clock::now()));
     if before == Some(false) {
         owner
