One reader of the machines' list, one of kept progress

The fleet's holder and a new owner each listed the machines and wrote the same two lines about what can't be read; an entry that answers for a job from its rows dropped unreadable progress without a line, while a new owner noted it. fleet::list::fetch and owner::load::read_progress serve both.

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -10,7 +10,7 @@
 //! nothing may be started on it, whoever owns its service's cell meanwhile.
 
 pub(crate) mod emptying;
-mod list;
+pub(crate) mod list;
 pub(crate) mod maintenance;
 pub(crate) mod pools;
 mod telling;
--- a/crates/scheduler/src/fleet/list.rs
+++ b/crates/scheduler/src/fleet/list.rs
@@ -2,6 +2,7 @@
 
 use super::{CALL_LIMIT, Fleet, emptying};
 use crate::clock;
+use crate::node::Node;
 use celerythread_adapter::machine;
 use celerythread_engine::time::Time;
 use std::time::Duration;
@@ -44,20 +45,24 @@
 
 /// Reads the list; true if it is read.
 async fn read(fleet: &Fleet) -> bool {
-    let node = fleet.node();
-    match fleet.client.list(CALL_LIMIT).await {
+    let Some(list) = fetch(fleet.node(), &fleet.client).await else { return false };
+    let read = Some(clock::now());
+    fleet.state.lock().list = MachineList { machines: list.machines, read };
+    true
+}
+
+/// The platform's list; none if it can't be read.  What can't be read of it is noted.
+pub(crate) async fn fetch(node: &Node, client: &machine::Client) -> Option<machine::List> {
+    match client.list(CALL_LIMIT).await {
         Ok(list) => {
             if list.unreadable > 0 {
-                let unreadable = list.unreadable;
-                node.journal.warn("machines_unreadable", &[("machines", &unreadable)]);
+                node.journal.warn("machines_unreadable", &[("machines", &list.unreadable)]);
             }
-            let read = Some(clock::now());
-            fleet.state.lock().list = MachineList { machines: list.machines, read };
-            true
+            Some(list)
         }
         Err(failure) => {
             node.journal.warn("machines_unread", &[("reason", &failure)]);
-            false
+            None
         }
     }
 }
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::metrics::{Counter, Timing};
 use crate::node::Node;
+use crate::owner::load::read_progress;
 use crate::peers;
 use crate::rows;
 use crate::submit::{self, Job, Written};
@@ -10,7 +11,7 @@
 use celerythread_adapter::configuration::Queue;
 use celerythread_adapter::store::{Error, Transaction};
 use celerythread_adapter::submission;
-use celerythread_engine::job::{Accepted, Id, Problem, Progress, State, encode};
+use celerythread_engine::job::{Accepted, Id, Problem, State, encode};
 use celerythread_engine::submission::{Attempt, retry_after_s, usable};
 use celerythread_engine::time::Time;
 use celerythread_http::Fault;
@@ -243,7 +244,7 @@
         };
         let Some(job) = get(rows::job(service, &id)).await? else { return Ok(None) };
         let progress = get(rows::progress(service, &id)).await?;
-        let progress: Option<Progress> = progress.and_then(|row| Progress::decode(&row.value).ok());
+        let progress = progress.and_then(|row| read_progress(node, &row));
         if let Some(outcome) = progress.as_ref().and_then(|progress| progress.outcome) {
             return Ok(Some(outcome));
         }
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::fleet;
 use crate::follow::{self, Sink, Table};
+use crate::node::Node;
 use crate::owner::{Former, Owner};
 use crate::rows;
 use celerythread_adapter::store::{Error, Name, Page, Row, Transaction};
@@ -198,18 +199,11 @@
 async fn replaced(owner: &Owner) -> (Vec<Arc<str>>, usize) {
     let node = &owner.node;
     let Some(client) = &node.machines else { return (Vec::new(), 0) };
-    let machines: BTreeMap<String, Machine> = match client.list(CALL_LIMIT).await {
-        // One of those that can't be read may have the minion that no other has.
-        Ok(list) if list.unreadable > 0 => {
-            node.journal.warn("machines_unreadable", &[("machines", &list.unreadable)]);
-            return (Vec::new(), 0);
-        }
-        Ok(list) => list.machines.iter().map(fleet::maintenance::seen).collect(),
-        Err(failure) => {
-            node.journal.warn("machines_unread", &[("reason", &failure)]);
-            return (Vec::new(), 0);
-        }
-    };
+    // One of those that can't be read may have the minion that no other has.
+    let list = fleet::list::fetch(node, client).await.filter(|list| list.unreadable == 0);
+    let Some(list) = list else { return (Vec::new(), 0) };
+    let machines: BTreeMap<String, Machine> =
+        list.machines.iter().map(fleet::maintenance::seen).collect();
     let inherited: Vec<Arc<str>> = owner.roster.lock().iter().cloned().collect();
     let view = node.view.read();
     let minions = node.minions.read();
@@ -232,15 +226,7 @@
     let progress: BTreeMap<String, Progress> = progress
         .rows
         .into_iter()
-        .filter_map(|row| match Progress::decode(&row.value) {
-            Ok(progress) => Some((row.key, progress)),
-            Err(error) => {
-                let fields: [(&'static str, &dyn std::fmt::Display); 2] =
-                    [("job", &row.key), ("reason", &error)];
-                owner.node.journal.warn("progress_unreadable", &fields);
-                None
-            }
-        })
+        .filter_map(|row| Some((row.key.clone(), read_progress(&owner.node, &row)?)))
         .collect();
     let (now, wall) = (clock::now(), clock::wall_ms());
     let mut count = 0;
@@ -266,6 +252,15 @@
     count
 }
 
+/// How far a job has come; none, with a line, if its row can't be read.
+pub(crate) fn read_progress(node: &Node, row: &Row) -> Option<Progress> {
+    Progress::decode(&row.value)
+        .inspect_err(|error| {
+            node.journal.warn("progress_unreadable", &[("job", &row.key), ("reason", error)]);
+        })
+        .ok()
+}
+
 fn job_id(row: &Row, prefix: &str) -> Option<Id> {
     row.key.strip_prefix(prefix)?.parse().ok()
 }
