--- a/crates/engine/tests/all/crashes.rs
+++ b/crates/engine/tests/all/crashes.rs
@@ -100,8 +100,7 @@
         self.down = rest;
         for (minion, _) in Vec::from_iter::<Vec<_>>(over) {
             self.world.cell.bury(&minion, now);
-            self.world.list(self.next);
-            self.world.answer(self.next, Report::default());
+            self.world.join(self.next);
             self.next += 1;
         }
     }
@@ -164,8 +163,7 @@
         world.pass(3000);
         all.iter().for_each(|minion| world.cell.bury(minion, world.now));
         for number in 0..4 {
-            world.list(10 * (round + 1) + number);
-            world.answer(10 * (round + 1) + number, Report::default());
+            world.join(10 * (round + 1) + number);
         }
     }
     world.keep();
@@ -247,9 +245,7 @@
     let mut world = World::new(3);
     world.submit(1, definition(vec![step(1)]));
     let (minion, ..) = world.start_all().remove(0);
-    world.cell.missed(&minion, world.now);
-    world.pass(3000);
-    world.cell.bury(&minion, world.now);
+    world.crash(&minion);
     for _ in 0..5 {
         assert_eq!(starts(&world.plan()), [], "nothing can be kept");
         world.pass(1000);
@@ -271,11 +267,8 @@
             world
                 .answer(round, Report { running: vec![running(name, run, 100)], finished: vec![] });
         }
-        world.cell.missed(&minion, world.now);
-        world.pass(3000);
-        world.cell.bury(&minion, world.now);
-        world.list(round + 1);
-        world.answer(round + 1, Report::default());
+        world.crash(&minion);
+        world.join(round + 1);
     }
     world.keep();
     assert_eq!(world.cell.state(&id(1)), Some(State::Running));
@@ -341,8 +334,7 @@
     cut.iter().for_each(|minion| world.cell.missed(minion, world.now));
     let lost = started.iter().filter(|start| cut.contains(&start.0)).count();
     for number in 10..14 {
-        world.list(number);
-        world.answer(number, Report::default());
+        world.join(number);
     }
     world.now = world.now + LEASE;
     assert_eq!(world.start_all().len(), lost);
@@ -355,11 +347,8 @@
     let mut world = World::new(1);
     world.submit(1, definition(vec![step(1)]));
     let (minion, ..) = world.start_all().remove(0);
-    world.cell.missed(&minion, world.now);
-    world.pass(3000);
-    world.cell.bury(&minion, world.now);
-    world.list(1);
-    world.answer(1, Report::default());
+    world.crash(&minion);
+    world.join(1);
     let (tried, name, run) = world.next_start();
     world.cell.start_result(&tried, &name, run, StartResult::Started, world.now);
     world.submit(2, definition(vec![step(1)]));
@@ -377,11 +366,8 @@
     world.submit(1, definition(vec![step(1)]));
     world.submit(2, definition(vec![step(1)]));
     assert_eq!(world.start_all().len(), 2);
-    world.cell.missed(&World::minion(0), world.now);
-    world.pass(3000);
-    world.cell.bury(&World::minion(0), world.now);
-    world.list(1);
-    world.answer(1, Report::default());
+    world.crash(&World::minion(0));
+    world.join(1);
     assert_eq!(starts(&world.plan_kept()).len(), 1);
 }
 
@@ -402,8 +388,7 @@
         assert_eq!(starts(&world.plan()).len(), 1, "ordered, and not answered yet");
         world.cell.bury(&minion, world.now);
         world.cell.cancel(&id(other), world.now);
-        world.list(round + 1);
-        world.answer(round + 1, Report::default());
+        world.join(round + 1);
     }
     world.keep();
     assert_eq!(world.cell.state(&id(1)), Some(State::Running));
--- a/crates/engine/tests/all/fixture.rs
+++ b/crates/engine/tests/all/fixture.rs
@@ -46,8 +46,7 @@
             Queue { priority: 0, attempts: 2, stretch: 1.6, target_ms: 600, advised: false };
         world.cell.configure([("queue".into(), queue)]);
         for number in 0..minions {
-            world.list(number);
-            world.answer(number, Report::default());
+            world.join(number);
         }
         world
     }
@@ -63,6 +62,19 @@
         self.cell.list(&Self::minion(number), listing);
     }
 
+    /// A further minion is listed, and runs nothing.
+    pub(crate) fn join(&mut self, number: usize) {
+        self.list(number);
+        self.answer(number, Report::default());
+    }
+
+    /// A minion falls silent, and is known to be over three seconds later.
+    pub(crate) fn crash(&mut self, minion: &MinionId) {
+        self.cell.missed(minion, self.now);
+        self.pass(3000);
+        self.cell.bury(minion, self.now);
+    }
+
     /// The minion answers a hold that was sent just now.
     pub(crate) fn answer(&mut self, number: usize, report: Report) -> Vec<Order> {
         self.now = self.now + Duration::from_millis(1);
