--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -39,6 +39,7 @@
         queue: "queue".into(),
         at_ms: 0,
         definition: Definition { spec: "x".repeat(200).into(), steps, schedule: None },
+        origin: celerythread_engine::job::Origin::Public,
     }
 }
 
--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -6,7 +6,7 @@
 //! finds a minion for a task, [`sequence`] orders the waiting jobs, [`keep`] says what must be
 //! written before an end may be acknowledged, [`advice`] holds tickets, [`pace`] slows down what
 //! disturbs serving tasks, [`straggler`] finds slow minions, [`crash`] tasks that crash theirs,
-//! [`idle`] notes jobs that could run and don't, [`permit`] says what may be started while the store is away.
+//! [`idle`] notes jobs that could run and don't, [`quota`] bounds what a workspace has running, [`permit`] says what may be started while the store is away.
 //!
 //! Three rules carry the promise that no task runs twice:
 //! - a run counts as over only when its minion listed its end, answered a stop and no longer
@@ -25,12 +25,14 @@
 pub mod permit;
 pub mod place;
 pub mod plan;
+pub mod quota;
 pub mod report;
 pub mod sequence;
 mod straggler;
 pub mod work;
 
-use crate::job::{Accepted, Id, Progress, State, TaskName};
+use crate::job::{Accepted, Id, Origin, Progress, Resources, State, TaskName};
+use crate::quota::Summary;
 use crate::time::Time;
 pub use advice::Query;
 pub use idle::Guard;
@@ -38,6 +40,7 @@
 pub use minion::{Listing, Minion, MinionId};
 pub use permit::Permit;
 pub use plan::Order;
+pub use quota::Charge;
 pub use report::{End, How, Refusal, Report, Running, StartResult};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -51,6 +54,10 @@
 /// Time limits and weights of a cell.
 #[derive(Clone, Debug)]
 pub struct Settings {
+    /// The cell's name: its service's.
+    pub name: Box<str>,
+    /// Its owner's fencing token.
+    pub token: u64,
     /// Longest time that a minion takes to stop a run.
     pub stop_timeout: Duration,
     /// How long an ended job is kept for its caller to ask for.
@@ -68,6 +75,8 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            name: "cell".into(),
+            token: 1,
             stop_timeout: Duration::from_millis(900),
             retention: Duration::from_secs(150),
             stall_factor: 1.0,
@@ -90,11 +99,20 @@
     pub target_ms: u64,
     /// Whether starts need a ticket.
     pub advised: bool,
+    /// Whether callers need no key.
+    pub public: bool,
 }
 
 impl Default for Queue {
     fn default() -> Self {
-        Self { priority: 1, attempts: 3, stretch: 2.0, target_ms: 1000, advised: false }
+        Self {
+            priority: 1,
+            attempts: 3,
+            stretch: 2.0,
+            target_ms: 1000,
+            advised: false,
+            public: false,
+        }
     }
 }
 
@@ -128,6 +146,8 @@
     pub(crate) queries: Vec<Query>,
     /// What was decided since the notes were last taken.
     pub(crate) notes: Vec<Note>,
+    /// What its workspaces may have running.
+    pub(crate) accounts: quota::Accounts,
     /// Minions lost lately, to tell which losses came together.
     pub(crate) losses: Vec<crash::Loss>,
 }
@@ -225,6 +245,19 @@
         /// What keeps it from each minion.
         guards: Vec<(MinionId, Guard)>,
     },
+    /// A task waits for its workspace's limit; told once a job.
+    Held {
+        /// The task.
+        task: TaskName,
+        /// Its workspace.
+        workspace: Box<str>,
+        /// What it needs; a gang, all that its members need.
+        need: Resources,
+        /// Whether that is more than the whole limit.
+        is_larger: bool,
+        /// What is known of the workspace.
+        summary: Summary,
+    },
     /// A minion gets no tasks for a while.
     Quarantined {
         /// The minion.
@@ -256,6 +289,7 @@
             advice: BTreeMap::new(),
             queries: Vec::new(),
             notes: Vec::new(),
+            accounts: quota::Accounts::new(former_lapse.is_none()),
             losses: Vec::new(),
         }
     }
@@ -291,7 +325,9 @@
         // A twentieth of each new job: some twenty jobs are remembered, which at ten a second
         // follows a change of the mix within a few seconds.
         *mean += (work - *mean) * 0.05;
+        let account = self.open_account(&accepted.origin, now);
         let mut job = Job::new(accepted, inherited, now - age);
+        job.account = account;
         job.known = now;
         if let Some(progress) = progress {
             job.restore(progress);
@@ -334,6 +370,12 @@
         Some(told)
     }
 
+    /// The same for a caller; none also for a job that isn't its to see.
+    pub fn state_for(&self, id: &Id, caller: &Origin) -> Option<State> {
+        let job = self.jobs.get(id)?;
+        if caller.may_access(&job.accepted.origin) { self.state(id) } else { None }
+    }
+
     /// How many jobs of a queue wait for their first task.
     pub fn pending(&self, queue: &str) -> usize {
         let waits = |id: &&Id| {
--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -1,6 +1,7 @@
 //! A minion and what runs on it.
 
 use crate::cell::crash::Suspicion;
+use crate::cell::quota::Charge;
 use crate::job::{Resources, Step, TaskName};
 use crate::time::Time;
 use smallvec::SmallVec;
@@ -54,6 +55,8 @@
     pub phase: RunPhase,
     /// What it takes of the capacity.
     pub need: Resources,
+    /// What it takes of its workspace's limit; none where nothing limits it.
+    pub charge: Option<Charge>,
     /// Whether its task is a lasting one.
     pub lasting: bool,
     /// When it was ordered.
@@ -86,6 +89,7 @@
             number,
             phase,
             need: step.map(Step::counted_need).unwrap_or_default(),
+            charge: None,
             lasting: step.is_some_and(|step| step.lasting),
             fills: step.is_some_and(|step| step.fills),
             since: now,
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -288,6 +288,7 @@
         ranked.sort();
         self.minions.values_mut().for_each(|minion| minion.reserved = false);
         self.full.clear();
+        self.count_runs(now);
         let mut reserves = true;
         for (rank, id) in ranked {
             let takes = |minion: &Minion| minion.takes_work(now) || minion.is_refuge(now);
@@ -383,6 +384,11 @@
             if suspected && !self.may_try(job, &name) {
                 continue;
             }
+            if !self.is_within_limit(job, &step.need, 1, now) {
+                let waiting = u64::from(step.count - index);
+                self.hold_back(&name, &step.need, waiting, now);
+                return None;
+            }
             if (step.per_minion.is_some() || step.lasting) && spread.is_none() {
                 spread = Some(self.spread(&name));
             }
@@ -432,6 +438,11 @@
         if !self.all_wait(job, &first, step) {
             return;
         }
+        let count = u64::from(step.count);
+        if !self.is_within_limit(job, &step.need, count, now) {
+            self.hold_back(&first, &step.need.times(count), 1, now);
+            return;
+        }
         let members: Vec<TaskName> =
             (0..step.count).map(|index| TaskName { index, ..first }).collect();
         let tasks = || members.iter().filter_map(|name| job.task(name));
@@ -469,10 +480,12 @@
         task.last_run = number;
         let suspicion = task.suspicion;
         let definition = &job.accepted.definition;
+        let charge = definition.steps.get(name.step as usize).and_then(|step| job.charge(step));
         if let Some(minion) = self.minions.get_mut(&id) {
             let step = definition.steps.get(name.step as usize);
             let run = Run::new(number, RunPhase::Ordered, step, now);
-            minion.insert(name, Run { suspicion, ..run });
+            minion.insert(name, Run { suspicion, charge, ..run });
+            self.accounts.take(charge);
         }
         Some(Order::Start {
             minion: id,
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -303,6 +303,7 @@
         };
         let steps = &job.accepted.definition.steps;
         let step = steps.get(running.task.step as usize).cloned();
+        let charge = step.as_ref().and_then(|step| job.charge(step));
         let wanted = !job.state().is_final();
         let Some(task) = job.task_mut(&running.task) else {
             orders.push(stop);
@@ -312,7 +313,8 @@
         if !wanted || task.phase != Phase::Waiting {
             // Unwanted here, but it takes room until its end is listed.
             let phase = RunPhase::Stopping { ordered: now, confirmed: None };
-            minion.insert(running.task, Run::new(number, phase, step.as_ref(), now));
+            let run = Run { charge, ..Run::new(number, phase, step.as_ref(), now) };
+            minion.insert(running.task, run);
             orders.push(stop);
             return;
         }
@@ -327,6 +329,7 @@
             percent: running.percent,
             load: running.load,
             listed_for: Some(listed_for),
+            charge,
             ..Run::new(number, RunPhase::Active, step.as_ref(), now)
         };
         minion.insert(running.task, run);
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -2,6 +2,7 @@
 
 use crate::cell::crash::Suspicion;
 use crate::cell::minion::MinionId;
+use crate::cell::quota::{AccountId, Charge};
 use crate::job::{Accepted, Definition, Id, Progress, State, Step, TaskName};
 use crate::time::Time;
 use smallvec::SmallVec;
@@ -69,6 +70,10 @@
     pub since: Time,
     /// When this owner came to know it.
     pub known: Time,
+    /// What its workspace may have running; none where nothing limits it.
+    pub(crate) account: Option<AccountId>,
+    /// Whether tasks of it have waited for that.
+    pub(crate) held_back: bool,
     /// Whether its caller has cancelled it.
     pub cancelled: bool,
     /// Completed or failed.
@@ -137,6 +142,8 @@
             inherited,
             since,
             known: since,
+            account: None,
+            held_back: false,
             cancelled: false,
             outcome: None,
             started: false,
@@ -161,6 +168,11 @@
         }
     }
 
+    /// What a task of a step takes of its workspace's limit; also the cores of one that only fills.
+    pub(crate) fn charge(&self, step: &Step) -> Option<Charge> {
+        self.account.map(|account| Charge { account, need: step.need })
+    }
+
     /// Whether all that must outlive this owner is kept.
     pub fn is_kept(&self) -> bool {
         self.kept >= self.changes
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -1,5 +1,6 @@
 //! Jobs: as a caller submits them, as they are kept, and how far they have come.
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use snafu::Snafu;
@@ -94,6 +95,12 @@
     pub gpu: u64,
 }
 
+impl fmt::Display for Resources {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}m/{}MB/{}", self.cpu, self.memory_mb, self.gpu)
+    }
+}
+
 impl Resources {
     /// Whether `need` fits in.
     pub fn holds(&self, need: &Resources) -> bool {
@@ -102,21 +109,50 @@
 
     /// What is left after `used`; nought where more is used than there is.
     pub fn less(&self, used: &Resources) -> Resources {
-        Resources {
-            cpu: self.cpu.saturating_sub(used.cpu),
-            memory_mb: self.memory_mb.saturating_sub(used.memory_mb),
-            gpu: self.gpu.saturating_sub(used.gpu),
-        }
+        self.zip(used, u64::saturating_sub)
     }
 
     /// The sum of both.
     pub fn plus(&self, other: &Resources) -> Resources {
+        self.zip(other, u64::saturating_add)
+    }
+
+    /// The smaller amount of each.
+    pub fn min(&self, other: &Resources) -> Resources {
+        self.zip(other, u64::min)
+    }
+
+    /// The larger amount of each.
+    pub fn max(&self, other: &Resources) -> Resources {
+        self.zip(other, u64::max)
+    }
+
+    /// So many times as much.
+    pub fn times(&self, count: u64) -> Resources {
+        self.map(|amount| amount.saturating_mul(count))
+    }
+
+    /// A part of it, rounded down.
+    pub fn divided_by(&self, count: u64) -> Resources {
+        self.map(|amount| amount / count.max(1))
+    }
+
+    /// Whether it is nothing at all.
+    pub fn is_zero(&self) -> bool {
+        *self == Resources::default()
+    }
+
+    fn zip(&self, other: &Resources, work: impl Fn(u64, u64) -> u64) -> Resources {
         Resources {
-            cpu: self.cpu + other.cpu,
-            memory_mb: self.memory_mb + other.memory_mb,
-            gpu: self.gpu + other.gpu,
+            cpu: work(self.cpu, other.cpu),
+            memory_mb: work(self.memory_mb, other.memory_mb),
+            gpu: work(self.gpu, other.gpu),
         }
     }
+
+    fn map(&self, work: impl Fn(u64) -> u64) -> Resources {
+        Resources { cpu: work(self.cpu), memory_mb: work(self.memory_mb), gpu: work(self.gpu) }
+    }
 }
 
 /// A step: tasks that are alike.
@@ -286,6 +322,38 @@
     }
 }
 
+/// On whose behalf a call is made, or a job was submitted.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Origin {
+    /// Nobody knows: the job was accepted by a release that didn't keep it.
+    #[default]
+    Unknown,
+    /// Anybody's: its queue is public.
+    Public,
+    /// The workspace of this name.
+    Workspace(Box<str>),
+}
+
+impl Origin {
+    /// Whether a caller may see, cancel and submit again a job of `owner`'s.
+    ///
+    /// On a public queue everybody may, and what was submitted while its queue was public stays everybody's.
+    pub fn may_access(&self, owner: &Origin) -> bool {
+        let is_open = matches!(self, Origin::Public) || !matches!(owner, Origin::Workspace(_));
+        is_open || self == owner
+    }
+}
+
+impl fmt::Display for Origin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Origin::Unknown => "unknown",
+            Origin::Public => "public",
+            Origin::Workspace(name) => name,
+        })
+    }
+}
+
 /// A job as it is kept from its acceptance on; never changed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Accepted {
@@ -295,6 +363,18 @@
     pub at_ms: u64,
     /// What to run.
     pub definition: Definition,
+    /// On whose behalf.
+    pub origin: Origin,
+}
+
+impl Accepted {
+    /// Decodes a job that was kept; rows of releases that kept no origin end before it.
+    ///
+    /// # Errors
+    /// When the bytes are of another form.
+    pub fn decode(bytes: &[u8]) -> Result<Self, FormatError> {
+        decode_extended(bytes)
+    }
 }
 
 /// What a caller is told of a job.
@@ -341,16 +421,21 @@
 impl Progress {
     /// Decodes progress that was kept.
     ///
-    /// Rows of releases that kept no suspicions end before them; a zero byte is an empty list, and one more
-    /// at the end of a newer row is not read.
+    /// Rows of releases that kept no suspicions end before them.
     ///
     /// # Errors
     /// When the bytes are of another form.
     pub fn decode(bytes: &[u8]) -> Result<Self, FormatError> {
-        decode(&[bytes, &[0]].concat())
+        decode_extended(bytes)
     }
 }
 
+/// Decodes a value whose last field older releases didn't write: a zero byte at the end stands for that field's
+/// default, and after a whole value it is not read.
+fn decode_extended<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FormatError> {
+    decode(&[bytes, &[0]].concat())
+}
+
 /// Why kept bytes can't be read.
 #[derive(Debug, Snafu)]
 #[snafu(display("kept bytes can't be read: {source}"))]
--- a/crates/engine/tests/all/fixture.rs
+++ b/crates/engine/tests/all/fixture.rs
@@ -3,7 +3,9 @@
 use celerythread_engine::cell::{
     Cell, End, How, Listing, MinionId, Order, Permit, Queue, Report, Running, Settings, StartResult,
 };
-use celerythread_engine::job::{Accepted, Definition, Id, Progress, Resources, Step, TaskName};
+use celerythread_engine::job::{
+    Accepted, Definition, Id, Origin, Progress, Resources, Step, TaskName,
+};
 use celerythread_engine::time::Time;
 use std::time::Duration;
 
@@ -42,8 +44,14 @@
 
     pub(crate) fn with_cell(cell: Cell, minions: usize) -> Self {
         let mut world = Self { cell, now: Time(10_000), ends: 0 };
-        let queue =
-            Queue { priority: 0, attempts: 2, stretch: 1.6, target_ms: 600, advised: false };
+        let queue = Queue {
+            priority: 0,
+            attempts: 2,
+            stretch: 1.6,
+            target_ms: 600,
+            advised: false,
+            public: true,
+        };
         world.cell.configure([("queue".into(), queue)]);
         for number in 0..minions {
             world.join(number);
@@ -86,13 +94,15 @@
     }
 
     pub(crate) fn add(&mut self, job: u8, definition: Definition, inherited: bool) {
-        let accepted = Accepted { queue: "queue".into(), at_ms: 0, definition };
+        let accepted =
+            Accepted { queue: "queue".into(), at_ms: 0, definition, origin: Origin::Public };
         self.cell.add_job(id(job), accepted, None, inherited, Duration::ZERO, self.now);
     }
 
     /// A job of which a former owner kept some progress.
     pub(crate) fn add_kept(&mut self, job: u8, definition: Definition, progress: &Progress) {
-        let accepted = Accepted { queue: "queue".into(), at_ms: 0, definition };
+        let accepted =
+            Accepted { queue: "queue".into(), at_ms: 0, definition, origin: Origin::Public };
         let now = self.now;
         self.cell.add_job(id(job), accepted, Some(progress), false, Duration::ZERO, now);
     }
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod ownership;
 mod patience;
 mod pools;
+mod quota;
 mod runs;
 mod sharing;
 mod submission;
--- a/crates/engine/tests/all/model/play.rs
+++ b/crates/engine/tests/all/model/play.rs
@@ -123,7 +123,12 @@
             self.roster.iter().for_each(|minion| cell.inherit(minion));
         }
         for (id, definition) in jobs() {
-            let accepted = Accepted { queue: "queue".into(), at_ms: 0, definition };
+            let accepted = Accepted {
+                queue: "queue".into(),
+                at_ms: 0,
+                definition,
+                origin: celerythread_engine::job::Origin::Public,
+            };
             let progress = self.table.progress.get(&id);
             cell.add_job(id, accepted, progress, inherited, Duration::ZERO, self.now);
         }
--- /dev/null
+++ b/crates/engine/tests/all/quota.rs
@@ -0,0 +1,268 @@
+//! Limits of workspaces: how they are split between cells, and what runs.
+
+mod model;
+
+use crate::fixture::{World, id, starts, step};
+use celerythread_engine::cell::{Note, Permit};
+use celerythread_engine::job::{Accepted, Definition, Id, Origin, Resources, Step};
+use celerythread_engine::quota::{Account, Holder, Limit, Share, Split};
+use celerythread_engine::time::Time;
+use model::{Play, Trouble};
+use std::time::Duration;
+
+/// Draws of the model in a run of all tests.
+const DRAWS: u64 = 1000;
+
+/// Set to play so many draws by hand.
+const DRAWS_VARIABLE: &str = "CELERYTHREAD_DRAWS";
+
+fn draws() -> u64 {
+    let given = std::env::var(DRAWS_VARIABLE).ok();
+    given.and_then(|text| text.parse().ok()).unwrap_or(DRAWS)
+}
+
+/// Guards against a workspace running beyond its limit when owners die, stand still or are cut off, and when
+/// transactions are lost, late or unanswered; and against tasks that wait for ever once that is over.
+#[test]
+fn a_limit_holds_under_any_trouble() {
+    let mut broken = Vec::new();
+    for seed in 0..draws() {
+        if let Err(breach) = Play::new(seed).run() {
+            broken.push(format!("seed {seed}: {breach}"));
+        }
+    }
+    let first = &broken[..broken.len().min(5)];
+    assert!(broken.is_empty(), "{} of {} draws broken: {first:#?}", broken.len(), draws());
+}
+
+/// The model finds the breach of an owner that raises its share without a condition.
+#[test]
+fn the_model_sees_a_limit_that_is_broken() {
+    let broken = (0..200).filter(|seed| {
+        let mut play = Play::new(*seed);
+        play.trouble = Trouble { unconditional: true };
+        play.run().is_err()
+    });
+    assert!(broken.count() > 0);
+}
+
+fn cores(count: u64) -> Resources {
+    Resources { cpu: count * 1000, memory_mb: count * 512, gpu: 0 }
+}
+
+fn limit(count: u64) -> Limit {
+    Limit(Resources { gpu: Limit::UNLIMITED.0.gpu, ..cores(count) })
+}
+
+fn account(cell: &str, settled: bool) -> Account {
+    let holder = Holder { cell: cell.into(), token: 7 };
+    let mut account = Account::new("team", holder, settled, Time(0));
+    account.configure(limit(100), 1, Time(0));
+    account.confirm(Time(0));
+    account
+}
+
+const ROOM: Resources = Resources { cpu: 1 << 30, memory_mb: 1 << 30, gpu: 0 };
+
+/// Writes a change that is due, as the store would carry it out.
+fn write(account: &mut Account, version: u64, at: u64) -> Option<Split> {
+    let change = account.change(&ROOM, Time(at))?;
+    account.written(&change, version, Time(at));
+    Some(change.split)
+}
+
+/// Guards against a successor that spends what its predecessor's runs still use.
+#[test]
+fn a_successor_counts_its_predecessors_share_until_all_minions_told() {
+    let mut account = account("cell", false);
+    let former = Share { token: 3, size: cores(80), ..Share::default() };
+    let shares = [("cell".into(), former)].into_iter().collect();
+    account.read(5, Some(Split { configuration: 1, limit: limit(100), shares }), Time(0));
+    account.begin();
+    assert!(!account.may_start(&cores(1), 1, Time(0)), "its token isn't written");
+    account.want(&cores(1), 30);
+    write(&mut account, 6, 10);
+    account.begin();
+    assert!(account.may_start(&cores(20), 1, Time(10)));
+    assert!(!account.may_start(&cores(21), 1, Time(10)));
+    account.settle();
+    account.count(&cores(50), false);
+    assert!(account.may_start(&cores(50), 1, Time(10)));
+}
+
+/// Guards against a share that is used as if it had not been given back, while the answer that gave it back is lost.
+#[test]
+fn a_share_that_may_have_been_lowered_counts_as_lowered() {
+    let mut account = account("cell", true);
+    account.begin();
+    account.want(&cores(10), 8);
+    write(&mut account, 1, 0).unwrap();
+    assert!(account.may_start(&cores(80), 1, Time(0)));
+    // Nothing is needed for a while, and the transaction that gives it back isn't answered.
+    account.begin();
+    for at in [1500, 2200, 2900, 3600] {
+        account.change(&ROOM, Time(at));
+    }
+    account.begin();
+    assert!(!account.may_start(&cores(80), 1, Time(3600)));
+}
+
+/// Guards against new starts after a limit fell below what runs: the shares of all are more than it then.
+#[test]
+fn nothing_starts_while_shares_are_more_than_a_fallen_limit() {
+    let mut account = account("cell", true);
+    let other = Share { token: 3, size: cores(60), ..Share::default() };
+    let own = Share { token: 7, size: cores(20), ..Share::default() };
+    let shares = [("cell".into(), own), ("other".into(), other)].into_iter().collect();
+    account.read(5, Some(Split { configuration: 1, limit: limit(100), shares }), Time(0));
+    account.begin();
+    assert!(account.may_start(&cores(5), 1, Time(0)));
+    account.configure(limit(50), 2, Time(10));
+    assert!(!account.may_start(&cores(5), 1, Time(10)));
+    write(&mut account, 6, 20).expect("the new configuration is written");
+    assert!(!account.may_start(&cores(5), 1, Time(20)));
+}
+
+/// Guards against a task that is larger than its workspace's limit waiting for ever; beside another it would break it.
+#[test]
+fn a_task_larger_than_the_limit_runs_alone() {
+    let mut account = account("cell", true);
+    account.begin();
+    account.want(&cores(120), 2);
+    write(&mut account, 1, 0).unwrap();
+    assert!(account.may_start(&cores(120), 1, Time(0)));
+    account.count(&cores(120), true);
+    assert!(!account.may_start(&cores(120), 1, Time(0)));
+    assert!(!account.may_start(&cores(1), 1, Time(0)));
+}
+
+/// Guards against one cell that keeps the whole limit busy while another one's jobs wait.
+#[test]
+fn a_busy_cell_gives_way_to_one_that_asks() {
+    let mut account = account("cell", true);
+    let asking = Share { token: 3, wanted: cores(40), least: cores(5), ..Share::default() };
+    let own = Share { token: 7, size: cores(100), ..Share::default() };
+    let shares = [("cell".into(), own), ("other".into(), asking)].into_iter().collect();
+    account.read(5, Some(Split { configuration: 1, limit: limit(100), shares }), Time(0));
+    account.begin();
+    account.count(&cores(90), true);
+    assert!(!account.may_start(&cores(1), 1, Time(0)));
+    let split = write(&mut account, 6, 0).unwrap();
+    assert_eq!(split.shares["cell"].size, cores(90));
+    // As its tasks end, their part goes to the other cell down to a half for each.
+    account.begin();
+    account.count(&cores(30), true);
+    account.want(&cores(1), 60);
+    let split = write(&mut account, 7, 50).unwrap();
+    assert_eq!(split.shares["cell"].size, cores(50));
+}
+
+const TEAM: &str = "team";
+
+fn submit(world: &mut World, number: u8, origin: Origin, steps: Vec<Step>) -> Id {
+    let definition = Definition { spec: "work".into(), steps, schedule: None };
+    let accepted = Accepted { queue: "queue".into(), at_ms: 0, definition, origin };
+    let now = world.now;
+    world.cell.add_job(id(number), accepted, None, false, Duration::ZERO, now);
+    id(number)
+}
+
+fn limited(minions: usize, count: u64) -> World {
+    let mut world = World::new(minions);
+    world.cell.configure_limits([(TEAM.into(), limit(count))], 1, world.now);
+    world.cell.confirm_splits(world.now);
+    world
+}
+
+/// Writes all changes that are due; true if there were some.
+fn write_all(world: &mut World, version: u64) -> bool {
+    world.pass(50);
+    let changes = world.cell.split_changes(world.now);
+    world.cell.splits_written(&changes, version, world.now);
+    !changes.is_empty()
+}
+
+fn team() -> Origin {
+    Origin::Workspace(TEAM.into())
+}
+
+/// Guards against tasks of a workspace beyond its limit, and against others that wait behind them.
+#[test]
+fn a_workspace_runs_no_more_than_its_limit() {
+    let mut world = limited(2, 5);
+    submit(&mut world, 1, team(), vec![step(8)]);
+    submit(&mut world, 2, Origin::Public, vec![step(8)]);
+    assert_eq!(
+        starts(&world.plan()).len(),
+        8,
+        "nothing of the workspace before its share is written"
+    );
+    assert!(write_all(&mut world, 1));
+    assert_eq!(starts(&world.plan()).len(), 5);
+    assert!(world.plan().is_empty());
+    let held = |note: &Note| matches!(note, Note::Held { is_larger: false, .. });
+    assert_eq!(world.cell.take_notes().iter().filter(|note| held(note)).count(), 1);
+}
+
+/// Guards against a gang wider than its workspace's limit taking the whole of it and still not starting.
+#[test]
+fn a_gang_wider_than_the_limit_holds_up_nobody() {
+    let mut world = limited(2, 5);
+    submit(&mut world, 1, team(), vec![Step { gang: true, ..step(8) }]);
+    submit(&mut world, 2, team(), vec![step(4)]);
+    world.plan();
+    let larger = |note: &Note| matches!(note, Note::Held { is_larger: true, .. });
+    assert!(world.cell.take_notes().iter().any(larger));
+    write_all(&mut world, 1);
+    assert_eq!(starts(&world.plan()).len(), 4);
+}
+
+/// Guards against jobs of an older release, which kept no workspace, running beyond anybody's limit, or never.
+#[test]
+fn jobs_of_an_unknown_workspace_run_one_task_at_a_time() {
+    let mut world = limited(2, 5);
+    let keyed = celerythread_engine::cell::Queue { public: false, ..Default::default() };
+    world.cell.configure([("queue".into(), keyed)]);
+    submit(&mut world, 1, Origin::Unknown, vec![step(3)]);
+    world.plan();
+    write_all(&mut world, 1);
+    assert_eq!(starts(&world.plan()).len(), 1);
+    write_all(&mut world, 2);
+    assert!(starts(&world.plan()).is_empty());
+}
+
+/// Guards against a limit that is not known to hold while nothing is read: an owner without the splits starts nothing.
+#[test]
+fn nothing_limited_starts_before_the_splits_are_read() {
+    let mut world = World::new(1);
+    world.cell.configure_limits([(TEAM.into(), limit(5))], 1, world.now);
+    submit(&mut world, 1, team(), vec![step(1)]);
+    assert!(world.plan().is_empty());
+    assert!(!write_all(&mut world, 1));
+}
+
+/// Rows of a release that kept no workspace are read, and are nobody's by name.
+#[test]
+fn a_job_without_an_origin_is_read() {
+    let accepted = Accepted {
+        queue: "queue".into(),
+        at_ms: 5,
+        definition: Definition { spec: "work".into(), steps: vec![step(1)], schedule: None },
+        origin: Origin::Unknown,
+    };
+    let mut bytes = celerythread_engine::job::encode(&accepted);
+    assert_eq!(bytes.pop(), Some(0));
+    assert_eq!(Accepted::decode(&bytes).unwrap(), accepted);
+}
+
+/// Guards against anybody learning of, or cancelling, another workspace's job.
+#[test]
+fn a_job_is_seen_by_its_workspace_only() {
+    let mut world = World::new(1);
+    submit(&mut world, 1, team(), vec![step(1)]);
+    let (own, other) = (team(), Origin::Workspace("other".into()));
+    assert!(world.cell.state_for(&id(1), &own).is_some());
+    assert!(world.cell.state_for(&id(1), &other).is_none());
+    assert!(own.may_access(&Origin::Public) && Origin::Public.may_access(&own));
+    let _ = world.cell.plan(world.now, 0, Permit::All);
+}
--- /dev/null
+++ b/crates/engine/tests/all/quota/model.rs
@@ -0,0 +1,372 @@
+//! Cells with owners that die, stand still and are cut off, a store that loses answers, and what truly runs.
+
+use celerythread_engine::job::Resources;
+use celerythread_engine::quota::{Account, Change, Holder, Limit, Split};
+use celerythread_engine::time::Time;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::time::Duration;
+
+const CELLS: usize = 4;
+const STEP: Duration = Duration::from_millis(20);
+/// Trouble comes until then, and what must come has come by the end.
+const CALM: Time = Time(12_000);
+/// When the last trouble is over.
+const QUIET: Time = Time(18_000);
+/// When what it left behind is cleared up.
+const SETTLED: Time = Time(19_000);
+const END: Time = Time(24_000);
+/// How long an owner that doesn't reach the store goes on starting tasks.
+const ALONE: Duration = Duration::from_millis(3000);
+/// Longest wait of a task in calm times while its workspace uses under half of its limit.
+const LONGEST_WAIT: Duration = Duration::from_millis(1000);
+/// The same beside a task that needs more than half of the limit, for which the others must end first.
+const DRAINED: Duration = Duration::from_millis(3000);
+const ROOM: Resources = Resources { cpu: 1 << 30, memory_mb: 1 << 30, gpu: 0 };
+const LIMITS: [u64; 5] = [40, 100, 20, 8, 60];
+
+/// Guards switched off, to see that the check finds what they guard against.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Trouble {
+    /// Writes take effect whatever the row's version is.
+    pub(crate) unconditional: bool,
+}
+
+/// A run as it truly is.
+#[derive(Clone, Debug)]
+struct Run {
+    cell: usize,
+    cores: u64,
+    /// The token of the owner that ordered it.
+    token: u64,
+    ends: Time,
+}
+
+struct Owner {
+    token: u64,
+    account: Account,
+    /// Whether it gives orders: minions don't refuse its token.
+    fenced: bool,
+    settled: bool,
+    settles: Time,
+    paused_until: Time,
+    cut_until: Time,
+    contact: Time,
+    /// The configuration that it knows.
+    configuration: usize,
+    /// When it reads the split next, and hears of the newest configuration.
+    reads: Time,
+    hears: Time,
+    /// Until when a write of its own is waited for.
+    busy_until: Time,
+}
+
+struct Cell {
+    /// The last one is in charge; earlier ones may not know it.
+    owners: Vec<Owner>,
+    /// Cores of the tasks that wait, with when they came.
+    waiting: Vec<(u64, Time)>,
+}
+
+/// A write that is carried out later.
+struct Late {
+    at: Time,
+    change: Change,
+}
+
+pub(crate) struct Play {
+    pub(crate) trouble: Trouble,
+    random: StdRng,
+    now: Time,
+    cells: Vec<Cell>,
+    runs: Vec<Run>,
+    split: Split,
+    version: u64,
+    late: Vec<Late>,
+    /// How many of the limits have been configured.
+    configured: usize,
+    tokens: u64,
+    /// When half of the limit or more was last in use.
+    busy: Time,
+}
+
+fn cores(count: u64) -> Resources {
+    Resources { cpu: count * 1000, memory_mb: count, gpu: 0 }
+}
+
+fn limit(configuration: usize) -> Limit {
+    let any = Limit::UNLIMITED.0;
+    Limit(Resources { cpu: LIMITS[configuration] * 1000, ..any })
+}
+
+impl Play {
+    pub(crate) fn new(seed: u64) -> Self {
+        let mut play = Self {
+            trouble: Trouble::default(),
+            random: StdRng::seed_from_u64(seed),
+            now: Time(1000),
+            cells: Vec::new(),
+            runs: Vec::new(),
+            split: Split::default(),
+            version: 0,
+            late: Vec::new(),
+            configured: 0,
+            tokens: 0,
+            busy: Time(0),
+        };
+        for cell in 0..CELLS {
+            play.cells.push(Cell { owners: Vec::new(), waiting: Vec::new() });
+            play.take_over(cell, true);
+        }
+        play
+    }
+
+    fn take_over(&mut self, cell: usize, is_first: bool) {
+        self.tokens += 1;
+        let holder = Holder { cell: format!("cell-{cell}").into(), token: self.tokens };
+        let mut account = Account::new("team", holder, is_first, self.now);
+        account.configure(limit(self.configured), self.configured as u64 + 1, self.now);
+        let settles = self.now + Duration::from_millis(self.random.random_range(50..3000));
+        let owner = Owner {
+            token: self.tokens,
+            account,
+            fenced: false,
+            settled: is_first,
+            settles,
+            paused_until: Time(0),
+            cut_until: Time(0),
+            contact: self.now,
+            configuration: self.configured,
+            reads: self.now,
+            hears: self.now,
+            busy_until: Time(0),
+        };
+        self.cells[cell].owners.push(owner);
+    }
+
+    pub(crate) fn run(mut self) -> Result<(), String> {
+        while self.now < END {
+            self.now = self.now + STEP;
+            let now = self.now;
+            self.runs.retain(|run| run.ends > now);
+            self.carry_out_late();
+            if now < CALM {
+                self.disturb();
+            }
+            self.demand();
+            for cell in 0..CELLS {
+                for owner in 0..self.cells[cell].owners.len() {
+                    self.act(cell, owner)?;
+                }
+            }
+            if now > QUIET {
+                self.check_waits()?;
+            }
+        }
+        Ok(())
+    }
+
+    fn disturb(&mut self) {
+        let cell = self.random.random_range(0..CELLS);
+        let now = self.now;
+        let span = Duration::from_millis(self.random.random_range(100..6000));
+        match self.random.random_range(0..750) {
+            0..3 => {
+                // Its owner is killed: it does nothing more, and a successor takes over later.
+                self.cells[cell].owners.last_mut().unwrap().fenced = true;
+                self.take_over(cell, false);
+            }
+            3..6 => {
+                // It stands still, or is cut off, and is replaced although it lives.
+                let owner = self.cells[cell].owners.last_mut().unwrap();
+                if span.as_millis().is_multiple_of(2) {
+                    owner.paused_until = now + span;
+                } else {
+                    owner.cut_until = now + span;
+                }
+                self.take_over(cell, false);
+            }
+            6..9 => self.cells[cell].owners.last_mut().unwrap().paused_until = now + span,
+            9..12 => self.cells[cell].owners.last_mut().unwrap().cut_until = now + span,
+            12..14 => self.configured = (self.configured + 1).min(LIMITS.len() - 1),
+            _ => {}
+        }
+    }
+
+    fn demand(&mut self) {
+        for cell in 0..CELLS {
+            let is_turn = self.now.0 / 2000 % CELLS as u64 == cell as u64;
+            let chance = if is_turn { 0.16 } else { 0.008 };
+            let chance = if self.now > CALM { chance / 8.0 } else { chance };
+            if self.random.random_bool(chance) {
+                let cores =
+                    if self.random.random_bool(0.02) { 70 } else { self.random.random_range(1..6) };
+                self.cells[cell].waiting.push((cores, self.now));
+            }
+        }
+    }
+
+    fn act(&mut self, cell: usize, index: usize) -> Result<(), String> {
+        let now = self.now;
+        let owner = &mut self.cells[cell].owners[index];
+        if owner.fenced || now < owner.paused_until {
+            return Ok(());
+        }
+        if now >= owner.cut_until {
+            owner.contact = now;
+            if now >= owner.hears && owner.configuration != self.configured {
+                owner.configuration = self.configured;
+                let version = self.configured as u64 + 1;
+                owner.account.configure(limit(self.configured), version, now);
+            }
+            if now >= owner.reads {
+                let split = (self.version > 0).then(|| self.split.clone());
+                owner.account.read(self.version, split, now);
+                owner.account.confirm(now);
+                owner.reads = now + Duration::from_millis(self.random.random_range(20..100));
+                owner.hears = now + Duration::from_millis(self.random.random_range(0..400));
+            }
+        }
+        if !owner.settled && now >= owner.settles && index + 1 == self.cells[cell].owners.len() {
+            self.settle(cell);
+        }
+        self.start(cell, index)?;
+        self.write(cell, index);
+        Ok(())
+    }
+
+    /// All minions have answered the newest owner: they refuse the others, and it sees what runs.
+    fn settle(&mut self, cell: usize) {
+        let owners = &mut self.cells[cell].owners;
+        let last = owners.len() - 1;
+        owners[..last].iter_mut().for_each(|owner| owner.fenced = true);
+        owners[last].settled = true;
+        owners[last].account.settle();
+    }
+
+    fn start(&mut self, cell: usize, index: usize) -> Result<(), String> {
+        let now = self.now;
+        let owner = &mut self.cells[cell].owners[index];
+        if now.since(owner.contact) > ALONE {
+            return Ok(());
+        }
+        owner.account.begin();
+        let (token, settled) = (owner.token, owner.settled);
+        for run in self.runs.iter().filter(|run| run.cell == cell) {
+            if run.token == token || settled {
+                owner.account.count(&cores(run.cores), run.token == token);
+            }
+        }
+        let mut waiting = std::mem::take(&mut self.cells[cell].waiting);
+        let mut kept = Vec::new();
+        for (need, since) in waiting.drain(..) {
+            let owner = &mut self.cells[cell].owners[index];
+            if owner.account.may_start(&cores(need), 1, now) {
+                owner.account.start(&cores(need));
+                let lasts = Duration::from_millis(self.random.random_range(100..1500));
+                self.check_start(need)?;
+                self.runs.push(Run { cell, cores: need, token, ends: now + lasts });
+            } else {
+                owner.account.want(&cores(need), 1);
+                kept.push((need, since));
+            }
+        }
+        self.cells[cell].waiting = kept;
+        Ok(())
+    }
+
+    /// A start may bring no more to run than the highest limit that an owner may still go by, or it runs alone.
+    fn check_start(&self, need: u64) -> Result<(), String> {
+        let running: u64 = self.runs.iter().map(|run| run.cores).sum();
+        let starts = |owner: &&Owner| !owner.fenced && self.now.since(owner.contact) <= ALONE;
+        let owners = self.cells.iter().flat_map(|cell| &cell.owners).filter(starts);
+        let oldest = owners.map(|owner| owner.configuration).min().unwrap_or(0);
+        let highest = LIMITS[oldest..=self.configured].iter().max().copied().unwrap_or(0);
+        if running == 0 || running + need <= highest {
+            return Ok(());
+        }
+        let (now, split) = (self.now, &self.split.shares);
+        Err(format!("at {now:?} {need} more start beside {running}, limit {highest}: {split:?}"))
+    }
+
+    fn write(&mut self, cell: usize, index: usize) {
+        let now = self.now;
+        let owner = &mut self.cells[cell].owners[index];
+        if now < owner.busy_until || now < owner.cut_until {
+            return;
+        }
+        let Some(change) = owner.account.change(&ROOM, now) else { return };
+        let fate = if now < CALM { self.random.random_range(0..20) } else { 19 };
+        let owner = &mut self.cells[cell].owners[index];
+        owner.busy_until = now + Duration::from_millis(20);
+        match fate {
+            0 => owner.busy_until = now + Duration::from_millis(500),
+            1 => {
+                owner.busy_until = now + Duration::from_millis(500);
+                let delay = Duration::from_millis(self.random.random_range(200..6000));
+                self.late.push(Late { at: now + delay, change });
+            }
+            2 => {
+                owner.busy_until = now + Duration::from_millis(500);
+                self.carry_out(&change);
+            }
+            3 => owner.account.refused(&change),
+            _ => {
+                if self.carry_out(&change) {
+                    let version = self.version;
+                    self.cells[cell].owners[index].account.written(&change, version, now);
+                } else {
+                    let (version, split) = (self.version, self.split.clone());
+                    let owner = &mut self.cells[cell].owners[index];
+                    owner.account.refused(&change);
+                    owner.account.read(version, Some(split), now);
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, change: &Change) -> bool {
+        if change.version != self.version && !self.trouble.unconditional {
+            return false;
+        }
+        self.version += 1;
+        self.split = change.split.clone();
+        true
+    }
+
+    fn carry_out_late(&mut self) {
+        let now = self.now;
+        let (due, late) =
+            std::mem::take(&mut self.late).into_iter().partition(|late| late.at <= now);
+        self.late = late;
+        let due: Vec<Late> = due;
+        due.iter().for_each(|late| {
+            self.carry_out(&late.change);
+        });
+    }
+
+    /// In calm times no task waits for long while its workspace uses under half of its limit.
+    fn check_waits(&mut self) -> Result<(), String> {
+        let running: u64 = self.runs.iter().map(|run| run.cores).sum();
+        let limit = LIMITS[self.configured];
+        if running * 2 >= limit {
+            self.busy = self.now;
+            return Ok(());
+        }
+        let all = || self.cells.iter().flat_map(|cell| &cell.waiting);
+        let bound = if all().any(|(cores, _)| cores * 2 > limit) { DRAINED } else { LONGEST_WAIT };
+        for (number, cell) in self.cells.iter().enumerate() {
+            let small = cell.waiting.iter().filter(|(cores, _)| running + cores <= limit / 2);
+            if let Some((cores, since)) = small.min_by_key(|(_, since)| *since)
+                && self.now.since(SETTLED.max(self.busy).max(*since)) > bound
+            {
+                let waited = self.now.since(*since);
+                let (now, split) = (self.now, &self.split.shares);
+                return Err(format!(
+                    "at {now:?} {cores} of cell {number} wait for {waited:?} beside {running} of {limit}: {split:?}"
+                ));
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/engine/tests/all/takeover.rs
+++ b/crates/engine/tests/all/takeover.rs
@@ -62,6 +62,7 @@
         queue: "queue".into(),
         at_ms: 0,
         definition: definition(vec![step(3)]),
+        origin: celerythread_engine::job::Origin::Public,
     };
     let now = world.now;
     world.cell.add_job(id(1), accepted, Some(&progress), true, Duration::ZERO, now);
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -110,6 +110,21 @@
         Ok(body)
     }
 
+    /// Reads the whole body and keeps nothing of it.
+    ///
+    /// # Errors
+    /// As [`Reader::next`], and `BodyTooLarge` above `limit`.
+    pub async fn discard(&mut self, stream: &mut Stream, limit: u64) -> Result<(), Fault> {
+        let mut read = 0;
+        while let Some(piece) = self.next(stream).await? {
+            read += piece.len() as u64;
+            if read > limit {
+                return fault::BodyTooLargeSnafu { limit }.fail();
+            }
+        }
+        Ok(())
+    }
+
     /// At least one and at most `left` bytes.
     async fn piece(&self, stream: &mut Stream, left: u64) -> Result<Vec<u8>, Fault> {
         if stream.buffered().is_empty() {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -72,6 +72,11 @@
 /// What answers requests.
 #[async_trait]
 pub trait Handler: Send + Sync {
+    /// Refuses a request by its head, before its body is read; none lets it in.
+    fn admit(&self, _head: &http_types::Request) -> Option<Response> {
+        None
+    }
+
     /// Answers one request.
     async fn handle(&self, request: Request) -> Response;
 
@@ -116,9 +121,17 @@
             _ => return false,
         }
     }
-    match read_request(stream, limits).await {
-        Ok((request, keep_alive)) => {
-            let method = request.head.method();
+    match read_head(stream, limits).await {
+        Ok(head) => {
+            let method = head.decoded.method();
+            let answered = match handler.admit(&head.decoded) {
+                Some(answer) => return reject(stream, head, answer, limits, stop).await,
+                None => read_body(stream, head, limits).await,
+            };
+            let (request, keep_alive) = match answered {
+                Ok(read) => read,
+                Err(fault) => return end(stream, handler, &fault, limits).await,
+            };
             let answer = handler.handle(request).await;
             // A stopping server says so on its last answer, so that the client does not send
             // another request into a connection that is about to close.
@@ -126,38 +139,76 @@
             write(stream, answer, method, keep_alive, limits).await.is_ok() && keep_alive
         }
         Err(Fault::Closed) => false,
-        Err(fault) => {
-            // Where the next request begins is not known after a fault, so the connection ends.
-            let answer = handler.refuse(&fault);
-            let _ = write(stream, answer, Method::Get, false, limits).await;
-            false
-        }
+        Err(fault) => end(stream, handler, &fault, limits).await,
+    }
+}
+
+/// Answers a request that could not be read.  Where the next one begins is not known then, so the connection ends.
+async fn end(stream: &mut Stream, handler: &dyn Handler, fault: &Fault, limits: &Limits) -> bool {
+    let answer = handler.refuse(fault);
+    let _ = write(stream, answer, Method::Get, false, limits).await;
+    false
+}
+
+/// Answers a request whose body isn't wanted; whether the connection can carry another one.
+///
+/// The body is read all the same: closed with bytes unread, the connection would be reset, and the answer could be
+/// lost with it.
+async fn reject(
+    stream: &mut Stream,
+    head: Head,
+    answer: Response,
+    limits: &Limits,
+    stop: &Stop,
+) -> bool {
+    let method = head.decoded.method();
+    // Its client may send the body or not, so where the next request begins is not known.
+    let keep_alive = head.framing.keep_alive && !head.framing.expects_continue && !is_closing(stop);
+    if write(stream, answer, method, keep_alive, limits).await.is_err() || !keep_alive {
+        return false;
     }
+    let mut reader = body::Reader::new(head.framing.length, limits.progress.0);
+    reader.discard(stream, limits.body.0).await.is_ok()
 }
 
 fn is_closing(stop: &Stop) -> bool {
     stop.closing.clone().now_or_never().is_some()
 }
 
-async fn read_request(stream: &mut Stream, limits: &Limits) -> Result<(Request, bool), Fault> {
+/// A head that was read, before its body.
+struct Head {
+    framing: head::Request,
+    decoded: http_types::Request,
+}
+
+async fn read_head(stream: &mut Stream, limits: &Limits) -> Result<Head, Fault> {
     let bytes = head::read(stream, limits.head.0).await?;
-    let head = head::Request::parse(bytes)?;
-    if head.expects_continue {
+    let mut framing = head::Request::parse(bytes)?;
+    let bytes = std::mem::take(&mut framing.bytes);
+    match async_h1::server::decode(Memory::new(bytes)).await {
+        Ok(Some((decoded, _))) => Ok(Head { framing, decoded }),
+        Ok(None) => Err(Fault::Malformed { reason: "empty head".into() }),
+        Err(error) => Err(Fault::Malformed { reason: error.to_string() }),
+    }
+}
+
+async fn read_body(
+    stream: &mut Stream,
+    head: Head,
+    limits: &Limits,
+) -> Result<(Request, bool), Fault> {
+    let Head { framing, decoded } = head;
+    if framing.expects_continue {
         // async-h1 would write this after the final answer; here it comes first.
         stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n", limits.progress.0).await?;
     }
-    let mut reader = body::Reader::new(head.length, limits.progress.0);
+    let mut reader = body::Reader::new(framing.length, limits.progress.0);
     let body = reader.collect(stream, limits.body.0).await.map_err(|fault| match fault {
         // Ending inside the body is not ending between messages.
         Fault::Closed => Fault::Truncated,
         other => other,
     })?;
-    let decoded = async_h1::server::decode(Memory::new(head.bytes)).await;
-    match decoded {
-        Ok(Some((request, _))) => Ok((Request { head: request, body }, head.keep_alive)),
-        Ok(None) => Err(Fault::Malformed { reason: "empty head".into() }),
-        Err(error) => Err(Fault::Malformed { reason: error.to_string() }),
-    }
+    Ok((Request { head: decoded, body }, framing.keep_alive))
 }
 
 /// Writes an answer.  An answer whose body fails or falls short of its declared length ends
--- a/crates/http/tests/guard.rs
+++ b/crates/http/tests/guard.rs
@@ -309,3 +309,53 @@
     let error = read.expect_err("a connection that is merely closed reads as ended");
     assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
 }
+
+/// Lets in what names a key, and counts what it handles.
+#[derive(Default)]
+struct Guarded(Mutex<u32>);
+
+#[async_trait]
+impl Handler for Guarded {
+    fn admit(&self, head: &http_types::Request) -> Option<Response> {
+        head.header("authorization").is_none().then(|| Response::new(StatusCode::Unauthorized))
+    }
+
+    async fn handle(&self, _: Request) -> Response {
+        *self.0.lock().unwrap() += 1;
+        Response::new(StatusCode::Ok)
+    }
+
+    fn refuse(&self, _: &Fault) -> Response {
+        Response::new(StatusCode::BadRequest)
+    }
+}
+
+/// Guards against a caller without a key that holds a connection with its body, and against an answer that is lost
+/// because the body was left unread: the answer comes before the body, and the connection goes on.
+#[async_std::test]
+async fn a_request_is_refused_before_its_body() {
+    let handler = Arc::new(Guarded::default());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let served = handler.clone();
+    task::spawn(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        let source = StopSource::new();
+        let stop = Stop { closing: source.token(), ended: source.token() };
+        server::serve(stream, served, &Limits::default(), &stop).await;
+    });
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n").await.unwrap();
+    let mut answer = vec![0; 1024];
+    let read = async_std::future::timeout(WAIT, stream.read(&mut answer)).await.unwrap().unwrap();
+    assert!(answer[..read].starts_with(b"HTTP/1.1 401"));
+    stream
+        .write_all(
+            b"bodyPOST / HTTP/1.1\r\nHost: a\r\nAuthorization: x\r\nContent-Length: 0\r\n\r\n",
+        )
+        .await
+        .unwrap();
+    let read = async_std::future::timeout(WAIT, stream.read(&mut answer)).await.unwrap().unwrap();
+    assert!(answer[..read].starts_with(b"HTTP/1.1 200"));
+    assert_eq!(*handler.0.lock().unwrap(), 1);
+}
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::follow::{self, Minions, Operators};
 use crate::front::Front;
+use crate::in_force;
 use crate::journal::Journal;
 use crate::membership;
 use crate::node::Node;
@@ -134,6 +135,7 @@
         async_std::task::spawn(follow::follow(node.clone(), follow::operator_table(), operators));
         let minions = Arc::new(Minions(node.clone()));
         async_std::task::spawn(follow::follow(node.clone(), follow::minion_table(), minions));
+        async_std::task::spawn(in_force::ask_forever(node.clone()));
         async_std::task::spawn(join(node.clone()));
     }
 
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -1,7 +1,9 @@
 //! Following the platform's tables: what operators write, and the minions that register.
 
+use crate::clock;
+use crate::in_force;
 use crate::node::Node;
-use celerythread_adapter::configuration::{self, Configuration};
+use celerythread_adapter::configuration;
 use celerythread_adapter::minion::Entry;
 use celerythread_adapter::store::{self, Error, Page, Row};
 use celerythread_adapter::wave::{self, Wave};
@@ -38,6 +40,8 @@
     fn change(&self, rows: Vec<Row>);
     /// Takes in that a read was answered, before what it brought.
     fn answered(&self) {}
+    /// Takes in that all that a read brought is taken in.
+    fn taken(&self) {}
 }
 
 /// A table to follow.
@@ -83,6 +87,7 @@
                 sink.answered();
                 note_unreadable(node, table, &page);
                 take(page, version, sink);
+                sink.taken();
             }
             Err(Error::HistoryGone) => {
                 node.journal.warn("history_gone", &[("table", &table.name), ("after", version)]);
@@ -130,6 +135,7 @@
             sink.answered();
             note_unreadable(node, table, &page);
             sink.replace(page.rows, page.version);
+            sink.taken();
             return Some(page.version);
         }
         if !node.pause(RETRY + spread(node, table)).await {
@@ -154,7 +160,7 @@
 impl Operators {
     fn take(&self, row: &Row) {
         if row.key == configuration::KEY && !row.dropped {
-            self.configure(row);
+            in_force::take(&self.0, &row.value, &"store");
         } else if row.key.starts_with(wave::KEY_PREFIX) {
             self.take_wave(row);
         }
@@ -179,36 +185,13 @@
             None => node.journal.warn("wave_unreadable", &[("key", &row.key)]),
         }
     }
-
-    /// Takes a configuration unless it is older than the one in force: answers on different
-    /// connections may overtake each other, and an accepted configuration never reverts.
-    fn configure(&self, row: &Row) {
-        let node = &self.0;
-        let read = match Configuration::decode(&row.value) {
-            Ok(read) => read,
-            Err(error) => {
-                node.journal.warn("configuration_unreadable", &[("reason", &error)]);
-                return;
-            }
-        };
-        let mut current = node.configuration.write();
-        if current.as_ref().is_some_and(|current| current.version >= read.version) {
-            return;
-        }
-        node.journal.note(
-            "configuration_in_force",
-            &[("version", &read.version), ("queues", &read.queues.len())],
-        );
-        let read = Arc::new(read);
-        *current = Some(read.clone());
-        drop(current);
-        for owner in node.owners.read().values() {
-            owner.configure(&read);
-        }
-    }
 }
 
 impl Sink for Operators {
+    fn taken(&self) {
+        self.0.in_force.confirm(clock::now());
+    }
+
     fn replace(&self, rows: Vec<Row>, _: u64) {
         rows.iter().for_each(|row| self.take(row));
     }
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -8,15 +8,17 @@
 use crate::rows;
 use crate::submit::{self, Job, Written};
 use async_trait::async_trait;
-use celerythread_adapter::configuration::Queue;
+use celerythread_adapter::configuration::{Queue, Refusal};
+use celerythread_adapter::credential;
 use celerythread_adapter::store::{Error, Transaction};
 use celerythread_adapter::submission;
-use celerythread_engine::job::{Accepted, Id, Problem, State, encode};
+use celerythread_engine::job::{Accepted, Id, Origin, Problem, State, encode};
 use celerythread_engine::submission::{Attempt, retry_after_s, usable};
 use celerythread_engine::time::Time;
 use celerythread_http::Fault;
 use celerythread_http::server::{Handler, Request};
 use celerythread_wire::job::{Answer, Question};
+use http_types::headers::HeaderValue;
 use http_types::{Method, Response, StatusCode};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -60,13 +62,23 @@
 struct Context {
     /// The caller's name for it.
     request: String,
+    /// On whose behalf it is made.
+    origin: Origin,
     /// When its answer must be sent.
     until: Time,
     began: Time,
 }
 
+/// What a request is for.
+struct Target {
+    queue: Queue,
+    origin: Origin,
+    /// What follows the queue's path: a job's id, or nothing.
+    rest: String,
+}
+
 impl Context {
-    fn new(request: &Request) -> Self {
+    fn new(request: &Request, origin: Origin) -> Self {
         let given = request.header(submission::DEADLINE_HEADER);
         let deadline = given
             .and_then(|text| text.parse().ok())
@@ -74,6 +86,7 @@
         let began = clock::now();
         Self {
             request: request.header(submission::REQUEST_HEADER).unwrap_or("-").into(),
+            origin,
             until: began + usable(deadline),
             began,
         }
@@ -96,23 +109,27 @@
     }
 
     async fn route(&self, request: &Request) -> Response {
-        let path = request.path().to_owned();
-        if path == submission::READY_PATH {
+        if request.path() == submission::READY_PATH {
             return self.readiness();
         }
-        let Some(configuration) = self.node.configuration() else {
-            return refuse(DEFAULT_DEADLINE);
+        let target = match self.target(&request.head) {
+            Ok(target) => target,
+            Err(response) => return *response,
         };
-        let host = request.header("host").unwrap_or_default().to_owned();
-        let Some(queue) = configuration.queue(&host, &path) else {
-            return answer(StatusCode::NotFound);
+        if let Origin::Workspace(_) = target.origin {
+            self.node.in_force.look().await;
+        }
+        // What was in force when the head came may not be any more.
+        let target = match self.target(&request.head) {
+            Ok(target) => target,
+            Err(response) => return *response,
         };
-        let context = Context::new(request);
-        let rest = &path[queue.path.len()..];
-        if rest.is_empty() && request.head.method() == Method::Get {
+        let context = Context::new(request, target.origin);
+        let queue = &target.queue;
+        if target.rest.is_empty() && request.head.method() == Method::Get {
             return self.pending(queue).await;
         }
-        let Ok(id) = rest.parse::<Id>() else {
+        let Ok(id) = target.rest.parse::<Id>() else {
             return answer(StatusCode::NotFound);
         };
         match request.head.method() {
@@ -123,6 +140,70 @@
         }
     }
 
+    /// What a request is for and on whose behalf it is made, by the configuration in force.
+    ///
+    /// # Errors
+    /// The answer to a request that isn't let in.
+    fn target(&self, head: &http_types::Request) -> Result<Target, Box<Response>> {
+        let node = &self.node;
+        let Some(configuration) = node.configuration() else {
+            return Err(refuse(DEFAULT_DEADLINE).into());
+        };
+        let host = last_value(head, "host").unwrap_or_default();
+        let path = head.url().path();
+        let Some(queue) = configuration.queue(host, path) else {
+            return Err(answer(StatusCode::NotFound).into());
+        };
+        let values = head.header(credential::HEADER).into_iter().flatten();
+        let origin = match configuration.authorize(queue, values.map(HeaderValue::as_str)) {
+            Ok(origin) => origin,
+            Err(refusal) => return Err(self.unauthorized(head, queue, &refusal).into()),
+        };
+        let strict = node.settings.strict_keys && origin != Origin::Public;
+        if strict && node.in_force.age() > node.settings.trust_keys_for.0 {
+            return Err(self.unconfirmed(head, queue).into());
+        }
+        let rest = path[queue.path.len()..].to_owned();
+        Ok(Target { queue: queue.clone(), origin, rest })
+    }
+
+    fn unauthorized(
+        &self,
+        head: &http_types::Request,
+        queue: &Queue,
+        refusal: &Refusal,
+    ) -> Response {
+        self.node.metrics.count(Counter::KeysRefused);
+        let request = last_value(head, submission::REQUEST_HEADER).unwrap_or("-");
+        let age_ms = self.node.in_force.age().as_millis();
+        let job = head.url().path()[queue.path.len()..].to_owned();
+        self.node.journal.note(
+            "key_refused",
+            &[
+                ("job", &job),
+                ("request", &request),
+                ("queue", &queue.name),
+                ("reason", refusal),
+                ("configuration_age_ms", &age_ms),
+            ],
+        );
+        let mut response = answer(StatusCode::Unauthorized);
+        let (header, challenge) = credential::CHALLENGE;
+        response.insert_header(header, challenge);
+        response
+    }
+
+    /// Refuses a call whose key may have been withdrawn meanwhile.
+    fn unconfirmed(&self, head: &http_types::Request, queue: &Queue) -> Response {
+        let request = last_value(head, submission::REQUEST_HEADER).unwrap_or("-");
+        let age_ms = self.node.in_force.age().as_millis();
+        self.node.journal.note(
+            "keys_unconfirmed",
+            &[("request", &request), ("queue", &queue.name), ("configuration_age_ms", &age_ms)],
+        );
+        refuse(DEFAULT_DEADLINE)
+    }
+
     async fn submit(&self, context: &Context, queue: &Queue, id: Id, body: &[u8]) -> Response {
         let node = &self.node;
         let definition = match submission::decode(body) {
@@ -136,11 +217,25 @@
             };
             return self.reject(context, id, status, &problem);
         }
-        let accepted =
-            Accepted { queue: queue.name.as_str().into(), at_ms: clock::wall_ms(), definition };
+        let accepted = Accepted {
+            queue: queue.name.as_str().into(),
+            at_ms: clock::wall_ms(),
+            definition,
+            origin: context.origin.clone(),
+        };
         let row = encode(&accepted);
         let job = Job { service: &queue.service, id, row: &row, until: context.until };
         let written = submit::write(node, &job).await;
+        if let Written::Accepted(row) = &written
+            && !self.may_access(context, id, row)
+        {
+            return self.reject(
+                context,
+                id,
+                StatusCode::Conflict,
+                &"another workspace's job has this id",
+            );
+        }
         let took = clock::now().since(context.began);
         node.metrics.time(Timing::Accept, took);
         let (event, counter, response) = match &written {
@@ -162,6 +257,7 @@
                 ("request", &context.request),
                 ("queue", &queue.name),
                 ("service", &queue.service),
+                ("workspace", &context.origin),
                 ("ms", &took.as_millis()),
                 ("reason", &reason),
             ],
@@ -173,6 +269,17 @@
         response
     }
 
+    /// Whether a job that is kept as `row` is the caller's to see.  One that can't be read is nobody's.
+    fn may_access(&self, context: &Context, id: Id, row: &[u8]) -> bool {
+        match Accepted::decode(row) {
+            Ok(accepted) => context.origin.may_access(&accepted.origin),
+            Err(error) => {
+                self.node.journal.warn("job_unreadable", &[("job", &id), ("reason", &error)]);
+                context.origin == Origin::Public
+            }
+        }
+    }
+
     fn reject(
         &self,
         context: &Context,
@@ -203,13 +310,14 @@
 
     async fn state(&self, context: &Context, queue: &Queue, id: Id) -> Response {
         let service = queue.service.clone();
-        let asked = peers::ask_owner(&self.node, &queue.service, Question::State { service, id });
+        let question = Question::State { service, id, origin: context.origin.clone() };
+        let asked = peers::ask_owner(&self.node, &queue.service, question);
         let state = match asked.await {
             Some(Answer::State(Some(state))) => Ok(Some(state)),
             // Nobody can tell now, and whoever asks does so again.
             _ if self.node.is_store_away() => return refuse(context.left()),
             // A job that the owner doesn't know may have been accepted a moment ago.
-            _ => self.read_state(queue, id).await,
+            _ => self.read_state(context, queue, id).await,
         };
         match state {
             Ok(Some(state)) => {
@@ -235,7 +343,12 @@
     }
 
     /// A job's state as far as it is kept; none if it was never accepted.
-    async fn read_state(&self, queue: &Queue, id: Id) -> Result<Option<State>, Error> {
+    async fn read_state(
+        &self,
+        context: &Context,
+        queue: &Queue,
+        id: Id,
+    ) -> Result<Option<State>, Error> {
         let (node, service) = (&self.node, &queue.service);
         let get = async |name: celerythread_adapter::store::Name| {
             let row = node.store.get(&name.table, &name.part, &name.key, READ_LIMIT).await;
@@ -243,6 +356,9 @@
             row
         };
         let Some(job) = get(rows::job(service, &id)).await? else { return Ok(None) };
+        if !self.may_access(context, id, &job.value) {
+            return Ok(None);
+        }
         let progress = get(rows::progress(service, &id)).await?;
         let progress = progress.and_then(|row| read_progress(node, &row));
         if let Some(outcome) = progress.as_ref().and_then(|progress| progress.outcome) {
@@ -263,8 +379,8 @@
         let row = node.store.get(&name.table, &name.part, &name.key, READ_LIMIT).await;
         node.store_result(&row);
         match row {
-            Ok(Some(_)) => {}
-            Ok(None) => return answer(StatusCode::Gone),
+            Ok(Some(row)) if self.may_access(context, id, &row.value) => {}
+            Ok(_) => return answer(StatusCode::Gone),
             Err(_) => return refuse(context.left()),
         }
         let change = Transaction {
@@ -316,6 +432,13 @@
 
 #[async_trait]
 impl Handler for Front {
+    fn admit(&self, head: &http_types::Request) -> Option<Response> {
+        if head.url().path() == submission::READY_PATH {
+            return None;
+        }
+        self.target(head).err().map(|response| *response)
+    }
+
     async fn handle(&self, request: Request) -> Response {
         let _flying = Flying::new(&self.node);
         self.route(&request).await
@@ -333,6 +456,10 @@
     }
 }
 
+fn last_value<'a>(head: &'a http_types::Request, name: &str) -> Option<&'a str> {
+    head.header(name).map(|values| values.last().as_str())
+}
+
 fn answer(status: StatusCode) -> Response {
     Response::new(status)
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! What an entry knows and agrees on: [`membership`] renews its row, follows the others' and
 //! takes and gives cells; [`follow`] keeps the configuration, the waves and the minions as the
-//! platform lists them; [`peers`] asks other entries; [`fleet`] carries maintenance waves and
+//! platform lists them, [`in_force`] asks peers for it where the store doesn't tell; [`peers`] asks other entries; [`fleet`] carries maintenance waves and
 //! moves machines between pools.  [`confirm`] tells slow transactions from lost ones.  [`node`] is
 //! what all of them share, with the lock order; [`rows`] are the rows kept.
 //!
@@ -20,6 +20,7 @@
 mod fleet;
 mod follow;
 mod front;
+mod in_force;
 pub mod journal;
 mod membership;
 pub mod metrics;
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -17,6 +17,8 @@
     JobsRefused,
     /// Submissions whose acceptance is unknown.
     JobsUnknown,
+    /// Calls without a valid key.
+    KeysRefused,
     /// Cancellations accepted.
     JobsCancelled,
     /// Runs ordered to start.
@@ -37,6 +39,10 @@
     HoldsMissed,
     /// Transactions that kept ends.
     Keeps,
+    /// Transactions that change shares of workspaces' limits.
+    ShareWrites,
+    /// Those of them that met another cell's change.
+    ShareConflicts,
     /// Cells taken over.
     CellsTaken,
     /// Cells lost to another entry.
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -2,11 +2,12 @@
 //!
 //! # Lock order
 //!
-//! `configuration` → `view` → `minions` → `waves` → `owners` → an owner's `cell` → `links`.  A lock is
+//! `in_force` → `view` → `minions` → `waves` → `owners` → an owner's `cell` → `links`.  A lock is
 //! only taken while locks before it in this list are held, and none of them is held across an
 //! await.
 
 use crate::clock;
+use crate::in_force::InForce;
 use crate::journal::Journal;
 use crate::metrics::{Counter, Metrics};
 use crate::owner::Owner;
@@ -131,7 +132,7 @@
     /// The advice service, and the lock that keeps its calls one at a time.
     pub(crate) advice: Option<async_std::sync::Mutex<advice::Client>>,
     /// The configuration in force here.
-    pub(crate) configuration: RwLock<Option<Arc<Configuration>>>,
+    pub(crate) in_force: InForce,
     /// What entries agree on.
     pub(crate) view: RwLock<View>,
     /// Minions as the platform lists them.
@@ -179,7 +180,7 @@
             minion_client: minion::Client::new(caller.clone()),
             machines,
             settings,
-            configuration: RwLock::default(),
+            in_force: InForce::default(),
             view: RwLock::default(),
             minions: RwLock::default(),
             waves: RwLock::default(),
@@ -210,7 +211,7 @@
 
     /// The configuration in force here.
     pub(crate) fn configuration(&self) -> Option<Arc<Configuration>> {
-        self.configuration.read().clone()
+        self.in_force.get()
     }
 
     /// The owner of a cell, if that is this entry.
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -1,7 +1,7 @@
 //! The owner of a cell: takes it over, carries out the plans, keeps what must be kept.
 //!
 //! [`load`] reads what was kept, [`attend`] talks to one minion, [`keep`] writes progress,
-//! [`advise`] asks for tickets, [`notes`] writes the log lines of what was given up.
+//! [`advise`] asks for tickets, [`quota`] keeps within workspaces' limits, [`notes`] writes the log lines of what was given up.
 //! This file holds what they share, the planning loop and what others ask of the owner.
 
 mod advise;
@@ -9,6 +9,7 @@
 pub(crate) mod keep;
 pub(crate) mod load;
 mod notes;
+mod quota;
 
 use crate::clock;
 use crate::fleet;
@@ -18,7 +19,7 @@
 use attend::Attendant;
 use celerythread_adapter::configuration::Configuration;
 use celerythread_engine::cell::{Cell, Order, Queue, Refusal, StartResult};
-use celerythread_engine::job::{Accepted, Id, TaskName, decode};
+use celerythread_engine::job::{Accepted, Id, TaskName};
 use celerythread_sync::Wake;
 use celerythread_wire::job::{Answer, Question};
 use parking_lot::Mutex;
@@ -84,6 +85,8 @@
     /// Whether the minions, or which of them are to be emptied, may have changed since the last
     /// plan: otherwise the listings need not be copied again.
     minions_changed: AtomicBool,
+    /// Whether a change of shares is being written.
+    pub(crate) writing_shares: AtomicBool,
     source: Mutex<Option<StopSource>>,
     pub(crate) stopped: StopToken,
 }
@@ -112,6 +115,7 @@
             plan_wake: Wake::default(),
             keep_wake: Wake::default(),
             minions_changed: AtomicBool::new(true),
+            writing_shares: AtomicBool::new(false),
             source: Mutex::new(Some(source)),
             stopped,
         })
@@ -150,15 +154,22 @@
                 stretch: queue.stretch,
                 target_ms: queue.target_ms,
                 advised: queue.advice.is_some(),
+                public: configuration.is_public(queue),
             };
             (queue.name.as_str().into(), policy)
         });
-        self.with(|cell| cell.configure(queues));
+        let workspaces = configuration.workspaces.iter();
+        let limits = workspaces.map(|workspace| (workspace.name.as_str().into(), workspace.limit));
+        self.with(|cell| {
+            cell.configure(queues);
+            cell.configure_limits(limits, configuration.version, clock::now());
+        });
+        self.plan_wake.wake();
     }
 
     /// Takes in an accepted job.
     pub(crate) fn accept(&self, id: Id, row: &[u8]) {
-        let accepted: Accepted = match decode(row) {
+        let accepted = match Accepted::decode(row) {
             Ok(accepted) => accepted,
             Err(error) => {
                 self.node.journal.warn("job_unreadable", &[("job", &id), ("reason", &error)]);
@@ -197,9 +208,11 @@
                 self.cancel(*id);
                 Some(Answer::Noted)
             }
-            Question::State { id, .. } => self.with(|cell| Answer::State(cell.state(id))),
+            Question::State { id, origin, .. } => {
+                self.with(|cell| Answer::State(cell.state_for(id, origin)))
+            }
             // Any entry can do that; it isn't the owner's.
-            Question::Submit { .. } => None,
+            Question::Submit { .. } | Question::Configuration { .. } => None,
             Question::Load { .. } => self.with(|cell| Answer::Load(cell.load(clock::now()))),
             Question::Release { machines, .. } => {
                 let minions = machines.iter().map(|(_, minion)| minion.clone());
@@ -263,6 +276,7 @@
     async_std::task::spawn(load::follow_jobs(owner.clone(), version));
     async_std::task::spawn(load::bury_until_settled(owner.clone()));
     async_std::task::spawn(keep::keep_forever(owner.clone()));
+    async_std::task::spawn(quota::follow_splits(owner.clone()));
     plan_forever(owner).await;
 }
 
@@ -289,6 +303,7 @@
             dispatch(&owner, orders);
             notes::write(&owner);
             advise::ask(&owner);
+            quota::write_shares(&owner);
             if owner.with(|cell| cell.has_unkept()).unwrap_or(false) {
                 owner.keep_wake.wake();
             }
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -129,6 +129,8 @@
     let jobs = store.whole(rows::JOBS, &rows::shards(service), CALL_LIMIT).await?;
     let progress = store.all(rows::PROGRESS, service, "", CALL_LIMIT).await?;
     let settings = Settings {
+        name: service.into(),
+        token: owner.token,
         stop_timeout: owner.node.settings.stop_timeout.0,
         retention: owner.node.settings.retention.0 + Duration::from_secs(30),
         ..Settings::default()
@@ -232,7 +234,7 @@
     let mut count = 0;
     for row in &jobs.rows {
         let Some(id) = job_id(row, rows::JOB_PREFIX) else { continue };
-        let accepted: Accepted = match decode(&row.value) {
+        let accepted = match Accepted::decode(&row.value) {
             Ok(accepted) => accepted,
             Err(error) => {
                 owner.node.journal.warn("job_unreadable", &[("job", &id), ("reason", &error)]);
--- a/crates/scheduler/src/owner/notes.rs
+++ b/crates/scheduler/src/owner/notes.rs
@@ -83,6 +83,20 @@
                     ],
                 );
             }
+            Note::Held { task, workspace, need, is_larger, summary } => journal.note(
+                "job_held",
+                &[
+                    ("job", &task.job),
+                    ("task", task),
+                    ("workspace", workspace),
+                    ("needs", need),
+                    ("limit", &summary.limit),
+                    ("share", &summary.share),
+                    ("used", &summary.used),
+                    ("larger_than_limit", is_larger),
+                    ("age_ms", &summary.age.unwrap_or_default().as_millis()),
+                ],
+            ),
             Note::Quarantined { minion, until } => journal.warn(
                 "minion_quarantined",
                 &[("minion", minion), ("ms", &until.since(now).as_millis())],
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -4,6 +4,7 @@
 //! time and nothing else.
 
 use crate::clock;
+use crate::in_force;
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::submit::{self, Written};
@@ -116,6 +117,11 @@
         !dialled && self.rests(address)
     }
 
+    /// Whether a link to a peer is open.
+    pub(crate) fn is_linked(&self, address: SocketAddr) -> bool {
+        self.links.lock().get(&address).is_some_and(|link| !link.is_closed())
+    }
+
     fn rests(&self, address: SocketAddr) -> bool {
         self.resting.lock().get(&address).is_some_and(|since| since.elapsed() < REST)
     }
@@ -239,6 +245,7 @@
     let Ok(Frame::JobQuestion(question)) = channel.receive().await else { return };
     let answer = match &question {
         Question::Submit { service, id, row } => submit(&node, service, *id, row).await,
+        Question::Configuration { version } => in_force::answer(&node, *version),
         _ => node
             .owner(question.service())
             .and_then(|owner| owner.answer(&question))
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -12,6 +12,8 @@
 //! `SERVICE/SHARD`; the owner's ledger (`ledger`) and the minions that it uses (`roster`) in the
 //! partition `SERVICE`.  Table `progress`, partition `SERVICE`: each job's progress (`ID`).
 //!
+//! Table `splits`: how each workspace's limit is split between the cells (`WORKSPACE`), in the empty partition.
+//!
 //! A partition carries out its transactions one after another.  When the store is slow, at a
 //! quarter of a second each, that is four a second: with renewals and submissions in common
 //! partitions, entries lost their cells and callers were refused for as long as that lasted.
@@ -29,6 +31,8 @@
 pub(crate) const JOBS: &str = "jobs";
 /// How far jobs are.
 pub(crate) const PROGRESS: &str = "progress";
+/// How workspaces' limits are split.
+pub(crate) const SPLITS: &str = "splits";
 
 pub(crate) const ENTRY_PREFIX: &str = "entry/";
 pub(crate) const CELL_PREFIX: &str = "cell/";
@@ -152,6 +156,11 @@
     Name::new(JOBS, &shard(service, id), format!("{CANCEL_PREFIX}{id}"))
 }
 
+/// The row of how a workspace's limit is split.
+pub(crate) fn split(workspace: &str) -> Name {
+    Name::new(SPLITS, "", workspace)
+}
+
 /// The row of a job's progress.
 pub(crate) fn progress(service: &str, id: &Id) -> Name {
     Name::new(PROGRESS, service, id.to_string())
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -50,6 +50,10 @@
     pub stop_bound: Span,
     /// Largest body of a caller's request, in bytes.
     pub body_limit: u64,
+    /// Whether calls with a key are refused while it may have been withdrawn unseen.
+    pub strict_keys: bool,
+    /// How long after the configuration was last known to be the newest that begins.
+    pub trust_keys_for: Span,
 }
 
 impl Default for Settings {
@@ -85,6 +89,8 @@
             retention: Span::secs(120),
             stop_bound: Span::millis(6000),
             body_limit: 262_144,
+            strict_keys: false,
+            trust_keys_for: Span::millis(5000),
         }
     }
 }
@@ -116,6 +122,8 @@
             caller_listen,
             ready_listen: reader.value("caller", "ready_listen", caller_listen),
             body_limit: reader.value("caller", "body_limit", base.body_limit),
+            strict_keys: reader.value("caller", "strict_keys", base.strict_keys),
+            trust_keys_for: reader.value("caller", "trust_keys_for", base.trust_keys_for),
             peer_listen: reader.required("peer", "listen").unwrap_or(base.peer_listen),
             renew: reader.value("peer", "renew", base.renew),
             takeover_after: reader.value("peer", "takeover_after", base.takeover_after),
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -11,12 +11,17 @@
 pub mod worker;
 
 use crate::serve::Server;
+use async_trait::async_trait;
+use celerythread_http::Fault;
+use celerythread_http::server::{Handler, Request};
+use http_types::Response;
 use machine::Machines;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use store::Store;
 use worker::Worker;
 
@@ -37,6 +42,60 @@
     pub workers: BTreeMap<String, Running>,
     store_server: Server,
     machine_server: Server,
+    gate_servers: Vec<Server>,
+}
+
+/// The service that all workers serve unless they are added to another one.
+pub const DESK: &str = "desk";
+
+/// A second service.
+pub const HALL: &str = "hall";
+
+/// A workspace as operators configure it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Workspace<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its callers' keys.
+    pub keys: &'a [&'a str],
+    /// Thousandths of a core that it may have running; 0 for no limit.
+    pub cpu: u64,
+}
+
+impl Workspace<'_> {
+    fn body(&self) -> Value {
+        json!({
+            "name": self.name, "apiKeys": self.keys, "priority": 1, "weight": 1,
+            "maxCount": { "cpu": self.cpu, "memMb": 0, "gpu": 0 },
+        })
+    }
+}
+
+/// A way to the store that turns calls away while it is shut.
+pub struct Gate {
+    store: Arc<Store>,
+    shut: AtomicBool,
+}
+
+impl Gate {
+    /// Shuts or opens it.
+    pub fn shut(&self, shut: bool) {
+        self.shut.store(shut, Ordering::SeqCst);
+    }
+}
+
+#[async_trait]
+impl Handler for Gate {
+    async fn handle(&self, request: Request) -> Response {
+        if self.shut.load(Ordering::SeqCst) {
+            return store::answer(503, json!({}));
+        }
+        self.store.handle(request).await
+    }
+
+    fn refuse(&self, fault: &Fault) -> Response {
+        self.store.refuse(fault)
+    }
 }
 
 /// An address that the operating system completes.
@@ -65,8 +124,14 @@
         let store_server = Server::start(any_port(), store.clone()).await?;
         let machines = Arc::new(Machines::new(store.clone()));
         let machine_server = Server::start(any_port(), machines.clone()).await?;
-        let mut site =
-            Self { store, machines, workers: BTreeMap::new(), store_server, machine_server };
+        let mut site = Self {
+            store,
+            machines,
+            workers: BTreeMap::new(),
+            store_server,
+            machine_server,
+            gate_servers: Vec::new(),
+        };
         site.configure(1);
         for number in 0..workers {
             site.add_worker(&format!("i-{number}"), &format!("m-{number}")).await?;
@@ -96,6 +161,42 @@
         self.store.put("op", "", "config", body.to_string().as_bytes());
     }
 
+    /// Writes a configuration with workspaces, a queue that needs a key for each of the services `desk` and `hall`
+    /// at `jobs.example/q/` and `/h/`, and a public one for `desk` at `/p/`.
+    pub fn configure_workspaces(&self, version: u64, workspaces: &[Workspace]) {
+        let queue = |name: &str, path: &str, service: &str, public: bool| {
+            json!({
+                "name": name, "host": "jobs.example", "pathPrefix": path, "service": service,
+                "kind": "non_idempotent", "priority": 0, "attempts": 2, "stretch": 1.6,
+                "targetLatencyMs": 600, "timeoutMs": 3000, "public": public,
+            })
+        };
+        let queues = [
+            queue("queue", "/q/", DESK, false),
+            queue("hall-queue", "/h/", HALL, false),
+            queue("public-queue", "/p/", DESK, true),
+        ];
+        let services = [DESK, HALL]
+            .map(|name| json!({ "name": name, "admissionCheck": true, "spare": false }));
+        let workspaces: Vec<Value> = workspaces.iter().map(Workspace::body).collect();
+        let body = json!({
+            "version": version, "routes": queues, "services": services, "tenants": workspaces,
+        });
+        self.store.put("op", "", "config", body.to_string().as_bytes());
+    }
+
+    /// A further way to the store, which can be shut while others stay open.
+    ///
+    /// # Errors
+    /// When no port can be listened at.
+    pub async fn add_gate(&mut self) -> io::Result<(Arc<Gate>, SocketAddr)> {
+        let gate = Arc::new(Gate { store: self.store.clone(), shut: AtomicBool::new(false) });
+        let server = Server::start(any_port(), gate.clone()).await?;
+        let address = server.address();
+        self.gate_servers.push(server);
+        Ok((gate, address))
+    }
+
     /// Asks for the upkeep of machines.
     pub fn ask_upkeep(&self, number: u64, machines: &[&str], at_once: usize) {
         let body =
@@ -109,10 +210,23 @@
     /// # Errors
     /// When no port can be listened at.
     pub async fn add_worker(&mut self, id: &str, machine: &str) -> io::Result<()> {
+        self.add_worker_to(DESK, id, machine).await
+    }
+
+    /// The same for a service.
+    ///
+    /// # Errors
+    /// When no port can be listened at.
+    pub async fn add_worker_to(
+        &mut self,
+        service: &str,
+        id: &str,
+        machine: &str,
+    ) -> io::Result<()> {
         let worker = Arc::new(Worker::new(id));
         let server = Server::start(any_port(), worker.clone()).await?;
-        self.machines.add(machine, "desk", worker.clone(), server.address());
-        self.store.put("servers", "", id, &worker.entry("desk", server.address(), "ready"));
+        self.machines.add(machine, service, worker.clone(), server.address());
+        self.store.put("servers", "", id, &worker.entry(service, server.address(), "ready"));
         self.workers.insert(id.into(), Running { worker, server });
         Ok(())
     }
--- a/crates/standin/src/site/check.rs
+++ b/crates/standin/src/site/check.rs
@@ -2,6 +2,7 @@
 
 use crate::site::worker::Record;
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 /// A promise that a history breaks, in words.
 pub type Broken = String;
@@ -43,3 +44,14 @@
     }
     broken
 }
+
+/// The most tasks that ran at one moment.
+pub fn most_at_once(history: &[Record]) -> usize {
+    let at = |moment: Instant| {
+        let runs = history.iter().filter(|record| {
+            record.began <= moment && record.ended.is_none_or(|ended| ended > moment)
+        });
+        runs.count()
+    };
+    history.iter().map(|record| at(record.began)).max().unwrap_or(0)
+}
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -1,6 +1,6 @@
 //! Questions to the owner of a service's jobs, and its answers.
 
-use celerythread_engine::job::{Id, State};
+use celerythread_engine::job::{Id, Origin, State};
 use celerythread_engine::pools::Load;
 use serde::{Deserialize, Serialize};
 
@@ -29,6 +29,8 @@
         service: String,
         /// The job.
         id: Id,
+        /// Who asks.
+        origin: Origin,
     },
     /// How many jobs of a queue wait for their first task.
     Pending {
@@ -51,6 +53,11 @@
         /// The service.
         service: String,
     },
+    /// Which configuration is the newest one, from an entry that the store doesn't tell.
+    Configuration {
+        /// The version in force at the asking entry.
+        version: u64,
+    },
     /// Machines are to be emptied, and that is written.
     Release {
         /// Their service.
@@ -61,7 +68,7 @@
 }
 
 impl Question {
-    /// The service that it is about.
+    /// The service that it is about; empty for a question about none.
     pub fn service(&self) -> &str {
         match self {
             Question::Accepted { service, .. }
@@ -71,6 +78,7 @@
             | Question::Pending { service, .. }
             | Question::Load { service }
             | Question::Release { service, .. } => service,
+            Question::Configuration { .. } => "",
         }
     }
 }
@@ -102,6 +110,15 @@
     Load(Load),
     /// What became of a job that was to be written.
     Submitted(Submission),
+    /// What the receiver has in force.
+    Configuration {
+        /// Its version.
+        version: u64,
+        /// Milliseconds since it was certain to be the newest one.
+        age_ms: u32,
+        /// As operators wrote it, if the asking entry's is older.
+        body: Option<Vec<u8>>,
+    },
     /// The receiver doesn't own the service, or doesn't know its jobs yet.
     NotOwner,
 }
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -7,6 +7,7 @@
 mod loss;
 mod maintenance;
 mod store;
+mod workspaces;
 
 use async_std::task;
 use celerythread_http::client;
@@ -57,14 +58,23 @@
 
 impl Entry {
     pub(crate) async fn start(site: &Site, test: &str, name: &str) -> Self {
+        Self::start_with(site.store_address(), site.machine_address(), test, name, "").await
+    }
+
+    /// One that reaches the store at an address of its own, with further settings for its callers.
+    pub(crate) async fn start_with(
+        store: SocketAddr,
+        machines: SocketAddr,
+        test: &str,
+        name: &str,
+        caller: &str,
+    ) -> Self {
         let path =
             std::env::temp_dir().join(format!("ct-{}-{test}-{name}.ini", std::process::id()));
         let text = format!(
-            "[instance]\nname = {name}\nzone = zone\n\n[caller]\nlisten = 127.0.0.1:0\n\n\
+            "[instance]\nname = {name}\nzone = zone\n\n[caller]\nlisten = 127.0.0.1:0\n{caller}\n\
              [peer]\nlisten = 127.0.0.1:0\nrenew = 100ms\ntakeover_after = 800ms\n\n\
-             [platform]\nstore = {}\nmachines = {}\n{SETTINGS}",
-            site.store_address(),
-            site.machine_address()
+             [platform]\nstore = {store}\nmachines = {machines}\n{SETTINGS}"
         );
         fs::write(&path, text).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_celerythreadd"))
@@ -122,6 +132,10 @@
 
     pub(crate) async fn add_entry(&mut self, name: &str) {
         let entry = Entry::start(&self.site, self.test, name).await;
+        self.add_started(entry).await;
+    }
+
+    pub(crate) async fn add_started(&mut self, entry: Entry) {
         let callers = entry.callers;
         eventually("the entry is ready", async || {
             let (status, _) = call(callers, Method::Get, "/-/ready", None).await?;
@@ -180,9 +194,21 @@
     method: Method,
     path: &str,
     body: Option<Value>,
+) -> Option<(u16, Vec<u8>)> {
+    call_with(entry, method, path, body, &[]).await
+}
+
+/// The same with values of the header that says who calls.
+pub(crate) async fn call_with(
+    entry: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Option<Value>,
+    credentials: &[&str],
 ) -> Option<(u16, Vec<u8>)> {
     let mut request = client::request(method, entry, path).unwrap();
     request.insert_header("host", "jobs.example");
+    credentials.iter().for_each(|value| request.append_header("authorization", *value));
     if let Some(body) = body {
         request.set_body(body.to_string());
     }
--- /dev/null
+++ b/tests/all/site/workspaces.rs
@@ -0,0 +1,293 @@
+//! Workspaces: their keys, whose job is whose, and their limits.
+
+use super::*;
+use celerythread_standin::site::{HALL, Workspace, check};
+
+const KEY: &str = "pqk8bdk9eevyxq2yyaza";
+const SECOND_KEY: &str = "x6pwawxdmdejk7f92bqu";
+const OTHER_KEY: &str = "h2m5rtb7ckvw9e4zq8ja";
+
+/// Well within the time in which a configuration must be in force everywhere.
+const IN_FORCE: Duration = Duration::from_millis(2000);
+
+const TEAM: Workspace<'static> = Workspace { name: "team", keys: &[KEY, SECOND_KEY], cpu: 0 };
+const OTHER: Workspace<'static> = Workspace { name: "other", keys: &[OTHER_KEY], cpu: 0 };
+
+async fn start(test: &'static str, entries: usize, workers: usize) -> Deployment {
+    let deployment = Deployment::start(test, entries, workers).await;
+    deployment.site.configure_workspaces(2, &[TEAM, OTHER]);
+    for entry in &deployment.entries {
+        until_status(entry.callers, 401, "/q/", &[]).await;
+    }
+    deployment
+}
+
+/// Waits until a count of waiting jobs is answered with a status.
+async fn until_status(entry: SocketAddr, status: u16, path: &str, credentials: &[&str]) {
+    let what = format!("{path} is answered with {status}");
+    eventually(&what, async || {
+        let (got, _) = call_with(entry, Method::Get, path, None, credentials).await?;
+        (got == status).then_some(())
+    })
+    .await;
+}
+
+fn token(key: &str) -> String {
+    format!("Token {key}")
+}
+
+async fn submit_as(entry: SocketAddr, key: &str, path: &str, tasks: u32, spec: &str) -> u16 {
+    let body = celerythread_standin::site::job(tasks, spec);
+    let answer = call_with(entry, Method::Post, path, Some(body), &[&token(key)]).await;
+    answer.map_or(0, |(status, _)| status)
+}
+
+async fn status_as(entry: SocketAddr, key: &str, method: Method, path: &str) -> u16 {
+    let answer = call_with(entry, method, path, None, &[&token(key)]).await;
+    answer.map_or(0, |(status, _)| status)
+}
+
+async fn completed_as(entry: SocketAddr, key: &str, path: &str) {
+    eventually(&format!("{path} is completed"), async || {
+        let (_, body) = call_with(entry, Method::Get, path, None, &[&token(key)]).await?;
+        let body: Value = serde_json::from_slice(&body).ok()?;
+        (body["state"] == "completed").then_some(())
+    })
+    .await;
+}
+
+/// Guards against a call that runs although no workspace has its key, and against keys in logs.
+#[async_std::test]
+async fn a_call_without_a_valid_key_is_refused() {
+    let deployment = start("keys", 1, 1).await;
+    let entry = deployment.entries[0].callers;
+    let path = format!("/q/{}", id(1));
+    let body = || Some(celerythread_standin::site::job(1, "ms=50"));
+    let (good, unknown) = (token(KEY), token("nobody-has-this-key"));
+    let wrong: [&[&str]; 8] = [
+        &[],
+        &[&unknown],
+        &[KEY],
+        &["Token"],
+        &["Basic pqk8bdk9eevyxq2yyaza"],
+        &[&good, &good],
+        &["Token pqk8bdk9eevyxq2yyaza x6pwawxdmdejk7f92bqu"],
+        &["Token PQK8BDK9EEVYXQ2YYAZA"],
+    ];
+    for credentials in wrong {
+        let answer = call_with(entry, Method::Post, &path, body(), credentials).await;
+        assert_eq!(answer.map(|(status, _)| status), Some(401), "{credentials:?}");
+    }
+    assert!(deployment.site.history().is_empty());
+    for credentials in ["Token pqk8bdk9eevyxq2yyaza", "token  x6pwawxdmdejk7f92bqu"] {
+        let answer = call_with(entry, Method::Post, &path, body(), &[credentials]).await;
+        assert_eq!(answer.map(|(status, _)| status), Some(200), "{credentials:?}");
+    }
+    completed_as(entry, KEY, &path).await;
+    let lines = deployment.entries[0].lines.lock().unwrap().join(" ");
+    assert!(lines.contains("key_refused"), "{lines}");
+    for key in [KEY, SECOND_KEY, OTHER_KEY, "nobody-has-this-key"] {
+        assert!(!lines.contains(key), "{key} stands in the log");
+    }
+}
+
+/// Guards against a workspace that sees, cancels or takes over another one's job.
+#[async_std::test]
+async fn a_job_is_its_workspaces_alone() {
+    let deployment = start("owners", 2, 1).await;
+    let (first, second) = (deployment.entries[0].callers, deployment.entries[1].callers);
+    let path = format!("/q/{}", id(1));
+    assert_eq!(submit_as(first, KEY, &path, 1, "ms=1500").await, 200);
+    for entry in [first, second] {
+        assert_eq!(status_as(entry, OTHER_KEY, Method::Get, &path).await, 410);
+        assert_eq!(status_as(entry, OTHER_KEY, Method::Delete, &path).await, 410);
+        assert_eq!(submit_as(entry, OTHER_KEY, &path, 1, "ms=50").await, 409);
+        assert_eq!(status_as(entry, SECOND_KEY, Method::Get, &path).await, 200);
+    }
+    assert_eq!(submit_as(second, SECOND_KEY, &path, 1, "ms=1500").await, 200, "sent again");
+    completed_as(second, SECOND_KEY, &path).await;
+    // What was submitted to a public queue is everybody's.
+    let public = format!("/p/{}", id(2));
+    let body = celerythread_standin::site::job(1, "ms=50");
+    let answer = call_with(first, Method::Post, &public, Some(body), &[]).await;
+    assert_eq!(answer.map(|(status, _)| status), Some(200));
+    assert_eq!(status_as(second, OTHER_KEY, Method::Get, &public).await, 200);
+}
+
+/// Guards against a withdrawn key that goes on being served, also after a restart, and against a job that ends with
+/// its workspace's last key.
+#[async_std::test]
+async fn a_withdrawn_key_is_refused_everywhere_and_its_jobs_go_on() {
+    let mut deployment = start("withdrawn", 2, 1).await;
+    let path = format!("/q/{}", id(1));
+    assert_eq!(submit_as(deployment.entries[0].callers, KEY, &path, 2, "ms=900").await, 200);
+    let none = Workspace { keys: &[], ..TEAM };
+    deployment.site.configure_workspaces(3, &[none, OTHER]);
+    let began = Instant::now();
+    for entry in &deployment.entries {
+        until_status(entry.callers, 401, &path, &[&token(KEY)]).await;
+    }
+    assert!(began.elapsed() < IN_FORCE, "{:?}", began.elapsed());
+    deployment.entries.remove(0);
+    deployment.add_entry("again").await;
+    let again = deployment.entries.last().unwrap().callers;
+    assert_eq!(status_as(again, KEY, Method::Get, &path).await, 401);
+    // The workspace has a key again, and its job is there.
+    let back = Workspace { keys: &[SECOND_KEY], ..TEAM };
+    deployment.site.configure_workspaces(4, &[back, OTHER]);
+    completed_as(again, SECOND_KEY, &path).await;
+    assert_eq!(status_as(again, KEY, Method::Get, &path).await, 401);
+}
+
+/// Guards against an entry that the store doesn't serve going on with keys that were withdrawn meanwhile: its peers
+/// know better.
+#[async_std::test]
+async fn an_entry_that_the_store_turns_away_learns_of_keys_from_its_peers() {
+    let mut deployment = start("turned-away", 2, 1).await;
+    let (gate, store) = deployment.site.add_gate().await.unwrap();
+    let machines = deployment.site.machine_address();
+    let entry = Entry::start_with(store, machines, "turned-away", "gated", "").await;
+    deployment.add_started(entry).await;
+    let gated = deployment.entries.last().unwrap().callers;
+    until_status(gated, 200, "/q/", &[&token(KEY)]).await;
+    gate.shut(true);
+    let left = Workspace { keys: &[SECOND_KEY], ..TEAM };
+    deployment.site.configure_workspaces(3, &[left, OTHER]);
+    let began = Instant::now();
+    until_status(gated, 401, &format!("/q/{}", id(9)), &[&token(KEY)]).await;
+    assert!(began.elapsed() < IN_FORCE, "{:?}", began.elapsed());
+    assert!(status_as(gated, SECOND_KEY, Method::Get, &format!("/q/{}", id(9))).await != 401);
+}
+
+/// Guards against an entry that serves keys which it can't know to be valid, where that is forbidden; elsewhere it
+/// goes on serving.
+#[async_std::test]
+async fn an_entry_cut_off_from_all_refuses_keys_only_where_it_must() {
+    for (strict, wanted) in [("strict_keys = true\ntrust_keys_for = 1500ms\n", true), ("", false)] {
+        let mut site = celerythread_standin::site::Site::start(1).await.unwrap();
+        site.configure_workspaces(2, &[TEAM]);
+        let (gate, store) = site.add_gate().await.unwrap();
+        let machines = site.machine_address();
+        let entry = Entry::start_with(store, machines, "cut-off", "alone", strict).await;
+        until_status(entry.callers, 401, "/q/", &[&token(OTHER_KEY)]).await;
+        gate.shut(true);
+        task::sleep(Duration::from_millis(2500)).await;
+        let refused = entry.noted("keys_unconfirmed");
+        assert!(!refused);
+        let status = status_as(entry.callers, KEY, Method::Get, "/q/").await;
+        assert!(status == 503 || status == 200, "{status}");
+        assert_eq!(entry.noted("keys_unconfirmed"), wanted);
+        // An unknown key is refused by what is known, in any case.
+        assert_eq!(status_as(entry.callers, OTHER_KEY, Method::Get, "/q/").await, 401);
+        gate.shut(false);
+        until_status(entry.callers, 200, "/q/", &[&token(KEY)]).await;
+    }
+}
+
+/// A deployment with two services, and a workspace that may have `cores` tasks running on both together.
+async fn start_limited(test: &'static str, cores: u64) -> Deployment {
+    let mut deployment = Deployment::start(test, 3, 2).await;
+    for number in 0..2 {
+        let (id, machine) = (format!("i-hall-{number}"), format!("m-hall-{number}"));
+        deployment.site.add_worker_to(HALL, &id, &machine).await.unwrap();
+    }
+    limit(&deployment, 2, cores);
+    for entry in &deployment.entries {
+        until_status(entry.callers, 200, "/h/", &[&token(KEY)]).await;
+    }
+    deployment
+}
+
+fn limit(deployment: &Deployment, version: u64, cores: u64) {
+    let team = Workspace { cpu: cores * 1000, ..TEAM };
+    deployment.site.configure_workspaces(version, &[team, OTHER]);
+}
+
+/// Submits jobs of two tasks to both services by turns; returns their paths.
+async fn submit_all(deployment: &Deployment, count: u32, spec: &str) -> Vec<String> {
+    let mut paths = Vec::new();
+    for number in 0..count {
+        let path = format!("/{}/{}", if number % 2 == 0 { "q" } else { "h" }, id(number));
+        let entries = deployment.entries.iter().cycle().skip(number as usize).take(9);
+        for entry in entries {
+            if submit_as(entry.callers, KEY, &path, 2, spec).await == 200 {
+                paths.push(path);
+                break;
+            }
+            task::sleep(Duration::from_millis(100)).await;
+        }
+    }
+    paths
+}
+
+async fn all_completed(deployment: &Deployment, paths: &[String]) {
+    for path in paths {
+        completed_as(deployment.entries[0].callers, KEY, path).await;
+    }
+}
+
+fn assert_limited(deployment: &Deployment, most: usize) {
+    let history = deployment.site.history();
+    assert_eq!(check::once(&history), Vec::<String>::new());
+    let at_once = check::most_at_once(&history);
+    assert!(at_once <= most, "{at_once} tasks at once, {most} allowed");
+}
+
+/// Guards against a workspace that runs beyond its limit because two owners each keep within it, and after one of
+/// them was killed.
+#[async_std::test]
+async fn a_limit_holds_over_services_and_killed_owners() {
+    let mut deployment = start_limited("limit-killed", 5).await;
+    let paths = submit_all(&deployment, 12, "ms=400").await;
+    assert_eq!(paths.len(), 12);
+    let owner = deployment.owner().unwrap();
+    deployment.entries.remove(owner);
+    all_completed(&deployment, &paths).await;
+    assert_limited(&deployment, 5);
+}
+
+/// Guards against an owner that stands still beyond its term, wakes, and starts by what it knew before.
+#[async_std::test]
+async fn a_limit_holds_when_a_frozen_owner_wakes() {
+    let deployment = start_limited("limit-frozen", 4).await;
+    let first = submit_all(&deployment, 4, "ms=300").await;
+    let owner = deployment.owner().unwrap();
+    deployment.entries[owner].signal("-STOP");
+    task::sleep(Duration::from_millis(2500)).await;
+    deployment.entries[owner].signal("-CONT");
+    all_completed(&deployment, &first).await;
+    assert_limited(&deployment, 4);
+}
+
+/// Guards against starts beyond a limit that was lowered while more than that runs, and against a stop of what runs.
+#[async_std::test]
+async fn a_lowered_limit_stops_nothing_and_starts_nothing_until_there_is_room() {
+    let deployment = start_limited("limit-lowered", 6).await;
+    let paths = submit_all(&deployment, 6, "ms=1500").await;
+    eventually("six tasks run", async || {
+        (check::most_at_once(&deployment.site.history()) == 6).then_some(())
+    })
+    .await;
+    limit(&deployment, 3, 2);
+    let lowered = Instant::now() + IN_FORCE;
+    all_completed(&deployment, &paths).await;
+    let history = deployment.site.history();
+    assert!(history.iter().all(|record| record.how == Some("done")));
+    let late: Vec<_> = history.into_iter().filter(|record| record.began > lowered).collect();
+    assert!(check::most_at_once(&late) <= 2);
+    assert_limited(&deployment, 6);
+}
+
+/// Guards against a share that is spent twice because the answer of its transfer was lost.
+#[async_std::test]
+async fn a_limit_holds_while_the_store_loses_answers() {
+    use celerythread_standin::site::store::Trouble;
+    let deployment = start_limited("limit-lost", 4).await;
+    let mut paths = submit_all(&deployment, 4, "ms=300").await;
+    deployment.site.store.trouble(Trouble::LosesAnswers);
+    task::sleep(Duration::from_millis(1500)).await;
+    deployment.site.store.trouble(Trouble::None);
+    all_completed(&deployment, &paths).await;
+    paths.truncate(0);
+    assert_limited(&deployment, 4);
+}
