--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::BTreeMap;
+use std::fmt;
 use std::time::Duration;
 
 /// How long a share that isn't needed any more is kept, for work that comes back.
@@ -44,12 +45,27 @@
     /// No limit in any resource.
     pub const UNLIMITED: Limit = Limit(Resources { cpu: ANY, memory_mb: ANY, gpu: ANY });
 
+    /// Whether one of its amounts bounds nothing.
+    fn is_any(amount: u64) -> bool {
+        amount >= ANY
+    }
+
     /// Whether it bounds nothing.
     pub fn is_unlimited(&self) -> bool {
         self.0.holds(&Self::UNLIMITED.0)
     }
 }
 
+impl fmt::Display for Limit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let amount = |amount: u64, unit: &str| {
+            if Self::is_any(amount) { "any".to_owned() } else { format!("{amount}{unit}") }
+        };
+        let Resources { cpu, memory_mb, gpu } = self.0;
+        write!(f, "{}/{}/{}", amount(cpu, "m"), amount(memory_mb, "MB"), amount(gpu, ""))
+    }
+}
+
 /// What one cell may use of a workspace's limit.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Share {
@@ -575,7 +591,7 @@
     /// What is known, for logs and operators.
     pub fn summary(&self, now: Time) -> Summary {
         Summary {
-            limit: self.limit().0,
+            limit: self.limit(),
             share: self.size(),
             used: self.in_use(),
             wanted: self.wants,
@@ -599,7 +615,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Summary {
     /// The workspace's limit.
-    pub limit: Resources,
+    pub limit: Limit,
     /// This cell's share of it.
     pub share: Resources,
     /// What may be running in this cell.
--- a/crates/scheduler/src/owner/quota.rs
+++ b/crates/scheduler/src/owner/quota.rs
@@ -136,7 +136,7 @@
                 ("service", &owner.service),
                 ("size", &share.size),
                 ("wanted", &share.wanted),
-                ("limit", &change.split.limit.0),
+                ("limit", &change.split.limit),
                 ("version", &change.version),
                 ("outcome", &outcome.as_ref().map_or_else(ToString::to_string, |_| "done".into())),
             ],
--- a/crates/scheduler/src/status.rs
+++ b/crates/scheduler/src/status.rs
@@ -8,6 +8,7 @@
 use celerythread_engine::job::decode;
 use celerythread_engine::maintenance;
 use celerythread_engine::pools::History;
+use celerythread_engine::quota::Split;
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -29,6 +30,8 @@
     pub emptying: Vec<Emptying>,
     /// Maintenance waves.
     pub waves: Vec<Wave>,
+    /// What each cell may use of each workspace's limit.
+    pub shares: Vec<Share>,
     /// Pools in the order of their turns, the present one last.
     pub turns: Vec<String>,
     /// Keys of rows that could not be read.
@@ -89,6 +92,25 @@
     pub completed: bool,
 }
 
+/// A cell's share of a workspace's limit.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Share {
+    /// The workspace.
+    pub workspace: String,
+    /// What it may have running over all cells: thousandths of a core, MiB, accelerators.
+    pub limit: String,
+    /// The version of the configuration that the limit is of.
+    pub configuration: u64,
+    /// The cell.
+    pub cell: String,
+    /// What the cell may have running.
+    pub size: String,
+    /// What it would have running, where that is more.
+    pub wanted: String,
+    /// The fencing token of the owner that wrote it.
+    pub token: u64,
+}
+
 /// Reads what is agreed on.
 ///
 /// # Errors
@@ -100,6 +122,8 @@
     let fleet = store.all(rows::FLEET, "", "", READ_LIMIT).await?;
     // In the order of their keys machines whose maintenance has begun come before their waves.
     page.rows.iter().chain(fleet.rows.iter().rev()).for_each(|row| status.take(row));
+    let splits = store.all(rows::SPLITS, "", "", READ_LIMIT).await?;
+    splits.rows.iter().for_each(|row| status.take_split(row));
     let ids: Vec<String> = status.entries.iter().map(|entry| entry.id.clone()).collect();
     for cell in &mut status.cells {
         cell.holder_is_there = ids.contains(&cell.holder);
@@ -137,6 +161,28 @@
     }
 }
 
+impl Status {
+    fn take_split(&mut self, row: &Row) {
+        let split: Split = match decode(&row.value) {
+            Ok(split) => split,
+            Err(_) => {
+                self.unreadable.push(row.key.clone());
+                return;
+            }
+        };
+        let limit = split.limit.to_string();
+        self.shares.extend(split.shares.iter().map(|(cell, share)| Share {
+            workspace: row.key.clone(),
+            limit: limit.clone(),
+            configuration: split.configuration,
+            cell: cell.to_string(),
+            size: share.size.to_string(),
+            wanted: if share.is_short() { share.wanted.to_string() } else { String::new() },
+            token: share.token,
+        }));
+    }
+}
+
 impl Entry {
     fn new(id: &str, row: &rows::Entry) -> Self {
         let rows::Entry { peer, power, renewal, term_ms, stopping, .. } = *row;
--- a/src/commands/fleet.rs
+++ b/src/commands/fleet.rs
@@ -13,8 +13,8 @@
     use std::net::SocketAddr;
 
     xflags::xflags! {
-        /// Entries, cells and their holders, machines that are emptied, maintenance waves and the
-        /// pools' turns, as the platform's store keeps them.
+        /// Entries, cells and their holders, machines that are emptied, maintenance waves how workspaces' limits
+        /// are split and the pools' turns, as the platform's store keeps them.
         ///
         /// Example: celerythread fleet --store 10.200.1.7:8621
         cmd celerythread-fleet {
@@ -43,6 +43,7 @@
     };
     list("entries", &["id", "peer", "power", "renewal", "term_ms", "stopping"]);
     list("cells", &["service", "holder", "holder_is_there", "generation", "token"]);
+    list("shares", &["workspace", "limit", "cell", "size", "wanted", "token"]);
     list("emptying", &["machine", "minion"]);
     list("waves", &["number", "begun", "machines", "completed"]);
     let texts = |field: &str| {
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -67,6 +67,9 @@
         if let Some(line) = self.of("job_rejected").next() {
             return format!("the request is wrong: {}", line.field("reason"));
         }
+        if !accepted && let Some(line) = self.of("key_refused").last() {
+            return self.key(line);
+        }
         if !accepted && let Some(line) = self.of("job_refused").next() {
             return self.refusal(line);
         }
@@ -89,6 +92,28 @@
         }
     }
 
+    /// Why a key was refused: by what the entry knew of the configuration then.
+    fn key(&self, line: &Line) -> String {
+        let (reason, source) = (line.field("reason"), &line.source);
+        let (queue, age) = (line.field("queue"), line.field("configuration_age_ms"));
+        format!(
+            "its key was refused on {queue} by {source}, whose configuration was known to be the newest {age} ms before: {reason}"
+        )
+    }
+
+    /// What kept a job from starting, if it was its workspace's limit.
+    fn limit(&self) -> Option<String> {
+        let line = self.of("job_held").next()?;
+        let field = |name| line.field(name);
+        let (workspace, limit, share) = (field("workspace"), field("limit"), field("share"));
+        let (used, needs, age) = (field("used"), field("needs"), field("age_ms"));
+        let larger =
+            if field("larger_than_limit") == "true" { ", more than the whole limit" } else { "" };
+        Some(format!(
+            "held by the limit of workspace {workspace}: {needs} needed{larger}, limit {limit}, this service's share {share} with {used} in use, known {age} ms before"
+        ))
+    }
+
     fn refusal(&self, line: &Line) -> String {
         let (reason, store) = (line.field("reason"), self.store_before(line));
         format!("refused as not run: {reason}{store}")
@@ -186,6 +211,9 @@
             return format!("while {} did not answer", line.field("minion"));
         }
         match after.event.as_str() {
+            "start_ordered" if before.event == "job_held" => {
+                "waiting for its workspace's limit".into()
+            }
             "start_ordered" => "waiting for room".into(),
             "run_ended" => format!("at work on {}", after.field("minion")),
             "job_ended" => "until its end was kept".into(),
@@ -196,6 +224,7 @@
     fn unfinished(&self) -> String {
         let Some(last) = self.own().pop().cloned() else { return String::new() };
         match last.event.as_str() {
+            "job_held" => self.limit().unwrap_or_default(),
             "job_accepted" | "job_known" => {
                 "accepted and never started: no room, or no owner".into()
             }
--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -289,6 +289,63 @@
             ),
         ],
     },
+    Promise {
+        name: "On the platform: keys and limits of workspaces hold",
+        cells: &[
+            ("no key, unknown, malformed, doubled", &["a_call_without_a_valid_key_is_refused"]),
+            ("another workspace's job", &["a_job_is_its_workspaces_alone"]),
+            (
+                "keys withdrawn; entry restarted",
+                &["a_withdrawn_key_is_refused_everywhere_and_its_jobs_go_on"],
+            ),
+            (
+                "store turns an entry away; entry cut off from all",
+                &[
+                    "an_entry_that_the_store_turns_away_learns_of_keys_from_its_peers",
+                    "an_entry_cut_off_from_all_refuses_keys_only_where_it_must",
+                ],
+            ),
+            (
+                "owners killed, frozen, cut off, replaced while alive; writes lost, late, refused; limits lowered",
+                &["a_limit_holds_under_any_trouble"],
+            ),
+            ("owner killed", &["a_limit_holds_over_services_and_killed_owners"]),
+            ("owner frozen and woken", &["a_limit_holds_when_a_frozen_owner_wakes"]),
+            ("answers of transfers lost", &["a_limit_holds_while_the_store_loses_answers"]),
+            (
+                "limit lowered",
+                &["a_lowered_limit_stops_nothing_and_starts_nothing_until_there_is_room"],
+            ),
+            ("a limit where there was none before, with an owner cut off", NOT),
+        ],
+        guards: &[
+            (
+                "shares are written on condition of the split's version",
+                "engine::quota::Account::change",
+                "the_model_sees_a_limit_that_is_broken",
+            ),
+            (
+                "a successor counts its predecessor's whole share until all minions told",
+                "engine::quota::Account::in_use",
+                "a_successor_counts_its_predecessors_share_until_all_minions_told",
+            ),
+            (
+                "a share that may have been lowered counts as lowered",
+                "engine::quota::Account::size",
+                "a_share_that_may_have_been_lowered_counts_as_lowered",
+            ),
+            (
+                "nothing starts while shares are more than a fallen limit",
+                "engine::quota::Account::may_start",
+                "nothing_starts_while_shares_are_more_than_a_fallen_limit",
+            ),
+            (
+                "what can't be read opens nothing",
+                "adapter::configuration::Configuration::decode",
+                "what_cannot_be_read_opens_nothing_and_hides_nothing",
+            ),
+        ],
+    },
     Promise {
         name: "On the platform: budgets hold through waves, moves and shared minions",
         cells: &[
--- a/tests/all/pages.rs
+++ b/tests/all/pages.rs
@@ -76,6 +76,14 @@
             "orders_per_s = 590.0",
         ),
         ("{{bounds.graceS}}", "6"),
+        (
+            "{{#bounds.strictRevocation}}strict_keys = true{{/bounds.strictRevocation}}",
+            "strict_keys = true",
+        ),
+        (
+            "{{#bounds.revokeMs}}trust_keys_for = {{.}}ms{{/bounds.revokeMs}}",
+            "trust_keys_for = 4500ms",
+        ),
     ];
     for (placeholder, value) in values {
         assert!(text.contains(placeholder), "{placeholder}");
@@ -86,6 +94,8 @@
     assert_eq!(settings.peer_listen.to_string(), "10.1.0.9:7060");
     assert_eq!(settings.maintenance_duration.0.as_millis(), 2500);
     assert_eq!(settings.orders_per_s, 590.0);
+    assert_eq!(settings.trust_keys_for.0.as_millis(), 4500);
+    assert!(settings.strict_keys);
     assert!(settings.advice.is_some() && settings.machines.is_some());
 }
 
--- a/tests/all/site/explain.rs
+++ b/tests/all/site/explain.rs
@@ -17,7 +17,7 @@
 }
 
 /// Waits until the cause told of a job contains all words.
-async fn cause(deployment: &Deployment, job: &str, words: &[&str]) {
+pub(super) async fn cause(deployment: &Deployment, job: &str, words: &[&str]) {
     let mut told = String::new();
     eventually(&format!("the cause names {words:?}"), async || {
         told = Story::tell(job, &lines(deployment)).cause();
--- a/tests/all/site/fleet.rs
+++ b/tests/all/site/fleet.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// What `celerythread fleet` prints for programs.
-fn fleet(site: &Site) -> Value {
+pub(super) fn fleet(site: &Site) -> Value {
     let output = Command::new(env!("CARGO_BIN_EXE_celerythread"))
         .args(["fleet", "--json", "--store", &site.store_address().to_string()])
         .output()
--- a/tests/all/site/workspaces.rs
+++ b/tests/all/site/workspaces.rs
@@ -246,6 +246,27 @@
     assert_limited(&deployment, 5);
 }
 
+/// Guards against a refused key or a job held by a limit that the lines can't explain, and against shares that operators
+/// can't see.
+#[async_std::test]
+async fn keys_and_limits_are_explained() {
+    let deployment = start_limited("limit-explain", 2).await;
+    let entry = deployment.entries[0].callers;
+    let refused = format!("/q/{}", id(1));
+    assert_eq!(submit_as(entry, "nobody-has-this-key", &refused, 1, "ms=50").await, 401);
+    super::explain::cause(&deployment, &id(1), &["key was refused on queue", "unknown key"]).await;
+    let held = format!("/q/{}", id(2));
+    assert_eq!(submit_as(entry, KEY, &format!("/q/{}", id(3)), 2, "ms=4000").await, 200);
+    assert_eq!(submit_as(entry, KEY, &held, 1, "ms=50").await, 200);
+    super::explain::cause(&deployment, &id(2), &["limit of workspace team", "2000m/any/any"]).await;
+    let told = super::fleet::fleet(&deployment.site);
+    let shares = told["shares"].as_array().unwrap();
+    assert!(
+        shares.iter().any(|share| share["workspace"] == "team" && share["cell"] == "desk"),
+        "{told}"
+    );
+}
+
 /// Guards against an owner that stands still beyond its term, wakes, and starts by what it knew before.
 #[async_std::test]
 async fn a_limit_holds_when_a_frozen_owner_wakes() {
