A test of the guard against shares that are raised by a former limit

The test is red without it by construction: the shares known are within the new limit, and only the configuration that they were written by is not.

--- a/crates/engine/tests/all/quota.rs
+++ b/crates/engine/tests/all/quota.rs
@@ -123,6 +123,22 @@
     assert!(!account.may_start(&cores(5), 1, Time(20)));
 }
 
+/// Guards against starts by shares that an owner which hasn't heard of a lower limit may be raising just then.
+#[test]
+fn nothing_starts_before_the_split_is_written_by_the_lower_limit() {
+    let mut account = account("cell", true);
+    let other = Share { token: 3, size: cores(10), ..Share::default() };
+    let own = Share { token: 7, size: cores(20), ..Share::default() };
+    let shares = [("cell".into(), own), ("other".into(), other)].into_iter().collect();
+    account.read(5, Some(Split { configuration: 1, limit: limit(100), shares }), Time(0));
+    account.begin();
+    account.configure(limit(50), 2, Time(10));
+    assert!(!account.may_start(&cores(5), 1, Time(10)), "the other may raise its share to 80");
+    let split = write(&mut account, 6, 20).expect("the new configuration is written");
+    assert_eq!((split.configuration, split.limit), (2, limit(50)));
+    assert!(account.may_start(&cores(5), 1, Time(20)));
+}
+
 /// Guards against a task that is larger than its workspace's limit waiting for ever; beside another it would break it.
 #[test]
 fn a_task_larger_than_the_limit_runs_alone() {
--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -321,24 +321,29 @@
         guards: &[
             (
                 "shares are written on condition of the split's version",
-                "engine::quota::Account::change",
+                "engine::quota::account::Account::change",
                 "the_model_sees_a_limit_that_is_broken",
             ),
             (
                 "a successor counts its predecessor's whole share until all minions told",
-                "engine::quota::Account::in_use",
+                "engine::quota::account::Account::in_use",
                 "a_successor_counts_its_predecessors_share_until_all_minions_told",
             ),
             (
                 "a share that may have been lowered counts as lowered",
-                "engine::quota::Account::size",
+                "engine::quota::account::Account::size",
                 "a_share_that_may_have_been_lowered_counts_as_lowered",
             ),
             (
                 "nothing starts while shares are more than a fallen limit",
-                "engine::quota::Account::may_start",
+                "engine::quota::account::Account::may_start",
                 "nothing_starts_while_shares_are_more_than_a_fallen_limit",
             ),
+            (
+                "nothing starts before the split is written by a lower limit's configuration",
+                "engine::quota::account::Account::is_current",
+                "nothing_starts_before_the_split_is_written_by_the_lower_limit",
+            ),
             (
                 "what can't be read opens nothing",
                 "adapter::configuration::Configuration::decode",
