Follow the minion table only in entries that own minions

Cause: every entry read the whole table of minions at its start and its changes afterwards, an idle one every 3 s, though only owners of cells use it. Read in follow::minion_table and shown by counts over the stand-in: with 8 minions and 30 heartbeats of each, three entries read 720 rows in 91 calls, six entries 1,440 rows in 185 (the test entries_without_cells_read_no_heartbeats, red on the former condition). On the fleet that is 584 times 6,001 rows of some 350 bytes, 1.2 GB, for one read by each entry.

Change: a table has a need; the minion table is read in full when an entry starts to own a cell with minions, and no longer followed when it owns none. A new owner waits for that read before it judges which minions have terminated: one that isn't known yet would count as terminated.

What grew faster than the fleet: entries times minions. Holds at twice the size: the rows read are cells times minions, five times 12,000.

Ruled out: reading only the own pool's rows; the store's feed and ranges don't filter.

--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -9,7 +9,9 @@
 use celerythread_adapter::wave::{self, Wave};
 use celerythread_engine::ownership;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use stop_token::future::FutureExt;
 
 /// Longest wait of one feed call for most tables.  A dead connection is noticed only once the
 /// answer is overdue, so this bounds how outdated the configuration can become meanwhile.
@@ -22,12 +24,8 @@
 /// what an owner knows, a fifteenth of the time that a minion takes to move.
 const MINION_BATCH_DELAY: Duration = Duration::from_millis(100);
 
-/// Batching delay of entries that own no cell; they read the table at once when they take one.
-/// Every row of the minion table changes at each heartbeat, so without this delay each entry would
-/// read all rows at the highest possible rate: at 50 ms, these were 44 of 100 calls to the store
-/// with 9 entries and 50 minions.  The delay is two heartbeats; the feed's history lasts ten times
-/// as long.
-const MINION_IDLE_BATCH_DELAY: Duration = Duration::from_millis(3000);
+/// Interval between two checks whether a table is needed, which a wake-up precedes.
+const NEED_CHECK_INTERVAL: Duration = Duration::from_millis(1000);
 
 /// Longest wait for the read of a table.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
@@ -42,6 +40,38 @@
     fn read_answered(&self) {}
     /// Called when all rows of a read have been applied.
     fn read_applied(&self) {}
+    /// Called when the table is no longer followed; what was applied becomes outdated.
+    fn unfollowed(&self) {}
+}
+
+/// When an entry follows a table.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Need {
+    /// As long as it runs.
+    Always,
+    /// While it owns a cell with minions.  Each minion's row changes at each heartbeat, so entries
+    /// that followed them without need would read entries times minions rows.
+    OwnedMinions,
+}
+
+impl Need {
+    fn is_met(self, node: &Node) -> bool {
+        match self {
+            Need::Always => true,
+            Need::OwnedMinions => node.owns_minions(),
+        }
+    }
+
+    /// Waits until the need is met; false if the node stops first.
+    async fn wait(self, node: &Node) -> bool {
+        while !self.is_met(node) {
+            let woken = node.cell_acquired.wait(NEED_CHECK_INTERVAL);
+            if woken.timeout_at(node.stop.clone()).await.is_err() {
+                return false;
+            }
+        }
+        true
+    }
 }
 
 /// A table to follow.
@@ -55,31 +85,29 @@
     pub(crate) has_row_per_entry: bool,
     /// Delay between two calls, to batch changes.
     pub(crate) batch_delay: Duration,
-    /// Delay between two calls while this entry owns no cell.
-    pub(crate) idle_batch_delay: Duration,
+    /// While this entry needs the table.
+    pub(crate) need: Need,
     /// Longest wait of one call for a change.
     pub(crate) max_wait: Duration,
 }
 
-/// Follows a table until the node stops: reads it in full, then its changes.
+/// Follows a table until the node stops: while it is needed, reads it in full, then its changes.
 pub(crate) async fn follow(node: Arc<Node>, table: Table, sink: Arc<dyn Sink>) {
-    let Some(mut version) = read_table(&node, &table, sink.as_ref()).await else { return };
-    follow_from(&node, &table, sink.as_ref(), &mut version).await;
+    while table.need.wait(&node).await {
+        let Some(mut version) = read_table(&node, &table, sink.as_ref()).await else { return };
+        follow_from(&node, &table, sink.as_ref(), &mut version).await;
+        sink.unfollowed();
+    }
 }
 
-/// Follows the changes of a table after a version.
+/// Follows the changes of a table after a version, while it is needed.
 pub(crate) async fn follow_from(
     node: &Arc<Node>,
     table: &Table,
     sink: &dyn Sink,
     version: &mut u64,
 ) {
-    while node.pause(table.batch_delay).await {
-        let idle_batch_delay = table.idle_batch_delay.saturating_sub(table.batch_delay);
-        // A table without an idle delay must not consume the wake-up meant for the others.
-        if !idle_batch_delay.is_zero() && node.owners.read().is_empty() {
-            node.cell_acquired.wait(idle_batch_delay).await;
-        }
+    while table.need.is_met(node) && node.pause(table.batch_delay).await {
         let result = node.store.feed(table.name, *version, table.max_wait).await;
         node.record_store_result(&result);
         match result {
@@ -269,9 +297,14 @@
             self.apply_row(row);
         }
         self.0.minions.write().retain(|id, _| present.contains(id));
+        self.0.minions_read.store(true, Ordering::SeqCst);
         self.notify_owners();
     }
 
+    fn unfollowed(&self) {
+        self.0.minions_read.store(false, Ordering::SeqCst);
+    }
+
     /// Notifies owners of changes only.  Notified of each heartbeat, an owner with some hundred
     /// minions copied all of their listings ten times a second.
     fn apply_changes(&self, rows: Vec<Row>) {
@@ -289,7 +322,7 @@
         has_partitions: false,
         has_row_per_entry: false,
         batch_delay: Duration::ZERO,
-        idle_batch_delay: Duration::ZERO,
+        need: Need::Always,
         max_wait: MAX_FEED_WAIT,
     }
 }
@@ -301,7 +334,7 @@
         has_partitions: false,
         has_row_per_entry: false,
         batch_delay: MINION_BATCH_DELAY,
-        idle_batch_delay: MINION_IDLE_BATCH_DELAY,
+        need: Need::OwnedMinions,
         max_wait: MAX_FEED_WAIT,
     }
 }
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -4,7 +4,7 @@
 
 use crate::clock;
 use crate::confirm;
-use crate::follow::{self, Table};
+use crate::follow::{self, Need, Table};
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::owner::{self, FormerOwner, Owner};
@@ -50,7 +50,7 @@
         has_partitions: true,
         has_row_per_entry: true,
         batch_delay: CONTROL_BATCH_DELAY,
-        idle_batch_delay: CONTROL_BATCH_DELAY,
+        need: Need::Always,
         max_wait: MAX_CONTROL_FEED_WAIT,
     }
 }
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -135,6 +135,8 @@
     pub(crate) view: RwLock<View>,
     /// Minions as the platform lists them.
     pub(crate) minions: RwLock<BTreeMap<Arc<str>, minion::Entry>>,
+    /// Whether `minions` is complete and followed.
+    pub(crate) minions_read: AtomicBool,
     /// Maintenance waves that operators requested.
     pub(crate) waves: RwLock<BTreeMap<u64, Wave>>,
     /// Owners of the cells that this entry owns.
@@ -177,6 +179,7 @@
             in_force: ConfigurationInForce::default(),
             view: RwLock::default(),
             minions: RwLock::default(),
+            minions_read: AtomicBool::new(false),
             waves: RwLock::default(),
             owners: RwLock::default(),
             cell_acquired: Wake::default(),
@@ -213,6 +216,11 @@
         self.owners.read().get(cell).cloned()
     }
 
+    /// Whether it owns a cell with minions, which the fleet controller's has not.
+    pub(crate) fn owns_minions(&self) -> bool {
+        self.owners.read().keys().any(|cell| cell != rows::FLEET_CELL)
+    }
+
     /// Time between two renewals.
     pub(crate) fn renewal_interval(&self) -> Duration {
         let owns = !self.owners.read().is_empty();
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use crate::fleet;
-use crate::follow::{self, Sink, Table};
+use crate::follow::{self, Need, Sink, Table};
 use crate::node::Node;
 use crate::owner::{FormerOwner, Owner};
 use crate::rows;
@@ -14,6 +14,7 @@
 use celerythread_engine::termination;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -27,6 +28,9 @@
 /// Shortest interval between checks for terminated minions while a new owner waits for some.
 const MIN_TERMINATED_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Interval between two checks whether the minion table is read.
+const MINIONS_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Machines in one answer of the platform's list.
 const MACHINES_PER_PAGE: usize = 200;
 
@@ -138,6 +142,9 @@
         cell.inherit_minion(&id);
         owner.roster.lock().insert(id);
     }
+    if !wait_for_minions(owner).await {
+        return Err(Error::Refused { reason: "the cell is lost".into() });
+    }
     mark_terminated(&mut cell, find_terminated_minions(owner).await.0);
     *owner.cell.lock() = Some(cell);
     if let Some(configuration) = owner.node.configuration() {
@@ -150,6 +157,17 @@
     Ok(version)
 }
 
+/// Waits until the minion table is read, which entries without cells don't follow; false if the
+/// cell is lost.  A listed minion that isn't known yet would count as terminated.
+async fn wait_for_minions(owner: &Owner) -> bool {
+    while !owner.node.minions_read.load(Ordering::SeqCst) {
+        if !owner.pause(MINIONS_POLL_INTERVAL).await {
+            return false;
+        }
+    }
+    true
+}
+
 /// Reads which machines are to be emptied without waiting for the feed.  A fleet controller to
 /// which the former owner reported a machine as empty may order it down at any time, so nothing may
 /// be started there.
@@ -293,7 +311,7 @@
         has_partitions: true,
         has_row_per_entry: false,
         batch_delay: JOBS_BATCH_DELAY,
-        idle_batch_delay: JOBS_BATCH_DELAY,
+        need: Need::Always,
         max_wait: follow::MAX_FEED_WAIT,
     };
     let sink = JobSink(owner.clone());
--- a/crates/scheduler/src/owner/quota.rs
+++ b/crates/scheduler/src/owner/quota.rs
@@ -1,7 +1,7 @@
 //! Workspaces' limits: follows how they are split, and writes this cell's shares.
 
 use crate::clock;
-use crate::follow::{self, Sink, Table};
+use crate::follow::{self, Need, Sink, Table};
 use crate::metrics::Counter;
 use crate::owner::Owner;
 use crate::rows;
@@ -33,7 +33,7 @@
         has_partitions: false,
         has_row_per_entry: false,
         batch_delay: SPLITS_BATCH_DELAY,
-        idle_batch_delay: SPLITS_BATCH_DELAY,
+        need: Need::Always,
         max_wait: follow::MAX_FEED_WAIT,
     };
     let sink = Arc::new(SplitSink(owner.clone()));
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -241,6 +241,14 @@
         Ok(())
     }
 
+    /// Rewrites the rows of all workers of the default service, as their heartbeats do.
+    pub fn send_heartbeats(&self) {
+        for (id, running) in &self.workers {
+            let entry = running.worker.entry(DEFAULT_SERVICE, running.server.address(), "ready");
+            self.store.put("servers", "", id, &entry);
+        }
+    }
+
     /// Registers a worker as draining.
     pub fn drain(&self, id: &str) {
         let running = &self.workers[id];
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -63,9 +63,20 @@
     trimmed_version: u64,
 }
 
+/// Calls that read a table, and what they returned.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Traffic {
+    /// Answered calls.
+    pub calls: u64,
+    /// Rows returned.
+    pub rows: u64,
+}
+
 /// The store.  Values are kept in base64.
 #[derive(Default)]
 pub struct Store {
+    /// Reads of each table.
+    traffic: Mutex<BTreeMap<String, Traffic>>,
     tables: Arc<Mutex<Tables>>,
     /// While the store is slow, the time at which each partition has executed its transactions.
     busy_until: Mutex<BTreeMap<String, Instant>>,
@@ -116,6 +127,18 @@
         tables.rows.keys().filter(matches).count()
     }
 
+    /// Reads of a table since the store was started.
+    pub fn traffic(&self, table: &str) -> Traffic {
+        self.traffic.lock().get(table).copied().unwrap_or_default()
+    }
+
+    fn record_read(&self, table: String, rows: usize) {
+        let mut traffic = self.traffic.lock();
+        let read = traffic.entry(table).or_default();
+        read.calls += 1;
+        read.rows += rows as u64;
+    }
+
     /// Executes a transaction after the earlier ones of its partition, even when its client stops
     /// waiting.  A transaction over several partitions takes twice as long.
     async fn transact_slowly(&self, body: Value) -> Response {
@@ -155,6 +178,7 @@
         let keys: Vec<&Key> = tables.rows.keys().filter(inside).collect();
         let rows: Vec<Value> = keys.iter().take(limit).map(|key| tables.row_json(key)).collect();
         let more = keys.len() > limit;
+        self.record_read(table, rows.len());
         answer(200, json!({ "rows": rows, "morePages": more, "ver": tables.version }))
     }
 
@@ -168,6 +192,7 @@
             .map(|key| &key.1)
             .collect();
         parts.dedup();
+        self.record_read(table, 0);
         answer(200, json!({ "parts": parts }))
     }
 
@@ -186,7 +211,10 @@
 
     fn changes(&self, table: &str, after: u64, timed_out: bool) -> Option<Response> {
         if self.held_feed.lock().as_deref() == Some(table) {
-            return timed_out.then(|| answer(200, json!({ "rows": [], "ver": after })));
+            return timed_out.then(|| {
+                self.record_read(table.into(), 0);
+                answer(200, json!({ "rows": [], "ver": after }))
+            });
         }
         let tables = self.tables.lock();
         if after < tables.trimmed_version {
@@ -202,7 +230,10 @@
             }
         }
         let ready = timed_out || !rows.is_empty();
-        ready.then(|| answer(200, json!({ "rows": rows, "ver": tables.version })))
+        ready.then(|| {
+            self.record_read(table.into(), rows.len());
+            answer(200, json!({ "rows": rows, "ver": tables.version }))
+        })
     }
 }
 
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -6,6 +6,7 @@
 mod jobs;
 mod loss;
 mod maintenance;
+mod scale;
 mod store;
 mod workspaces;
 
