Let only members renew rows and follow the control table; all others follow a directory

Cause: every entry renewed a row in the control table, in a partition of its own, and every entry read all rows: rows delivered grow with the square of the entries, and so do the calls of a full read.

Change: holders of cells and two standbys in each availability zone are members; only they renew rows and follow the table, and ownership is decided among them as before. All others follow the table directory, a row for each cell and standby slot in one partition. Idle entries claim vacant slots, replace weaker standbys, and notice when all members are lost. With fewer calls of its own an entry would notice an outage late, so a failed call starts probes. A cell that never had a holder is taken 1.5 s after an entry has become a member, otherwise the first of a starting fleet takes all.

Ruled out: partitions by hash with everybody renewing (rows stay square); a longer interval (a larger constant).

--- a/crates/engine/src/outage.rs
+++ b/crates/engine/src/outage.rs
@@ -42,6 +42,11 @@
         std::mem::replace(&mut self.was_ongoing, is_ongoing) != is_ongoing
     }
 
+    /// Whether the last call failed.
+    pub fn has_failures(&self) -> bool {
+        self.consecutive_failures > 0
+    }
+
     /// Whether the service may be down because the last calls failed.  An entry that writes on
     /// behalf of another one doesn't try then: such a write could be neither confirmed nor
     /// reverted.
--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -1,11 +1,13 @@
 //! Decides which entry owns a cell, from the rows of a shared table.
 //!
-//! Every entry renews its own row at regular intervals.  A cell's row names its holder and is
-//! written only when the holder changes, so its version serves as the fencing token: it only ever
+//! Members, which [`standby`] determines, renew their rows at regular intervals.  A cell's row names
+//! its holder and is written only when the holder changes, so its version serves as the fencing token: it only ever
 //! increases.  Clocks of different entries are never compared: an observer measures on its own
 //! clock how long a holder's row has not changed, and takes over in a transaction that requires
 //! the row to be still unchanged.
 
+pub mod standby;
+
 use crate::time::Time;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -31,7 +33,7 @@
 
 /// Longest term, which suits a store that is a hundred times slower than usual.  It bounds how long
 /// other entries wait for a lost one, and for how long an owner extends leases.
-const MAX_TERM: Duration = Duration::from_millis(3000);
+pub const MAX_TERM: Duration = Duration::from_millis(3000);
 
 /// Renewal interval per renewing entry.  Every entry reads all renewals, some 60 bytes each: 18 ms
 /// keeps that at 3.4 KB a second, of the 6 KB a second that an instance may spend.
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod restarts;
 mod runs;
 mod sharing;
+mod standby;
 mod submission;
 mod takeover;
 mod termination;
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -1,14 +1,16 @@
 //! Startup and graceful shutdown of the daemon.
 
 use crate::clock;
+use crate::directory;
 use crate::follow::{self, MinionSink, OperatorSink};
 use crate::front::CallerHandler;
 use crate::in_force;
 use crate::journal::Journal;
-use crate::membership;
+use crate::membership::{self, standby::Upkeep};
 use crate::node::Node;
 use crate::owner::persist;
 use crate::peers::{self, Peers};
+use crate::probe;
 use crate::rows;
 use crate::settings::Settings;
 use async_std::future::timeout;
@@ -143,6 +145,7 @@
         let minions = Arc::new(MinionSink(node.clone()));
         async_std::task::spawn(follow::follow(node.clone(), follow::minion_table(), minions));
         async_std::task::spawn(in_force::query_peers_forever(node.clone()));
+        async_std::task::spawn(probe::probe_forever(node.clone()));
         async_std::task::spawn(join(node.clone()));
     }
 
@@ -178,7 +181,9 @@
 
 /// Hands over all cells of this entry, each after its owner's pending writes are stored.
 async fn hand_over_cells(node: &Arc<Node>) {
-    membership::renew(node, node.settings.peer_listen).await;
+    if let Some(peer) = node.peer_address().filter(|_| node.renews()) {
+        membership::renew(node, peer).await;
+    }
     loop {
         let held: Vec<String> = {
             let view = node.view.read();
@@ -243,13 +248,19 @@
             address
         }
     };
-    async_std::task::spawn(membership::follow_control(node.clone()));
-    while node.view.read().version == 0 {
+    node.set_peer_address(peer);
+    async_std::task::spawn(directory::follow(node.clone()));
+    while node.directory.read().version == 0 {
         if !node.pause(STOP_POLL_INTERVAL).await {
             return;
         }
     }
+    let mut upkeep = Upkeep::new(node.clone());
+    // Before the former process's row is deleted, so that its slot isn't deleted as vacant.
+    upkeep.step().await;
     membership::delete_former_entries(&node).await;
+    async_std::task::spawn(upkeep.run());
+    async_std::task::spawn(membership::follow_control(node.clone()));
     async_std::task::spawn(membership::renew_forever(node.clone(), peer));
     node.journal.info("joined", &[("entry", &node.entry_id), ("peer", &peer)]);
     membership::check_ownership_forever(node).await;
--- /dev/null
+++ b/crates/scheduler/src/directory.rs
@@ -0,0 +1,160 @@
+//! The directory: where the holders of cells are reached, and which entries stand by.
+//!
+//! Every entry follows it.  It changes only with the members, so following it costs the same in a
+//! fleet of any size.  It is a hint: who may own a cell is decided by the control table alone.
+
+use crate::clock;
+use crate::follow::{self, Need, Sink, Table};
+use crate::node::Node;
+use crate::rows;
+use celerythread_adapter::store::Row;
+use celerythread_engine::job::decode;
+use celerythread_engine::ownership::standby::{Listing, SLOTS_PER_ZONE};
+use celerythread_engine::time::Time;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Pause between reads of changes, which batches those of several members.
+const BATCH_DELAY: Duration = Duration::from_millis(250);
+
+/// Longest wait of one read for a change.  A dead connection is noticed once the answer is overdue;
+/// until then calls to an outdated holder fail and are answered from the store.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+
+/// A row of the directory.
+#[derive(Clone, Debug)]
+pub(crate) struct Listed<T> {
+    pub(crate) value: T,
+    /// Version of the row.
+    pub(crate) version: u64,
+    /// When this version was first seen.
+    pub(crate) seen_at: Time,
+}
+
+/// The directory as last read.
+#[derive(Debug, Default)]
+pub(crate) struct Directory {
+    /// Version up to which it is complete; 0 before it is read.
+    pub(crate) version: u64,
+    /// Routes by cell.
+    pub(crate) routes: BTreeMap<String, Listed<rows::Route>>,
+    /// Standbys by zone and slot.
+    pub(crate) standbys: BTreeMap<(String, usize), Listed<rows::Standby>>,
+}
+
+impl Directory {
+    /// Applies a row unless a newer version is known; false if it can't be read.
+    pub(crate) fn apply(&mut self, row: &Row) -> bool {
+        if let Some(cell) = row.key.strip_prefix(rows::CELL_PREFIX) {
+            apply_to(&mut self.routes, cell.into(), row)
+        } else if let Some((zone, slot)) = rows::standby_slot(&row.key) {
+            apply_to(&mut self.standbys, (zone.into(), slot), row)
+        } else {
+            true
+        }
+    }
+
+    /// The slots of a zone, as `instance`'s process sees them.
+    pub(crate) fn slots(&self, zone: &str, entry_id: &str) -> [Option<Listing>; SLOTS_PER_ZONE] {
+        std::array::from_fn(|slot| {
+            let standby = self.standbys.get(&(zone.to_owned(), slot))?;
+            let entry = standby.value.entry.clone();
+            let is_former = entry != entry_id && rows::instance(&entry) == rows::instance(entry_id);
+            let (millicores, version) = (standby.value.power, standby.version);
+            Some(Listing { entry, millicores, version, is_former })
+        })
+    }
+
+    /// Whether an entry occupies a slot.
+    pub(crate) fn stands_by(&self, entry_id: &str) -> bool {
+        self.standbys.values().any(|standby| standby.value.entry == entry_id)
+    }
+
+    /// Ids of the members.
+    fn members(&self) -> impl Iterator<Item = (&str, SocketAddr)> {
+        let holders =
+            self.routes.values().map(|route| (route.value.holder.as_str(), route.value.peer));
+        let standbys = self
+            .standbys
+            .values()
+            .map(|standby| (standby.value.entry.as_str(), standby.value.peer));
+        holders.chain(standbys)
+    }
+
+    /// Addresses of the members except `entry_id`.
+    pub(crate) fn peers(&self, entry_id: &str) -> BTreeSet<SocketAddr> {
+        self.members().filter(|(id, _)| *id != entry_id).map(|(_, peer)| peer).collect()
+    }
+
+    /// Members that are former processes of an entry's instance.
+    pub(crate) fn former_processes(&self, entry_id: &str) -> BTreeSet<String> {
+        let is_former =
+            |id: &&str| *id != entry_id && rows::instance(id) == rows::instance(entry_id);
+        self.members().map(|(id, _)| id).filter(is_former).map(Into::into).collect()
+    }
+}
+
+/// Applies a row to a map; false if it can't be read.
+fn apply_to<K: Ord, T: serde::de::DeserializeOwned>(
+    rows: &mut BTreeMap<K, Listed<T>>,
+    key: K,
+    row: &Row,
+) -> bool {
+    if rows.get(&key).is_some_and(|known| known.version >= row.version) {
+        return true;
+    }
+    if row.deleted {
+        rows.remove(&key);
+        return true;
+    }
+    match decode::<T>(&row.value) {
+        Ok(value) => {
+            rows.insert(key, Listed { value, version: row.version, seen_at: clock::now() });
+            true
+        }
+        Err(_) => false,
+    }
+}
+
+/// Applies rows of the directory.
+struct DirectorySink(Arc<Node>);
+
+impl DirectorySink {
+    fn apply_rows(&self, directory: &mut Directory, rows: &[Row]) {
+        for row in rows {
+            if !directory.apply(row) {
+                self.0.journal.warn("directory_row_unreadable", &[("key", &row.key)]);
+            }
+        }
+    }
+}
+
+impl Sink for DirectorySink {
+    fn replace(&self, rows: Vec<Row>, version: u64) {
+        let mut fresh = Directory { version, ..Directory::default() };
+        self.apply_rows(&mut fresh, &rows);
+        *self.0.directory.write() = fresh;
+        self.0.directory_wake.wake();
+    }
+
+    fn apply_changes(&self, rows: Vec<Row>) {
+        self.apply_rows(&mut self.0.directory.write(), &rows);
+        self.0.directory_wake.wake();
+    }
+}
+
+/// Follows the directory until the node stops.
+pub(crate) async fn follow(node: Arc<Node>) {
+    let table = Table {
+        name: rows::DIRECTORY,
+        has_partitions: false,
+        has_row_per_entry: false,
+        batch_delay: BATCH_DELAY,
+        need: Need::Always,
+        max_wait: MAX_WAIT,
+    };
+    let sink = Arc::new(DirectorySink(node.clone()));
+    follow::follow(node, table, sink).await;
+}
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -8,6 +8,7 @@
 use celerythread_adapter::store::{self, Error, Page, Row};
 use celerythread_adapter::wave::{self, Wave};
 use celerythread_engine::ownership;
+use celerythread_sync::Wake;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -49,6 +50,8 @@
 pub(crate) enum Need {
     /// As long as it runs.
     Always,
+    /// While it is a member.  Members renew their rows often.
+    Membership,
     /// While it owns a cell with minions.  Each minion's row changes at each heartbeat, so entries
     /// that followed them without need would read entries times minions rows.
     OwnedMinions,
@@ -58,14 +61,23 @@
     fn is_met(self, node: &Node) -> bool {
         match self {
             Need::Always => true,
+            Need::Membership => node.is_member(),
             Need::OwnedMinions => node.owns_minions(),
         }
     }
 
+    /// Woken when the need may be met.
+    fn wake(self, node: &Node) -> &Wake {
+        match self {
+            Need::Always | Need::Membership => &node.membership_wake,
+            Need::OwnedMinions => &node.cell_acquired,
+        }
+    }
+
     /// Waits until the need is met; false if the node stops first.
     async fn wait(self, node: &Node) -> bool {
         while !self.is_met(node) {
-            let woken = node.cell_acquired.wait(NEED_CHECK_INTERVAL);
+            let woken = self.wake(node).wait(NEED_CHECK_INTERVAL);
             if woken.timeout_at(node.stop.clone()).await.is_err() {
                 return false;
             }
@@ -126,7 +138,7 @@
                 *version = read;
             }
             Err(_) => {
-                if !node.pause(RETRY_DELAY).await {
+                if !node.pause_for_store(RETRY_DELAY).await {
                     return;
                 }
             }
@@ -166,7 +178,7 @@
             sink.read_applied();
             return Some(page.version);
         }
-        if !node.pause(RETRY_DELAY + reread_delay(node, table)).await {
+        if !node.pause_for_store(RETRY_DELAY + reread_delay(node, table)).await {
             return None;
         }
     }
--- a/crates/scheduler/src/in_force.rs
+++ b/crates/scheduler/src/in_force.rs
@@ -194,14 +194,10 @@
     true
 }
 
-/// Chooses a random peer to query, preferably one with an open connection.
+/// Chooses a random member to query, preferably one with an open connection.
 fn choose_peer(node: &Node) -> Option<SocketAddr> {
-    let view = node.view.read();
-    let others = || {
-        let rows =
-            view.entry_rows.iter().filter(|(id, row)| **id != node.entry_id && !row.stopping);
-        rows.map(|(_, row)| row.peer).filter(|peer| !node.peers.is_backing_off(*peer))
-    };
-    let linked = others().filter(|peer| node.peers.is_linked(*peer)).choose(&mut rand::rng());
-    linked.or_else(|| others().choose(&mut rand::rng()))
+    let members = node.member_addresses();
+    let awake = || members.iter().copied().filter(|peer| !node.peers.is_backing_off(*peer));
+    let linked = awake().filter(|peer| node.peers.is_linked(*peer)).choose(&mut rand::rng());
+    linked.or_else(|| awake().choose(&mut rand::rng()))
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -4,12 +4,13 @@
 //! The owner of its service's cell learns of it by a message or by following the table, and
 //! [`owner`] runs it with the decisions of `celerythread-engine`.
 //!
-//! State shared between entries: [`membership`] renews this entry's row, follows the other entries'
-//! rows, and takes over and hands over cells; [`follow`] follows the configuration, the waves and
+//! State shared between entries: [`membership`] renews this entry's row, follows the other members'
+//! rows, and takes over and hands over cells; [`directory`] tells every entry where the holders of
+//! cells are reached; [`follow`] follows the configuration, the waves and
 //! the minions that the platform lists; [`in_force`] asks peers for the configuration when the
 //! store doesn't provide it; [`peers`] sends questions to other entries; [`fleet`] carries out
 //! maintenance waves and moves machines between pools.  [`confirm`] tells slow transactions from
-//! lost ones.  [`node`] is the state that all of them share, with the lock order; [`rows`] defines
+//! lost ones; [`probe`] notices the begin and the end of an outage of the store.  [`node`] is the state that all of them share, with the lock order; [`rows`] defines
 //! the stored rows.
 //!
 //! [`settings`] is the validated INI file; [`daemon`] starts everything and shuts it down
@@ -19,6 +20,7 @@
 mod clock;
 mod confirm;
 pub mod daemon;
+mod directory;
 mod fleet;
 mod follow;
 mod front;
@@ -29,6 +31,7 @@
 mod node;
 mod owner;
 mod peers;
+mod probe;
 mod rows;
 pub mod settings;
 pub mod status;
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -1,6 +1,10 @@
-//! This entry's row, the other entries' rows, and the ownership of cells.
+//! This entry's row, the other members' rows, and the ownership of cells.
+//!
+//! An entry is a member while it owns a cell or stands by ([`standby`]).  Only members renew their
+//! rows and follow the control table; all others follow just the directory.
 
 mod control;
+pub(crate) mod standby;
 
 use crate::clock;
 use crate::confirm;
@@ -32,8 +36,15 @@
 /// of the interval is added to every takeover.
 const OWNERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Pause between reads of changes.  Each entry's renewal is a change, so without a pause every
-/// entry would read as often as all of them write.
+/// Time between two checks whether an idle entry has become a member.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long an entry must have been a member before it takes a cell that never had a holder.  When
+/// all entries start for the first time, the first member would take all cells.
+const FIRST_TAKEOVER_DELAY: Duration = Duration::from_millis(1500);
+
+/// Pause between reads of changes.  Each member's renewal is a change, so without a pause every
+/// member would read as often as all of them write.
 const CONTROL_BATCH_DELAY: Duration = Duration::from_millis(250);
 
 /// Longest wait of one read for a change.  Two reads fit into the shortest term, so that silence is
@@ -50,14 +61,20 @@
         has_partitions: true,
         has_row_per_entry: true,
         batch_delay: CONTROL_BATCH_DELAY,
-        need: Need::Always,
+        need: Need::Membership,
         max_wait: MAX_CONTROL_FEED_WAIT,
     }
 }
 
-/// Renews this entry's row until the node stops.
+/// Renews this entry's row while it is a member, until the node stops.
 pub(crate) async fn renew_forever(node: Arc<Node>, peer: SocketAddr) {
     loop {
+        while !node.renews() {
+            let woken = node.renewal_due.wait(IDLE_CHECK_INTERVAL);
+            if woken.timeout_at(node.stop.clone()).await.is_err() {
+                return;
+            }
+        }
         // A failed renewal leaves less time until other entries take over, so it is retried sooner.
         let began = clock::now();
         let done = renew(&node, peer).await;
@@ -76,6 +93,18 @@
     }
 }
 
+/// This entry's row as of a renewal.
+fn entry_row(node: &Node, peer: SocketAddr, number: u64, term: Duration) -> rows::Entry {
+    rows::Entry {
+        name: node.settings.name.clone(),
+        peer,
+        term_ms: term.as_millis() as u32,
+        renewal: number,
+        power: node.millicores(),
+        stopping: node.is_stopping(),
+    }
+}
+
 /// Renews this entry's row once; true if the renewal is certain to be committed.
 ///
 /// The renewal requires that this entry still holds each cell that it owns.  Otherwise an owner
@@ -83,14 +112,7 @@
 /// taken over, and in between would start tasks that its successor already runs.
 pub(crate) async fn renew(node: &Arc<Node>, peer: SocketAddr) -> bool {
     let (number, term) = node.begin_renewal();
-    let row = rows::Entry {
-        name: node.settings.name.clone(),
-        peer,
-        term_ms: term.as_millis() as u32,
-        renewal: number,
-        power: (node.settings.cores * 1000.0) as u32,
-        stopping: node.is_stopping(),
-    };
+    let row = entry_row(node, peer, number, term);
     let owned: Vec<(String, u64)> =
         node.owners.read().iter().map(|(cell, owner)| (cell.clone(), owner.token)).collect();
     let name = rows::entry(&node.entry_id);
@@ -129,35 +151,33 @@
     }
 }
 
-/// Deletes the rows of this instance's former processes.  They are certain to have ended, so their
-/// cells can be taken over without waiting for their silence to exceed the term.
+/// Deletes the rows of this instance's former processes that were members.  They are certain to have
+/// ended, so their cells can be taken over without waiting for their silence to exceed the term.
+/// This entry becomes a member for a time, as one of the candidates for these cells.
 pub(crate) async fn delete_former_entries(node: &Node) {
-    let former: Vec<String> = {
-        let view = node.view.read();
-        let mine = |id: &&String| {
-            **id != node.entry_id
-                && view.entry_rows.get(*id).is_some_and(|row| row.name == node.settings.name)
-        };
-        view.entries.keys().filter(mine).cloned().collect()
-    };
+    let former = node.directory.read().former_processes(&node.entry_id);
     if former.is_empty() {
         return;
     }
+    node.join_provisionally();
     let deletes = former.iter().map(|id| rows::entry(id)).collect();
     let change = Transaction { deletes, across_parts: true, ..Transaction::default() };
-    if node.commit(&change, COMMIT_TIMEOUT).await.is_ok() {
-        let mut view = node.view.write();
-        for id in &former {
-            view.entries.remove(id);
-            view.entry_rows.remove(id);
-        }
-    }
+    // If this fails, the rows fall silent.
+    let _ = node.commit(&change, COMMIT_TIMEOUT).await;
 }
 
 /// Checks the ownership of all cells periodically: takes over those assigned to this entry, and
 /// stops owning those that it no longer holds.
 pub(crate) async fn check_ownership_forever(node: Arc<Node>) {
-    while node.pause(OWNERSHIP_CHECK_INTERVAL).await {
+    loop {
+        let is_member = node.is_member();
+        let interval = if is_member { OWNERSHIP_CHECK_INTERVAL } else { IDLE_CHECK_INTERVAL };
+        if !node.pause(interval).await {
+            return;
+        }
+        if !is_member || node.view.read().version == 0 {
+            continue;
+        }
         for cell in expected_cells(&node) {
             // The owner of a cell that was taken over is started at once, not after the next pause.
             if check_cell(&node, &cell).await {
@@ -208,6 +228,7 @@
             }
         }
         Decision::Decline => stop_owning(node, cell, holding.as_ref()),
+        Decision::TakeOver { cell_version: 0, .. } if node.member_for() < FIRST_TAKEOVER_DELAY => {}
         Decision::TakeOver { cell_version: version, former } if !node.is_stopping() => {
             take_over_cell(node, cell, version, former, row).await;
             return true;
@@ -238,6 +259,7 @@
     drop(owners);
     node.cell_acquired.wake();
     node.renewal_due.wake();
+    node.directory_wake.wake();
     node.metrics.count(Counter::CellsTaken);
     node.journal.info(
         "cell_taken",
@@ -276,7 +298,7 @@
     let name = rows::cell(cell);
     let generation = row.map_or(0, |row| row.generation + 1);
     // The missing row of a holder was deleted by its own instance's next process, or after a long
-    // silence.
+    // silence.  A holder never deletes its own row.
     let former_stopped = former.is_none();
     let value = rows::Cell { holder: node.entry_id.clone(), generation, former_stopped };
     let mut conditions = vec![(name.clone(), version)];
--- a/crates/scheduler/src/membership/control.rs
+++ b/crates/scheduler/src/membership/control.rs
@@ -95,6 +95,12 @@
         *view = fresh;
     }
 
+    fn unfollowed(&self) {
+        let mut view = self.0.view.write();
+        let released = std::mem::take(&mut view.released);
+        *view = View { released, ..View::default() };
+    }
+
     fn apply_changes(&self, rows: Vec<Row>) {
         let mut view = self.0.view.write();
         rows.iter().for_each(|row| self.apply_row(&mut view, row));
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -51,6 +51,8 @@
     CellsLost,
     /// Cells handed to another entry.
     CellsHandedOver,
+    /// Standby slots that this entry occupied.
+    StandbysClaimed,
     /// Calls to the store that failed.
     StoreFailures,
     /// Requests to peers that were not answered.
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -2,11 +2,12 @@
 //!
 //! # Lock order
 //!
-//! `in_force` → `view` → `minions` → `waves` → `owners` → an owner's `cell` → `links`.  A lock may
+//! `in_force` → `view` → `directory` → `minions` → `waves` → `owners` → an owner's `cell` → `links`.  A lock may
 //! only be taken while holding locks that precede it in this list, and no lock is held across an
 //! await.
 
 use crate::clock;
+use crate::directory::Directory;
 use crate::in_force::ConfigurationInForce;
 use crate::journal::Journal;
 use crate::metrics::{Counter, Metrics};
@@ -26,8 +27,8 @@
 use parking_lot::{Mutex, RwLock};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use stop_token::StopToken;
 use stop_token::future::FutureExt;
@@ -36,11 +37,21 @@
 /// reach the network on a slow instance.
 const START_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time between two checks whether an outage of the store has ended.
+const OUTAGE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How long a message that a minion is to be emptied counts without its row: several reads of the
 /// control table.
 const RELEASE_VALIDITY: Duration = Duration::from_millis(1500);
 
-/// State shared between entries, as last read.
+/// How long an entry goes on following the control table after it has ceased to be a member.  A
+/// holder that stops may hand it a cell for as long as its last renewal seems recent.
+const MEMBERSHIP_LINGER: Duration = ownership::MAX_TERM;
+
+/// How long the next process of a member's instance is a member without a cell or a slot.
+const PROVISIONAL_MEMBERSHIP: Duration = Duration::from_secs(5);
+
+/// The control table as a member last read it; empty in other entries.
 #[derive(Debug, Default)]
 pub(crate) struct View {
     /// Version up to which it is complete.
@@ -78,11 +89,11 @@
         counts
     }
 
-    /// Id and address of the holder of a cell.
-    pub(crate) fn holder(&self, cell: &str) -> Option<(String, SocketAddr)> {
+    /// Id, address and token of the holder of a cell.
+    fn holder(&self, cell: &str) -> Option<rows::Route> {
         let holding = self.holdings.get(cell)?;
-        let row = self.entry_rows.get(&holding.holder)?;
-        Some((holding.holder.clone(), row.peer))
+        let peer = self.entry_rows.get(&holding.holder)?.peer;
+        Some(rows::Route { holder: holding.holder.clone(), peer, token: holding.version })
     }
 
     /// The minions that are to be emptied.
@@ -118,6 +129,17 @@
     count: u64,
 }
 
+/// This entry's membership.
+#[derive(Clone, Copy, Debug, Default)]
+struct Membership {
+    /// Since when it has been a member without interruption.
+    since: Option<Time>,
+    /// Until when it follows the control table although it no longer renews its row.
+    lingers_until: Time,
+    /// Until when it is a member without a cell or a slot.
+    provisional_until: Time,
+}
+
 /// Shared state of this process.
 pub(crate) struct Node {
     /// Id of this process, new at every start.
@@ -131,8 +153,10 @@
     pub(crate) advice: Option<async_std::sync::Mutex<advice::Client>>,
     /// The configuration in force on this entry.
     pub(crate) in_force: ConfigurationInForce,
-    /// State shared between entries.
+    /// State shared between members.
     pub(crate) view: RwLock<View>,
+    /// Where members are reached.
+    pub(crate) directory: RwLock<Directory>,
     /// Minions as the platform lists them.
     pub(crate) minions: RwLock<BTreeMap<Arc<str>, minion::Entry>>,
     /// Whether `minions` is complete and followed.
@@ -145,6 +169,15 @@
     pub(crate) cell_acquired: Wake,
     /// The same, for the task that renews this entry's row.
     pub(crate) renewal_due: Wake,
+    /// Woken when this entry becomes a member.
+    pub(crate) membership_wake: Wake,
+    /// Woken when the directory has changed, or must be changed.
+    pub(crate) directory_wake: Wake,
+    membership: Mutex<Membership>,
+    /// Whether the holder of a cell has not answered lately.
+    holder_suspected: AtomicBool,
+    /// Where peers reach this entry, once it listens.
+    peer_address: OnceLock<SocketAddr>,
     pub(crate) peers: Peers,
     pub(crate) journal: Arc<Journal>,
     pub(crate) metrics: Arc<Metrics>,
@@ -153,6 +186,8 @@
     renewal: Mutex<Renewal>,
     /// Outage of the store.
     outage: Mutex<Outage>,
+    /// Woken when a call to the store has failed.
+    pub(crate) store_doubted: Wake,
     /// Whether the entry is shutting down.
     pub(crate) stopping: AtomicBool,
     /// Requests of callers being processed.
@@ -178,18 +213,25 @@
             settings,
             in_force: ConfigurationInForce::default(),
             view: RwLock::default(),
+            directory: RwLock::default(),
             minions: RwLock::default(),
             minions_read: AtomicBool::new(false),
             waves: RwLock::default(),
             owners: RwLock::default(),
             cell_acquired: Wake::default(),
             renewal_due: Wake::default(),
+            membership_wake: Wake::default(),
+            directory_wake: Wake::default(),
+            membership: Mutex::default(),
+            holder_suspected: AtomicBool::new(false),
+            peer_address: OnceLock::new(),
             peers,
             journal: Arc::default(),
             metrics: Arc::default(),
             commit_timeout: Mutex::default(),
             renewal: Mutex::default(),
             outage: Mutex::default(),
+            store_doubted: Wake::default(),
             stopping: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
             stop,
@@ -216,6 +258,83 @@
         self.owners.read().get(cell).cloned()
     }
 
+    /// This instance's processor capacity in millicores.
+    pub(crate) fn millicores(&self) -> u32 {
+        (self.settings.cores * 1000.0) as u32
+    }
+
+    /// Sets where peers reach this entry.
+    pub(crate) fn set_peer_address(&self, address: SocketAddr) {
+        // It listens only once.
+        let _ = self.peer_address.set(address);
+    }
+
+    /// Where peers reach this entry; none before it listens.
+    pub(crate) fn peer_address(&self) -> Option<SocketAddr> {
+        self.peer_address.get().copied()
+    }
+
+    /// Whether this entry renews its row: it owns a cell, stands by, or is a member provisionally.
+    pub(crate) fn renews(&self) -> bool {
+        self.directory.read().stands_by(&self.entry_id)
+            || !self.owners.read().is_empty()
+            || clock::now() < self.membership.lock().provisional_until
+    }
+
+    /// Whether this entry is a member, or was one until recently.
+    pub(crate) fn is_member(&self) -> bool {
+        let (renews, now) = (self.renews(), clock::now());
+        let mut membership = self.membership.lock();
+        if renews {
+            membership.lingers_until = now + MEMBERSHIP_LINGER;
+            membership.since.get_or_insert(now);
+        } else if now >= membership.lingers_until {
+            membership.since = None;
+        }
+        membership.since.is_some()
+    }
+
+    /// For how long this entry has been a member.
+    pub(crate) fn member_for(&self) -> Duration {
+        self.membership.lock().since.map_or(Duration::ZERO, |since| clock::now().since(since))
+    }
+
+    /// Makes this entry a member for [`PROVISIONAL_MEMBERSHIP`].
+    pub(crate) fn join_provisionally(&self) {
+        self.membership.lock().provisional_until = clock::now() + PROVISIONAL_MEMBERSHIP;
+        self.membership_wake.wake();
+        self.renewal_due.wake();
+    }
+
+    /// Records that the holder of a cell has not answered.
+    pub(crate) fn suspect_holder(&self) {
+        if !self.holder_suspected.swap(true, Ordering::SeqCst) {
+            self.directory_wake.wake();
+        }
+    }
+
+    /// Whether a holder has not answered since the last call.
+    pub(crate) fn take_suspicion(&self) -> bool {
+        self.holder_suspected.swap(false, Ordering::SeqCst)
+    }
+
+    /// The holder of a cell, by whichever of the control table and the directory is newer.
+    pub(crate) fn holder(&self, cell: &str) -> Option<rows::Route> {
+        let viewed = self.view.read().holder(cell);
+        let listed = self.directory.read().routes.get(cell).map(|route| route.value.clone());
+        viewed.into_iter().chain(listed).max_by_key(|route| route.token)
+    }
+
+    /// Addresses of other members that aren't about to stop.
+    pub(crate) fn member_addresses(&self) -> Vec<SocketAddr> {
+        let view = self.view.read();
+        let rows = view.entry_rows.iter();
+        let others = rows.filter(|(id, row)| **id != self.entry_id && !row.stopping);
+        let mut addresses = self.directory.read().peers(&self.entry_id);
+        addresses.extend(others.map(|(_, row)| row.peer));
+        addresses.into_iter().collect()
+    }
+
     /// Whether it owns a cell with minions, which the fleet controller's has not.
     pub(crate) fn owns_minions(&self) -> bool {
         self.owners.read().keys().any(|cell| cell != rows::FLEET_CELL)
@@ -289,6 +408,7 @@
         );
         if !answered {
             self.metrics.count(Counter::StoreFailures);
+            self.store_doubted.wake();
         }
         if !self.outage.lock().record(answered, clock::now()) {
             return;
@@ -299,6 +419,21 @@
         }
     }
 
+    /// Whether the last call to the store failed.
+    pub(crate) fn is_store_in_doubt(&self) -> bool {
+        self.outage.lock().has_failures()
+    }
+
+    /// Sleeps before a failed call to the store is repeated, at least until the end of an outage,
+    /// which probes notice; false if the node stops meanwhile.
+    pub(crate) async fn pause_for_store(&self, time: Duration) -> bool {
+        let mut is_running = self.pause(time).await;
+        while is_running && self.is_outage_ongoing() {
+            is_running = self.pause(OUTAGE_POLL_INTERVAL).await;
+        }
+        is_running
+    }
+
     /// Whether the store may be unavailable.
     pub(crate) fn is_outage_suspected(&self) -> bool {
         self.outage.lock().is_suspected()
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -7,6 +7,7 @@
 use crate::in_force;
 use crate::metrics::Counter;
 use crate::node::Node;
+use crate::rows;
 use crate::submit::{self, WriteOutcome};
 use async_std::future::timeout;
 use celerythread_engine::job::Id;
@@ -201,12 +202,13 @@
     if let Some(owner) = node.owner(service) {
         return owner.answer(&question);
     }
-    let (holder, address) = node.view.read().holder(service)?;
+    let rows::Route { holder, peer: address, .. } = node.holder(service)?;
     if holder == node.entry_id {
         return None;
     }
     let answer = node.peers.ask(address, question).await.ok();
     if answer.is_none() {
+        node.suspect_holder();
         node.metrics.count(Counter::PeerFailures);
         node.journal.warn("peer_unanswered", &[("peer", &holder), ("service", &service)]);
     }
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -1,8 +1,12 @@
 //! Rows that entries write to the platform's store: tables, keys and values.
 //!
-//! Table `control`: an entry's row (`entry/ID`) and a cell's (`cell/SERVICE`), each in a partition
+//! Table `control`: a member's row (`entry/ID`) and a cell's (`cell/SERVICE`), each in a partition
 //! of its own; machines to be emptied (`emptying/MACHINE`) and the entries' certificate authority
-//! (`authority`) in the empty one.  All entries follow this table.
+//! (`authority`) in the empty one.  Members follow this table.
+//!
+//! Table `directory`, in the empty partition: where each cell's holder is reached (`cell/SERVICE`),
+//! and the entries that stand by (`standby/ZONE/SLOT`).  All entries follow this table.  Ownership
+//! is decided by the control table alone.
 //!
 //! Table `fleet`, which only the fleet controller reads: waves (`wave/N`), the machines whose
 //! maintenance has begun (`begun/N/MACHINE`), and the pools' turns (`turns`).  In the control
@@ -27,6 +31,8 @@
 
 /// State shared between entries.
 pub(crate) const CONTROL: &str = "control";
+/// Where members are reached.
+pub(crate) const DIRECTORY: &str = "directory";
 /// What the fleet controller stores for its successor.
 pub(crate) const FLEET: &str = "fleet";
 /// Accepted jobs.
@@ -38,6 +44,7 @@
 
 pub(crate) const ENTRY_PREFIX: &str = "entry/";
 pub(crate) const CELL_PREFIX: &str = "cell/";
+pub(crate) const STANDBY_PREFIX: &str = "standby/";
 pub(crate) const EMPTYING_PREFIX: &str = "emptying/";
 pub(crate) const WAVE_PREFIX: &str = "wave/";
 pub(crate) const BEGUN_PREFIX: &str = "begun/";
@@ -80,6 +87,28 @@
     pub(crate) former_stopped: bool,
 }
 
+/// Where the holder of a cell is reached.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Route {
+    /// The entry that holds the cell.
+    pub(crate) holder: String,
+    /// Its address for peers.
+    pub(crate) peer: SocketAddr,
+    /// Its fencing token.
+    pub(crate) token: u64,
+}
+
+/// An entry that stands by to take cells over.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Standby {
+    /// The entry.
+    pub(crate) entry: String,
+    /// Its address for peers.
+    pub(crate) peer: SocketAddr,
+    /// Its processor capacity in millicores.
+    pub(crate) power: u32,
+}
+
 /// Ledger of a cell.  Each of its owner's transactions rewrites it on condition of its version, so
 /// a transaction that the store commits late can't undo a newer one, and one of a former owner
 /// can't be committed at all.
@@ -132,6 +161,27 @@
     Name::new(CONTROL, &key, key.clone())
 }
 
+/// The row with the route to a cell's holder.
+pub(crate) fn route(cell: &str) -> Name {
+    Name::new(DIRECTORY, "", format!("{CELL_PREFIX}{cell}"))
+}
+
+/// The row of a zone's standby slot.
+pub(crate) fn standby(zone: &str, slot: usize) -> Name {
+    Name::new(DIRECTORY, "", format!("{STANDBY_PREFIX}{zone}/{slot}"))
+}
+
+/// The zone and the slot of such a row; none for another key.
+pub(crate) fn standby_slot(key: &str) -> Option<(&str, usize)> {
+    let (zone, slot) = key.strip_prefix(STANDBY_PREFIX)?.rsplit_once('/')?;
+    Some((zone, slot.parse().ok()?))
+}
+
+/// The name of the instance whose process has this id.
+pub(crate) fn instance(entry_id: &str) -> &str {
+    entry_id.rsplit_once('.').map_or(entry_id, |(name, _)| name)
+}
+
 /// Partitions for a service's jobs.  At the sites' largest bursts, some 60 jobs a second, a slow
 /// store's four transactions a second for each partition still suffice.
 const SHARDS_PER_SERVICE: u64 = 32;
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -150,8 +150,7 @@
 
 /// Chooses peers at random, so that a peer that the store refuses too is not chosen each time.
 fn choose_peers(node: &Node) -> Vec<SocketAddr> {
-    let view = node.view.read();
-    let others = view.entry_rows.iter().filter(|(id, row)| **id != node.entry_id && !row.stopping);
-    let awake = others.map(|(_, row)| row.peer).filter(|peer| !node.peers.is_backing_off(*peer));
+    let members = node.member_addresses().into_iter();
+    let awake = members.filter(|peer| !node.peers.is_backing_off(*peer));
     awake.choose_multiple(&mut rand::rng(), MAX_RELAY_PEERS)
 }
--- a/tests/all/site/scale.rs
+++ b/tests/all/site/scale.rs
@@ -35,3 +35,40 @@
     assert!(many.rows < few.rows * 3 / 2, "rows with three entries {few:?}, with six {many:?}");
     assert!(many.calls < few.calls * 3 / 2, "calls with three entries {few:?}, with six {many:?}");
 }
+
+/// Guards against reading the square of the entries: every entry renewed a row, and every entry
+/// read them all.  With more entries than members, neither the rows nor the calls grow further.
+#[async_std::test]
+async fn renewals_are_read_by_members_only() {
+    let mut deployment = Deployment::start("scale-control", 6, 2).await;
+    settle().await;
+    let few = reads_during_heartbeats(&deployment, "control").await;
+    for number in 6..12 {
+        deployment.add_entry(&format!("entry-{number}")).await;
+    }
+    settle().await;
+    let many = reads_during_heartbeats(&deployment, "control").await;
+    assert!(many.rows < few.rows * 3 / 2, "rows with six entries {few:?}, with twelve {many:?}");
+    assert!(many.calls < few.calls * 3 / 2, "calls with six entries {few:?}, with twelve {many:?}");
+}
+
+/// Waits until cells and standby slots are occupied.
+async fn settle() {
+    task::sleep(Duration::from_secs(5)).await;
+}
+
+/// Guards against a fleet that serves nobody any more after all members were lost at once: holders,
+/// and the entries that would replace them.
+#[async_std::test]
+async fn lost_members_are_replaced_by_idle_entries() {
+    let mut deployment = Deployment::start("scale-members", 8, 2).await;
+    settle().await;
+    let is_member =
+        |entry: &Entry| entry.has_logged("standby_claimed") || entry.has_logged("cell_taken");
+    let members = deployment.entries.iter().filter(|entry| is_member(entry)).count();
+    deployment.entries.retain(|entry| !is_member(entry));
+    assert!(members >= 2 && !deployment.entries.is_empty(), "{members} members of eight entries");
+    let job = id(1);
+    assert_eq!(deployment.submit(0, &job, 2, "ms=50").await, 200);
+    deployment.wait_for_state(0, &job, "completed").await;
+}
