Wait for changes of the configuration by the platform's contact time

Cause: every entry ended each read of the configuration's feed after one second, with nothing happening, to notice a dead connection: a call a second for each entry, whatever the deployment's bounds.

Change: the wait is a third of the time in which the platform doesn't count on a connection that was lost, from the settings; 1 s as before where that is 3 s, 2 s on the fleet. A dead connection is still noticed, and the feed read again, well within that time (wait, 0.7 s of margin, 0.15 s of delay). Peers are asked half a second after the wait.

--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -141,7 +141,8 @@
     fn spawn_tasks(&self) {
         let node = &self.node;
         let operators = Arc::new(OperatorSink(node.clone()));
-        async_std::task::spawn(follow::follow(node.clone(), follow::operator_table(), operators));
+        let operator_table = follow::operator_table(&node.settings);
+        async_std::task::spawn(follow::follow(node.clone(), operator_table, operators));
         let minions = Arc::new(MinionSink(node.clone()));
         async_std::task::spawn(follow::follow(node.clone(), follow::minion_table(), minions));
         async_std::task::spawn(in_force::query_peers_forever(node.clone()));
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::in_force;
 use crate::node::Node;
+use crate::settings::Settings;
 use celerythread_adapter::configuration;
 use celerythread_adapter::minion::Entry;
 use celerythread_adapter::store::{self, Error, Page, Row};
@@ -15,7 +16,7 @@
 use stop_token::future::FutureExt;
 
 /// Longest wait of one feed call for most tables.  A dead connection is noticed only once the
-/// answer is overdue, so this bounds how outdated the configuration can become meanwhile.
+/// answer is overdue.
 pub(crate) const MAX_FEED_WAIT: Duration = Duration::from_millis(1000);
 
 /// Delay after a failed call.
@@ -327,15 +328,30 @@
     }
 }
 
+/// Calls of the configuration's feed for each time in which the platform doesn't count on a
+/// connection that was lost.
+const OPERATOR_FEEDS_PER_CONTACT: u32 = 3;
+
+/// Bounds of the wait of one call of the operators' table, whatever the settings.
+const MIN_OPERATOR_FEED_WAIT: Duration = Duration::from_millis(500);
+const MAX_OPERATOR_FEED_WAIT: Duration = Duration::from_secs(10);
+
+/// Longest wait of one call of the operators' table: a dead connection is noticed, and replaced,
+/// within the time for which the platform doesn't count the entry as connected.
+pub(crate) fn operator_feed_wait(settings: &Settings) -> Duration {
+    let wait = settings.contact.0 / OPERATOR_FEEDS_PER_CONTACT;
+    wait.clamp(MIN_OPERATOR_FEED_WAIT, MAX_OPERATOR_FEED_WAIT)
+}
+
 /// The table that operators write to.
-pub(crate) fn operator_table() -> Table {
+pub(crate) fn operator_table(settings: &Settings) -> Table {
     Table {
         name: store::OPERATOR_TABLE,
         has_partitions: false,
         has_row_per_entry: false,
         batch_delay: Duration::ZERO,
         need: Need::Always,
-        max_wait: MAX_FEED_WAIT,
+        max_wait: operator_feed_wait(settings),
     }
 }
 
--- a/crates/scheduler/src/in_force.rs
+++ b/crates/scheduler/src/in_force.rs
@@ -6,6 +6,7 @@
 //! source.
 
 use crate::clock;
+use crate::follow;
 use crate::node::Node;
 use celerythread_adapter::configuration::Configuration;
 use celerythread_engine::time::Time;
@@ -17,9 +18,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Age of the last confirmation from which on a peer is asked: the feed's longest wait plus the
-/// time that its answer may take.
-const PEER_QUERY_AGE: Duration = Duration::from_millis(1500);
+/// Time that the answer of the configuration's feed may take beyond its longest wait before a peer
+/// is asked.
+const FEED_ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Shortest interval between two queries to peers.  It doubles after each query that brings
 /// nothing, up to [`MAX_PEER_QUERY_INTERVAL`].
@@ -155,9 +156,10 @@
     Answer::Configuration { version: node.in_force.version(), age_ms, body }
 }
 
-/// Queries peers while the store has not confirmed the configuration for [`PEER_QUERY_AGE`] or may
-/// be unavailable, until the node stops.
+/// Queries peers while the store has not confirmed the configuration although its feed should have
+/// answered, or may be unavailable, until the node stops.
 pub(crate) async fn query_peers_forever(node: Arc<Node>) {
+    let max_age = follow::operator_feed_wait(&node.settings) + FEED_ANSWER_TIMEOUT;
     let mut peer = None;
     let mut interval = PEER_QUERY_INTERVAL;
     loop {
@@ -165,7 +167,7 @@
         if node.in_force.query_wake.wait(interval).timeout_at(node.stop.clone()).await.is_err() {
             return;
         }
-        if node.in_force.age() < PEER_QUERY_AGE && !node.is_outage_suspected() {
+        if node.in_force.age() < max_age && !node.is_outage_suspected() {
             (peer, interval) = (None, PEER_QUERY_INTERVAL);
             continue;
         }
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -51,6 +51,8 @@
     pub orders_per_s: f64,
     /// How long ended jobs are retained for queries by their callers.
     pub retention: Span,
+    /// Time after a disturbance for which the platform doesn't count an entry as connected.
+    pub contact: Span,
     /// Longest duration of a graceful stop.
     pub stop_bound: Span,
     /// Largest body of a caller's request, in bytes.
@@ -95,6 +97,7 @@
             maintenance_duration: Span::millis(2000),
             orders_per_s: 64.0,
             retention: Span::secs(120),
+            contact: Span::millis(3000),
             stop_bound: Span::millis(6000),
             body_limit: 262_144,
             strict_keys: false,
@@ -140,6 +143,7 @@
             machines: reader.optional("platform", "machines"),
             advice: reader.optional("platform", "advice"),
             retention: reader.value("platform", "retention", defaults.retention),
+            contact: reader.value("platform", "contact", defaults.contact),
             run_lease: reader.value("run", "lease", defaults.run_lease),
             lease_limit: reader.value("run", "lease_limit", defaults.lease_limit),
             extend_alone: reader.value("run", "extend_alone", defaults.extend_alone),
--- a/tests/all/pages.rs
+++ b/tests/all/pages.rs
@@ -68,6 +68,7 @@
         ("{{#cloudApi.address}}machines = {{.}}{{/cloudApi.address}}", "machines = 10.200.0.1:1"),
         ("{{#advice}}advice = {{.}}{{/advice}}", "advice = 10.200.0.2:1"),
         ("{{bounds.status_s}}", "120"),
+        ("{{#bounds.contactMs}}contact = {{.}}ms{{/bounds.contactMs}}", "contact = 6000ms"),
         ("{{bounds.stopTimeoutMs}}", "900"),
         ("{{#bounds.holdMaxMs}}lease_limit = {{.}}ms{{/bounds.holdMaxMs}}", "lease_limit = 6000ms"),
         ("{{bounds.leaseMs}}", "3000"),
@@ -95,6 +96,7 @@
     assert_eq!(settings.peer_listen.to_string(), "10.1.0.9:7060");
     assert_eq!(settings.maintenance_duration.0.as_millis(), 2500);
     assert_eq!(settings.orders_per_s, 590.0);
+    assert_eq!(settings.contact.0.as_millis(), 6000);
     assert_eq!(settings.lease_limit.0.as_millis(), 6000);
     assert_eq!(settings.trust_keys_for.0.as_millis(), 4500);
     assert!(settings.strict_keys);
