Start nothing in an availability zone that fell silent as a whole

Cause: when a zone is cut off, an owner finds its idle minions silent one by one, each by its next poll, whose interval grows with the minions of the cell (6 ms each: 6.4 s at 1,065), or by a start that isn't answered. Such a start may be carried out late, so its task waits until the minion's lease has expired.

Change: a zone in which three minions fell silent after any of its minions last answered gets no starts until one answers.

Guarded by: nothing_is_started_in_a_zone_that_fell_silent (red without the mark: tasks go to all three zones) and a_zone_whose_other_minions_answer_goes_on.

Ruled out: shorter polls of idle minions (calls grow with the minions).

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -42,6 +42,7 @@
 mod restart;
 mod straggler;
 pub mod work;
+pub(crate) mod zone;
 
 use crate::job::{Accepted, Id, Origin, Progress, Resources, State, TaskName};
 use crate::quota::Summary;
@@ -142,6 +143,7 @@
     /// Jobs with changes that are not persisted.
     pub(crate) changed_jobs: BTreeSet<Id>,
     pub(crate) minions: BTreeMap<MinionId, Minion>,
+    pub(crate) zones: zone::Zones,
     /// When all runs were last checked for what must stop; `None` if the next plan must check.
     pub(crate) last_sweep: Option<Time>,
     /// When jobs were last checked for being idle.
@@ -314,6 +316,7 @@
             active_jobs: BTreeSet::new(),
             changed_jobs: BTreeSet::new(),
             minions: BTreeMap::new(),
+            zones: zone::Zones::default(),
             last_sweep: None,
             last_idle_check: None,
             unmet_needs: place::UnmetNeeds::default(),
--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -3,6 +3,7 @@
 use crate::cell::crash::Suspicion;
 use crate::cell::quota::Charge;
 use crate::cell::restart;
+use crate::cell::zone::ZoneIndex;
 use crate::job::{Resources, Step, TaskName};
 use crate::time::Time;
 use smallvec::SmallVec;
@@ -46,6 +47,8 @@
     pub capacity: Resources,
     /// Its kind and its rack.
     pub labels: SmallVec<[Box<str>; 2]>,
+    /// Its availability zone; empty if unknown.
+    pub zone: Box<str>,
     /// Whether it is about to shut down on its own.
     pub draining: bool,
     /// While draining, the minimum time until it shuts down.
@@ -140,6 +143,10 @@
     pub id: MinionId,
     /// Its latest listing.
     pub listing: Listing,
+    /// Its zone among those of the cell.
+    pub(crate) zone: ZoneIndex,
+    /// Whether its zone has fallen silent, as of the current plan.
+    pub(crate) in_silent_zone: bool,
     /// Whether the platform still lists it.
     pub listed: bool,
     /// Whether its machine is due for maintenance or a move, so that it is to be emptied.
@@ -185,6 +192,8 @@
         Self {
             id,
             listing,
+            zone: ZoneIndex::default(),
+            in_silent_zone: false,
             listed,
             leaving: false,
             inherited: false,
@@ -266,6 +275,7 @@
             && self.has_current_listing()
             && !self.listing.draining
             && !self.reserved
+            && !self.in_silent_zone
             && !self.runs_isolated_trial()
             && now >= self.quarantined_until
     }
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -83,6 +83,7 @@
     pub fn plan(&mut self, now: Time, wall_ms: u64, permit: Permit) -> Vec<Order> {
         let mut orders = Vec::new();
         self.expire_leases(now);
+        self.mark_silent_zones();
         if self.last_sweep.is_none_or(|swept| now.since(swept) >= SWEEP_INTERVAL) {
             self.last_sweep = Some(now);
             self.stop_unwanted(now, &mut orders);
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -151,15 +151,14 @@
 impl Cell {
     /// Records a minion as listed by the platform.
     pub fn update_listing(&mut self, id: &MinionId, listing: Listing) {
-        match self.minions.get_mut(id) {
-            Some(minion) => {
-                minion.listing = listing;
-                minion.listed = true;
-            }
-            None => {
-                self.minions.insert(id.clone(), Minion::new(id.clone(), listing, true));
-            }
-        }
+        let zone = self.zones.index(&listing.zone);
+        let minion = self
+            .minions
+            .entry(id.clone())
+            .or_insert_with(|| Minion::new(id.clone(), Listing::default(), true));
+        minion.zone = zone;
+        minion.listing = listing;
+        minion.listed = true;
     }
 
     /// Adds a minion that a former owner used, whether it is still listed or not.
--- a/crates/engine/tests/all/fixture.rs
+++ b/crates/engine/tests/all/fixture.rs
@@ -80,6 +80,13 @@
         self.cell.update_listing(&Self::minion(number), listing);
     }
 
+    /// Lists a minion of an availability zone and lets it answer that it runs nothing.
+    pub(crate) fn add_minion_in(&mut self, number: usize, zone: &str) {
+        let listing = Listing { capacity: CAPACITY, zone: zone.into(), ..Listing::default() };
+        self.cell.update_listing(&Self::minion(number), listing);
+        self.answer(number, Report::default());
+    }
+
     /// Lists a minion and lets it answer that it runs nothing.
     pub(crate) fn add_minion(&mut self, number: usize) {
         self.list_minion(number);
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -21,3 +21,4 @@
 mod termination;
 mod timeout;
 mod turns;
+mod zones;
