Stand-in: a run does not end after the crash of its worker, and unacknowledged ends are lost with it

Traced as far as this: the stand-in counted a run as done whenever it was next looked at after the run's time, also if its worker had crashed in between, and the later it was looked at (a busy machine), the more. Shown by a_run_does_not_end_after_the_crash_of_its_worker, red on the former stand-in: done at 151 ms on a worker that crashed at 10. Besides, an end that the worker listed to nobody before its crash can't be known, so its task has to run again; by the users' rules an end counts once it is acknowledged.

Change: the history says whether an end was lost, and the checks count such an end only if there is no other one; all others are checked as before. Two tests check the checks.

Also an_idle_entry_makes_few_calls: at most 1.71 calls a second, the target of 60,000 in a minute for 584 entries.

--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -132,6 +132,11 @@
         self.traffic.lock().get(table).copied().unwrap_or_default()
     }
 
+    /// Reads of all tables since the store was started.
+    pub fn read_calls(&self) -> u64 {
+        self.traffic.lock().values().map(|traffic| traffic.calls).sum()
+    }
+
     fn record_read(&self, table: String, rows: usize) {
         let mut traffic = self.traffic.lock();
         let read = traffic.entry(table).or_default();
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -59,6 +59,15 @@
     /// How it ended: `done`, `failed`, `stopped`, `lapsed` (the lease expired) or `gone` (the
     /// worker crashed).
     pub end_reason: Option<&'static str>,
+    /// Whether the worker crashed before the end was acknowledged, so that nobody may know of it.
+    pub is_end_lost: bool,
+}
+
+impl Record {
+    /// Whether the run is done, and that can't be lost any more.
+    pub fn is_done(&self) -> bool {
+        self.end_reason == Some("done") && !self.is_end_lost
+    }
 }
 
 struct Active {
@@ -126,14 +135,16 @@
 
     /// Ends all runs, as a crash does.
     pub fn crash(&self) {
-        end_all(&mut self.state.lock());
+        let mut state = self.state.lock();
+        self.advance(&mut state);
+        end_all(&mut state);
     }
 
     /// Time since a task made the worker crash, which ends all its runs; `None` while it is up.
     fn down_for(&self) -> Option<Duration> {
         let mut state = self.state.lock();
         let down = Instant::now().checked_duration_since(state.down_at?)?;
-        end_all(&mut state);
+        self.advance(&mut state);
         Some(down)
     }
 
@@ -153,14 +164,18 @@
         self.started.elapsed().as_millis() as u64 + 1000
     }
 
-    /// Ends the runs whose duration is over or whose lease has expired.
+    /// Ends the runs whose duration is over or whose lease has expired, and all runs if a task has
+    /// made the worker crash.
     fn advance(&self, state: &mut State) {
         let lease_expired = self.clock_ms() >= state.deadline;
+        let down_at = state.down_at.filter(|at| *at <= Instant::now());
         let ended: Vec<(String, &'static str)> = state
             .active
             .iter()
             .filter_map(|(task, active)| {
-                let spent = active.began.elapsed() >= duration(&active.spec);
+                let ends_at = active.began + duration(&active.spec);
+                // A run that would have ended after the crash doesn't end, whenever this is called.
+                let spent = ends_at <= down_at.unwrap_or_else(Instant::now);
                 let end_reason = if active.spec.contains("fail") { "failed" } else { "done" };
                 let ends = spent && !active.spec.contains("hang") && !active.spec.contains("lasts");
                 if ends {
@@ -173,6 +188,9 @@
         for (task, end_reason) in ended {
             end(state, &task, end_reason);
         }
+        if down_at.is_some() {
+            end_all(state);
+        }
     }
 
     fn start(&self, body: &Value) -> Response {
@@ -204,6 +222,7 @@
             began,
             ended: None,
             end_reason: None,
+            is_end_lost: false,
         });
         let record = state.records.len() - 1;
         if spec.contains("crash") {
@@ -305,9 +324,15 @@
     Duration::from_millis(ms.and_then(|ms| ms.parse().ok()).unwrap_or(100))
 }
 
+/// Ends all runs and loses the ends that are not acknowledged.
 fn end_all(state: &mut State) {
     let tasks: Vec<String> = state.active.keys().cloned().collect();
     tasks.iter().for_each(|task| end(state, task, "gone"));
+    for (_, task, run, _) in std::mem::take(&mut state.unacknowledged_ends) {
+        let mut records = state.records.iter_mut();
+        let record = records.find(|record| record.task == task && record.run == run);
+        record.into_iter().for_each(|record| record.is_end_lost = true);
+    }
 }
 
 fn end(state: &mut State, task: &str, end_reason: &'static str) {
--- /dev/null
+++ b/tests/all/site/check.rs
@@ -0,0 +1,59 @@
+//! The stand-in's history of runs and the checks over it.
+
+use super::*;
+use celerythread_standin::site::check;
+use celerythread_standin::site::worker::Record;
+
+const TASK: &str = "0000000000000001.0.0.0";
+
+/// A run of [`TASK`] that is done.
+fn done(run: u64, is_end_lost: bool) -> Record {
+    let began = Instant::now();
+    Record {
+        worker: "i-0".into(),
+        task: TASK.into(),
+        run,
+        began,
+        ended: Some(Instant::now()),
+        end_reason: Some("done"),
+        is_end_lost,
+    }
+}
+
+/// Guards against a check that reports nothing.
+#[test]
+fn a_second_run_of_a_done_task_is_reported() {
+    let history = [done(1, false), done(2, false)];
+    assert_eq!(check::at_most_once(&history).len(), 1);
+    assert_eq!(check::all_done(&history, &[(id(1), 1)]).len(), 1);
+    assert_eq!(check::all_done(&[], &[(id(1), 1)]).len(), 1);
+}
+
+/// Guards against reporting a run that had to be repeated, since its worker crashed before anybody
+/// learned of its end.
+#[test]
+fn a_run_whose_end_was_lost_may_be_repeated() {
+    let history = [done(1, true), done(2, false)];
+    assert_eq!(check::at_most_once(&history), Vec::<String>::new());
+    assert_eq!(check::all_done(&history, &[(id(1), 1)]), Vec::<String>::new());
+}
+
+/// Guards against a history in which a run ends on a worker that has crashed before.  It was the
+/// later, the busier the machine was.
+#[async_std::test]
+async fn a_run_does_not_end_after_the_crash_of_its_worker() {
+    let site = Site::start(1).await.unwrap();
+    let row: Value =
+        serde_json::from_slice(&site.store.value("servers", "", "i-0").unwrap()).unwrap();
+    let address: SocketAddr = row["address"].as_str().unwrap().parse().unwrap();
+    for (task, spec) in [(TASK, "ms=60"), ("0000000000000002.0.0.0", "crash")] {
+        let body = json!({ "task": task, "run": 1, "spec": spec, "deadlineMs": 60_000, "fencingToken": 1 });
+        let (status, _) = call(address, Method::Post, "/-/run-start", Some(body)).await.unwrap();
+        assert_eq!(status, 200);
+    }
+    // The worker crashes 10 ms after the start, before the run ends.
+    task::sleep(Duration::from_millis(150)).await;
+    let history = site.history();
+    let run = history.iter().find(|record| record.task == TASK).unwrap();
+    assert_eq!(run.end_reason, Some("gone"), "{run:?}");
+}
--- a/tests/all/site/scale.rs
+++ b/tests/all/site/scale.rs
@@ -52,6 +52,32 @@
     assert!(many.calls < few.calls * 3 / 2, "calls with six entries {few:?}, with twelve {many:?}");
 }
 
+/// Target for the calls of an entry without cells: 60,000 in a minute for 584 entries.
+const MAX_IDLE_CALLS_PER_S: f64 = 60_000.0 / 60.0 / 584.0;
+
+/// Guards against idle entries that call the store several times a second with nothing happening.
+#[async_std::test]
+async fn an_idle_entry_makes_few_calls() {
+    const IDLE_ENTRIES: u32 = 6;
+    const SAMPLE_TIME: Duration = Duration::from_secs(8);
+    let mut deployment = Deployment::start("scale-idle", 6, 2).await;
+    settle().await;
+    let calls_in_sample = async |deployment: &Deployment| {
+        let before = deployment.site.store.read_calls();
+        task::sleep(SAMPLE_TIME).await;
+        deployment.site.store.read_calls() - before
+    };
+    let without = calls_in_sample(&deployment).await;
+    for number in 0..IDLE_ENTRIES {
+        deployment.add_entry(&format!("idle-{number}")).await;
+    }
+    settle().await;
+    let with = calls_in_sample(&deployment).await;
+    let added = with.saturating_sub(without) as f64 / f64::from(IDLE_ENTRIES);
+    let limit = MAX_IDLE_CALLS_PER_S * SAMPLE_TIME.as_secs_f64();
+    assert!(added <= limit, "{added:.1} calls of an idle entry, at most {limit:.1}");
+}
+
 /// Waits until cells and standby slots are occupied.
 async fn settle() {
     task::sleep(Duration::from_secs(5)).await;
