--- a/crates/scheduler/src/directory.rs
+++ b/crates/scheduler/src/directory.rs
@@ -56,7 +56,7 @@
         }
     }
 
-    /// The slots of a zone, as `instance`'s process sees them.
+    /// The slots of a zone, as the entry `entry_id` sees them.
     pub(crate) fn slots(&self, zone: &str, entry_id: &str) -> [Option<Listing>; SLOTS_PER_ZONE] {
         std::array::from_fn(|slot| {
             let standby = self.standbys.get(&(zone.to_owned(), slot))?;
@@ -72,7 +72,7 @@
         self.standbys.values().any(|standby| standby.value.entry == entry_id)
     }
 
-    /// Ids of the members.
+    /// Ids and addresses of the members.
     fn members(&self) -> impl Iterator<Item = (&str, SocketAddr)> {
         let holders =
             self.routes.values().map(|route| (route.value.holder.as_str(), route.value.peer));
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -53,8 +53,8 @@
     Always,
     /// While it is a member.  Members renew their rows often.
     Membership,
-    /// While it owns a cell with minions.  Each minion's row changes at each heartbeat, so entries
-    /// that followed them without need would read entries times minions rows.
+    /// While it owns a cell with minions.  The table has a row for each minion, so entries that
+    /// followed it without need would read entries times minions rows.
     OwnedMinions,
 }
 
