Pause after a check of members that could not read a row

Cause, found by reading: an idle entry whose check of a member's row is due didn't move the time of its next check when the read failed, or when its zone had no standby. The check stayed due, so its loop ran without a pause: a call as fast as the store refuses it, or none at all at full speed. Besides, two equal reads around an outage of the store counted as a lost member, though none could renew.

Change: such a check counts as made, and what was read before it proves nothing any more. Test: a_check_that_reads_nothing_is_repeated_later_and_proves_nothing, red with the former behaviour.

--- a/crates/engine/src/ownership/standby.rs
+++ b/crates/engine/src/ownership/standby.rs
@@ -200,6 +200,13 @@
         interval.saturating_sub(now.since(self.checked_at))
     }
 
+    /// Records that no member's row could be read.  Members may have been unable to renew theirs as
+    /// well, so the next read is compared with none before.
+    pub fn record_unread(&mut self, now: Time) {
+        self.last = None;
+        self.checked_at = now;
+    }
+
     /// Records a read of a member's row; true if the member is lost.
     pub fn record(&mut self, entry: &str, version: u64, now: Time) -> bool {
         let last = self.last.replace(Observation { entry: entry.into(), version });
--- a/crates/engine/tests/all/standby.rs
+++ b/crates/engine/tests/all/standby.rs
@@ -168,3 +168,16 @@
     assert!(!check.record("m", 8, Time(3_000)));
     assert_eq!(check.due_in(Time(3_000)), Duration::from_secs(10), "the suspicion is dropped");
 }
+
+/// Guards against an entry that the store turns away and that reads a member's row in a loop without
+/// a pause, and against members taken for lost after an outage in which they could not renew.
+#[test]
+fn a_check_that_reads_nothing_is_repeated_later_and_proves_nothing() {
+    let mut check = MemberCheck::new(Time(0), 0.5);
+    assert!(!check.record("m", 7, Time(10_000)));
+    assert_eq!(check.due_in(Time(20_000)), Duration::ZERO);
+    check.record_unread(Time(20_000));
+    assert_eq!(check.due_in(Time(20_000)), Duration::from_secs(10));
+    assert!(!check.record("m", 7, Time(30_000)));
+    assert!(check.record("m", 7, Time(40_000)));
+}
--- a/crates/scheduler/src/membership/standby.rs
+++ b/crates/scheduler/src/membership/standby.rs
@@ -165,11 +165,17 @@
             let standby = directory.standbys.get(&(zone.clone(), slot))?;
             Some((slot, standby.value.entry.clone(), standby.version))
         });
-        let Some((slot, entry, version)) = standby else { return };
+        let Some((slot, entry, version)) = standby else {
+            self.check.record_unread(clock::now());
+            return;
+        };
         let name = rows::entry(&entry);
         let read = node.store.get(&name.table, &name.part, &name.key, READ_TIMEOUT).await;
         node.record_store_result(&read);
-        let Ok(row) = read else { return };
+        let Ok(row) = read else {
+            self.check.record_unread(clock::now());
+            return;
+        };
         let found = row.map_or(0, |row| row.version);
         if self.check.record(&entry, found, clock::now()) {
             node.journal.warn("members_lost", &[("zone", &zone), ("entry", &entry)]);
