Count only minions of a known zone towards its silence

Cause, found by reading: a minion that a new owner inherits has no listing, and its zone counted as the first one of the cell. Three of them that were gone silenced that zone for as long as none of its minions answered after them. Change: minions without a zone count towards none. Test: minions_without_a_zone_silence_none, red before.

--- a/crates/engine/src/cell/zone.rs
+++ b/crates/engine/src/cell/zone.rs
@@ -1,6 +1,7 @@
 //! Availability zones of a cell's minions, the failure domains that may fall silent as a whole.
 
 use crate::cell::Cell;
+use crate::cell::minion::Minion;
 use crate::time::Time;
 use smallvec::SmallVec;
 
@@ -48,12 +49,14 @@
     pub(crate) fn mark_silent_zones(&mut self) {
         let mut zones: SmallVec<[Health; INLINE_ZONES]> =
             SmallVec::from_elem(Health::default(), self.zones.0.len());
-        for minion in self.minions.values().filter(|minion| minion.answered) {
+        // Minions without a known zone have no failure domain in common.
+        let has_zone = |minion: &&Minion| !minion.listing.zone.is_empty();
+        for minion in self.minions.values().filter(has_zone).filter(|minion| minion.answered) {
             if let Some(zone) = zones.get_mut(minion.zone.0) {
                 zone.last_answer = zone.last_answer.max(minion.reported_at);
             }
         }
-        for minion in self.minions.values() {
+        for minion in self.minions.values().filter(has_zone) {
             let (Some(zone), Some(since)) = (zones.get_mut(minion.zone.0), minion.silent_since)
             else {
                 continue;
@@ -61,10 +64,9 @@
             zone.silent += usize::from(since >= zone.last_answer);
         }
         for minion in self.minions.values_mut() {
-            // Minions without a zone have no failure domain in common.
             let is_silent = |zone: &Health| zone.silent >= MIN_SILENT_MINIONS;
             minion.in_silent_zone =
-                !minion.listing.zone.is_empty() && zones.get(minion.zone.0).is_some_and(is_silent);
+                has_zone(&&*minion) && zones.get(minion.zone.0).is_some_and(is_silent);
         }
     }
 }
--- a/crates/engine/tests/all/zones.rs
+++ b/crates/engine/tests/all/zones.rs
@@ -1,7 +1,8 @@
 //! Availability zones of a cell's minions.
 
 use crate::fixture::{Harness, definition, starts, step};
-use celerythread_engine::cell::{MinionId, Report};
+use celerythread_engine::cell::{Cell, MinionId, Report, Settings};
+use celerythread_engine::time::Time;
 use std::collections::BTreeSet;
 
 const ZONES: [&str; 3] = ["north", "south", "west"];
@@ -10,7 +11,10 @@
 
 /// A cell with minions in three zones; their numbers, modulo three, are those of the zones.
 fn cell() -> Harness {
-    let mut harness = Harness::new(0);
+    with_minions(Harness::new(0))
+}
+
+fn with_minions(mut harness: Harness) -> Harness {
     for number in 0..ZONES.len() * MINIONS_PER_ZONE {
         harness.add_minion_in(number, ZONES[number % ZONES.len()]);
     }
@@ -58,3 +62,18 @@
     harness.answer(9, Report::default());
     assert!(zones_of_job(&mut harness, 1, 250).contains("north"));
 }
+
+/// Guards against a zone without work after a takeover because minions that the former owner used
+/// are gone: their zone isn't known, and counted as the first one.
+#[test]
+fn minions_without_a_zone_silence_none() {
+    let former_lease_expiry = Some(Time(60_000));
+    let cell = Cell::new(Settings::default(), 1, former_lease_expiry);
+    let mut harness = with_minions(Harness::with_cell(cell, 0));
+    harness.advance_ms(1000);
+    for number in 100..103 {
+        harness.cell.inherit_minion(&Harness::minion(number));
+        harness.cell.record_missed_answer(&Harness::minion(number), harness.now);
+    }
+    assert!(zones_of_job(&mut harness, 1, 250).contains("north"));
+}
