Replace unreadable rows of the directory, and break two circles of imports

Cause, found by reading: a row of another writer in the directory hid nothing and could not be replaced. A slot with such a row looked vacant with version 0, so all idle entries of the zone claimed it in vain for ever; a route kept its former value. Change: an unreadable row ends what was known of it, and its version is the condition under which it is replaced. Test: unreadable_rows_of_the_directory_are_replaced (not shown red).

Also: node and directory, and follow and in_force, imported each other; the directory's data, its sink and the feed's wait lie apart now. A test of the stand-in spoke the platform's names; the stand-in starts that run itself.

--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -1,12 +1,12 @@
 //! Startup and graceful shutdown of the daemon.
 
 use crate::clock;
-use crate::directory;
 use crate::follow::{self, MinionSink, OperatorSink};
 use crate::front::CallerHandler;
 use crate::in_force;
 use crate::journal::Journal;
-use crate::membership::{self, standby::Upkeep};
+use crate::membership::standby::Upkeep;
+use crate::membership::{self, directory};
 use crate::node::Node;
 use crate::owner::persist;
 use crate::peers::{self, Peers};
--- a/crates/scheduler/src/directory.rs
+++ b/crates/scheduler/src/directory.rs
@@ -1,11 +1,10 @@
 //! The directory: where the holders of cells are reached, and which entries stand by.
 //!
-//! Every entry follows it.  It changes only with the members, so following it costs the same in a
-//! fleet of any size.  It is a hint: who may own a cell is decided by the control table alone.
+//! Every entry follows it ([`crate::membership`]).  It changes only with the members, so following it
+//! costs the same in a fleet of any size.  It is a hint: who may own a cell is decided by the control
+//! table alone.
 
 use crate::clock;
-use crate::follow::{self, Need, Sink, Table};
-use crate::node::Node;
 use crate::rows;
 use celerythread_adapter::store::Row;
 use celerythread_engine::job::decode;
@@ -13,15 +12,6 @@
 use celerythread_engine::time::Time;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
-
-/// Pause between reads of changes, which batches those of several members.
-const BATCH_DELAY: Duration = Duration::from_millis(250);
-
-/// Longest wait of one read for a change.  A dead connection is noticed once the answer is overdue;
-/// until then calls to an outdated holder fail and are answered from the store.
-const MAX_WAIT: Duration = Duration::from_secs(10);
 
 /// A row of the directory.
 #[derive(Clone, Debug)]
@@ -42,11 +32,28 @@
     pub(crate) routes: BTreeMap<String, Listed<rows::Route>>,
     /// Standbys by zone and slot.
     pub(crate) standbys: BTreeMap<(String, usize), Listed<rows::Standby>>,
+    /// Versions of the rows that can't be read, by key, so that they can be replaced.
+    unreadable: BTreeMap<String, u64>,
 }
 
 impl Directory {
+    /// A directory without rows, complete up to a version.
+    pub(crate) fn at(version: u64) -> Self {
+        Self { version, ..Self::default() }
+    }
+
     /// Applies a row unless a newer version is known; false if it can't be read.
     pub(crate) fn apply(&mut self, row: &Row) -> bool {
+        let is_readable = self.apply_readable(row);
+        if is_readable {
+            self.unreadable.remove(&row.key);
+        } else {
+            self.unreadable.insert(row.key.clone(), row.version);
+        }
+        is_readable
+    }
+
+    fn apply_readable(&mut self, row: &Row) -> bool {
         if let Some(cell) = row.key.strip_prefix(rows::CELL_PREFIX) {
             apply_to(&mut self.routes, cell.into(), row)
         } else if let Some((zone, slot)) = rows::standby_slot(&row.key) {
@@ -56,6 +63,11 @@
         }
     }
 
+    /// The version of a row that can't be read, 0 if there is no such row with this key.
+    pub(crate) fn unreadable_version(&self, key: &str) -> u64 {
+        self.unreadable.get(key).copied().unwrap_or(0)
+    }
+
     /// The slots of a zone, as the entry `entry_id` sees them.
     pub(crate) fn slots(&self, zone: &str, entry_id: &str) -> [Option<Listing>; SLOTS_PER_ZONE] {
         std::array::from_fn(|slot| {
@@ -114,47 +126,9 @@
             rows.insert(key, Listed { value, version: row.version, seen_at: clock::now() });
             true
         }
-        Err(_) => false,
-    }
-}
-
-/// Applies rows of the directory.
-struct DirectorySink(Arc<Node>);
-
-impl DirectorySink {
-    fn apply_rows(&self, directory: &mut Directory, rows: &[Row]) {
-        for row in rows {
-            if !directory.apply(row) {
-                self.0.journal.warn("directory_row_unreadable", &[("key", &row.key)]);
-            }
+        Err(_) => {
+            rows.remove(&key);
+            false
         }
     }
 }
-
-impl Sink for DirectorySink {
-    fn replace(&self, rows: Vec<Row>, version: u64) {
-        let mut fresh = Directory { version, ..Directory::default() };
-        self.apply_rows(&mut fresh, &rows);
-        *self.0.directory.write() = fresh;
-        self.0.directory_wake.wake();
-    }
-
-    fn apply_changes(&self, rows: Vec<Row>) {
-        self.apply_rows(&mut self.0.directory.write(), &rows);
-        self.0.directory_wake.wake();
-    }
-}
-
-/// Follows the directory until the node stops.
-pub(crate) async fn follow(node: Arc<Node>) {
-    let table = Table {
-        name: rows::DIRECTORY,
-        has_partitions: false,
-        has_row_per_entry: false,
-        batch_delay: BATCH_DELAY,
-        need: Need::Always,
-        max_wait: MAX_WAIT,
-    };
-    let sink = Arc::new(DirectorySink(node.clone()));
-    follow::follow(node, table, sink).await;
-}
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -328,21 +328,6 @@
     }
 }
 
-/// Calls of the configuration's feed for each time in which the platform doesn't count on a
-/// connection that was lost.
-const OPERATOR_FEEDS_PER_CONTACT: u32 = 3;
-
-/// Bounds of the wait of one call of the operators' table, whatever the settings.
-const MIN_OPERATOR_FEED_WAIT: Duration = Duration::from_millis(500);
-const MAX_OPERATOR_FEED_WAIT: Duration = Duration::from_secs(10);
-
-/// Longest wait of one call of the operators' table: a dead connection is noticed, and replaced,
-/// within the time for which the platform doesn't count the entry as connected.
-pub(crate) fn operator_feed_wait(settings: &Settings) -> Duration {
-    let wait = settings.contact.0 / OPERATOR_FEEDS_PER_CONTACT;
-    wait.clamp(MIN_OPERATOR_FEED_WAIT, MAX_OPERATOR_FEED_WAIT)
-}
-
 /// The table that operators write to.
 pub(crate) fn operator_table(settings: &Settings) -> Table {
     Table {
@@ -351,7 +336,7 @@
         has_row_per_entry: false,
         batch_delay: Duration::ZERO,
         need: Need::Always,
-        max_wait: operator_feed_wait(settings),
+        max_wait: settings.operator_feed_wait(),
     }
 }
 
--- a/crates/scheduler/src/in_force.rs
+++ b/crates/scheduler/src/in_force.rs
@@ -6,7 +6,6 @@
 //! source.
 
 use crate::clock;
-use crate::follow;
 use crate::node::Node;
 use celerythread_adapter::configuration::Configuration;
 use celerythread_engine::time::Time;
@@ -159,7 +158,7 @@
 /// Queries peers while the store has not confirmed the configuration although its feed should have
 /// answered, or may be unavailable, until the node stops.
 pub(crate) async fn query_peers_forever(node: Arc<Node>) {
-    let max_age = follow::operator_feed_wait(&node.settings) + FEED_ANSWER_TIMEOUT;
+    let max_age = node.settings.operator_feed_wait() + FEED_ANSWER_TIMEOUT;
     let mut peer = None;
     let mut interval = PEER_QUERY_INTERVAL;
     loop {
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -4,6 +4,7 @@
 //! rows and follow the control table; all others follow just the directory.
 
 mod control;
+pub(crate) mod directory;
 pub(crate) mod standby;
 
 use crate::clock;
--- a/crates/scheduler/src/membership/standby.rs
+++ b/crates/scheduler/src/membership/standby.rs
@@ -3,7 +3,7 @@
 
 use super::COMMIT_TIMEOUT;
 use crate::clock;
-use crate::directory::Directory;
+use crate::directory::{Directory, Listed};
 use crate::metrics::Counter;
 use crate::node::{Node, View};
 use crate::rows;
@@ -120,6 +120,10 @@
         let node = &self.node;
         let Some(peer) = node.peer_address() else { return };
         let name = rows::standby(&node.settings.zone, slot);
+        let version = match version {
+            0 => node.directory.read().unreadable_version(&name.key),
+            version => version,
+        };
         let power = node.millicores();
         let standby = rows::Standby { entry: node.entry_id.clone(), peer, power };
         let (number, term) = node.begin_renewal();
@@ -221,7 +225,10 @@
         let Some(peer) = node.peer_address() else { return Vec::new() };
         let view = node.view.read();
         let directory = node.directory.read();
-        let version = |cell: &str| directory.routes.get(cell).map_or(0, |route| route.version);
+        let version = |cell: &str| {
+            let unreadable = || directory.unreadable_version(&rows::route(cell).key);
+            directory.routes.get(cell).map_or_else(unreadable, |route| route.version)
+        };
         let is_outdated = |cell: &str, token: u64| {
             directory.routes.get(cell).is_none_or(|route| route.value.token < token)
         };
@@ -282,18 +289,17 @@
     };
     let alive: Vec<&String> =
         view.entries.iter().filter(|(_, entry)| is_alive(entry)).map(|(id, _)| id).collect();
-    let is_lost =
-        |((zone, slot), listed): (&(String, usize), &crate::directory::Listed<rows::Standby>)| {
-            let name = rows::standby(zone, *slot);
-            let mut members = alive.clone();
-            members.sort_by_key(|id| rank(&name.key, id));
-            let position = members.iter().position(|id| *id == me)?;
-            let entry = view.entries.get(&listed.value.entry);
-            let is_due = is_deletion_due(entry, listed.seen_at, position, view.read_at);
-            is_due.then(|| LostStandby {
-                slot: (name, listed.version),
-                entry: (rows::entry(&listed.value.entry), entry.map_or(0, |entry| entry.version)),
-            })
-        };
+    let is_lost = |((zone, slot), listed): (&(String, usize), &Listed<rows::Standby>)| {
+        let name = rows::standby(zone, *slot);
+        let mut members = alive.clone();
+        members.sort_by_key(|id| rank(&name.key, id));
+        let position = members.iter().position(|id| *id == me)?;
+        let entry = view.entries.get(&listed.value.entry);
+        let is_due = is_deletion_due(entry, listed.seen_at, position, view.read_at);
+        is_due.then(|| LostStandby {
+            slot: (name, listed.version),
+            entry: (rows::entry(&listed.value.entry), entry.map_or(0, |entry| entry.version)),
+        })
+    };
     directory.standbys.iter().filter_map(is_lost).collect()
 }
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -3,6 +3,7 @@
 use celerythread_model::ini::{Mistake, Reader};
 use celerythread_model::unit::Span;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// The settings of an entry.
 #[derive(Clone, Debug, PartialEq)]
@@ -64,6 +65,14 @@
     pub trust_keys_for: Span,
 }
 
+/// Calls of the configuration's feed for each time in which the platform doesn't count on a
+/// connection that was lost.
+const OPERATOR_FEEDS_PER_CONTACT: u32 = 3;
+
+/// Bounds of the wait of one call of the operators' table, whatever the settings.
+const MIN_OPERATOR_FEED_WAIT: Duration = Duration::from_millis(500);
+const MAX_OPERATOR_FEED_WAIT: Duration = Duration::from_secs(10);
+
 impl Default for Settings {
     fn default() -> Self {
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -111,6 +120,13 @@
     ["instance", "caller", "peer", "metrics", "platform", "run", "maintenance", "stop"];
 
 impl Settings {
+    /// Longest wait of one call of the operators' table: a dead connection is noticed, and replaced,
+    /// within the time for which the platform doesn't count the entry as connected.
+    pub(crate) fn operator_feed_wait(&self) -> Duration {
+        let wait = self.contact.0 / OPERATOR_FEEDS_PER_CONTACT;
+        wait.clamp(MIN_OPERATOR_FEED_WAIT, MAX_OPERATOR_FEED_WAIT)
+    }
+
     /// Reads a settings file.
     ///
     /// # Errors
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -133,6 +133,15 @@
         state.active.keys().cloned().collect()
     }
 
+    /// Starts the first run of a task with a lease of a minute, without a call.
+    pub fn start_run(&self, task: &str, spec: &str) {
+        const LEASE_MS: u64 = 60_000;
+        let deadline = self.clock_ms() + LEASE_MS;
+        self.start(&json!({
+            "task": task, "run": 1, "spec": spec, "deadlineMs": deadline, "fencingToken": 1,
+        }));
+    }
+
     /// Ends all runs, as a crash does.
     pub fn crash(&self) {
         let mut state = self.state.lock();
--- a/tests/all/site/check.rs
+++ b/tests/all/site/check.rs
@@ -43,14 +43,9 @@
 #[async_std::test]
 async fn a_run_does_not_end_after_the_crash_of_its_worker() {
     let site = Site::start(1).await.unwrap();
-    let row: Value =
-        serde_json::from_slice(&site.store.value("servers", "", "i-0").unwrap()).unwrap();
-    let address: SocketAddr = row["address"].as_str().unwrap().parse().unwrap();
-    for (task, spec) in [(TASK, "ms=60"), ("0000000000000002.0.0.0", "crash")] {
-        let body = json!({ "task": task, "run": 1, "spec": spec, "deadlineMs": 60_000, "fencingToken": 1 });
-        let (status, _) = call(address, Method::Post, "/-/run-start", Some(body)).await.unwrap();
-        assert_eq!(status, 200);
-    }
+    let worker = &site.workers["i-0"].worker;
+    worker.start_run(TASK, "ms=60");
+    worker.start_run("0000000000000002.0.0.0", "crash");
     // The worker crashes 10 ms after the start, before the run ends.
     task::sleep(Duration::from_millis(150)).await;
     let history = site.history();
--- a/tests/all/site/scale.rs
+++ b/tests/all/site/scale.rs
@@ -98,3 +98,24 @@
     assert_eq!(deployment.submit(0, &job, 2, "ms=50").await, 200);
     deployment.wait_for_state(0, &job, "completed").await;
 }
+
+/// Guards against claims and routes that conflict forever with a row of another writer, and against
+/// callers that are sent nowhere because of it.
+#[async_std::test]
+async fn unreadable_rows_of_the_directory_are_replaced() {
+    const UNREADABLE: &[u8] = b"\xff{";
+    let deployment = Deployment::start("scale-unreadable", 4, 2).await;
+    settle().await;
+    let store = &deployment.site.store;
+    let keys = ["cell/desk", "standby/zone/0"];
+    keys.iter().for_each(|key| store.put("directory", "", key, UNREADABLE));
+    for key in keys {
+        eventually(&format!("{key} is replaced"), async || {
+            (store.value("directory", "", key)? != UNREADABLE).then_some(())
+        })
+        .await;
+    }
+    let job = id(1);
+    assert_eq!(deployment.submit(0, &job, 2, "ms=50").await, 200);
+    deployment.wait_for_state(0, &job, "completed").await;
+}
