--- a/crates/engine/src/ownership/standby.rs
+++ b/crates/engine/src/ownership/standby.rs
@@ -7,8 +7,9 @@
 //! A holder gives its slot up, so that the standbys of a zone have no other work.  Members delete
 //! the slots of entries that fell silent, and idle entries claim vacant ones.
 
-use super::Entry;
+use super::{Entry, rank};
 use crate::time::Time;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Standby entries of an availability zone: one may fail before the other one is replaced.
@@ -144,12 +145,33 @@
 /// How long a standby may be listed before its row is seen.
 const ROW_DELAY: Duration = Duration::from_secs(1);
 
-/// Whether a member should delete a slot whose entry has the row `entry`.
-///
-/// `position` is the member's position among those alive, `listed_at` when the slot's row was first
-/// seen, and `now` when the entries' rows were last read.
-pub fn is_deletion_due(entry: Option<&Entry>, listed_at: Time, position: usize, now: Time) -> bool {
-    let silent_from = entry.map_or(listed_at + ROW_DELAY, |entry| entry.last_renewal + entry.term);
+/// A slot that a member may have to delete.
+#[derive(Clone, Copy, Debug)]
+pub struct Occupied<'a> {
+    /// Key of the slot's row.
+    pub slot: &'a str,
+    /// The entry that occupies it.
+    pub entry: &'a str,
+    /// When its row was first seen.
+    pub listed_at: Time,
+}
+
+/// Whether the member `me` should delete a slot now because its entry fell silent.  `entries` are the
+/// rows of the members, as last read at `now`.
+pub fn is_deletion_due(
+    occupied: Occupied<'_>,
+    me: &str,
+    entries: &BTreeMap<String, Entry>,
+    now: Time,
+) -> bool {
+    let is_alive = |entry: &Entry| !entry.stopping && now.since(entry.last_renewal) < entry.term;
+    let mut alive: Vec<&str> =
+        entries.iter().filter(|(_, entry)| is_alive(entry)).map(|(id, _)| id.as_str()).collect();
+    alive.sort_by_key(|id| rank(occupied.slot, id));
+    let Some(position) = alive.iter().position(|id| *id == me) else { return false };
+    let silent_from = entries
+        .get(occupied.entry)
+        .map_or(occupied.listed_at + ROW_DELAY, |entry| entry.last_renewal + entry.term);
     now >= silent_from + DELETION_STAGGER * position as u32
 }
 
--- a/crates/engine/tests/all/standby.rs
+++ b/crates/engine/tests/all/standby.rs
@@ -2,9 +2,10 @@
 
 use celerythread_engine::ownership::Entry;
 use celerythread_engine::ownership::standby::{
-    Candidate, Claims, Decision, Listing, MemberCheck, SLOTS_PER_ZONE, is_deletion_due,
+    Candidate, Claims, Decision, Listing, MemberCheck, Occupied, SLOTS_PER_ZONE, is_deletion_due,
 };
 use celerythread_engine::time::Time;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 type Slots = [Option<Listing>; SLOTS_PER_ZONE];
@@ -129,22 +130,34 @@
     assert_eq!(decision, Decision::Claim { slot: 1, version: 7 });
 }
 
+/// Guards against all members deleting a slot at once, and against a slot that stays with an entry
+/// that is lost.
 #[test]
 fn the_slot_of_a_silent_standby_is_deleted_by_one_member_first() {
-    let term = Duration::from_millis(1300);
-    let entry = Entry {
+    let entry = |last_renewal| Entry {
         version: 3,
-        last_renewal: Time(10_000),
+        last_renewal: Time(last_renewal),
         first_seen: Time(0),
-        term,
+        term: Duration::from_millis(1300),
         stopping: false,
         millicores: 250,
     };
-    let due = |position, now| is_deletion_due(Some(&entry), Time(0), position, Time(now));
-    assert!(!due(0, 11_299) && due(0, 11_300));
-    assert!(!due(1, 11_300) && due(1, 11_600));
-    let unlisted_due = |now| is_deletion_due(None, Time(11_000), 0, Time(now));
-    assert!(!unlisted_due(11_999) && unlisted_due(12_000));
+    let mut entries = BTreeMap::from([("lost".to_owned(), entry(10_000))]);
+    for member in ["a", "b", "c"] {
+        entries.insert(member.into(), entry(11_500));
+    }
+    let occupied = Occupied { slot: "slot", entry: "lost", listed_at: Time(0) };
+    let deleting = |entries: &BTreeMap<String, Entry>, now| {
+        let due = |me: &&str| is_deletion_due(occupied, me, entries, Time(now));
+        ["a", "b", "c", "lost", "idle"].iter().filter(|me| due(me)).count()
+    };
+    let by_time = [11_299, 11_300, 11_599, 11_600, 11_900].map(|now| deleting(&entries, now));
+    assert_eq!(by_time, [0, 1, 1, 2, 3]);
+    entries.remove("lost");
+    let listed = Occupied { listed_at: Time(11_000), ..occupied };
+    let unlisted =
+        |now| ["a", "b", "c"].iter().any(|me| is_deletion_due(listed, me, &entries, Time(now)));
+    assert!(!unlisted(11_999) && unlisted(12_000));
 }
 
 /// Guards against a fleet without members, after all of them were lost at once.
--- a/crates/scheduler/src/membership/standby.rs
+++ b/crates/scheduler/src/membership/standby.rs
@@ -10,9 +10,8 @@
 use celerythread_adapter::store::{Error, Name, Row, Transaction};
 use celerythread_engine::job::encode;
 use celerythread_engine::ownership::standby::{
-    Candidate, Claims, Decision, MemberCheck, SLOTS_PER_ZONE, is_deletion_due,
+    Candidate, Claims, Decision, MemberCheck, Occupied, SLOTS_PER_ZONE, is_deletion_due,
 };
-use celerythread_engine::ownership::{self, rank};
 use celerythread_engine::time::Time;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -284,21 +283,14 @@
 
 /// The slots of lost entries that `me` should delete now.
 fn lost_standbys(me: &str, view: &View, directory: &Directory) -> Vec<LostStandby> {
-    let is_alive = |entry: &ownership::Entry| {
-        !entry.stopping && view.read_at.since(entry.last_renewal) < entry.term
-    };
-    let alive: Vec<&String> =
-        view.entries.iter().filter(|(_, entry)| is_alive(entry)).map(|(id, _)| id).collect();
     let is_lost = |((zone, slot), listed): (&(String, usize), &Listed<rows::Standby>)| {
         let name = rows::standby(zone, *slot);
-        let mut members = alive.clone();
-        members.sort_by_key(|id| rank(&name.key, id));
-        let position = members.iter().position(|id| *id == me)?;
-        let entry = view.entries.get(&listed.value.entry);
-        let is_due = is_deletion_due(entry, listed.seen_at, position, view.read_at);
-        is_due.then(|| LostStandby {
-            slot: (name, listed.version),
-            entry: (rows::entry(&listed.value.entry), entry.map_or(0, |entry| entry.version)),
+        let entry = listed.value.entry.as_str();
+        let occupied = Occupied { slot: &name.key, entry, listed_at: listed.seen_at };
+        let version = view.entries.get(entry).map_or(0, |entry| entry.version);
+        is_deletion_due(occupied, me, &view.entries, view.read_at).then(|| LostStandby {
+            slot: (name.clone(), listed.version),
+            entry: (rows::entry(entry), version),
         })
     };
     directory.standbys.iter().filter_map(is_lost).collect()
