Have standbys make an owner's calls to minions at its service's peak

Cause: all of a service's work is done by one process, whatever the service asks for. Each task takes a start and a poll; at 5,000 tasks a second these are 10,000 calls, and the strongest entries have half of a core.

Mend: the owner keeps all decisions and state; above the rate that its own processor bears, standbys make the calls to a part of its minions, as few as the rate requires, in batches over one stream each.

Ruled out: polls that delegates decide on themselves (leases and acknowledgements in two places).

--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -6,6 +6,7 @@
 use crate::cell::zone::ZoneIndex;
 use crate::job::{Resources, Step, TaskName};
 use crate::time::Time;
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -21,7 +22,7 @@
 ///
 /// Distinguishes restarts of a minion that keeps its id.  Incarnations are not ordered, because the
 /// clock may have been adjusted between restarts.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
 
 impl fmt::Display for Incarnation {
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -6,6 +6,7 @@
 use crate::cell::{Cell, Event, Order};
 use crate::job::{State, TaskName};
 use crate::time::Time;
+use serde::{Deserialize, Serialize};
 use smallvec::smallvec;
 use std::time::Duration;
 use strum::Display;
@@ -35,7 +36,7 @@
 pub(crate) const STOP_DUE: RunPhase = RunPhase::Stopping { ordered: Time(0), confirmed: None };
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 pub enum EndReason {
     /// It completed its work.
@@ -53,7 +54,7 @@
 }
 
 /// A run that a minion lists.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Running {
     /// The task.
     pub task: TaskName,
@@ -69,7 +70,7 @@
 }
 
 /// The end of a run that a minion lists.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct End {
     /// Its number in the minion's list of ends.
     pub number: u64,
@@ -84,7 +85,7 @@
 }
 
 /// A minion's answer to a poll.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// Incarnation of the minion, if the answer contains one.
     pub incarnation: Option<Incarnation>,
@@ -95,7 +96,7 @@
 }
 
 /// Why a minion refused a start.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 pub enum Refusal {
     /// It has seen a higher fencing token.
@@ -115,7 +116,7 @@
 }
 
 /// Result of a start order.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum StartResult {
     /// The run started; it may have ended since.
     Started,
--- /dev/null
+++ b/crates/engine/src/delegation.rs
@@ -0,0 +1,141 @@
+//! Decides which calls to minions a cell's owner makes itself, and which ones other entries make
+//! for it.
+//!
+//! A cell has one owner, and each task takes some calls to its minion.  Without delegates, the calls
+//! of a service at its peak take more processor time than any one entry has, while other entries
+//! are idle.  Delegates only make calls; every decision stays with the owner, so nothing has to be
+//! agreed when they change.
+
+use crate::ownership;
+use crate::time::Time;
+use smallvec::SmallVec;
+use std::fmt;
+use std::num::ParseFloatError;
+use std::ops::Add;
+use std::str::FromStr;
+use std::time::Duration;
+
+/// Time over which calls are counted for a rate.
+const WINDOW: Duration = Duration::from_millis(250);
+
+/// Calls a second that an entry makes for a cell with each core that it has.  A call takes some
+/// 50 us, so this leaves an owner four fifths of its processor for its decisions.
+const CALLS_PER_CORE: f64 = 4000.0;
+
+/// Delegates of a cell that are kept without an allocation.
+const INLINE_DELEGATES: usize = 8;
+
+/// Calls a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+pub struct Rate(pub f64);
+
+impl Rate {
+    /// The calls that an entry with this processor capacity makes for a cell.
+    pub fn of_entry(millicores: u32) -> Self {
+        Self(CALLS_PER_CORE * f64::from(millicores) / 1000.0)
+    }
+}
+
+impl Add for Rate {
+    type Output = Rate;
+
+    fn add(self, other: Rate) -> Rate {
+        Rate(self.0 + other.0)
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Rate {
+    type Err = ParseFloatError;
+
+    fn from_str(text: &str) -> Result<Self, ParseFloatError> {
+        text.parse().map(Self)
+    }
+}
+
+/// Measures the rate of a cell's calls, whoever makes them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Meter {
+    window_began: Time,
+    /// Calls in the current window.
+    calls: u32,
+    /// Rate at the end of the last window.
+    rate: Rate,
+}
+
+impl Meter {
+    /// Records a call.
+    pub fn record(&mut self, now: Time) {
+        self.end_window(now);
+        self.calls += 1;
+    }
+
+    /// The current rate.  It follows a rise at once, and falls by half in each window at most, so
+    /// that minions don't change hands with every pause.
+    pub fn rate(&mut self, now: Time) -> Rate {
+        self.end_window(now);
+        Rate(self.rate.0.max(f64::from(self.calls) / WINDOW.as_secs_f64()))
+    }
+
+    fn end_window(&mut self, now: Time) {
+        let elapsed = now.since(self.window_began);
+        if elapsed < WINDOW {
+            return;
+        }
+        let measured = f64::from(self.calls) / elapsed.as_secs_f64();
+        *self = Self {
+            window_began: now,
+            calls: 0,
+            rate: Rate(measured.max((measured + self.rate.0) / 2.0)),
+        };
+    }
+}
+
+/// Who makes the calls to each minion.
+#[derive(Clone, Debug, Default)]
+pub struct Assignment {
+    /// For the owner and then each delegate, the end of its part of the minions, from 0 to 1.
+    ends: SmallVec<[f64; INLINE_DELEGATES]>,
+}
+
+impl Assignment {
+    /// Assigns as many delegates as the rate requires, the first ones of `candidates`, and to each
+    /// of them and to the owner a part of the minions in proportion to its processor capacity in
+    /// millicores.
+    pub fn new(rate: Rate, own_millicores: u32, candidates: &[u32]) -> Self {
+        let mut parts: SmallVec<[Rate; INLINE_DELEGATES]> = SmallVec::new();
+        parts.push(Rate::of_entry(own_millicores));
+        let mut total = parts[0];
+        for millicores in candidates {
+            if total >= rate {
+                break;
+            }
+            let part = Rate::of_entry(*millicores);
+            parts.push(part);
+            total = total + part;
+        }
+        let mut end = 0.0;
+        let ends = parts.iter().map(|part| {
+            end += part.0 / total.0.max(f64::MIN_POSITIVE);
+            end
+        });
+        Self { ends: ends.collect() }
+    }
+
+    /// Number of delegates.
+    pub fn delegates(&self) -> usize {
+        self.ends.len().saturating_sub(1)
+    }
+
+    /// The index of the delegate that makes the calls to a minion; `None` if the owner makes them.
+    pub fn delegate_of(&self, minion: &str) -> Option<usize> {
+        let position = ownership::rank("", minion) as f64 / u64::MAX as f64;
+        let part = self.ends.iter().position(|end| position < *end);
+        part.unwrap_or(self.ends.len().saturating_sub(1)).checked_sub(1)
+    }
+}
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the engine's rules, without a network or clocks.
 
 mod crashes;
+mod delegation;
 mod fixture;
 mod jobs;
 mod lease;
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -39,6 +39,10 @@
     Holds,
     /// Calls that this entry made to minions.
     MinionCalls,
+    /// Calls to minions that this entry, as an owner, had delegates make.
+    DelegatedCalls,
+    /// Such calls without an answer because the delegate was lost or late.
+    DelegatedCallsLost,
     /// Polls without an answer.
     HoldsMissed,
     /// Successful transactions of owners, such as those that store the ends of runs.
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -2,7 +2,7 @@
 //!
 //! # Lock order
 //!
-//! `in_force` → `view` → `directory` → `minions` → `waves` → `owners` → an owner's `cell` → `links`.  A lock may
+//! An owner's `delegation` → `in_force` → `view` → `directory` → `minions` → `waves` → `owners` → an owner's `cell` → `links`.  A lock may
 //! only be taken while holding locks that precede it in this list, and no lock is held across an
 //! await.
 
@@ -335,6 +335,17 @@
         addresses.into_iter().collect()
     }
 
+    /// The other entries that stand by and aren't about to stop, by `select` of zone and row.
+    pub(crate) fn standbys<T>(&self, select: impl Fn(&str, &rows::Standby) -> T) -> Vec<T> {
+        let view = self.view.read();
+        let is_stopping = |id: &str| view.entry_rows.get(id).is_some_and(|row| row.stopping);
+        let directory = self.directory.read();
+        let others = directory.standbys.iter().filter(|(_, standby)| {
+            standby.value.entry != self.entry_id && !is_stopping(&standby.value.entry)
+        });
+        others.map(|((zone, _), standby)| select(zone, &standby.value)).collect()
+    }
+
     /// Whether it owns a cell with minions, which the fleet controller's has not.
     pub(crate) fn owns_minions(&self) -> bool {
         self.owners.read().keys().any(|cell| cell != rows::FLEET_CELL)
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -9,6 +9,7 @@
 mod activity;
 mod advice;
 mod calls;
+pub(crate) mod delegation;
 mod events;
 mod grant;
 pub(crate) mod load;
@@ -28,6 +29,7 @@
 use celerythread_engine::job::{Accepted, Id, TaskName};
 use celerythread_sync::Wake;
 use celerythread_wire::job::{Answer, Question};
+use delegation::Delegation;
 use parking_lot::Mutex;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Display;
@@ -111,6 +113,7 @@
     /// Whether a change of shares is being written.
     pub(crate) writing_shares: AtomicBool,
     pub(crate) activity: Activity,
+    pub(crate) delegation: Delegation,
     stop_source: Mutex<Option<StopSource>>,
     pub(crate) stopped: StopToken,
 }
@@ -141,6 +144,7 @@
             minions_changed: AtomicBool::new(true),
             writing_shares: AtomicBool::new(false),
             activity: Activity::default(),
+            delegation: Delegation::default(),
             stop_source: Mutex::new(Some(stop_source)),
             stopped,
         })
--- a/crates/scheduler/src/owner/calls.rs
+++ b/crates/scheduler/src/owner/calls.rs
@@ -1,22 +1,45 @@
-//! The calls of an owner to its minions.
+//! The calls of an owner to its minions, made by itself or through a delegate.
 
 use crate::metrics::Counter;
 use crate::owner::Owner;
+use crate::owner::delegation::{Delegate, Lost};
 use celerythread_adapter::Failure;
 use celerythread_adapter::minion::{Hold, Reply, Session, Target};
 use celerythread_engine::cell::{Order, Report, StartResult};
 use celerythread_engine::job::TaskName;
+use celerythread_wire::minion::{Outcome, Request};
 use std::time::Duration;
 
 /// Longest wait for the answer to an order.  An order that is not answered in this time is assumed
 /// to be carried out late or never.
 pub(crate) const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Polls a minion.  Ended runs are acknowledged only if a session is given.
+/// Polls a minion in a session, through the cell's delegate if it has one for this minion.
 ///
 /// # Errors
 /// When there is no valid answer.
 pub(crate) async fn hold(
+    owner: &Owner,
+    target: &Target,
+    session: &mut Session,
+    hold: &Hold,
+    timeout: Duration,
+) -> Result<Reply<Report>, Failure> {
+    if let Some(delegate) = owner.delegation.route(owner, &target.id) {
+        match hold_through(owner, &delegate, target, session, hold, timeout).await {
+            Err(Lost::NotAsked) => {}
+            Err(Lost::Unanswered) => return Err(unanswered()),
+            Ok(result) => return result,
+        }
+    }
+    hold_directly(owner, target, Some(session), hold, timeout).await
+}
+
+/// Polls a minion without a delegate.  Ended runs are acknowledged only if a session is given.
+///
+/// # Errors
+/// When there is no valid answer.
+pub(crate) async fn hold_directly(
     owner: &Owner,
     target: &Target,
     session: Option<&mut Session>,
@@ -32,7 +55,34 @@
     }
 }
 
-/// Orders a start.
+async fn hold_through(
+    owner: &Owner,
+    delegate: &Delegate,
+    target: &Target,
+    session: &mut Session,
+    hold: &Hold,
+    timeout: Duration,
+) -> Result<Result<Reply<Report>, Failure>, Lost> {
+    let request = Request::Hold {
+        acknowledged: hold.acknowledged,
+        incarnation: hold.incarnation,
+        deadline_ms: hold.deadline_ms,
+        wait_ms: hold.wait.as_millis() as u32,
+    };
+    let outcome = delegate.call(target, owner.token, request, timeout).await?;
+    owner.node.metrics.count(Counter::Holds);
+    owner.node.metrics.count(Counter::DelegatedCalls);
+    owner.activity.record_poll();
+    Ok(match outcome {
+        Outcome::Reported { report, acknowledged, clock_ms } => {
+            session.record_acknowledged(report.incarnation, acknowledged);
+            Ok(Reply::Done(report, clock_ms))
+        }
+        other => decode_other(other),
+    })
+}
+
+/// Orders a start, through the cell's delegate if it has one for this minion.
 ///
 /// # Errors
 /// When the order was certainly not sent.
@@ -42,10 +92,51 @@
     order: &Order,
     deadline_ms: u64,
 ) -> Result<Reply<StartResult>, Failure> {
+    if let Some(delegate) = owner.delegation.route(owner, &target.id) {
+        match start_through(owner, &delegate, target, order, deadline_ms).await {
+            Err(Lost::NotAsked) => {}
+            Err(Lost::Unanswered) => return Ok(Reply::Done(StartResult::Unknown, 0)),
+            Ok(result) => return result,
+        }
+    }
     owner.node.metrics.count(Counter::MinionCalls);
     owner.node.minion_client.start(target, order, deadline_ms, owner.token, ORDER_TIMEOUT).await
 }
 
+async fn start_through(
+    owner: &Owner,
+    delegate: &Delegate,
+    target: &Target,
+    order: &Order,
+    deadline_ms: u64,
+) -> Result<Result<Reply<StartResult>, Failure>, Lost> {
+    let request = Request::Start { order: order.clone(), deadline_ms };
+    let outcome = delegate.call(target, owner.token, request, ORDER_TIMEOUT).await?;
+    owner.node.metrics.count(Counter::DelegatedCalls);
+    Ok(match outcome {
+        Outcome::Started { result, clock_ms } => Ok(Reply::Done(result, clock_ms)),
+        Outcome::Unanswered { .. } => Ok(Reply::Done(StartResult::Unknown, 0)),
+        other => decode_other(other),
+    })
+}
+
+/// Decodes an outcome that is the same for all requests.
+fn decode_other<T>(outcome: Outcome) -> Result<Reply<T>, Failure> {
+    match outcome {
+        Outcome::Refused(refusal) => Ok(Reply::Refused(refusal)),
+        Outcome::OtherIncarnation => Ok(Reply::OtherIncarnation),
+        Outcome::NotSent { reason } => Err(Failure::NotSent { reason }),
+        Outcome::Unanswered { reason } => Err(Failure::Unanswered { reason }),
+        Outcome::Started { .. } | Outcome::Reported { .. } => {
+            Err(Failure::Unanswered { reason: "the answer is to another request".into() })
+        }
+    }
+}
+
+fn unanswered() -> Failure {
+    Failure::Unanswered { reason: "the delegate did not answer".into() }
+}
+
 /// Orders a stop.
 ///
 /// # Errors
--- a/crates/scheduler/src/owner/supervisor.rs
+++ b/crates/scheduler/src/owner/supervisor.rs
@@ -287,7 +287,13 @@
     let Poll { acknowledged, incarnation, .. } = poll;
     let hold = Hold { token: owner.token, acknowledged, incarnation, deadline_ms, wait };
     let sent = clock::now();
-    match calls::hold(owner, &supervisor.target, session, &hold, wait + ANSWER_TIMEOUT).await {
+    let (target, timeout) = (&supervisor.target, wait + ANSWER_TIMEOUT);
+    let answer = match session {
+        // A poll after a miss tells whether the minion or a delegate has failed.
+        Some(session) if !missed => calls::hold(owner, target, session, &hold, timeout).await,
+        session => calls::hold_directly(owner, target, session, &hold, timeout).await,
+    };
+    match answer {
         Ok(Reply::Done(report, clock_ms)) => {
             let is_outdated = |minion: &Minion| minion.is_outdated(report.incarnation);
             if owner.with(|cell| cell.minion(id).is_some_and(is_outdated)) == Some(true) {
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -4,6 +4,7 @@
 //! time.
 
 use crate::clock;
+use crate::delegate;
 use crate::in_force;
 use crate::metrics::Counter;
 use crate::node::Node;
@@ -147,10 +148,7 @@
         }
         let max_wait = answer_timeout(&question);
         let began = std::time::Instant::now();
-        let opening = async { self.link(address).await?.open().await.ok() };
-        let opened = timeout(max_wait, opening).await.ok().flatten();
-        let Some(mut channel) = opened else {
-            self.start_backoff(address);
+        let Some(mut channel) = self.open_channel(address, max_wait).await else {
             return Err(AskError::NotAsked);
         };
         let exchange = async {
@@ -171,6 +169,24 @@
         answer.ok_or(AskError::Unanswered)
     }
 
+    /// Opens an exchange with a peer; none if that takes longer than `max_wait`.
+    async fn open_channel(&self, address: SocketAddr, max_wait: Duration) -> Option<Channel> {
+        let opening = async { self.link(address).await?.open().await.ok() };
+        let opened = timeout(max_wait, opening).await.ok().flatten();
+        if opened.is_none() {
+            self.start_backoff(address);
+        }
+        opened
+    }
+
+    /// Opens an exchange of several frames with a peer; none if it can't be reached now.
+    pub(crate) async fn open_exchange(&self, address: SocketAddr) -> Option<Channel> {
+        if self.is_backing_off(address) {
+            return None;
+        }
+        self.open_channel(address, ANSWER_TIMEOUT).await
+    }
+
     /// Records an unanswered question.
     fn record_miss(&self, address: SocketAddr) {
         self.start_backoff(address);
@@ -248,7 +264,11 @@
 }
 
 async fn serve_channel(node: Arc<Node>, mut channel: Channel) {
-    let Ok(Frame::JobQuestion(question)) = channel.receive().await else { return };
+    let question = match channel.receive().await {
+        Ok(Frame::JobQuestion(question)) => question,
+        Ok(Frame::MinionCalls(calls)) => return delegate::serve(node, channel, calls).await,
+        _ => return,
+    };
     let answer = match &question {
         Question::Submit { service, id, row } => submit_for_peer(&node, service, *id, row).await,
         Question::Configuration { version } => in_force::answer_peer(&node, *version),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,6 +1,7 @@
 //! The messages between entry instances.
 
 use crate::job;
+use crate::minion;
 use celerythread_model::code::Code;
 use celerythread_model::event;
 use celerythread_model::id;
@@ -54,6 +55,10 @@
     JobQuestion(job::Question),
     /// The owner's answer.
     JobAnswer(job::Answer),
+    /// Calls to minions that the sender, the owner of their cell, delegates to the receiver.
+    MinionCalls(Vec<minion::Call>),
+    /// Answers to such calls, in any order.
+    MinionAnswers(Vec<minion::Answer>),
 }
 
 /// A heartbeat: the state of an entry as sent to its peers.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod frame;
 pub mod identity;
 pub mod job;
+pub mod minion;
 
 pub use channel::Channel;
 pub use endpoint::{Endpoint, Link};
--- a/crates/wire/tests/peers.rs
+++ b/crates/wire/tests/peers.rs
@@ -4,10 +4,13 @@
 use async_std::future::timeout;
 use async_std::net::UdpSocket;
 use async_std::task;
+use celerythread_engine::cell::{End, EndReason, Incarnation, Order, Report, Running};
+use celerythread_engine::job::TaskName;
 use celerythread_model::code::Code;
 use celerythread_model::unit::Revision;
 use celerythread_wire::authority::{self, Pair};
 use celerythread_wire::endpoint::Settings;
+use celerythread_wire::minion::{Answer, Call, Outcome, Request};
 use celerythread_wire::{Endpoint, Error, Frame, Identity, codec};
 use proptest::prelude::*;
 use std::net::SocketAddr;
@@ -129,3 +132,46 @@
         }
     }
 }
+
+/// Guards against calls and answers of another entry that lose a part on their way.
+#[test]
+fn delegated_calls_and_answers_round_trip() {
+    let task: TaskName = "00000000000000ab.0.1.2".parse().unwrap();
+    let order = Order::Start {
+        minion: "i-1".into(),
+        task,
+        run: 3,
+        first: true,
+        suspected: false,
+        spec: "work".into(),
+        checkpoint: Some("0000000000000001".into()),
+        ticket: None,
+    };
+    let start = Request::Start { order, deadline_ms: 4_500 };
+    let hold = Request::Hold {
+        acknowledged: 7,
+        incarnation: Some(Incarnation(9)),
+        deadline_ms: None,
+        wait_ms: 1_000,
+    };
+    let calls = [start, hold].map(|request| Call {
+        number: 1,
+        minion: "i-1".into(),
+        address: any_port(),
+        token: 5,
+        timeout_ms: 300,
+        request,
+    });
+    let end = End { number: 8, task, run: 3, reason: EndReason::Done, checkpoint: None };
+    let running = Running { task, run: 4, checkpoint: None, percent: 50, load: Some(10) };
+    let report =
+        Report { incarnation: Some(Incarnation(9)), running: vec![running], finished: vec![end] };
+    let outcome = Outcome::Reported { report, acknowledged: 7, clock_ms: 100 };
+    let frames = [
+        Frame::MinionCalls(calls.into()),
+        Frame::MinionAnswers(vec![Answer { number: 1, outcome }]),
+    ];
+    for frame in frames {
+        assert_eq!(codec::decode(&codec::encode(&frame)[codec::HEADER_LEN..]).unwrap(), frame);
+    }
+}
--- a/tests/all/site/delegation.rs
+++ b/tests/all/site/delegation.rs
@@ -1,10 +1,9 @@
-//! Calls of a cell's owner to its minions, in counts.
+//! Calls of an owner to its minions, in counts, and the loss of the entries that make some of them.
 
 use super::*;
+use celerythread_standin::site::check;
 use std::net::TcpListener;
 
-const MINIONS: usize = 30;
-
 /// So little of a core that a few jobs a second make more calls than one entry is to make.
 const CORES: &str = "cores = 0.02";
 
@@ -17,8 +16,8 @@
 }
 
 impl Small {
-    async fn start(test: &'static str, entries: usize) -> Self {
-        let site = Site::start(MINIONS).await.unwrap();
+    async fn start(test: &'static str, entries: usize, minions: usize) -> Self {
+        let site = Site::start(minions).await.unwrap();
         let mut deployment = Deployment { site, entries: Vec::new(), test };
         let mut metrics = Vec::new();
         for number in 0..entries {
@@ -97,8 +96,38 @@
 /// time left, while other entries are idle.
 #[async_std::test]
 async fn an_owner_makes_few_more_calls_as_its_load_doubles() {
-    let small = Small::start("delegation-load", 5).await;
+    let small = Small::start("delegation-load", 5, 30).await;
     let once = small.own_calls(1_000, 20.0).await;
     let twice = small.own_calls(2_000, 40.0).await;
     assert!(twice < once * 1.5, "own calls a second: {once:.0}, at twice the load {twice:.0}");
 }
+
+/// Guards against jobs that stall, or run twice, when the entries that make calls for their owner
+/// are lost.
+#[async_std::test]
+async fn lost_delegates_delay_no_job_and_nothing_runs_twice() {
+    let small = Small::start("delegation-loss", 6, 30).await;
+    let owner = small.deployment.owner().unwrap();
+    let mut jobs = small.submit_jobs(owner, 1_000, 120, 60.0).await;
+    eventually("calls are delegated", async || {
+        (small.counter(owner, "delegated_calls").await > 0).then_some(())
+    })
+    .await;
+    let standbys: Vec<usize> = (0..small.deployment.entries.len())
+        .filter(|entry| *entry != owner)
+        .filter(|entry| small.deployment.entries[*entry].has_logged("standby_claimed"))
+        .collect();
+    let kill = async {
+        task::sleep(Duration::from_millis(300)).await;
+        standbys.iter().for_each(|entry| small.deployment.entries[*entry].signal("-KILL"));
+    };
+    let (accepted, ()) = futures::join!(small.submit_jobs(owner, 2_000, 120, 60.0), kill);
+    jobs.extend(accepted);
+    assert!(jobs.len() > 200, "{} jobs accepted", jobs.len());
+    for (job, _) in &jobs {
+        small.deployment.wait_for_state(owner, job, "completed").await;
+    }
+    let history = small.deployment.site.history();
+    assert_eq!(check::at_most_once(&history), Vec::<String>::new());
+    assert_eq!(check::all_done(&history, &jobs), Vec::<String>::new());
+}
