Don't poll a minion for each order while its ended runs are being written

Cause: an order wakes the minion's poll. Now the poll waits for the write, as long as before at most.

--- a/crates/scheduler/src/owner/supervisor.rs
+++ b/crates/scheduler/src/owner/supervisor.rs
@@ -215,7 +215,7 @@
     // Unacknowledged ended runs are reported again at once, so a poll before they are persisted
     // would only repeat the last one.
     if unpersisted {
-        supervisor.poll_wake.wait(MAX_PERSIST_WAIT).await;
+        wait_until_persisted(owner, supervisor).await;
     } else if !busy && !fresh && acknowledgement_sent {
         let supervised = owner.supervisors.lock().len() as u32;
         supervisor
@@ -232,6 +232,22 @@
     Some(Poll { acknowledged, incarnation, wait })
 }
 
+/// Waits until a minion's ended runs are persisted, at most for [`MAX_PERSIST_WAIT`].  Orders wake
+/// this wait too; a poll for each of them would only repeat the ended runs.
+async fn wait_until_persisted(owner: &Owner, supervisor: &Supervisor) {
+    let began = clock::now();
+    let has_unpersisted = || {
+        owner.with(|cell| cell.minion(&supervisor.target.id).is_some_and(Minion::has_unpersisted))
+    };
+    while has_unpersisted() == Some(true) && supervisor.is_current(owner) {
+        let left = MAX_PERSIST_WAIT.saturating_sub(clock::now().since(began));
+        if left.is_zero() {
+            return;
+        }
+        supervisor.poll_wake.wait(left).await;
+    }
+}
+
 /// The incarnation of the minion, and the number up to which its ended runs can be acknowledged.
 fn acknowledgement(owner: &Owner, supervisor: &Supervisor) -> Option<(Option<Incarnation>, u64)> {
     let read = |minion: &Minion| (minion.incarnation, minion.acknowledged());
--- a/tests/all/site/delegation.rs
+++ b/tests/all/site/delegation.rs
@@ -1,7 +1,7 @@
 //! Calls of an owner to its minions, in counts, and the loss of the entries that make some of them.
 
 use super::*;
-use celerythread_standin::site::check;
+use celerythread_standin::site::{check, store};
 use std::net::TcpListener;
 
 /// So little of a core that a few jobs a second make more calls than one entry is to make.
@@ -131,3 +131,34 @@
     assert_eq!(check::at_most_once(&history), Vec::<String>::new());
     assert_eq!(check::all_done(&history, &jobs), Vec::<String>::new());
 }
+
+/// Guards against a poll for each order to a minion whose ended runs are being written: it would
+/// only repeat them.
+#[async_std::test]
+async fn orders_cause_no_polls_while_ends_are_written() {
+    const JOBS: u32 = 80;
+    const INTERVAL: Duration = Duration::from_millis(50);
+    let small = Small::start("delegation-polls", 3, 1).await;
+    let owner = small.deployment.owner().unwrap();
+    small.deployment.site.store.set_fault_mode(store::FaultMode::Slow);
+    let polls = small.counter(owner, "holds").await;
+    let starts = small.counter(owner, "starts").await;
+    let submissions = (0..JOBS).map(|number| {
+        let (small, job) = (&small, id(1_000 + number));
+        async move {
+            task::sleep(INTERVAL * number).await;
+            let status = small.deployment.submit(owner, &job, 1, "ms=100").await;
+            (job, status)
+        }
+    });
+    let answers: BTreeMap<String, u16> =
+        futures::future::join_all(submissions).await.into_iter().collect();
+    let polls = small.counter(owner, "holds").await - polls;
+    let starts = small.counter(owner, "starts").await - starts;
+    small.deployment.site.store.set_fault_mode(store::FaultMode::None);
+    for (job, _) in accepted(&answers, 1) {
+        small.deployment.wait_for_state(owner, &job, "completed").await;
+    }
+    // Eight tasks are submitted while one write is under way.
+    assert!(polls * 5 < starts, "{polls} polls for {starts} starts");
+}
