Send no overdue call to a delegate, and count each call that a delegate lost

Found by reading: an owner that was paused between the decision and the frame would have sent its calls on waking, when the cell may have another owner; their tokens and lease deadlines bound that, as for its own calls, but they need not be sent. Calls whose answer isn't awaited any more are dropped before each frame. delegated_calls_lost now counts calls that were given up one by one as well. One copy of the batch window, in the wire crate.

--- a/crates/scheduler/src/delegate.rs
+++ b/crates/scheduler/src/delegate.rs
@@ -5,13 +5,12 @@
 
 use crate::metrics::Counter;
 use crate::node::Node;
-use crate::owner::delegation::BATCH_WINDOW;
 use async_std::channel;
 use celerythread_adapter::Failure;
 use celerythread_adapter::minion::{Hold, Reply, Session, Target};
 use celerythread_engine::cell::MinionId;
 use celerythread_wire::channel::{Receiver, Sender};
-use celerythread_wire::minion::{Answer, Call, Outcome, Request};
+use celerythread_wire::minion::{Answer, BATCH_WINDOW, Call, Outcome, Request};
 use celerythread_wire::{Channel, Error, Frame};
 use parking_lot::Mutex;
 use std::collections::HashMap;
@@ -30,7 +29,7 @@
     used_at: Instant,
 }
 
-/// The calls of one owner.
+/// The calls of one owner in one exchange.
 struct Service {
     node: Arc<Node>,
     sessions: Mutex<HashMap<MinionId, OpenSession>>,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! Path of a job: [`front`] reads it from its caller, has [`submit`] write its row, and answers.
 //! The owner of its service's cell learns of it by a message or by following the table, and
-//! [`owner`] runs it with the decisions of `celerythread-engine`.  At peak load [`delegate`] makes calls
-//! to minions for owners on other entries.
+//! [`owner`] runs it with the decisions of `celerythread-engine`.  At peak load [`delegate`] makes
+//! calls to minions for owners on other entries.
 //!
 //! State shared between entries: [`membership`] renews this entry's row, follows the other members'
 //! rows, and takes over and hands over cells; [`directory`] tells every entry where the holders of
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -2,9 +2,9 @@
 //!
 //! # Lock order
 //!
-//! An owner's `delegation` → `in_force` → `view` → `directory` → `minions` → `waves` → `owners` → an owner's `cell` → `links`.  A lock may
-//! only be taken while holding locks that precede it in this list, and no lock is held across an
-//! await.
+//! An owner's `delegation` → `in_force` → `view` → `directory` → `minions` → `waves` → `owners` →
+//! an owner's `cell` → `links`.  A lock may only be taken while holding locks that precede it in
+//! this list, and no lock is held across an await.
 
 use crate::clock;
 use crate::directory::Directory;
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -1,10 +1,10 @@
 //! The owner of a cell: takes it over, carries out its plans, and persists its progress.
 //!
-//! [`load`] reads the stored rows, [`supervisor`] polls and commands one minion by [`calls`] with the
-//! leases of [`grant`], [`persist`] writes
+//! [`load`] reads the stored rows, [`supervisor`] polls and commands one minion, [`persist`] writes
 //! progress, [`advice`] asks for tickets, [`quota`] enforces workspaces' limits, [`events`] logs the
-//! cell's events and [`activity`] the owner's load.  This file holds what they share, the planning loop, and the answers to
-//! other entries' questions.
+//! cell's events and [`activity`] the owner's load.  [`calls`] are made to minions with the leases of
+//! [`grant`], at peak load through the entries of [`delegation`].  This file holds what they share,
+//! the planning loop, and the answers to other entries' questions.
 
 mod activity;
 mod advice;
--- a/crates/scheduler/src/owner/calls.rs
+++ b/crates/scheduler/src/owner/calls.rs
@@ -28,7 +28,11 @@
     if let Some(delegate) = owner.delegation.route(owner, &target.id) {
         match hold_through(owner, &delegate, target, session, hold, timeout).await {
             Err(Lost::NotAsked) => {}
-            Err(Lost::Unanswered) => return Err(unanswered()),
+            Err(Lost::Unanswered) => {
+                owner.node.metrics.count(Counter::DelegatedCallsLost);
+                let reason = "the delegate did not answer".into();
+                return Err(Failure::Unanswered { reason });
+            }
             Ok(result) => return result,
         }
     }
@@ -95,7 +99,10 @@
     if let Some(delegate) = owner.delegation.route(owner, &target.id) {
         match start_through(owner, &delegate, target, order, deadline_ms).await {
             Err(Lost::NotAsked) => {}
-            Err(Lost::Unanswered) => return Ok(Reply::Done(StartResult::Unknown, 0)),
+            Err(Lost::Unanswered) => {
+                owner.node.metrics.count(Counter::DelegatedCallsLost);
+                return Ok(Reply::Done(StartResult::Unknown, 0));
+            }
             Ok(result) => return result,
         }
     }
@@ -133,10 +140,6 @@
     }
 }
 
-fn unanswered() -> Failure {
-    Failure::Unanswered { reason: "the delegate did not answer".into() }
-}
-
 /// Orders a stop.
 ///
 /// # Errors
--- a/crates/scheduler/src/owner/delegation.rs
+++ b/crates/scheduler/src/owner/delegation.rs
@@ -4,7 +4,6 @@
 //! treats as it does with a minion's own missing answers, and the owner calls the minions itself.
 
 use crate::clock;
-use crate::metrics::Counter;
 use crate::node::Node;
 use crate::owner::Owner;
 use async_std::channel;
@@ -14,7 +13,7 @@
 use celerythread_engine::ownership;
 use celerythread_engine::time::Time;
 use celerythread_wire::channel::{Receiver, Sender};
-use celerythread_wire::minion::{Answer, Call, Outcome, Request};
+use celerythread_wire::minion::{Answer, BATCH_WINDOW, Call, Outcome, Request};
 use celerythread_wire::{Error, Frame};
 use futures::FutureExt as _;
 use futures::channel::oneshot;
@@ -37,9 +36,6 @@
 /// Longest wait for an entry's agreement to make calls.
 const AGREEMENT_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// How long calls are collected for one frame.
-pub(crate) const BATCH_WINDOW: Duration = Duration::from_millis(4);
-
 /// Most calls in a frame.  A specification has at most 4,000 bytes, so this stays below the largest
 /// frame.
 const MAX_CALLS_PER_FRAME: usize = 500;
@@ -225,6 +221,12 @@
         answered.await.map_err(|_| Lost::Unanswered)
     }
 
+    /// Whether a call's answer is still awaited and its timeout has not passed.
+    fn is_due(&self, number: u64) -> bool {
+        let now = clock::now();
+        self.pending.lock().get(&number).is_some_and(|call| now < call.deadline)
+    }
+
     fn complete(&self, answers: Vec<Answer>) {
         *self.heard_at.lock() = clock::now();
         let mut pending = self.pending.lock();
@@ -270,9 +272,6 @@
     delegate.has_failed.store(true, Ordering::SeqCst);
     queue.close();
     let unanswered = std::mem::take(&mut *delegate.pending.lock()).len();
-    for _ in 0..unanswered {
-        node.metrics.count(Counter::DelegatedCallsLost);
-    }
     let fields: [(&'static str, &dyn std::fmt::Display); 3] =
         [("delegate", &delegate.id), ("reason", &reason), ("unanswered", &unanswered)];
     node.journal.info("delegate_removed", &fields);
@@ -296,7 +295,7 @@
     receiver: Receiver,
     queue: &channel::Receiver<Call>,
 ) -> &'static str {
-    let send = send_calls(sender, queue).fuse();
+    let send = send_calls(delegate, sender, queue).fuse();
     let receive = receive_answers(delegate, receiver).fuse();
     let watch = watch(delegate).fuse();
     futures::pin_mut!(send, receive, watch);
@@ -307,7 +306,11 @@
     }
 }
 
-async fn send_calls(sender: &mut Sender, queue: &channel::Receiver<Call>) -> Result<(), Error> {
+async fn send_calls(
+    delegate: &Delegate,
+    sender: &mut Sender,
+    queue: &channel::Receiver<Call>,
+) -> Result<(), Error> {
     while let Ok(first) = queue.recv().await {
         async_std::task::sleep(BATCH_WINDOW).await;
         let mut calls = vec![first];
@@ -316,6 +319,11 @@
         {
             calls.push(call);
         }
+        // An owner that was paused may have lost the cell meanwhile.
+        calls.retain(|call| delegate.is_due(call.number));
+        if calls.is_empty() {
+            continue;
+        }
         sender.send(&Frame::MinionCalls(calls)).await?;
     }
     Ok(())
--- a/crates/wire/src/minion.rs
+++ b/crates/wire/src/minion.rs
@@ -4,6 +4,10 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// How long either side collects calls, or answers, for one frame.
+pub const BATCH_WINDOW: Duration = Duration::from_millis(4);
 
 /// A call to a minion.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
