Judge a run's speed from when it is known to run, not from its plan

Callers saw jobs that were late because runs were stopped and started again.

Now the time counts from the start's answer, or from the first report that lists the run. a_run_that_began_late_is_no_straggler fails with the former time (the field read as ordered_at): stops at 40 percent.

--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -92,6 +92,8 @@
     pub long_running: bool,
     /// When it was ordered.
     pub ordered_at: Time,
+    /// When it was first known to run; until then, when it was ordered.
+    pub began_at: Time,
     /// Whether its task is a best-effort one.
     pub best_effort: bool,
     /// For a serving task the last reported tail latency in milliseconds; for others the processor
@@ -125,6 +127,7 @@
             long_running: step.is_some_and(|step| step.long_running),
             best_effort: step.is_some_and(|step| step.best_effort),
             ordered_at: now,
+            began_at: now,
             load: None,
             pace_percent: 100,
             pace_changed_at: Time(0),
@@ -135,6 +138,13 @@
             suspicion: Suspicion::default(),
         }
     }
+
+    /// Records that its minion runs it.
+    pub(crate) fn activate(&mut self, now: Time) {
+        self.phase = RunPhase::Active;
+        self.began_at = now;
+        self.progressed_at = now;
+    }
 }
 
 /// A minion.
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -313,8 +313,7 @@
                 return;
             }
             if matches!(run.phase, RunPhase::Ordered | RunPhase::Unanswered { .. }) {
-                run.phase = RunPhase::Active;
-                run.progressed_at = now;
+                run.activate(now);
             }
             run.load = running.load;
             run.is_start_confirmed = true;
@@ -522,8 +521,7 @@
             StartResult::Started => {
                 known.is_start_confirmed = true;
                 if known.phase == RunPhase::Ordered {
-                    known.phase = RunPhase::Active;
-                    known.progressed_at = now;
+                    known.activate(now);
                 }
             }
             StartResult::Unknown => {
--- a/crates/engine/src/cell/straggler.rs
+++ b/crates/engine/src/cell/straggler.rs
@@ -54,7 +54,7 @@
         let step = &job.accepted.definition.steps[name.step as usize];
         let Some(minion) = self.minions.get_mut(id) else { return };
         let Some(run) = minion.runs.get(name) else { return };
-        let elapsed = now.since(run.ordered_at);
+        let elapsed = now.since(run.began_at);
         let total =
             if percent >= 100 { Some(elapsed) } else { projected_duration(elapsed, percent) };
         let (Some(total), false) = (total, step.long_running || step.estimate_ms == 0) else {
@@ -110,11 +110,11 @@
         {
             return false;
         }
-        let Some(total) = projected_duration(run.progressed_at.since(run.ordered_at), run.percent)
+        let Some(total) = projected_duration(run.progressed_at.since(run.began_at), run.percent)
         else {
             return false;
         };
-        let remaining = total.saturating_sub(now.since(run.ordered_at));
+        let remaining = total.saturating_sub(now.since(run.began_at));
         let estimate = Duration::from_millis(step.estimate_ms);
         remaining > estimate.mul_f64(MIN_RESTART_GAIN_FACTOR) + MIN_RESTART_GAIN
     }
--- a/crates/engine/tests/all/runs.rs
+++ b/crates/engine/tests/all/runs.rs
@@ -341,6 +341,27 @@
     assert_ne!(again[0].0, minion);
 }
 
+/// Guards against runs that are stopped as stragglers because their orders waited to be sent, or
+/// because the minions answered them late.
+#[test]
+fn a_run_that_began_late_is_no_straggler() {
+    let mut harness = Harness::new(2);
+    for job in 1..=2 {
+        harness.submit(job, definition(vec![Step { estimate_ms: 1000, ..step(1) }]));
+    }
+    let started = starts(&harness.plan());
+    assert_eq!(started[0].0, started[1].0, "both on one minion");
+    harness.advance_ms(1200);
+    for (minion, task, run) in &started {
+        let result = StartResult::Started;
+        harness.cell.process_start_result(minion, task, *run, result, harness.now);
+    }
+    for percent in [40, 80] {
+        report_progress(&mut harness, &started, percent);
+        assert!(stops(&harness.plan()).is_empty(), "at {percent} percent");
+    }
+}
+
 /// Guards against restarting the tasks of a job forever because its estimate is a sixth of their
 /// real duration and they look slow wherever they run.
 #[test]
