Search minions for a placement by all resources

A placement scanned the minions with enough processor and without enough memory, each time: tasks times minions where memory is the limit. The index is a treap in the order of free processor whose subtrees know the most of each resource that they have, so that a search skips those without enough. Nodes on the way count as examined.

Which minion is chosen does not change: the order is the same.

--- a/crates/engine/src/cell/place.rs
+++ b/crates/engine/src/cell/place.rs
@@ -8,6 +8,7 @@
 use crate::job::{Resources, Step, TaskName};
 use crate::time::Time;
 pub(crate) use index::Index;
+use index::Search;
 use smallvec::SmallVec;
 use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
@@ -136,7 +137,10 @@
         if let Some(index) = &self.placement_index
             && is_packed(step, task)
         {
-            return self.find_packed(index, &need, is_candidate, cost);
+            let mut search = index.search(need);
+            let found = self.find_packed(&mut search, is_candidate, cost);
+            self.examined_minions.fetch_add(search.examined(), Ordering::Relaxed);
+            return found;
         }
         self.examined_minions.fetch_add(self.minions.len() as u64, Ordering::Relaxed);
         self.minions
@@ -151,17 +155,12 @@
     /// the order of free capacity is the best one.
     fn find_packed(
         &self,
-        index: &Index,
-        need: &Resources,
+        search: &mut Search<'_>,
         is_candidate: impl Fn(&&Minion) -> bool,
         cost: impl Fn(&Minion) -> u64,
     ) -> Option<MinionId> {
         let mut best: Option<(u64, &MinionId)> = None;
-        for (id, holds) in index.with_free(*need) {
-            self.examined_minions.fetch_add(1, Ordering::Relaxed);
-            if !holds {
-                continue;
-            }
+        for id in search {
             let Some(minion) = self.minions.get(id).filter(|minion| is_candidate(minion)) else {
                 continue;
             };
