--- a/crates/engine/tests/all/runs.rs
+++ b/crates/engine/tests/all/runs.rs
@@ -351,7 +351,7 @@
     }
     let started = starts(&harness.plan());
     assert_eq!(started[0].0, started[1].0, "both on one minion");
-    harness.advance_ms(1200);
+    harness.advance_ms(2500);
     for (minion, task, run) in &started {
         let result = StartResult::Started;
         harness.cell.process_start_result(minion, task, *run, result, harness.now);
