Give up an order to a minion by the latency of recent answers, not after 300 ms

Callers of branch-check and form-check saw late jobs while minions left some orders unanswered. A job of 13 tasks needs 13 orders; at 5 % unanswered half of all jobs have one, and each cost its job 300 ms, a poll, a stop and a second start, and one of three senders of its minion meanwhile.

The wait now follows the mean latency (engine::timeout, as for the store), from 75 to 300 ms. Given up too early, an order costs a poll, which shows its effect. an_unanswered_order_times_out_soon_while_others_are_answered_fast fails with the former wait (min set to 300 ms), the_timeout_of_orders_follows_slow_answers guards the other side.

--- a/crates/engine/src/timeout.rs
+++ b/crates/engine/src/timeout.rs
@@ -7,15 +7,38 @@
 
 use std::time::Duration;
 
+/// Bounds of an adaptive timeout.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Latency that is assumed before the first answer.
+    pub initial_latency: Duration,
+    /// Shortest timeout.
+    pub min: Duration,
+    /// Longest timeout.
+    pub max: Duration,
+}
+
+impl Settings {
+    /// Bounds for calls to the store.  An instance that is slowed down also processes answers late.
+    pub const STORE: Settings = Settings {
+        initial_latency: Duration::from_millis(20),
+        min: Duration::from_millis(150),
+        max: Duration::from_millis(1400),
+    };
+
+    /// Bounds for orders to minions.  An answer takes some 6 ms, and ten times that on an instance
+    /// that is slowed down.  An order given up too early costs a poll, which shows its effect.
+    pub const ORDER: Settings = Settings {
+        initial_latency: Duration::from_millis(6),
+        min: Duration::from_millis(75),
+        max: Duration::from_millis(300),
+    };
+}
+
 /// Multiple of the mean latency that makes the timeout.  Transactions across partitions take twice
 /// as long as others, and the network adds to that.
 const MEAN_LATENCY_MULTIPLIER: f64 = 8.0;
 
-/// An instance that is slowed down also processes answers late.
-const MIN_TIMEOUT: Duration = Duration::from_millis(150);
-
-const MAX_TIMEOUT: Duration = Duration::from_millis(1400);
-
 /// Weight of a new sample in the mean latency.
 const LATENCY_EWMA_WEIGHT: f64 = 0.2;
 
@@ -33,36 +56,40 @@
 /// repeated, a row would queue several times in its partition, which handles four writes a second
 /// for all of its rows then, and soon no write would be answered in time.
 pub fn is_write_lost(waited: Duration, read: Duration) -> bool {
-    waited >= MIN_TIMEOUT.max(read * READ_LATENCY_MULTIPLIER)
+    waited >= Settings::STORE.min.max(read * READ_LATENCY_MULTIPLIER)
 }
 
 /// Timeout that adapts to the latency of answers.
 #[derive(Clone, Copy, Debug)]
 pub struct Timeout {
-    mean_latency_ms: f64,
+    settings: Settings,
+    mean_latency: Duration,
     consecutive_timeouts: u32,
 }
 
 impl Default for Timeout {
-    /// Starts with the store's usual latency over a small network.
+    /// A timeout of calls to the store.
     fn default() -> Self {
-        Self { mean_latency_ms: 20.0, consecutive_timeouts: 0 }
+        Self::new(Settings::STORE)
     }
 }
 
 impl Timeout {
+    /// A timeout within bounds.
+    pub fn new(settings: Settings) -> Self {
+        Self { settings, mean_latency: settings.initial_latency, consecutive_timeouts: 0 }
+    }
+
     /// The timeout of the next call.
     pub fn current(&self) -> Duration {
-        let timeout =
-            Duration::from_secs_f64(self.mean_latency_ms * MEAN_LATENCY_MULTIPLIER / 1000.0)
-                .max(MIN_TIMEOUT);
-        (timeout * (1 << self.consecutive_timeouts.min(MAX_DOUBLINGS))).min(MAX_TIMEOUT)
+        let timeout = self.mean_latency.mul_f64(MEAN_LATENCY_MULTIPLIER).max(self.settings.min);
+        (timeout * (1 << self.consecutive_timeouts.min(MAX_DOUBLINGS))).min(self.settings.max)
     }
 
     /// Records the latency of an answer.
     pub fn record_answer(&mut self, latency: Duration) {
-        self.mean_latency_ms +=
-            (latency.as_millis() as f64 - self.mean_latency_ms) * LATENCY_EWMA_WEIGHT;
+        self.mean_latency = self.mean_latency.mul_f64(1.0 - LATENCY_EWMA_WEIGHT)
+            + latency.mul_f64(LATENCY_EWMA_WEIGHT);
         self.consecutive_timeouts = 0;
     }
 
--- a/crates/engine/tests/all/timeout.rs
+++ b/crates/engine/tests/all/timeout.rs
@@ -1,6 +1,6 @@
 //! Adaptive timeouts of calls.
 
-use celerythread_engine::timeout::{Timeout, is_write_lost};
+use celerythread_engine::timeout::{Settings, Timeout, is_write_lost};
 use std::time::Duration;
 
 /// Half of the answers are lost.  With a timeout of a second each, callers would miss their
@@ -35,6 +35,28 @@
     assert!(timeout.current() >= slow, "further calls don't time out");
 }
 
+/// Guards against an unanswered order that costs its job the longest wait, however fast the other
+/// orders are answered.
+#[test]
+fn an_unanswered_order_times_out_soon_while_others_are_answered_fast() {
+    let mut timeout = Timeout::new(Settings::ORDER);
+    for _ in 0..20 {
+        timeout.record_answer(Duration::from_millis(8));
+        assert!(timeout.current() <= Duration::from_millis(100));
+        timeout.record_timeout();
+    }
+}
+
+/// Guards against orders that all time out because the owner or its minions are slow.
+#[test]
+fn the_timeout_of_orders_follows_slow_answers() {
+    let mut timeout = Timeout::new(Settings::ORDER);
+    for _ in 0..10 {
+        timeout.record_answer(Duration::from_millis(60));
+    }
+    assert_eq!(timeout.current(), Settings::ORDER.max);
+}
+
 /// Each repetition of a write queues in its partition.  While the store is slow, an overdue write
 /// is still queued and must not be sent again; while reads are answered at once, it is lost.
 #[test]
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -23,6 +23,7 @@
 use crate::node::Node;
 use crate::rows;
 use activity::Activity;
+use calls::OrderTimeout;
 use celerythread_adapter::configuration::Configuration;
 use celerythread_adapter::minion::Entry;
 use celerythread_engine::cell::{Cell, Incarnation, Order, Queue, Refusal, StartResult};
@@ -114,6 +115,7 @@
     pub(crate) writing_shares: AtomicBool,
     pub(crate) activity: Activity,
     pub(crate) delegation: Delegation,
+    pub(crate) order_timeout: OrderTimeout,
     stop_source: Mutex<Option<StopSource>>,
     pub(crate) stopped: StopToken,
 }
@@ -145,6 +147,7 @@
             writing_shares: AtomicBool::new(false),
             activity: Activity::default(),
             delegation: Delegation::default(),
+            order_timeout: OrderTimeout::default(),
             stop_source: Mutex::new(Some(stop_source)),
             stopped,
         })
--- a/crates/scheduler/src/owner/calls.rs
+++ b/crates/scheduler/src/owner/calls.rs
@@ -1,5 +1,6 @@
 //! The calls of an owner to its minions, made by itself or through a delegate.
 
+use crate::clock;
 use crate::metrics::Counter;
 use crate::owner::Owner;
 use crate::owner::delegation::{Delegate, Lost};
@@ -7,12 +8,38 @@
 use celerythread_adapter::minion::{Hold, Reply, Session, Target};
 use celerythread_engine::cell::{Order, Report, StartResult};
 use celerythread_engine::job::TaskName;
+use celerythread_engine::time::Time;
+use celerythread_engine::timeout::{Settings, Timeout};
 use celerythread_wire::minion::{Outcome, Request};
+use parking_lot::Mutex;
 use std::time::Duration;
 
-/// Longest wait for the answer to an order.  An order that is not answered in this time is assumed
-/// to be carried out late or never.
-pub(crate) const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
+/// The wait for the answer to an order, which follows the latency of recent answers.  An order that
+/// is not answered in this time is assumed to be carried out late or never.
+#[derive(Debug)]
+pub(crate) struct OrderTimeout(Mutex<Timeout>);
+
+impl Default for OrderTimeout {
+    fn default() -> Self {
+        Self(Mutex::new(Timeout::new(Settings::ORDER)))
+    }
+}
+
+impl OrderTimeout {
+    fn current(&self) -> Duration {
+        self.0.lock().current()
+    }
+
+    /// Records whether an order that was sent at `sent` was answered within `timeout`.
+    fn record(&self, sent: Time, timeout: Duration, is_answered: bool) {
+        let took = clock::now().since(sent);
+        if is_answered {
+            self.0.lock().record_answer(took);
+        } else if took >= timeout {
+            self.0.lock().record_timeout();
+        }
+    }
+}
 
 /// Polls a minion in a session, through the cell's delegate if it has one for this minion.
 ///
@@ -95,9 +122,24 @@
     target: &Target,
     order: &Order,
     deadline_ms: u64,
+) -> Result<Reply<StartResult>, Failure> {
+    let timeout = owner.order_timeout.current();
+    let sent = clock::now();
+    let result = request_start(owner, target, order, deadline_ms, timeout).await;
+    let is_answered = !matches!(result, Ok(Reply::Done(StartResult::Unknown, _)) | Err(_));
+    owner.order_timeout.record(sent, timeout, is_answered);
+    result
+}
+
+async fn request_start(
+    owner: &Owner,
+    target: &Target,
+    order: &Order,
+    deadline_ms: u64,
+    timeout: Duration,
 ) -> Result<Reply<StartResult>, Failure> {
     if let Some(delegate) = owner.delegation.route(owner, &target.id) {
-        match start_through(owner, &delegate, target, order, deadline_ms).await {
+        match start_through(owner, &delegate, target, order, deadline_ms, timeout).await {
             Err(Lost::NotAsked) => {}
             Err(Lost::Unanswered) => {
                 owner.node.metrics.count(Counter::DelegatedCallsLost);
@@ -107,7 +149,7 @@
         }
     }
     owner.node.metrics.count(Counter::MinionCalls);
-    owner.node.minion_client.start(target, order, deadline_ms, owner.token, ORDER_TIMEOUT).await
+    owner.node.minion_client.start(target, order, deadline_ms, owner.token, timeout).await
 }
 
 async fn start_through(
@@ -116,9 +158,10 @@
     target: &Target,
     order: &Order,
     deadline_ms: u64,
+    timeout: Duration,
 ) -> Result<Result<Reply<StartResult>, Failure>, Lost> {
     let request = Request::Start { order: order.clone(), deadline_ms };
-    let outcome = delegate.call(target, owner.token, request, ORDER_TIMEOUT).await?;
+    let outcome = delegate.call(target, owner.token, request, timeout).await?;
     owner.node.metrics.count(Counter::DelegatedCalls);
     Ok(match outcome {
         Outcome::Started { result, clock_ms } => Ok(Reply::Done(result, clock_ms)),
@@ -151,7 +194,11 @@
     run: u32,
 ) -> Result<Reply<()>, Failure> {
     owner.node.metrics.count(Counter::MinionCalls);
-    owner.node.minion_client.stop(target, task, run, owner.token, ORDER_TIMEOUT).await
+    let timeout = owner.order_timeout.current();
+    let sent = clock::now();
+    let result = owner.node.minion_client.stop(target, task, run, owner.token, timeout).await;
+    owner.order_timeout.record(sent, timeout, result.is_ok());
+    result
 }
 
 /// Limits the speed of a run.
@@ -166,5 +213,10 @@
     percent: u8,
 ) -> Result<Reply<()>, Failure> {
     owner.node.metrics.count(Counter::MinionCalls);
-    owner.node.minion_client.pace(target, task, run, percent, owner.token, ORDER_TIMEOUT).await
+    let timeout = owner.order_timeout.current();
+    let sent = clock::now();
+    let client = &owner.node.minion_client;
+    let result = client.pace(target, task, run, percent, owner.token, timeout).await;
+    owner.order_timeout.record(sent, timeout, result.is_ok());
+    result
 }
