Answer peers in a module of their own, which breaks a circle of imports

peers asked and answered; with delegated calls it imported delegate, which imports node, which imports peers. Answers are in serve now. Code moved only.

--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -9,9 +9,10 @@
 use crate::membership::{self, directory};
 use crate::node::Node;
 use crate::owner::persist;
-use crate::peers::{self, Peers};
+use crate::peers::Peers;
 use crate::probe;
 use crate::rows;
+use crate::serve;
 use crate::settings::Settings;
 use async_std::future::timeout;
 use async_std::net::TcpListener;
@@ -240,7 +241,7 @@
             let endpoint = Arc::new(endpoint);
             node.peers.open(endpoint.clone());
             let bound = endpoint.local_address().unwrap_or(address);
-            async_std::task::spawn(peers::accept_forever(node.clone(), endpoint));
+            async_std::task::spawn(serve::accept_forever(node.clone(), endpoint));
             bound
         }
         Err(error) => {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -9,7 +9,7 @@
 //! rows, and takes over and hands over cells; [`directory`] tells every entry where the holders of
 //! cells are reached; [`follow`] follows the configuration, the waves and
 //! the minions that the platform lists; [`in_force`] asks peers for the configuration when the
-//! store doesn't provide it; [`peers`] sends questions to other entries; [`fleet`] carries out
+//! store doesn't provide it; [`peers`] sends questions to other entries and [`serve`] answers theirs; [`fleet`] carries out
 //! maintenance waves and moves machines between pools.  [`confirm`] tells slow transactions from
 //! lost ones; [`probe`] notices the begin and the end of an outage of the store.  [`node`] is the state that all of them share, with the lock order; [`rows`] defines
 //! the stored rows.
@@ -35,6 +35,7 @@
 mod peers;
 mod probe;
 mod rows;
+mod serve;
 pub mod settings;
 pub mod status;
 mod submit;
