--- a/crates/engine/src/delegation.rs
+++ b/crates/engine/src/delegation.rs
@@ -9,6 +9,8 @@
 use crate::ownership;
 use crate::time::Time;
 use smallvec::SmallVec;
+use std::cmp::Reverse;
+use std::collections::HashMap;
 use std::fmt;
 use std::num::ParseFloatError;
 use std::ops::Add;
@@ -22,6 +24,9 @@
 /// processor is for decisions and callers.
 const CALLS_PER_CORE: f64 = 4000.0;
 
+/// How long an entry is no delegate after it was lost or late as one.
+const FAILURE_BACKOFF: Duration = Duration::from_secs(5);
+
 /// Delegates of a cell that are kept without an allocation.
 const INLINE_DELEGATES: usize = 8;
 
@@ -96,6 +101,42 @@
     }
 }
 
+/// An entry that may make calls.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// Its id.
+    pub id: String,
+    /// Its processor capacity in millicores.
+    pub millicores: u32,
+    /// Whether it is in the owner's zone.
+    pub is_in_zone: bool,
+}
+
+/// The choice among the entries that may be delegates of a cell.
+#[derive(Clone, Debug, Default)]
+pub struct Candidates {
+    /// Entries that were lost or late, with the time.
+    failed: HashMap<String, Time>,
+}
+
+impl Candidates {
+    /// Records that an entry was lost or late as a delegate.
+    pub fn record_failure(&mut self, id: &str, now: Time) {
+        self.failed.insert(id.into(), now);
+    }
+
+    /// Sorts the entries that may be delegates, the preferred ones first: those of the owner's zone,
+    /// which a network partition separates from the owner last, then in an order that differs by
+    /// cell.  Leaves out those that failed recently.
+    pub fn sort(&mut self, cell: &str, entries: &mut Vec<Candidate>, now: Time) {
+        self.failed.retain(|_, at| now.since(*at) < FAILURE_BACKOFF);
+        entries.retain(|entry| !self.failed.contains_key(&entry.id));
+        entries.sort_by_cached_key(|entry| {
+            (Reverse(entry.is_in_zone), ownership::rank(cell, &entry.id))
+        });
+    }
+}
+
 /// Who makes the calls to each minion.
 #[derive(Clone, Debug, Default)]
 pub struct Assignment {
--- a/crates/engine/tests/all/delegation.rs
+++ b/crates/engine/tests/all/delegation.rs
@@ -1,6 +1,6 @@
 //! Which calls to minions an owner delegates.
 
-use celerythread_engine::delegation::{Assignment, Meter, Rate};
+use celerythread_engine::delegation::{Assignment, Candidate, Candidates, Meter, Rate};
 use celerythread_engine::time::Time;
 use std::time::Duration;
 
@@ -88,3 +88,36 @@
     }
     assert!(meter.rate(now) < Rate(10.0));
 }
+
+fn candidate(id: &str, is_in_zone: bool) -> Candidate {
+    Candidate { id: id.into(), millicores: 500, is_in_zone }
+}
+
+fn ids(candidates: &[Candidate]) -> Vec<&str> {
+    candidates.iter().map(|candidate| candidate.id.as_str()).collect()
+}
+
+/// Guards against delegates that a network partition separates from the owner, while there are
+/// others in its zone.
+#[test]
+fn entries_of_the_owners_zone_are_preferred() {
+    let mut entries: Vec<Candidate> =
+        (0..8).map(|number| candidate(&format!("entry-{number}"), number == 5)).collect();
+    Candidates::default().sort("cell", &mut entries, Time(0));
+    assert_eq!(entries.len(), 8);
+    assert_eq!(entries[0].id, "entry-5");
+}
+
+/// Guards against calls that are lost on the same entry again and again.
+#[test]
+fn an_entry_that_failed_is_left_out_for_some_seconds() {
+    let mut candidates = Candidates::default();
+    candidates.record_failure("lost", Time(1_000));
+    let sorted = |candidates: &mut Candidates, now| {
+        let mut entries = vec![candidate("lost", true), candidate("other", true)];
+        candidates.sort("cell", &mut entries, Time(now));
+        entries
+    };
+    assert_eq!(ids(&sorted(&mut candidates, 5_999)), ["other"]);
+    assert_eq!(sorted(&mut candidates, 6_000).len(), 2);
+}
--- a/crates/scheduler/src/owner/delegation.rs
+++ b/crates/scheduler/src/owner/delegation.rs
@@ -6,11 +6,11 @@
 use crate::clock;
 use crate::node::Node;
 use crate::owner::Owner;
+use crate::rows::Standby;
 use async_std::channel;
 use async_std::future::timeout;
 use celerythread_adapter::minion::Target;
-use celerythread_engine::delegation::{Assignment, Meter};
-use celerythread_engine::ownership;
+use celerythread_engine::delegation::{Assignment, Candidate, Candidates, Meter, Rate};
 use celerythread_engine::time::Time;
 use celerythread_wire::channel::{Receiver, Sender};
 use celerythread_wire::minion::{Answer, BATCH_WINDOW, Call, Outcome, Request};
@@ -18,7 +18,6 @@
 use futures::FutureExt as _;
 use futures::channel::oneshot;
 use parking_lot::Mutex;
-use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,9 +29,6 @@
 /// Time between two choices of delegates.
 const CHOICE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// How long an entry is no delegate after it was lost or late as one.
-const FAILURE_BACKOFF: Duration = Duration::from_secs(5);
-
 /// Longest wait for an entry's agreement to make calls.
 const AGREEMENT_TIMEOUT: Duration = Duration::from_millis(350);
 
@@ -78,16 +74,7 @@
     assignment: Assignment,
     /// In the order of the assignment.
     delegates: Vec<Arc<Delegate>>,
-    /// Entries that were lost or late, with the time.
-    failed: HashMap<String, Time>,
-}
-
-/// An entry that may be a delegate.
-struct Candidate {
-    id: String,
-    address: SocketAddr,
-    millicores: u32,
-    is_in_zone: bool,
+    candidates: Candidates,
 }
 
 impl Delegation {
@@ -99,10 +86,7 @@
         if choice.made_at.is_none_or(|at| now.since(at) >= CHOICE_INTERVAL) {
             choice.made_at = Some(now);
             let rate = self.meter.lock().rate(now);
-            let candidates = choice.candidates(owner, now);
-            let capacities: Vec<u32> = candidates.iter().map(|entry| entry.millicores).collect();
-            choice.assignment = Assignment::new(rate, owner.node.millicores(), &capacities);
-            choice.connect(owner, candidates);
+            choice.update(owner, rate, now);
         }
         let delegate = choice.delegates.get(choice.assignment.delegate_of(minion)?)?;
         delegate.is_ready().then(|| delegate.clone())
@@ -110,37 +94,34 @@
 }
 
 impl Choice {
-    /// Standbys that may be delegates, the preferred ones first: those of the owner's zone, which a
-    /// network partition separates from the owner last, then in an order that differs by cell.
-    fn candidates(&mut self, owner: &Owner, now: Time) -> Vec<Candidate> {
+    /// Assigns the minions anew, and connects the delegates.
+    fn update(&mut self, owner: &Owner, rate: Rate, now: Time) {
+        let node = &owner.node;
         for delegate in self.delegates.iter().filter(|delegate| delegate.has_failed()) {
-            self.failed.entry(delegate.id.clone()).or_insert(now);
+            self.candidates.record_failure(&delegate.id, now);
         }
-        self.failed.retain(|_, at| now.since(*at) < FAILURE_BACKOFF);
-        let node = &owner.node;
-        let mut candidates = node.standbys(|zone, standby| Candidate {
-            id: standby.entry.clone(),
-            address: standby.peer,
-            millicores: standby.power,
-            is_in_zone: zone == node.settings.zone,
-        });
-        candidates.retain(|entry| !self.failed.contains_key(&entry.id));
-        candidates.sort_by_cached_key(|entry| {
-            (Reverse(entry.is_in_zone), ownership::rank(&owner.service, &entry.id))
+        let mut addresses = HashMap::new();
+        let standbys = node.standbys(|zone, standby| {
+            let is_in_zone = zone == node.settings.zone;
+            let Standby { entry: id, power: millicores, peer } = standby.clone();
+            (Candidate { id, millicores, is_in_zone }, peer)
         });
-        candidates
-    }
-
-    /// Connects the delegates of the assignment, and drops those that it has no more.
-    fn connect(&mut self, owner: &Owner, candidates: Vec<Candidate>) {
+        let mut candidates: Vec<Candidate> = standbys
+            .into_iter()
+            .map(|(candidate, address)| {
+                addresses.insert(candidate.id.clone(), address);
+                candidate
+            })
+            .collect();
+        self.candidates.sort(&owner.service, &mut candidates, now);
+        let capacities: Vec<u32> = candidates.iter().map(|entry| entry.millicores).collect();
+        self.assignment = Assignment::new(rate, node.millicores(), &capacities);
         let former = std::mem::take(&mut self.delegates);
-        for candidate in candidates.into_iter().take(self.assignment.delegates()) {
-            let known = former
-                .iter()
-                .find(|delegate| delegate.id == candidate.id && !delegate.has_failed());
-            self.delegates.push(match known {
-                Some(known) => known.clone(),
-                None => Delegate::connect(owner, candidate.id, candidate.address),
+        for Candidate { id, .. } in candidates.into_iter().take(self.assignment.delegates()) {
+            let known = former.iter().find(|delegate| delegate.id == id && !delegate.has_failed());
+            self.delegates.extend(match known {
+                Some(known) => Some(known.clone()),
+                None => addresses.get(&id).map(|address| Delegate::connect(owner, id, *address)),
             });
         }
     }
