Wait in the delegation tests for as many standbys as there can be

That test now waits for one, which it doesn't use; the others have entries enough (six, and four in each of two zones). Claims and releases are counted by line, since an entry may claim again. No check of what the tests guard changed.

--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -144,8 +144,13 @@
 
     /// Whether it has logged an event.
     pub(crate) fn has_logged(&self, event: &str) -> bool {
+        self.count_logged(event) > 0
+    }
+
+    /// How often it has logged an event.
+    pub(crate) fn count_logged(&self, event: &str) -> usize {
         let event = format!("\"message\":\"{event}\"");
-        self.lines.lock().unwrap().iter().any(|line| line.contains(&event))
+        self.lines.lock().unwrap().iter().filter(|line| line.contains(&event)).count()
     }
 }
 
--- a/tests/all/site/delegation.rs
+++ b/tests/all/site/delegation.rs
@@ -77,9 +77,11 @@
         }
         eventually("the service has an owner", async || deployment.owner()).await;
         eventually("entries stand by", async || {
-            let has_logged = |event| deployment.entries.iter().filter(move |e| e.has_logged(event));
-            let released = has_logged("standby_released").count();
-            (has_logged("standby_claimed").count() >= standbys + released).then_some(())
+            let logged =
+                |event| deployment.entries.iter().map(move |e| e.count_logged(event)).sum();
+            let (claimed, released): (usize, usize) =
+                (logged("standby_claimed"), logged("standby_released"));
+            (claimed >= standbys + released).then_some(())
         })
         .await;
         Self { deployment, metrics }
@@ -194,9 +196,9 @@
 async fn orders_cause_no_polls_while_ends_are_written() {
     const JOBS: u32 = 80;
     const INTERVAL: Duration = Duration::from_millis(50);
-    let small =
-        Small::start("delegation-polls", Sizes { entries: 3, minions: 1, ..Sizes::default() })
-            .await;
+    // Two of the entries may own a cell each.
+    let sizes = Sizes { entries: 3, minions: 1, standbys: 1, ..Sizes::default() };
+    let small = Small::start("delegation-polls", sizes).await;
     let owner = small.deployment.owner().unwrap();
     small.deployment.site.store.set_fault_mode(store::FaultMode::Slow);
     let polls = small.counter(owner, "holds").await;
