--- a/crates/engine/tests/all/model/owner.rs
+++ b/crates/engine/tests/all/model/owner.rs
@@ -52,6 +52,7 @@
 }
 
 /// The answer to a call.
+#[derive(Clone, Debug)]
 pub(crate) enum Answer {
     Unknown,
     Done,
--- a/crates/engine/tests/all/model/simulation.rs
+++ b/crates/engine/tests/all/model/simulation.rs
@@ -98,6 +98,8 @@
     /// Number of renewals that a candidate for the cell observed, and when it was first observed.
     observed_renewals: (u64, Time),
     cancelled: bool,
+    /// What has happened so far, if it is recorded.
+    timeline: Option<Vec<String>>,
 }
 
 impl Simulation {
@@ -121,6 +123,7 @@
             owners: Vec::new(),
             observed_renewals: (0, START_TIME),
             cancelled: false,
+            timeline: None,
         };
         MINION_IDS.iter().for_each(|name| simulation.start_minion(name));
         simulation.take_over(None);
@@ -132,7 +135,36 @@
         Self { keeps_ids: true, ..Self::new(faults) }
     }
 
+    /// Runs the same faults again and returns a timeline of faults, takeovers, calls with an effect
+    /// and events of the cells, one line each.
+    fn replay_timeline(&self) -> String {
+        let simulation = Self { keeps_ids: self.keeps_ids, ..Self::new(self.faults.clone()) };
+        let replayed = Self { timeline: Some(Vec::new()), ..simulation }.run();
+        replayed.timeline.into_iter().flatten().map(|line| line + "\n").collect()
+    }
+
+    fn record(&mut self, line: impl FnOnce() -> String) {
+        if let Some(timeline) = &mut self.timeline {
+            timeline.push(format!("{} {}", self.now.0, line()));
+        }
+    }
+
+    fn record_call(&mut self, index: usize, call: &Call, fault: Option<Fault>, answer: &Answer) {
+        let is_routine = matches!(
+            (call, answer),
+            (Call::Renew, Answer::Done) | (Call::Hold { .. }, Answer::Report(_))
+        );
+        let (token, number) = (self.owners[index].token, self.call_count - 1);
+        if fault.is_some() || !is_routine {
+            self.record(|| format!("owner {token} call {number} {fault:?} {call:?}: {answer:?}"));
+        }
+        for event in self.owners[index].cell.take_events() {
+            self.record(|| format!("owner {token} {event:?}"));
+        }
+    }
+
     fn start_minion(&mut self, name: &str) {
+        self.record(|| format!("minion {name} starts"));
         self.last_incarnation += 1;
         self.minions.push(Minion::new(name, Incarnation(self.last_incarnation), CAPACITY));
     }
@@ -140,6 +172,8 @@
     /// A new owner takes the cell and reads the table.
     fn take_over(&mut self, former_lease_expiry: Option<Time>) {
         self.table.token += 1;
+        let token = self.table.token;
+        self.record(|| format!("owner {token} takes over until {former_lease_expiry:?}"));
         let generation = self.table.token as u32 - 1;
         let mut cell = Cell::new(Settings::default(), generation, former_lease_expiry);
         let queue = Queue { attempts: 2, ..Queue::default() };
@@ -283,15 +317,18 @@
                 Answer::Unknown
             }
             Some(Fault::KilledBefore) => {
+                self.record(|| format!("owner {token} killed before {call:?}"));
                 self.owners[index].is_stopped = true;
                 return false;
             }
             Some(Fault::KilledAfter) => {
+                self.record(|| format!("owner {token} killed after {call:?}"));
                 self.execute(token, &call);
                 self.owners[index].is_stopped = true;
                 return false;
             }
             Some(Fault::Paused) => {
+                self.record(|| format!("owner {token} paused before {call:?}"));
                 let owner = &mut self.owners[index];
                 owner.paused_until = Some(self.now + PAUSE_DURATION);
                 owner.calls.push_front(call);
@@ -324,12 +361,17 @@
             None if !self.owners[index].can_reach(call.minion(), self.now) => Answer::Unknown,
             None => self.execute(token, &call),
         };
+        let recorded_answer = self.timeline.as_ref().map(|_| answer.clone());
         self.owners[index].handle_answer(&call, answer, self.now);
+        if let Some(answer) = recorded_answer {
+            self.record_call(index, &call, fault, &answer);
+        }
         !self.owners[index].is_stopped
     }
 
     fn crash(&mut self, minion: Option<MinionId>) {
         let Some(name) = self.remove_minion(minion) else { return };
+        self.record(|| format!("minion {name} crashes"));
         let name = if self.keeps_ids { name.to_string() } else { format!("{name}'") };
         self.pending_restarts.push((self.now + RESTART_DELAY, name));
     }
@@ -400,8 +442,10 @@
         };
         if self.history.len() > before {
             if self.history[before].task.job == id(CRASHING_JOB) {
-                self.pending_crashes.push((now + CRASH_DELAY, name));
+                self.pending_crashes.push((now + CRASH_DELAY, name.clone()));
             }
+            let run = self.history[before].clone();
+            self.record(|| format!("minion {name} starts {} run {}", run.task, run.run));
             self.check_start(at);
         }
         result.unwrap_or_else(Answer::Refused)
@@ -485,6 +529,8 @@
     }
 
     /// Violations, and what is missing if the simulation isn't finished.
+    ///
+    /// With `TIMELINE` in the environment, the timeline of a failed simulation is printed.
     pub(crate) fn failures(&self) -> Vec<String> {
         let mut found = self.violations.clone();
         if !self.is_finished() {
@@ -495,6 +541,9 @@
                 "not finished: {chained:?}, {crashing:?}, {long_running} long-running tasks active"
             ));
         }
+        if !found.is_empty() && std::env::var_os("TIMELINE").is_some() {
+            println!("{:?}: {found:?}\n{}", self.faults, self.replay_timeline());
+        }
         found
     }
 }
