Start nothing on a minion that restarted while an owner may have been replaced

Cause: an owner that can't confirm its ownership may start tasks that were never started, because its successor's token on each minion, or the successor's wait, keeps such a start from running twice. A minion that restarts under its id has no token. Minion b restarted 1.6 s after the successor's takeover and was the one minion that the isolated owner reached.

Change: under Permit::NeverStarted only incarnations that first answered while the owner certainly owned the cell get tasks; a minion that joined later doesn't either. Plans with a confirmed ownership are unchanged, and look up no minion for it.

Left: a minion that restarts between its last answer and the arrival of such a start, within milliseconds.

--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -168,6 +168,8 @@
     pub answered: bool,
     /// Incarnation in the most recent answer that contained one.
     pub incarnation: Option<Incarnation>,
+    /// When this incarnation first answered this owner.
+    pub(crate) answering_since: Time,
     /// Former incarnations, oldest first.
     pub(crate) former_incarnations: SmallVec<[Incarnation; restart::MAX_FORMER_INCARNATIONS]>,
     /// When it last reported what runs there.
@@ -210,6 +212,7 @@
             inherited: false,
             answered: false,
             incarnation: None,
+            answering_since: Time(0),
             former_incarnations: SmallVec::new(),
             reported_at: Time(0),
             silent_since: None,
--- a/crates/engine/src/cell/permit.rs
+++ b/crates/engine/src/cell/permit.rs
@@ -13,9 +13,13 @@
 //! this owner considers the run's lease expired.  Nor may a task of a job that became known later,
 //! because the job may have been accepted after the takeover, and the successor does not wait for
 //! it.
+//!
+//! Both the successor's wait and its fencing token hold only for the incarnations of minions that
+//! existed while this owner certainly owned the cell.  A minion that restarted since then has lost
+//! the token, and the successor has already heard that nothing runs there.
 
-use crate::cell::Job;
 use crate::cell::work::Task;
+use crate::cell::{Job, Minion};
 use crate::time::Time;
 
 /// What may be started.
@@ -50,4 +54,13 @@
             Permit::Nothing => false,
         }
     }
+
+    /// Whether tasks may be started on a minion.
+    pub(crate) fn covers_minion(&self, minion: &Minion) -> bool {
+        match self {
+            Permit::All => true,
+            Permit::NeverStarted { known_by } => minion.answering_since <= *known_by,
+            Permit::Nothing => false,
+        }
+    }
 }
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -346,8 +346,14 @@
             let no_spread = Default::default();
             let used = spread.as_ref().unwrap_or(&no_spread);
             let can_host = |id: &str| {
-                let minion = || self.minions.get(id);
-                !suspected || minion().is_some_and(|minion| minion.can_host_suspect(suspicion, now))
+                if !suspected && permit == Permit::All {
+                    return true;
+                }
+                let can_host_suspect =
+                    |minion: &Minion| !suspected || minion.can_host_suspect(suspicion, now);
+                let minion = self.minions.get(id);
+                minion
+                    .is_some_and(|minion| permit.covers_minion(minion) && can_host_suspect(minion))
             };
             let has_ticket = |id: &str| !needs_ticket || self.ticket(&name, id, now).is_some();
             let may_run = |id: &str| can_host(id) && has_ticket(id);
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -222,6 +222,9 @@
             return Vec::new();
         }
         let restart = minion.update_incarnation(report.incarnation);
+        if restart.is_some() || !minion.answered {
+            minion.answering_since = now;
+        }
         minion.answered = true;
         minion.reported_at = now;
         let seen = minion.seen;
--- a/crates/engine/tests/all/takeover.rs
+++ b/crates/engine/tests/all/takeover.rs
@@ -1,7 +1,7 @@
 //! Tests of a new owner: what it starts, when, and with which run numbers.
 
 use crate::fixture::*;
-use celerythread_engine::cell::{Cell, EndReason, Permit, Report, Settings};
+use celerythread_engine::cell::{Cell, EndReason, Incarnation, Permit, Report, Settings};
 use celerythread_engine::job::{Progress, State, Step};
 use celerythread_engine::time::Time;
 use std::time::Duration;
@@ -176,6 +176,26 @@
     assert_eq!(starts(&harness.plan()).len(), 2, "both, once it is confirmed to be the owner");
 }
 
+/// Guards against running a task twice because a minion lost its fencing token in a restart, so that
+/// it accepts starts from an owner that is disconnected from the store and has been replaced.
+#[test]
+fn nothing_is_started_on_a_minion_that_restarted_after_a_takeover_was_possible() {
+    let mut harness = Harness::new(0);
+    let report = |number| Report { incarnation: Some(Incarnation(number)), ..Report::default() };
+    harness.list_minion(0);
+    harness.answer(0, report(1));
+    harness.submit(1, definition(vec![step(1)]));
+    let fresh = Permit::NeverStarted { known_by: harness.now };
+    harness.advance_ms(1500);
+    harness.answer(0, report(2));
+    assert_eq!(starts(&harness.cell.plan(harness.now, harness.now.0, fresh)), []);
+    harness.list_minion(1);
+    harness.answer(1, report(3));
+    let orders = harness.cell.plan(harness.now, harness.now.0, fresh);
+    assert_eq!(starts(&orders), [], "a minion that the successor need not know");
+    assert_eq!(starts(&harness.plan()).len(), 1, "once it is confirmed to be the owner");
+}
+
 /// Guards against a task that runs on after its job was cancelled.  Its start was sent before the
 /// cancellation and executed twelve seconds later on a minion that was disconnected, after the
 /// sending entry had terminated.  The next owner stops the run as soon as the minion reports it.
--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -61,6 +61,11 @@
                 "engine::cell::permit",
                 "tasks_that_a_successor_may_run_are_not_started_during_a_store_outage",
             ),
+            (
+                "an owner that may have a successor starts nothing on a minion that restarted since",
+                "engine::cell::permit",
+                "nothing_is_started_on_a_minion_that_restarted_after_a_takeover_was_possible",
+            ),
             (
                 "an unreadable answer does not count as one that lists no runs",
                 "adapter::minion::Client::send",
