Count no inherited task as never started if the takeover was completed too late

Cause: while it can't confirm its ownership, an owner starts tasks that were never started, and takes a task for such if it has seen no run of it. Of an inherited job it knows that only once its takeover is complete. Here that came by the lapse of its predecessor's leases at 18,570 ms, 1.1 s after it last certainly owned the cell: its successor may by then have adopted a run from a minion that this owner never reached, and extend its lease for as long as it likes.

Change: tasks of inherited jobs count as never started only if the takeover was complete while the owner certainly owned the cell.

Test inherited_tasks_do_not_count_as_never_started_if_the_takeover_was_completed_too_late, without the model: fails before (run 10001 is ordered), passes after.

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -164,6 +164,8 @@
     /// When the leases of runs that the former owner started must have expired on minions that do
     /// not answer; `None` for the first owner.
     pub(crate) former_lease_expiry: Option<Time>,
+    /// When the takeover was complete, as far as a plan has found.
+    pub(crate) takeover_completed_at: Option<Time>,
     /// Mean work of a queue's jobs, in core-milliseconds, over the recent ones.
     pub(crate) mean_core_ms: BTreeMap<Box<str>, f64>,
     /// Advice on steps that need tickets.
@@ -335,6 +337,7 @@
             starts_left: usize::MAX,
             examined_minions: AtomicU64::new(0),
             former_lease_expiry,
+            takeover_completed_at: None,
             mean_core_ms: BTreeMap::new(),
             advice: BTreeMap::new(),
             queries: Vec::new(),
--- a/crates/engine/src/cell/permit.rs
+++ b/crates/engine/src/cell/permit.rs
@@ -37,11 +37,16 @@
 }
 
 impl Permit {
-    /// Whether tasks of a job may be started.
-    pub(crate) fn covers(&self, job: &Job) -> bool {
+    /// Whether tasks of a job may be started.  `takeover_completed_at` is when this owner had heard
+    /// of all runs that a former owner may have started.
+    pub(crate) fn covers(&self, job: &Job, takeover_completed_at: Option<Time>) -> bool {
         match self {
             Permit::All => true,
-            Permit::NeverStarted { known_by } => job.known_since <= *known_by,
+            Permit::NeverStarted { known_by } => {
+                let is_known = |since: Time| since <= *known_by;
+                is_known(job.known_since)
+                    && (!job.inherited || takeover_completed_at.is_some_and(is_known))
+            }
             Permit::Nothing => false,
         }
     }
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -213,11 +213,15 @@
         orders: &mut Vec<Order>,
     ) {
         let takeover_complete = self.is_takeover_complete(now);
+        self.takeover_completed_at =
+            takeover_complete.then(|| self.takeover_completed_at.unwrap_or(now));
+        let completed_at = self.takeover_completed_at;
         let mut ranked: Vec<_> = self
             .active_jobs
             .iter()
             .filter_map(|id| self.jobs.get(id).map(|job| (id, job)))
-            .filter(|(_, job)| (takeover_complete || !job.inherited) && permit.covers(job))
+            .filter(|(_, job)| takeover_complete || !job.inherited)
+            .filter(|(_, job)| permit.covers(job, completed_at))
             .map(|(id, job)| (self.rank(job, now), *id))
             .collect();
         ranked.sort();
--- a/crates/engine/tests/all/takeover.rs
+++ b/crates/engine/tests/all/takeover.rs
@@ -196,6 +196,23 @@
     assert_eq!(starts(&harness.plan()).len(), 1, "once it is confirmed to be the owner");
 }
 
+/// Guards against running a task twice when an owner is replaced before it has heard of all runs of
+/// its predecessor.  The successor may have adopted such a run and extend its lease.
+#[test]
+fn inherited_tasks_do_not_count_as_never_started_if_the_takeover_was_completed_too_late() {
+    let mut harness = successor(2);
+    harness.add_job(1, definition(vec![step(1)]), true);
+    harness.answer(0, Report::default());
+    harness.now = Time(29_000);
+    let fresh = Permit::NeverStarted { known_by: harness.now };
+    harness.now = Time(30_000);
+    assert_eq!(starts(&harness.cell.plan(harness.now, harness.now.0, fresh)), []);
+    let later = Permit::NeverStarted { known_by: harness.now };
+    harness.advance_ms(1500);
+    let orders = harness.cell.plan(harness.now, harness.now.0, later);
+    assert_eq!(starts(&orders).len(), 1, "all runs of the former owner were known in time");
+}
+
 /// Guards against a task that runs on after its job was cancelled.  Its start was sent before the
 /// cancellation and executed twelve seconds later on a minion that was disconnected, after the
 /// sending entry had terminated.  The next owner stops the run as soon as the minion reports it.
--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -66,6 +66,11 @@
                 "engine::cell::permit",
                 "nothing_is_started_on_a_minion_that_restarted_after_a_takeover_was_possible",
             ),
+            (
+                "a takeover that was completed after that time makes no inherited task a never started one",
+                "engine::cell::permit",
+                "inherited_tasks_do_not_count_as_never_started_if_the_takeover_was_completed_too_late",
+            ),
             (
                 "an unreadable answer does not count as one that lists no runs",
                 "adapter::minion::Client::send",
