Count an unanswered start that was being stopped when its minion restarted

Cause: the start of the task isn't answered, since its minion crashes 10 ms later. After 900 ms its stop is ordered.

Change: a start that was never confirmed counts also while it is being stopped. Both are kept until the new incarnation has confirmed the stop, so each is marked as counted: a second restart doesn't count it again.

--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -110,6 +110,8 @@
     /// Whether its minion ever confirmed the start or listed the run.  A start without an answer
     /// may have reached a minion that had already terminated.
     pub is_start_confirmed: bool,
+    /// Whether it was counted as lost with a former incarnation of its minion.
+    pub(crate) is_loss_counted: bool,
     /// How long after its order its minion last listed it as running; `None` if it never did.
     pub listed_for: Option<Duration>,
     /// The suspicion of its task when it was ordered.
@@ -134,6 +136,7 @@
             percent: 0,
             progressed_at: now,
             is_start_confirmed: phase == RunPhase::Active,
+            is_loss_counted: false,
             listed_for: None,
             suspicion: Suspicion::default(),
         }
--- a/crates/engine/src/cell/restart.rs
+++ b/crates/engine/src/cell/restart.rs
@@ -82,8 +82,12 @@
             ..Self::new(self.id.clone(), self.listing.clone(), true)
         };
         let may_have_ended = |task: &TaskName, run: &Run| {
-            let is_unanswered = matches!(run.phase, RunPhase::Unanswered { .. });
-            is_unanswered || missing.contains(&(*task, run.number))
+            let is_unanswered = match run.phase {
+                RunPhase::Unanswered { .. } => true,
+                RunPhase::Stopping { .. } => !run.is_start_confirmed,
+                RunPhase::Ordered | RunPhase::Active => false,
+            };
+            (is_unanswered && !run.is_loss_counted) || missing.contains(&(*task, run.number))
         };
         let runs = self.runs.iter().filter(|(task, run)| may_have_ended(task, run));
         former.runs = runs.map(|(task, run)| (*task, run.clone())).collect();
@@ -120,6 +124,12 @@
             seen: restart.seen,
             acknowledged: restart.acknowledged,
         });
+        for task in former_minion.runs.keys() {
+            if let Some(run) = self.minions.get_mut(id).and_then(|minion| minion.runs.get_mut(task))
+            {
+                run.is_loss_counted = true;
+            }
+        }
         self.drop_tickets(id);
         self.record_loss(&former_minion, Certainty::Certain, now);
         self.requeue_lost_runs(id, runs, now);
--- a/crates/engine/tests/all/restarts.rs
+++ b/crates/engine/tests/all/restarts.rs
@@ -167,6 +167,29 @@
     assert_eq!(scenario.harness.start_all().len(), 1);
 }
 
+/// Guards against a crash that counts against no task: the start of the task was not answered, and
+/// its stop was ordered before the minion came back under its id.
+#[test]
+fn an_unanswered_start_whose_stop_was_ordered_counts_when_its_minion_restarts() {
+    let mut scenario = RestartScenario::new();
+    scenario.harness.submit(1, definition(vec![step(1)]));
+    let (minion, name, run) = starts(&scenario.harness.plan()).remove(0);
+    let (cell, now) = (&mut scenario.harness.cell, scenario.harness.now);
+    cell.process_start_result(&minion, &name, run, StartResult::Unknown, now);
+    scenario.harness.advance_ms(1000);
+    assert_eq!(stops(&scenario.harness.plan()).len(), 1);
+    scenario.harness.cell.record_missed_answer(&minion, scenario.harness.now);
+    scenario.harness.advance_ms(DOWNTIME_MS);
+    let stored_points = |scenario: &RestartScenario| {
+        let batch = scenario.harness.cell.unpersisted_batch(90).expect("progress to store");
+        batch.rows[0].2.suspicions.clone()
+    };
+    scenario.restart();
+    assert_eq!(stored_points(&scenario), [(0, 2)]);
+    scenario.restart();
+    assert_eq!(stored_points(&scenario), [(0, 2)], "counted once");
+}
+
 /// Guards against starts beyond the capacity of a restarted minion whose listing predates the
 /// restart, and against starts on a minion that hasn't answered since its listing showed a restart.
 #[test]
