Record a trial before a task that crashed a minion is started again

Cause: a crash is counted seconds after it, by the owner that ordered the start. From three points on, a possible crash was persisted before the start; a task has two points after a first crash beside others. If the owner was lost in the next trial, its successor found the same two points and started the task like any other, once for each lost owner.

Change: - A possible crash is persisted before each start of a task once a minion certainly crashed after starting it, or a former owner stored points of it; for gangs, too. A task whose minion may only have been disconnected is started without it, so that a disconnected availability zone costs no more writes than before. - The start waits until that record is persisted, not the whole job: a job with many tasks always has changes to persist, and its suspects would never start. - A trial whose result is not known is no crash. Progress stores certain crashes and uncertain trials beside the points, in a field at its end; rows of older releases are read. A job fails at eight points if it has two certain crashes or four trials. The first certain crash of an inherited job's task counts one uncertain trial, since its former owner may have started it, too.

stored_progress_is_read_back gets the new field, rows_without_suspicions_are_read checks both older forms.

--- a/crates/engine/src/cell/crash.rs
+++ b/crates/engine/src/cell/crash.rs
@@ -12,11 +12,17 @@
 //! [`TRIAL_PERIOD`].  At [`FAILURE_THRESHOLD`] points its job fails.  Two crashes of which it is
 //! the sole likely cause are enough.  A task that only ran beside such a task, or on minions that
 //! failed together, is restarted until it is done.
+//!
+//! Once a minion has crashed after it started a task, each further start of the task is preceded by
+//! a persisted record that its minion may crash.  If the owner is lost during that trial, its
+//! successor counts it as uncertain, unless it finds the run.  Uncertain trials alone fail a job
+//! only if there are [`MIN_TRIALS`] of them, because an owner may be lost during the trial of a task
+//! that crashes nothing.
 
 use crate::cell::minion::{Minion, MinionId, Run, RunPhase};
 use crate::cell::work::{Job, Phase, Task};
-use crate::cell::{Cell, Event, Running};
-use crate::job::TaskName;
+use crate::cell::{Cell, Event, RUNS_PER_GENERATION, Running};
+use crate::job::{TaskName, Trials};
 use crate::time::Time;
 use smallvec::{SmallVec, smallvec};
 use std::time::Duration;
@@ -38,6 +44,12 @@
 /// The platform's operators allow two more starts after the third crash.
 const FAILURE_THRESHOLD: u8 = 8;
 
+/// Certain crashes from which a job may fail, with uncertain trials beside them.
+const MIN_CRASHES: u8 = 2;
+
+/// Trials from which a job may fail with fewer certain crashes, for minions that never come back.
+const MIN_TRIALS: u8 = 4;
+
 /// How long after a start it may still be what crashes its minion.  Minions go down some 10 ms
 /// after such a start; the rest is for orders that wait in an entry under load.
 pub const TRIAL_PERIOD: Duration = Duration::from_millis(250);
@@ -64,16 +76,20 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Suspicion {
     points: u8,
+    /// The trials that ended with the loss of the minion, or may have.
+    trials: Trials,
     /// Whether a suspected task is about to start or on trial, or its minion became silent during a
-    /// trial, so that a crash is possible and not known yet.  Persisted as if it had crashed,
+    /// trial, so that a crash is possible and not known yet.  Persisted as an uncertain trial,
     /// because the owner may be lost before it learns the result.
     is_crash_possible: bool,
+    /// Whether a former owner persisted it.
+    is_restored: bool,
 }
 
 impl Suspicion {
-    /// The suspicion with the points that were persisted.
-    pub(crate) fn from_persisted(points: u8) -> Self {
-        Self { points, is_crash_possible: false }
+    /// The suspicion that was persisted.
+    pub(crate) fn from_persisted(points: u8, trials: Trials) -> Self {
+        Self { points, trials, is_crash_possible: false, is_restored: true }
     }
 
     /// The points to persist.
@@ -81,6 +97,12 @@
         self.points.saturating_add(if self.is_crash_possible { LIKELY_CAUSE_POINTS } else { 0 })
     }
 
+    /// The trials to persist.
+    pub(crate) fn persisted_trials(self) -> Trials {
+        let uncertain = self.trials.uncertain.saturating_add(u8::from(self.is_crash_possible));
+        Trials { uncertain, ..self.trials }
+    }
+
     /// Whether the task must be started in isolation.
     pub(crate) fn needs_isolation(self) -> bool {
         self.points >= ISOLATION_THRESHOLD
@@ -91,6 +113,15 @@
         self.points >= LIKELY_CAUSE_POINTS
     }
 
+    /// Whether a possible crash must be persisted before the task is started.
+    ///
+    /// A task whose minion may only have been disconnected is started without it, because all
+    /// recent starts in an availability zone are such tasks when the zone is disconnected.
+    pub(crate) fn needs_persisted_trial(self) -> bool {
+        let has_crashed = self.trials.crashed > 0 || self.is_restored;
+        self.needs_isolation() || (self.is_likely_cause() && has_crashed)
+    }
+
     /// Whether a possible crash is recorded.
     pub(crate) fn has_possible_crash(self) -> bool {
         self.is_crash_possible
@@ -98,12 +129,57 @@
 
     /// Whether the task's job must fail.
     pub(crate) fn is_conclusive(self) -> bool {
-        self.points >= FAILURE_THRESHOLD
+        let Trials { crashed, uncertain } = self.trials;
+        let has_enough_trials =
+            crashed >= MIN_CRASHES || crashed.saturating_add(uncertain) >= MIN_TRIALS;
+        self.points >= FAILURE_THRESHOLD && has_enough_trials
+    }
+
+    /// The suspicion after the former owner's run was found, so that its trial was no crash.
+    pub(crate) fn without_uncertain_trial(self) -> Self {
+        if !self.is_restored || self.trials.uncertain == 0 {
+            return self;
+        }
+        let trials = Trials { uncertain: self.trials.uncertain - 1, ..self.trials };
+        Self { points: self.points.saturating_sub(LIKELY_CAUSE_POINTS), trials, ..self }
     }
 
     fn add_points(&mut self, points: u8) {
         self.points = self.points.saturating_add(points);
     }
+
+    fn add_trial(&mut self, trial: Trial) {
+        match trial {
+            Trial::Crashed { had_former_owner } => {
+                if had_former_owner && self.trials == Trials::default() {
+                    self.add_points(LIKELY_CAUSE_POINTS);
+                    self.trials.uncertain = 1;
+                }
+                self.trials.crashed = self.trials.crashed.saturating_add(1);
+            }
+            Trial::Uncertain => self.trials.uncertain = self.trials.uncertain.saturating_add(1),
+        }
+    }
+}
+
+impl Trials {
+    /// The trials that points of a release without trials stand for.
+    pub(crate) fn from_points(points: u8) -> Self {
+        let uncertain = points % SOLE_CAUSE_POINTS / LIKELY_CAUSE_POINTS;
+        Self { crashed: points / SOLE_CAUSE_POINTS, uncertain }
+    }
+}
+
+/// The result of a trial that ended with the loss of the minion.
+#[derive(Clone, Copy, Debug)]
+enum Trial {
+    /// The minion had started the task and certainly crashed.
+    Crashed {
+        /// Whether a former owner may have started the task without leaving a record.
+        had_former_owner: bool,
+    },
+    /// The minion may only have been disconnected, or may not have started the task.
+    Uncertain,
 }
 
 /// A minion that has terminated, or is silent and may have.
@@ -193,15 +269,27 @@
             && loss.has_suspect
             && !self.has_common_cause(loss.silent_since, &minion.id);
         for (name, run) in minion.runs.iter().filter(|(_, run)| run.may_have_started()) {
-            let points = match suspects.contains(name) {
+            let is_suspect = suspects.contains(name);
+            let points = match is_suspect {
                 true if is_sole && run.is_start_confirmed => SOLE_CAUSE_POINTS,
                 true => LIKELY_CAUSE_POINTS,
                 false => UNLIKELY_CAUSE_POINTS,
             };
-            self.add_suspicion(&minion.id, name, points, now);
+            let trial = is_suspect.then(|| self.trial(name, run, certainty));
+            self.add_suspicion(&minion.id, name, points, trial, now);
         }
     }
 
+    /// The result of a trial that ended with the loss of its minion.
+    fn trial(&self, name: &TaskName, run: &Run, certainty: Certainty) -> Trial {
+        if certainty == Certainty::Possible || !run.is_start_confirmed {
+            return Trial::Uncertain;
+        }
+        let is_inherited = self.jobs.get(&name.job).is_some_and(|job| job.inherited);
+        let is_own_run = run.number > self.generation * RUNS_PER_GENERATION;
+        Trial::Crashed { had_former_owner: is_inherited && is_own_run }
+    }
+
     /// The likely causes among a minion's runs: those on trial whose tasks already have points or,
     /// if there are none, all on trial and all whose tasks have points.
     fn suspects(&self, minion: &Minion) -> SmallVec<[TaskName; 4]> {
@@ -248,16 +336,26 @@
     }
 
     /// Adds points to a task, and fails its job when they are enough.
-    fn add_suspicion(&mut self, minion: &MinionId, name: &TaskName, points: u8, now: Time) {
+    fn add_suspicion(
+        &mut self,
+        minion: &MinionId,
+        name: &TaskName,
+        points: u8,
+        trial: Option<Trial>,
+        now: Time,
+    ) {
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         if job.state().is_final() {
             return;
         }
         let Some(task) = job.task_mut(name) else { return };
-        task.suspicion.add_points(points);
         task.avoid = Some(minion.clone());
-        let suspicion = task.suspicion;
-        job.mark_changed();
+        let mut suspicion = task.suspicion;
+        suspicion.add_points(points);
+        if let Some(trial) = trial {
+            suspicion.add_trial(trial);
+        }
+        job.set_suspicion(name, suspicion);
         if suspicion.is_conclusive() {
             job.fail(now);
             self.active_jobs.remove(&name.job);
@@ -300,10 +398,10 @@
         for name in names {
             let Some(job) = self.jobs.get_mut(&name.job) else { continue };
             let is_open = !job.state().is_final();
-            let Some(task) = job.task_mut(&name).filter(|_| is_open) else { continue };
-            if task.suspicion.is_crash_possible != is_crash_possible {
-                task.suspicion.is_crash_possible = is_crash_possible;
-                job.mark_changed();
+            let Some(task) = job.task(&name).filter(|_| is_open) else { continue };
+            let suspicion = task.suspicion;
+            if suspicion.is_crash_possible != is_crash_possible {
+                job.set_suspicion(&name, Suspicion { is_crash_possible, ..suspicion });
                 self.changed_jobs.insert(name.job);
             }
         }
@@ -321,21 +419,17 @@
         else {
             return;
         };
-        if let Some(task) = job.task_mut(name).filter(|task| task.is_suspected()) {
-            task.suspicion = Suspicion::default();
-            job.mark_changed();
+        if job.task(name).is_some_and(Task::is_suspected) {
+            job.set_suspicion(name, Suspicion::default());
             self.changed_jobs.insert(name.job);
         }
     }
 
-    /// Whether a likely cause of crashes may be started: its points are persisted, and it is the
-    /// next suspect of its job.  A long-running task does not wait for others, because its users
-    /// are without it.
+    /// Whether a likely cause of crashes may be started: it is the next suspect of its job.  A
+    /// long-running task does not wait for others, because its users are without it.
     pub(crate) fn may_start_suspect(&self, job: &Job, name: &TaskName) -> bool {
         let long_running = job.accepted.definition.steps[name.step as usize].long_running;
-        let needs_isolation = job.task(name).is_some_and(|task| task.suspicion.needs_isolation());
-        let is_persisted = job.is_persisted() || !needs_isolation;
-        is_persisted && (long_running || self.is_next_suspect(job, name))
+        long_running || self.is_next_suspect(job, name)
     }
 
     /// Whether a likely cause is the next of its job to start: none is on trial, and no waiting
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -7,7 +7,7 @@
 use crate::job::{Id, Step, TaskName};
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
-use smallvec::smallvec;
+use smallvec::{SmallVec, smallvec};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -379,7 +379,7 @@
                 }
                 return Some(name);
             };
-            if suspicion.needs_isolation() && !suspicion.has_possible_crash() {
+            if suspicion.needs_persisted_trial() && !job.is_possible_crash_persisted(task) {
                 // Persisted before the start: if the owner were lost during the trial, its
                 // successor would not know of the possible crash.
                 self.set_possible_crash(smallvec![name], true);
@@ -410,14 +410,29 @@
         let last = tasks().map(|task| task.last_run).max().unwrap_or(0);
         // A checkpoint of any member is valid for all, and all must resume from the same one.
         let checkpoint = tasks().filter_map(|task| task.checkpoint.clone()).max();
+        let suspects: SmallVec<[TaskName; 4]> = members
+            .iter()
+            .filter(|name| {
+                job.task(name).is_some_and(|task| task.suspicion.needs_persisted_trial())
+            })
+            .copied()
+            .collect();
         let needs_ticket = self.needs_ticket(&job.accepted.queue);
         let may_run = |id: &str| !needs_ticket || self.ticket(&first, id, now).is_some();
         let Some(places) = self.find_gang(job, &first, step, now, &may_run) else {
             if needs_ticket {
                 self.request_advice(&first, step.count as usize, now);
             }
+            self.set_possible_crash(suspects, false);
             return;
         };
+        let is_persisted = |name: &TaskName| {
+            job.task(name).is_some_and(|task| job.is_possible_crash_persisted(task))
+        };
+        if !suspects.iter().all(is_persisted) {
+            self.set_possible_crash(suspects, true);
+            return;
+        }
         for (name, minion) in members.into_iter().zip(places) {
             orders.extend(self.place_task(name, minion, last, checkpoint.clone(), now));
         }
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -372,6 +372,11 @@
         if let Some(checkpoint) = &running.checkpoint {
             task.checkpoint = Some(checkpoint.clone());
         }
+        let suspicion = task.suspicion.without_uncertain_trial();
+        if suspicion != task.suspicion {
+            job.set_suspicion(&running.task, suspicion);
+            self.changed_jobs.insert(running.task.job);
+        }
         job.started = true;
         let listed_for = running.min_run_time(Duration::ZERO);
         let run = Run {
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -3,10 +3,10 @@
 use crate::cell::crash::Suspicion;
 use crate::cell::minion::MinionId;
 use crate::cell::quota::{AccountId, Charge};
-use crate::job::{Accepted, Definition, Id, Progress, State, Step, TaskName};
+use crate::job::{Accepted, Definition, Id, Progress, State, Step, TaskName, Trials};
 use crate::time::Time;
 use smallvec::SmallVec;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// State of a task.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -50,6 +50,8 @@
     pub stalled_on: Option<MinionId>,
     /// Suspicion of crashing its minions.
     pub suspicion: Suspicion,
+    /// Number of its job's change that last changed its suspicion.
+    pub(crate) suspicion_change: u64,
 }
 
 impl Task {
@@ -194,6 +196,23 @@
         self.changes += 1;
     }
 
+    /// Sets a task's suspicion, which is to be persisted.
+    pub(crate) fn set_suspicion(&mut self, name: &TaskName, suspicion: Suspicion) {
+        self.mark_changed();
+        let change = self.changes;
+        if let Some(task) = self.task_mut(name) {
+            task.suspicion = suspicion;
+            task.suspicion_change = change;
+        }
+    }
+
+    /// Whether the possible crash of a task about to start is recorded and persisted.
+    ///
+    /// Other changes of the job need not be persisted: one with many tasks always has some.
+    pub(crate) fn is_possible_crash_persisted(&self, task: &Task) -> bool {
+        task.suspicion.has_possible_crash() && self.persisted_changes >= task.suspicion_change
+    }
+
     /// Records that a task stalled on a minion.  Returns whether the minion may be the cause, as
     /// far as is known.
     pub(crate) fn record_stall(&mut self, name: &TaskName, minion: MinionId) -> bool {
@@ -341,6 +360,7 @@
             }
             if task.suspicion.persisted_points() > 0 && task.phase != Phase::Done {
                 progress.suspicions.push((flat, task.suspicion.persisted_points()));
+                progress.trials.push((flat, task.suspicion.persisted_trials()));
             }
         }
         progress
@@ -365,9 +385,12 @@
                 task.checkpoint = Some(checkpoint.clone());
             }
         }
+        let trials: BTreeMap<u32, Trials> = progress.trials.iter().copied().collect();
         for (flat, points) in &progress.suspicions {
             if let Some(task) = self.tasks.get_mut(*flat as usize) {
-                task.suspicion = Suspicion::from_persisted(*points);
+                let trials =
+                    trials.get(flat).copied().unwrap_or_else(|| Trials::from_points(*points));
+                task.suspicion = Suspicion::from_persisted(*points, trials);
                 self.started = true;
             }
         }
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -427,10 +427,23 @@
     pub checkpoints: Vec<(u32, Box<str>)>,
     /// Tasks and the suspicion points that they got from crashes of their minions.
     pub suspicions: Vec<(u32, u8)>,
+    /// Trials of these tasks.
+    pub trials: Vec<(u32, Trials)>,
+}
+
+/// Starts of a task that ended with the loss of its minion, or may have.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Trials {
+    /// Starts whose minion certainly crashed.
+    pub crashed: u8,
+    /// Starts whose minion may only have been disconnected, or whose owner was lost before it
+    /// learned the result.
+    pub uncertain: u8,
 }
 
 impl Progress {
-    /// Decodes stored progress.  Rows of releases that stored no suspicions end before that field.
+    /// Decodes stored progress.  Rows of releases that stored no suspicions or no trials end before
+    /// that field.
     ///
     /// # Errors
     /// Returns an error if the bytes are malformed.
@@ -439,11 +452,15 @@
     }
 }
 
-/// Decodes a value whose last field older releases didn't write.
+/// Fields appended to a stored value since its first release.
+const MAX_MISSING_FIELDS: usize = 2;
+
+/// Decodes a value whose last fields older releases didn't write, up to [`MAX_MISSING_FIELDS`].
 ///
-/// The appended zero byte decodes as that field's default.  After a complete value it isn't read.
+/// The appended zero bytes decode as the defaults of these fields.  After a complete value they
+/// aren't read.
 fn decode_extended<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FormatError> {
-    decode(&[bytes, &[0]].concat())
+    decode(&[bytes, &[0; MAX_MISSING_FIELDS]].concat())
 }
 
 /// The error for a stored value that can't be decoded.
--- a/crates/engine/tests/all/jobs.rs
+++ b/crates/engine/tests/all/jobs.rs
@@ -2,7 +2,7 @@
 
 use crate::fixture::*;
 use celerythread_engine::cell::{EndReason, Refusal, StartResult};
-use celerythread_engine::job::{Progress, State, Step, encode};
+use celerythread_engine::job::{Progress, State, Step, Trials, encode};
 
 #[test]
 fn a_step_waits_for_all_tasks_of_the_steps_before_it() {
@@ -158,20 +158,23 @@
         failed: vec![(3, [1, 2].into_iter().collect())],
         checkpoints: vec![(4, "00ab".into())],
         suspicions: vec![(5, 4)],
+        trials: vec![(5, Trials { crashed: 1, uncertain: 1 })],
     };
     assert_eq!(Progress::decode(&encode(&progress)).unwrap(), progress);
     assert!(Progress::decode(&[0xff; 3]).is_err());
 }
 
 /// Guards against rows that a new release can't decode because they were written by a release that
-/// stored no suspicions.  Tasks that are done would run again.
+/// stored no suspicions, or no trials.  Tasks that are done would run again.
 #[test]
 fn rows_without_suspicions_are_read() {
     let progress = Progress { done: vec![0, 7], ..Progress::default() };
     let bytes = encode(&progress);
-    let (without_list, end) = bytes.split_at(bytes.len() - 1);
-    assert_eq!(end, [0]);
-    assert_eq!(Progress::decode(without_list).unwrap(), progress);
+    for missing in 1..=2 {
+        let (without_lists, end) = bytes.split_at(bytes.len() - missing);
+        assert_eq!(end, &[0, 0][..missing]);
+        assert_eq!(Progress::decode(without_lists).unwrap(), progress);
+    }
 }
 
 /// Guards against leaving the rest of a gang running after a minion refused one member for lack of
