Fail no inherited job before its tasks' runs have been looked for

Cause: a new owner failed a job as it read its row, if the points with a possible crash sufficed. The record of the possible crash is taken back only once the trial has passed, and that was not persisted when the owner was lost.

Change: jobs of a former owner are judged when the takeover is complete, without the uncertain trials of runs that were found. A job whose task isn't found fails then, at once.

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -385,8 +385,9 @@
         if let Some(progress) = progress {
             job.restore(progress);
         }
-        // The former owner was lost before it learned of the crash that reached the threshold.
-        if !job.state().is_final() && job.crashes_minions() {
+        // The former owner was lost before it learned of the crash that reached the threshold.  The
+        // run of an inherited job may still be found.
+        if !inherited && !job.state().is_final() && job.crashes_minions() {
             job.fail(now);
             self.changed_jobs.insert(id);
         }
--- a/crates/engine/src/cell/crash.rs
+++ b/crates/engine/src/cell/crash.rs
@@ -22,7 +22,7 @@
 use crate::cell::minion::{Minion, MinionId, Run, RunPhase};
 use crate::cell::work::{Job, Phase, Task};
 use crate::cell::{Cell, Event, RUNS_PER_GENERATION, Running};
-use crate::job::{TaskName, Trials};
+use crate::job::{Id, TaskName, Trials};
 use crate::time::Time;
 use smallvec::{SmallVec, smallvec};
 use std::time::Duration;
@@ -356,13 +356,10 @@
             suspicion.add_trial(trial);
         }
         job.set_suspicion(name, suspicion);
+        self.changed_jobs.insert(name.job);
         if suspicion.is_conclusive() {
-            job.fail(now);
-            self.active_jobs.remove(&name.job);
-            // The next plan stops the job's other runs.
-            self.last_sweep = None;
+            self.fail_job(&name.job, now);
         }
-        self.changed_jobs.insert(name.job);
         self.record_event(Event::Suspected {
             minion: minion.clone(),
             task: *name,
@@ -371,6 +368,15 @@
         });
     }
 
+    /// Fails a job.  The next plan stops its runs once that is persisted.
+    pub(crate) fn fail_job(&mut self, id: &Id, now: Time) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.fail(now);
+        self.changed_jobs.insert(*id);
+        self.active_jobs.remove(id);
+        self.last_sweep = None;
+    }
+
     /// Records a possible crash for the runs on trial on a minion that became silent.
     ///
     /// Whether it crashed is known only seconds later.  If the owner were lost before that, the
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -90,6 +90,7 @@
     pub fn plan(&mut self, now: Time, wall_ms: u64, permit: Permit) -> Vec<Order> {
         let mut orders = Vec::new();
         self.expire_leases(now);
+        self.update_takeover(now);
         self.mark_silent_zones();
         if self.last_sweep.is_none_or(|swept| now.since(swept) >= SWEEP_INTERVAL) {
             self.last_sweep = Some(now);
@@ -113,6 +114,24 @@
         orders
     }
 
+    /// Records when the takeover is complete, and then fails the inherited jobs with a task that
+    /// crashes its minions and was not found on any.
+    fn update_takeover(&mut self, now: Time) {
+        if !self.is_takeover_complete(now) {
+            self.takeover_completed_at = None;
+            return;
+        }
+        if self.takeover_completed_at.is_some() {
+            return;
+        }
+        self.takeover_completed_at = Some(now);
+        let jobs = self.active_jobs.iter().filter_map(|id| Some((*id, self.jobs.get(id)?)));
+        let crashing = jobs.filter(|(_, job)| job.inherited && job.crashes_minions());
+        for id in crashing.map(|(id, _)| id).collect::<Vec<Id>>() {
+            self.fail_job(&id, now);
+        }
+    }
+
     /// Requeues the tasks of all runs on minions whose leases must have expired, and removes such
     /// minions once they are unlisted.
     fn expire_leases(&mut self, now: Time) {
@@ -213,8 +232,6 @@
         orders: &mut Vec<Order>,
     ) {
         let takeover_complete = self.is_takeover_complete(now);
-        self.takeover_completed_at =
-            takeover_complete.then(|| self.takeover_completed_at.unwrap_or(now));
         let completed_at = self.takeover_completed_at;
         let mut ranked: Vec<_> = self
             .active_jobs
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -222,9 +222,11 @@
         previous.is_none_or(|previous| previous == minion)
     }
 
-    /// Whether a task of it has crashed so many minions that the job must fail.
+    /// Whether a task of it that does not run has crashed so many minions that the job must fail.
     pub(crate) fn crashes_minions(&self) -> bool {
-        self.tasks.iter().any(|task| task.suspicion.is_conclusive())
+        let is_crashing =
+            |task: &Task| task.phase == Phase::Waiting && task.suspicion.is_conclusive();
+        self.tasks.iter().any(is_crashing)
     }
 
     /// Marks it as failed.
--- a/crates/engine/tests/all/takeover.rs
+++ b/crates/engine/tests/all/takeover.rs
@@ -2,7 +2,7 @@
 
 use crate::fixture::*;
 use celerythread_engine::cell::{Cell, EndReason, Incarnation, Permit, Report, Settings};
-use celerythread_engine::job::{Progress, State, Step};
+use celerythread_engine::job::{Progress, State, Step, Trials};
 use celerythread_engine::time::Time;
 use std::time::Duration;
 
@@ -92,6 +92,37 @@
     assert_eq!(stops(&orders), [(Harness::minion(1), task(1, 0, 0), 2)]);
 }
 
+/// Guards against failing a job whose task runs: its trial was stored before the start, and its owner
+/// was lost before it saw the trial pass.
+#[test]
+fn a_job_whose_suspected_task_is_found_running_does_not_fail() {
+    let takeover = |report: Report| {
+        let mut harness = successor(1);
+        let accepted = celerythread_engine::job::Accepted {
+            queue: "queue".into(),
+            at_ms: 0,
+            definition: definition(vec![step(1)]),
+            origin: celerythread_engine::job::Origin::Public,
+        };
+        let progress = Progress {
+            suspicions: vec![(0, 8)],
+            trials: vec![(0, Trials { crashed: 2, uncertain: 1 })],
+            ..Progress::default()
+        };
+        let now = harness.now;
+        harness.cell.add_job(id(1), accepted, Some(&progress), true, Duration::ZERO, now);
+        harness.answer(0, report);
+        harness.plan();
+        let batch = harness.cell.unpersisted_batch(90).expect("progress to store");
+        (batch.rows[0].2.outcome, batch.rows[0].2.suspicions.clone())
+    };
+    let running = vec![running(task(1, 0, 0), 3, 50)];
+    let found = takeover(Report { running, ..Report::default() });
+    assert_eq!(found, (None, vec![(0, 6)]), "its last trial was no crash");
+    let missing = takeover(Report::default());
+    assert_eq!(missing.0, Some(State::Failed), "not found on any minion");
+}
+
 /// Guards against repeating a run whose end was reported to the former owner, but neither stored
 /// nor acknowledged by it.  The minion reports the end again to the new owner.
 #[test]
--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -185,9 +185,34 @@
             ),
             (
                 "a suspected task is started only after its suspicion is persisted",
-                "engine::cell::crash::may_start_suspect",
+                "engine::cell::work::is_possible_crash_persisted",
                 "a_suspected_task_waits_until_its_suspicion_is_stored",
             ),
+            (
+                "the same for a task with one certain crash",
+                "engine::cell::crash::needs_persisted_trial",
+                "a_trial_is_stored_before_a_task_is_started_again_after_a_crash",
+            ),
+            (
+                "other changes of its job hold no suspected task back",
+                "engine::cell::work::is_possible_crash_persisted",
+                "a_suspected_task_waits_only_until_its_own_trial_is_stored",
+            ),
+            (
+                "trials of lost owners count only beside enough crashes",
+                "engine::cell::crash::is_conclusive",
+                "trials_of_lost_owners_fail_a_job_only_with_enough_crashes",
+            ),
+            (
+                "a new owner fails no job before it has looked for the runs of its tasks",
+                "engine::cell::plan::update_takeover",
+                "a_job_whose_suspected_task_is_found_running_does_not_fail",
+            ),
+            (
+                "an unanswered start that is being stopped counts when its minion restarts",
+                "engine::cell::restart::former_minion",
+                "an_unanswered_start_whose_stop_was_ordered_counts_when_its_minion_restarts",
+            ),
             (
                 "losses of minions with a common cause count against no single task",
                 "engine::cell::crash::has_common_cause",
