Count as a trial only a run that was on trial when its minion was lost

Callers would have seen: a job failed, none of whose tasks crashes minions, at a change of owner or as a lease lapsed.

Cause: tasks with points are likely causes also long after their start; such a loss counted as a certain crash or an uncertain trial, and with one earlier crash and the record of a trial that was enough.

Change: points as before, but only runs on trial count as trials.

Tests of trials move to a file of their own.

--- a/crates/engine/src/cell/crash.rs
+++ b/crates/engine/src/cell/crash.rs
@@ -275,7 +275,8 @@
                 true => LIKELY_CAUSE_POINTS,
                 false => UNLIKELY_CAUSE_POINTS,
             };
-            let trial = is_suspect.then(|| self.trial(name, run, certainty));
+            let was_on_trial = is_suspect && run.is_on_trial();
+            let trial = was_on_trial.then(|| self.trial(name, run, certainty));
             self.add_suspicion(&minion.id, name, points, trial, now);
         }
     }
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -22,6 +22,7 @@
 mod takeover;
 mod termination;
 mod timeout;
+mod trials;
 mod turns;
 mod window;
 mod zones;
