--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -14,6 +14,7 @@
 //! - [`advice`]: holds tickets
 //! - [`pace`]: throttles tasks that disturb serving tasks
 //! - [`straggler`]: finds slow minions
+//! - [`takeover`]: tracks what a former owner may have started
 //! - [`crash`]: finds tasks that crash their minions
 //! - [`idle`]: reports jobs that could run and do not
 //! - [`quota`]: limits what a workspace has running
@@ -44,6 +45,7 @@
 mod restart;
 mod stall;
 mod straggler;
+mod takeover;
 pub mod work;
 pub(crate) mod zone;
 
@@ -466,18 +468,6 @@
         self.jobs.get(id)
     }
 
-    /// Whether tasks of inherited jobs may be started, because no run of them can exist that this
-    /// owner does not know.
-    pub fn is_takeover_complete(&self, now: Time) -> bool {
-        match self.former_lease_expiry {
-            None => true,
-            Some(expiry) => {
-                let mut inherited = self.minions.values().filter(|minion| minion.inherited);
-                now >= expiry || inherited.all(|minion| minion.answered)
-            }
-        }
-    }
-
     /// Removes jobs whose retention has passed and returns them, so that their rows can be deleted.
     pub fn remove_expired_jobs(&mut self, now: Time) -> Vec<Id> {
         let retention = self.settings.retention;
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -114,24 +114,6 @@
         orders
     }
 
-    /// Records when the takeover is complete, and then fails the inherited jobs with a task that
-    /// crashes its minions and was not found on any.
-    fn update_takeover(&mut self, now: Time) {
-        if !self.is_takeover_complete(now) {
-            self.takeover_completed_at = None;
-            return;
-        }
-        if self.takeover_completed_at.is_some() {
-            return;
-        }
-        self.takeover_completed_at = Some(now);
-        let jobs = self.active_jobs.iter().filter_map(|id| Some((*id, self.jobs.get(id)?)));
-        let crashing = jobs.filter(|(_, job)| job.inherited && job.crashes_minions());
-        for id in crashing.map(|(id, _)| id).collect::<Vec<Id>>() {
-            self.fail_job(&id, now);
-        }
-    }
-
     /// Requeues the tasks of all runs on minions whose leases must have expired, and removes such
     /// minions once they are unlisted.
     fn expire_leases(&mut self, now: Time) {
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -372,11 +372,6 @@
         if let Some(checkpoint) = &running.checkpoint {
             task.checkpoint = Some(checkpoint.clone());
         }
-        let suspicion = task.suspicion.without_uncertain_trial();
-        if suspicion != task.suspicion {
-            job.set_suspicion(&running.task, suspicion);
-            self.changed_jobs.insert(running.task.job);
-        }
         job.started = true;
         let listed_for = running.min_run_time(Duration::ZERO);
         let run = Run {
@@ -387,6 +382,7 @@
             ..Run::new(number, RunPhase::Active, step.as_ref(), now)
         };
         minion.insert_run(running.task, run);
+        self.record_found_run(&running.task);
         self.record_event(Event::Adopted { minion: id.clone(), task: running.task, run: number });
     }
 
--- /dev/null
+++ b/crates/engine/src/cell/takeover.rs
@@ -0,0 +1,51 @@
+//! The takeover of a cell: which runs a former owner may have started.
+//!
+//! A new owner finds them on the minions.  Until each minion of its predecessor has answered, or its
+//! leases must have expired, a task that was not found may still run.
+
+use crate::cell::Cell;
+use crate::job::{Id, TaskName};
+use crate::time::Time;
+
+impl Cell {
+    /// Whether tasks of inherited jobs may be started, because no run of them can exist that this
+    /// owner does not know.
+    pub fn is_takeover_complete(&self, now: Time) -> bool {
+        match self.former_lease_expiry {
+            None => true,
+            Some(expiry) => {
+                let mut inherited = self.minions.values().filter(|minion| minion.inherited);
+                now >= expiry || inherited.all(|minion| minion.answered)
+            }
+        }
+    }
+
+    /// Records when the takeover is complete, and then fails the inherited jobs with a task that
+    /// crashes its minions and was not found on any.
+    pub(crate) fn update_takeover(&mut self, now: Time) {
+        if !self.is_takeover_complete(now) {
+            self.takeover_completed_at = None;
+            return;
+        }
+        if self.takeover_completed_at.is_some() {
+            return;
+        }
+        self.takeover_completed_at = Some(now);
+        let jobs = self.active_jobs.iter().filter_map(|id| Some((*id, self.jobs.get(id)?)));
+        let crashing = jobs.filter(|(_, job)| job.inherited && job.crashes_minions());
+        for id in crashing.map(|(id, _)| id).collect::<Vec<Id>>() {
+            self.fail_job(&id, now);
+        }
+    }
+
+    /// Records that the run of a former owner was found, so that its trial was no crash.
+    pub(crate) fn record_found_run(&mut self, name: &TaskName) {
+        let Some(job) = self.jobs.get_mut(&name.job) else { return };
+        let Some(task) = job.task(name) else { return };
+        let suspicion = task.suspicion.without_uncertain_trial();
+        if suspicion != task.suspicion {
+            job.set_suspicion(name, suspicion);
+            self.changed_jobs.insert(name.job);
+        }
+    }
+}
--- a/crates/engine/tests/all/model/simulation.rs
+++ b/crates/engine/tests/all/model/simulation.rs
@@ -1,5 +1,7 @@
 //! A simulation with fault injection: successive owners, minions, the table and a caller.
 
+mod timeline;
+
 use super::owner::{
     Answer, CAPACITY, Call, EXTEND_ALONE_LIMIT, LEASE_DURATION, LEASE_MARGIN, Owner,
 };
@@ -135,34 +137,6 @@
         Self { keeps_ids: true, ..Self::new(faults) }
     }
 
-    /// Runs the same faults again and returns a timeline of faults, takeovers, calls with an effect
-    /// and events of the cells, one line each.
-    fn replay_timeline(&self) -> String {
-        let simulation = Self { keeps_ids: self.keeps_ids, ..Self::new(self.faults.clone()) };
-        let replayed = Self { timeline: Some(Vec::new()), ..simulation }.run();
-        replayed.timeline.into_iter().flatten().map(|line| line + "\n").collect()
-    }
-
-    fn record(&mut self, line: impl FnOnce() -> String) {
-        if let Some(timeline) = &mut self.timeline {
-            timeline.push(format!("{} {}", self.now.0, line()));
-        }
-    }
-
-    fn record_call(&mut self, index: usize, call: &Call, fault: Option<Fault>, answer: &Answer) {
-        let is_routine = matches!(
-            (call, answer),
-            (Call::Renew, Answer::Done) | (Call::Hold { .. }, Answer::Report(_))
-        );
-        let (token, number) = (self.owners[index].token, self.call_count - 1);
-        if fault.is_some() || !is_routine {
-            self.record(|| format!("owner {token} call {number} {fault:?} {call:?}: {answer:?}"));
-        }
-        for event in self.owners[index].cell.take_events() {
-            self.record(|| format!("owner {token} {event:?}"));
-        }
-    }
-
     fn start_minion(&mut self, name: &str) {
         self.record(|| format!("minion {name} starts"));
         self.last_incarnation += 1;
