--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -203,9 +203,14 @@
                 "engine::cell::crash::is_conclusive",
                 "trials_of_lost_owners_fail_a_job_only_with_enough_crashes",
             ),
+            (
+                "a crash after the trial is no trial",
+                "engine::cell::crash::record_loss",
+                "a_crash_after_the_trial_counts_as_no_trial",
+            ),
             (
                 "a new owner fails no job before it has looked for the runs of its tasks",
-                "engine::cell::plan::update_takeover",
+                "engine::cell::takeover::update_takeover",
                 "a_job_whose_suspected_task_is_found_running_does_not_fail",
             ),
             (
