Divide machines by what can be in time, and keep those of a cell that is taken over

A new owner reported no demand of the jobs that it had inherited, so its pool gave its machines away and got them back seconds later. A first peak was expected to be twice the present demand. Machines were emptied by cores in use: 94 moves of 24 s were given up.

Change: reports tell late and inherited work apart and when each minion should be empty. A pool keeps machines for inherited work. With maintenance.share_by_urgency a fleet that is too small is divided by demand that can be in time first; with maintenance.expect_equal_peaks a first peak is expected to be as high as the others, and machines that are off are used for it.

Measured: tests urgency::* and load::{inherited_jobs_ask_apart_until_the_takeover_is_complete, demand_of_late_jobs_is_told_apart, a_minion_reports_when_its_runs_should_have_ended} pass; the reports had none of these fields before.

--- a/crates/engine/src/cell/load.rs
+++ b/crates/engine/src/cell/load.rs
@@ -1,12 +1,14 @@
 //! The demand of a cell, used to assign machines to pools.
 
 use crate::cell::Cell;
-use crate::cell::minion::Minion;
+use crate::cell::minion::{Minion, Run};
 use crate::cell::work::{Job, Phase};
-use crate::job::Resources;
+use crate::job::{Resources, TaskName};
 use crate::pools::{BACKLOG_HORIZON, Load};
 use crate::time::Time;
 use smallvec::SmallVec;
+use std::collections::HashSet;
+use std::time::Duration;
 
 /// The work of late jobs is divided by this.  A late caller has lost most of the job's value
 /// whether the job is a little or very late, and machines for it are taken from callers whose jobs
@@ -45,29 +47,45 @@
 
     /// The demand, and the minions that could be released.
     ///
-    /// Tasks that may still run unknown to this owner cannot be started yet, so they add no demand.
-    /// When they did, 28 machines idled for the four seconds until the tasks could start, while the
-    /// pool with the current demand peak had ten.
+    /// Tasks that may still run unknown to this owner cannot be started yet, so their demand is
+    /// reported apart.  When it counted as waiting, 28 machines idled for the four seconds until the
+    /// tasks could start, while the pool with the current demand peak had ten.  When it was left
+    /// out, 140 machines were moved away from 1,300 jobs and back eight seconds later.
     pub fn load(&self, now: Time) -> Load {
         let mut load = Load::default();
         let takeover_complete = self.is_takeover_complete(now);
         let average = AverageMinion::of(self.minions.values());
-        for job in self.active_jobs.iter().filter_map(|id| self.jobs.get(id)) {
+        let mut late_jobs = HashSet::new();
+        for (id, job) in self.active_jobs.iter().filter_map(|id| Some((id, self.jobs.get(id)?))) {
             load.min_minions = load.min_minions.max(min_minions(job));
-            if takeover_complete || !job.inherited {
-                let is_late = self.rank(job, now).class > 1;
-                load.waiting +=
-                    waiting_work(job, &average) / if is_late { LATE_WORK_DIVISOR } else { 1 };
+            let is_late = self.rank(job, now).class > 1;
+            let work = waiting_work(job, &average) / if is_late { LATE_WORK_DIVISOR } else { 1 };
+            if is_late {
+                late_jobs.insert(*id);
             }
+            if !takeover_complete && job.inherited {
+                load.inherited += work;
+                load.late_inherited += if is_late { work } else { 0 };
+                continue;
+            }
+            load.waiting += work;
+            load.late_waiting += if is_late { work } else { 0 };
+        }
+        if let Some(expiry) = self.former_lease_expiry.filter(|_| !takeover_complete) {
+            load.inherited_ms = expiry.since(now).as_millis() as u64;
         }
         for minion in self.minions.values().filter(|minion| minion.listed) {
-            let millicores = |long_running: bool| {
-                let runs = minion.runs.values().filter(|run| run.long_running == long_running);
-                runs.map(|run| average.equivalent_cores(&run.need)).sum::<u64>()
-            };
-            let (working, long_running) = (millicores(false), millicores(true));
+            let mut working = 0;
+            for (task, run) in &minion.runs {
+                let cores = average.equivalent_cores(&run.need);
+                if run.long_running {
+                    load.long_running += cores;
+                    continue;
+                }
+                working += cores;
+                load.late_working += if late_jobs.contains(&task.job) { cores } else { 0 };
+            }
             load.working += working;
-            load.long_running += long_running;
             load.minions += 1;
             let id = || minion.id.to_string();
             if minion.leaving {
@@ -79,11 +97,24 @@
                 && !minion.listing.draining
             {
                 load.free.push((id(), working));
+                if !minion.is_empty() {
+                    load.busy.push((id(), self.time_until_empty(minion, now).as_millis() as u64));
+                }
             }
         }
         load.minion_cpu = average.capacity.cpu;
         load
     }
+
+    /// Time until the runs of a minion should have ended.
+    fn time_until_empty(&self, minion: &Minion, now: Time) -> Duration {
+        let remaining = |(task, run): (&TaskName, &Run)| {
+            let step =
+                self.jobs.get(&task.job)?.accepted.definition.steps.get(task.step as usize)?;
+            Some(run.remaining(Duration::from_millis(step.estimate_ms), now))
+        };
+        minion.runs.iter().filter_map(remaining).max().unwrap_or_default()
+    }
 }
 
 /// A minion of average capacity.
--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -142,6 +142,16 @@
         }
     }
 
+    /// Time until it should end, by its progress if it reported any, else by its task's estimate.
+    pub(crate) fn remaining(&self, estimate: Duration, now: Time) -> Duration {
+        let elapsed = self.progressed_at.since(self.began_at);
+        let total = match self.percent {
+            percent @ 1..100 if !elapsed.is_zero() => elapsed.mul_f64(100.0 / f64::from(percent)),
+            _ => estimate,
+        };
+        total.saturating_sub(now.since(self.began_at))
+    }
+
     /// Records that its minion runs it.
     pub(crate) fn activate(&mut self, now: Time) {
         self.phase = RunPhase::Active;
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -8,10 +8,13 @@
 //!
 //! [`turns`] predicts which pool's turn comes next, so that idle machines can move there before it.
 
+mod load;
+mod share;
 mod turns;
 
 use crate::time::Time;
-use serde::{Deserialize, Serialize};
+pub use load::Load;
+use share::Claim;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 use strum::Display;
@@ -33,6 +36,9 @@
     pub min_machines: usize,
     /// Time after which a move that has not been ordered is cancelled and its machine used again.
     pub order_timeout: Duration,
+    /// Longest time that a machine may be expected to take until it is empty: less than
+    /// [`Settings::order_timeout`], since durations of tasks are estimates.
+    pub max_emptying: Duration,
     /// Least time that a machine stays in a pool after it was ordered there: twice the time of a
     /// move.
     pub min_stay: Duration,
@@ -40,6 +46,10 @@
     /// burst asks for several times what the pool holds.  With four rounds of planning a second,
     /// this should match the rate of orders that the platform accepts.
     pub max_moves_per_pool: usize,
+    /// Whether pools that lack machines give some to pools whose demand can still be in time.
+    pub share_by_urgency: bool,
+    /// Whether the first turn of a pool is expected to reach the peaks of the others.
+    pub expect_equal_peaks: bool,
 }
 
 impl Default for Settings {
@@ -47,38 +57,15 @@
         Self {
             min_machines: 2,
             order_timeout: Duration::from_millis(2500),
+            max_emptying: Duration::from_millis(2000),
             min_stay: Duration::from_millis(3000),
             max_moves_per_pool: 16,
+            share_by_urgency: false,
+            expect_equal_peaks: false,
         }
     }
 }
 
-/// The load of a cell as its owner reports it.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Load {
-    /// Core-milliseconds of waiting tasks that could be done within [`BACKLOG_HORIZON`].  Here and
-    /// below a task counts for the cores that others can't use because of it, which its memory or
-    /// accelerators determine if those are scarcer.
-    pub waiting: u64,
-    /// Millicores in use by finite tasks.
-    pub working: u64,
-    /// Millicores in use by long-running tasks.
-    #[serde(rename = "lasting")]
-    pub long_running: u64,
-    /// Millicores of a minion, on average.
-    pub minion_cpu: u64,
-    /// Minions without long-running tasks, with the millicores in use on each.
-    pub free: Vec<(String, u64)>,
-    /// Minions that were asked to empty and are empty.
-    pub empty: Vec<String>,
-    /// Minions that accept tasks.
-    pub minions: usize,
-    /// Least number of minions on which the long-running tasks keep within each step's limit per
-    /// minion.
-    #[serde(rename = "least")]
-    pub min_minions: usize,
-}
-
 /// A machine as the platform lists it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Machine {
@@ -98,7 +85,9 @@
 pub enum Reason {
     /// The demand of its new pool exceeds the pool's capacity.
     Shortage,
-    /// The demand of its new pool is expected to exceed it, by the turns observed so far.
+    /// Its new pool has its turn, and the demand is expected to rise beyond the pool's capacity.
+    Turn,
+    /// Its new pool may have the next turn.
     Ahead,
 }
 
@@ -132,6 +121,8 @@
     pub arriving: usize,
     /// Machines that it needs.
     pub needed: usize,
+    /// Of these, the ones for long-running tasks and for jobs that can meet their objective.
+    pub timely: usize,
     /// Minions without any task.
     pub idle: usize,
 }
@@ -192,7 +183,8 @@
 impl Planner {
     /// A planner without moves.
     pub fn new(settings: Settings) -> Self {
-        Self { settings, ..Self::default() }
+        let turns = Turns::new(settings.expect_equal_peaks);
+        Self { settings, turns, ..Self::default() }
     }
 
     /// The turns observed so far, to be stored for the next fleet controller.
@@ -259,11 +251,12 @@
             let arriving = self.arriving.values().filter(|(to, _)| to == pool).count()
                 + self.pending.values().filter(|plan| plan.to == *pool).count();
             let balance = Balance {
-                demand: self.finite_demand(load) / 1000,
+                demand: (load.demand() + load.inherited_demand()) / 1000,
                 long_running: load.long_running / 1000,
                 present: self.machine_count(pool, machines) - arriving,
                 arriving,
-                needed: self.machines_needed(load),
+                needed: self.claim(load).total,
+                timely: self.claim(load).timely,
                 idle: load.free.iter().filter(|(_, cpu)| *cpu == 0).count(),
             };
             (pool.clone(), balance)
@@ -280,18 +273,20 @@
         now: Time,
     ) -> Vec<Move> {
         self.remove_arrived(machines, now);
-        let demands = loads.iter().map(|(pool, load)| (pool.as_str(), self.finite_demand(load)));
+        let demand = |load: &Load| load.demand() + load.inherited_demand();
+        let demands = loads.iter().map(|(pool, load)| (pool.as_str(), demand(load)));
         let machine = loads.values().map(|load| load.minion_cpu).max().unwrap_or(0);
         self.turns.observe(&demands.collect(), machine * machines.len() as u64, now);
         let mut surplus: BTreeMap<&str, usize> = BTreeMap::new();
         let mut shortfalls = Vec::new();
-        for (pool, load) in loads {
-            let (present, needed) =
-                (self.machine_count(pool, machines), self.machines_needed(load));
-            if needed > present {
+        for (pool, load, entitlement) in self.entitlements(machines, loads, spare) {
+            let present = self.machine_count(pool, machines);
+            let needed = entitlement.min(self.machines_usable(load));
+            let tolerance = self.tolerance(load, entitlement);
+            if needed > present + tolerance {
                 shortfalls.push(Shortfall { pool, present, needed });
-            } else {
-                surplus.insert(pool, present - needed);
+            } else if present > entitlement + tolerance {
+                surplus.insert(pool, present - entitlement);
             }
         }
         let mut round = Round { machines, loads, spare, now, surplus, moves: Vec::new() };
@@ -304,23 +299,53 @@
         moves
     }
 
-    /// Moves idle machines to where the next demand is expected.  Machines that are off stay off,
-    /// since they cost nothing until the demand rises.
+    /// Each pool with the machines that it may have: all that it asks for, or its share of a fleet
+    /// that is too small.
+    fn entitlements<'a>(
+        &self,
+        machines: &BTreeMap<String, Machine>,
+        loads: &'a BTreeMap<String, Load>,
+        spare: Option<&str>,
+    ) -> Vec<(&'a str, &'a Load, usize)> {
+        let claims: Vec<Claim> = loads.values().map(|load| self.claim(load)).collect();
+        let pools = loads.keys().map(String::as_str).chain(spare);
+        let available = pools.map(|pool| self.machine_count(pool, machines)).sum();
+        let amounts = if self.settings.share_by_urgency {
+            share::entitlements(&claims, available)
+        } else {
+            claims.iter().map(|claim| claim.total).collect()
+        };
+        let amounts = loads.iter().zip(amounts);
+        amounts.map(|((pool, load), amount)| (pool.as_str(), load, amount)).collect()
+    }
+
+    /// How far a pool may be from its entitlement: not at all unless that is a share.
+    fn tolerance(&self, load: &Load, entitlement: usize) -> usize {
+        let is_share = entitlement < self.claim(load).total;
+        if is_share { share::tolerance(entitlement) } else { 0 }
+    }
+
+    /// Moves idle machines to where further demand is expected.  Machines that are off stay off
+    /// unless a turn is in progress, since they cost nothing until the demand rises.
     fn plan_ahead(&self, round: &mut Round<'_>) {
         let pools: Vec<&str> = round.loads.keys().map(String::as_str).collect();
-        round.spare = None;
+        let is_certain = self.settings.expect_equal_peaks && self.turns.is_rising_as_known();
+        let reason = if is_certain { Reason::Turn } else { Reason::Ahead };
+        if !is_certain {
+            round.spare = None;
+        }
         let mut shortfalls = Vec::new();
         for (pool, cores) in self.turns.expected_demand(&pools, round.now) {
             let Some((pool, load)) = round.loads.get_key_value(&pool) else { continue };
             let chosen = round.moves.iter().filter(|plan| plan.to == *pool).count();
             let present = self.machine_count(pool, round.machines) + chosen;
-            let needed = (cores + load.long_running).div_ceil(load.minion_cpu.max(1000)) as usize;
+            let needed = (cores + load.long_running).div_ceil(load.machine_cpu()) as usize;
             if let Some(left) = round.surplus.get_mut(pool.as_str()) {
                 *left = (*left).min(present.saturating_sub(needed));
             }
             shortfalls.push(Shortfall { pool, present, needed });
         }
-        self.fill_shortfalls(round, shortfalls, Reason::Ahead);
+        self.fill_shortfalls(round, shortfalls, reason);
     }
 
     /// Chooses machines for pools with a shortfall, each for the pool that has the smallest share
@@ -381,14 +406,15 @@
         }
     }
 
-    /// Machines that could be moved, with the cost of their moves; idle ones cost least.
-    fn candidates<'a>(&self, round: &Round<'a>, reason: Reason) -> Vec<(u64, &'a str)> {
+    /// Machines that could be moved, with the cost of their moves: the time until they are empty, in
+    /// which they accept no tasks, then the cores in use.
+    fn candidates<'a>(&self, round: &Round<'a>, reason: Reason) -> Vec<((u64, u64), &'a str)> {
         let Round { machines, loads, spare, now, moves, .. } = round;
         let chosen: BTreeSet<&str> = moves.iter().map(|plan| plan.machine.as_str()).collect();
         let settled = |name: &str| match self.last_orders.get(name) {
             // A machine that was moved ahead of demand isn't needed here if the demand rises
             // elsewhere.
-            Some((_, Reason::Ahead)) if reason == Reason::Shortage => true,
+            Some((_, Reason::Ahead)) if reason != Reason::Ahead => true,
             Some((ordered_at, _)) => now.since(*ordered_at) >= self.settings.min_stay,
             None => true,
         };
@@ -402,13 +428,21 @@
             .values()
             .flat_map(|load| load.free.iter().map(|(minion, cpu)| (minion.as_str(), *cpu)))
             .collect();
+        let busy: HashMap<&str, u64> = loads
+            .values()
+            .flat_map(|load| load.busy.iter().map(|(minion, ms)| (minion.as_str(), *ms)))
+            .collect();
+        let max_busy = self.settings.max_emptying.as_millis() as u64;
         let cost = |machine: &Machine| {
             if *spare == Some(machine.pool.as_str()) {
                 // Its time in a pool costs something besides the move, so it ranks after idle
                 // machines.
-                return Some(1);
+                return Some((0, 1));
             }
-            in_use.get(machine.minion.as_deref()?).map(|cpu| 2 * cpu)
+            let minion = machine.minion.as_deref()?;
+            let busy_ms = busy.get(minion).copied().unwrap_or(0);
+            let in_use = in_use.get(minion)?;
+            (busy_ms <= max_busy).then_some((busy_ms, 2 * in_use))
         };
         machines
             .iter()
@@ -434,18 +468,26 @@
         here + arriving + pending
     }
 
-    /// Millicores that a pool's finite tasks ask for.
-    fn finite_demand(&self, load: &Load) -> u64 {
-        let horizon = BACKLOG_HORIZON.as_millis() as u64;
-        load.working + load.waiting / horizon * 1000 + load.waiting % horizon * 1000 / horizon
+    /// What a pool asks for, including demand that can't be worked on yet: machines that were given
+    /// away would have to be moved back.
+    fn claim(&self, load: &Load) -> Claim {
+        Claim {
+            min: self.machines_for(load, 0),
+            timely: self.machines_for(load, load.timely_demand()),
+            total: self.machines_for(load, load.demand() + load.inherited_demand()),
+        }
+    }
+
+    /// The number of machines that a pool could use by the time that they arrive.
+    fn machines_usable(&self, load: &Load) -> usize {
+        self.machines_for(load, load.demand() + load.imminent_demand())
     }
 
-    /// The number of machines that a pool needs.
-    fn machines_needed(&self, load: &Load) -> usize {
-        let cores = self.finite_demand(load) + load.long_running;
-        let machine = load.minion_cpu.max(1000);
+    /// The number of machines that a pool needs for finite tasks with this demand.
+    fn machines_for(&self, load: &Load, demand: u64) -> usize {
+        let cores = demand + load.long_running;
         let min = self.settings.min_machines.max(load.min_minions + SPREAD_RESERVE_MACHINES);
-        (cores.div_ceil(machine) as usize).max(min)
+        (cores.div_ceil(load.machine_cpu()) as usize).max(min)
     }
 
     fn remove_arrived(&mut self, machines: &BTreeMap<String, Machine>, now: Time) {
--- a/crates/engine/src/pools/turns.rs
+++ b/crates/engine/src/pools/turns.rs
@@ -113,6 +113,8 @@
 /// Detector and predictor of turns.
 #[derive(Debug, Default)]
 pub(crate) struct Turns {
+    /// Whether a pool's first turn is expected to reach the peaks of the others.
+    expect_equal_peaks: bool,
     history: History,
     /// A pool whose demand has become the highest, and since when.
     candidate: Option<(String, Time)>,
@@ -123,6 +125,10 @@
 }
 
 impl Turns {
+    pub(crate) fn new(expect_equal_peaks: bool) -> Self {
+        Self { expect_equal_peaks, ..Self::default() }
+    }
+
     /// Continues from a stored history.  It doesn't contain the peak of the current turn, so the
     /// pool's last peak is assumed, by which low demand counts as the turn's end.
     pub(crate) fn restore(&mut self, history: History) {
@@ -170,6 +176,14 @@
         self.record_turn(fleet, now);
     }
 
+    /// Whether a turn is in progress whose demand hasn't begun to fall, after others that show how
+    /// high it may rise.
+    pub(crate) fn is_rising_as_known(&self) -> bool {
+        let is_rising =
+            |busiest: &Busiest| busiest.is_turn && !busiest.is_below(DECLINING_PEAK_SHARE);
+        !self.history.peaks.is_empty() && self.busiest.as_ref().is_some_and(is_rising)
+    }
+
     fn update_rests(&mut self, demands: &BTreeMap<&str, u64>, fleet: u64, now: Time) {
         for (pool, demand) in demands {
             let rest = self.rests.entry((*pool).to_owned()).or_default();
@@ -244,7 +258,9 @@
         let first_turn_peak = busiest.peak * FIRST_TURN_PEAK_MULTIPLIER;
         if busiest.is_turn && rises {
             let known = self.history.peaks.get(&busiest.pool).copied();
-            let expected = known.unwrap_or(first_turn_peak).max(busiest.peak);
+            let others =
+                if self.expect_equal_peaks { self.expected_peak(&busiest.pool) } else { 0 };
+            let expected = known.unwrap_or(first_turn_peak.max(others)).max(busiest.peak);
             return vec![(busiest.pool.clone(), expected)];
         }
         let next = self.next_pools(pools);
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -24,5 +24,6 @@
 mod timeout;
 mod trials;
 mod turns;
+mod urgency;
 mod window;
 mod zones;
--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -171,6 +171,8 @@
         waves: maintenance_plan::Planner::new(settings),
         pools: pool_plan::Planner::new(pool_plan::Settings {
             max_moves_per_pool: (node.settings.orders_per_s / LOAD_POLLS_PER_S).max(1.0) as usize,
+            share_by_urgency: node.settings.share_by_urgency,
+            expect_equal_peaks: node.settings.expect_equal_peaks,
             ..pool_plan::Settings::default()
         }),
         ..State::default()
--- a/crates/scheduler/src/fleet/pools.rs
+++ b/crates/scheduler/src/fleet/pools.rs
@@ -262,6 +262,7 @@
                 ("has", &balance.present),
                 ("on_their_way", &balance.arriving),
                 ("needs", &balance.needed),
+                ("timely", &balance.timely),
                 ("idle", &balance.idle),
             ],
         );
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -50,6 +50,10 @@
     pub maintenance_duration: Span,
     /// Orders for machines that the platform accepts in a second, from all entries together.
     pub orders_per_s: f64,
+    /// Whether pools that lack machines give some to pools whose demand can still be in time.
+    pub share_by_urgency: bool,
+    /// Whether a pool's first demand peak is expected to be as high as those of the others.
+    pub expect_equal_peaks: bool,
     /// How long ended jobs are retained for queries by their callers.
     pub retention: Span,
     /// Time after a disturbance for which the platform doesn't count an entry as connected.
@@ -105,6 +109,8 @@
             maintenance_lease: Span::millis(3000),
             maintenance_duration: Span::millis(2000),
             orders_per_s: 64.0,
+            share_by_urgency: false,
+            expect_equal_peaks: false,
             retention: Span::secs(120),
             contact: Span::millis(3000),
             stop_bound: Span::millis(6000),
@@ -171,6 +177,16 @@
                 Span::millis((seconds.max(0.0) * 1000.0) as u64)
             },
             orders_per_s: reader.value("maintenance", "orders_per_s", defaults.orders_per_s),
+            share_by_urgency: reader.value(
+                "maintenance",
+                "share_by_urgency",
+                defaults.share_by_urgency,
+            ),
+            expect_equal_peaks: reader.value(
+                "maintenance",
+                "expect_equal_peaks",
+                defaults.expect_equal_peaks,
+            ),
             stop_bound: reader.value("stop", "bound", defaults.stop_bound),
         }
     }
