Count the remainder of a turn as no rise beside the next turn

Cause: once the next turn's pool was the busiest one, the pool whose turn had ended could become it again by what was left of its demand, and then drew machines.

--- a/crates/engine/src/pools/turns.rs
+++ b/crates/engine/src/pools/turns.rs
@@ -162,7 +162,9 @@
         let busiest = self.busiest.as_ref().map(|busiest| busiest.pool.as_str());
         // The backlog of a turn that is ending must not hide the beginning of the next one.
         let excluded = if declines { busiest } else { None };
-        let rivals = demands.iter().filter(|(pool, _)| Some(**pool) != excluded);
+        let is_rival =
+            |pool: &str, demand| Some(pool) != excluded && !self.is_remainder(pool, demand);
+        let rivals = demands.iter().filter(|(pool, demand)| is_rival(pool, **demand));
         let total: u64 = rivals.clone().map(|(_, demand)| *demand).sum();
         let leader = rivals.max_by_key(|(_, demand)| **demand);
         let leader = leader.filter(|(_, demand)| {
@@ -176,6 +178,17 @@
         self.record_turn(fleet, now);
     }
 
+    /// Whether a pool's demand is what is left of an earlier turn.
+    ///
+    /// While the next turn rises, it may be the higher demand of both.  When it counted as a rise, it
+    /// drew machines away from the next turn's pool.
+    fn is_remainder(&self, pool: &str, demand: u64) -> bool {
+        let has_rested = self.rests.get(pool).is_none_or(|rest| rest.is_sufficient);
+        let is_busiest = self.busiest.as_ref().is_some_and(|busiest| busiest.pool == pool);
+        let peak = self.history.peaks.get(pool).copied().unwrap_or(0);
+        !has_rested && !is_busiest && (demand as f64) < peak as f64 * DECLINING_PEAK_SHARE
+    }
+
     /// Whether a turn is in progress whose demand hasn't begun to fall, after others that show how
     /// high it may rise.
     pub(crate) fn is_rising_as_known(&self) -> bool {
--- a/crates/engine/tests/all/urgency.rs
+++ b/crates/engine/tests/all/urgency.rs
@@ -312,6 +312,21 @@
     all
 }
 
+/// Guards against the backlog of a turn that counts as another rise while the next turn begins
+/// below it: 37 machines went back to the pool whose turn was over.
+#[test]
+fn the_backlog_of_a_turn_draws_no_machines_from_the_next_one() {
+    let mut demands = vec![(800, 0); 20];
+    demands.extend([(400, 20), (380, 40), (360, 80), (340, 120), (320, 160), (300, 200)]);
+    demands.extend([(280, 220), (270, 230), (260, 240), (250, 245), (240, 250), (230, 260)]);
+    let beginning = demands.len();
+    demands.extend([(220, 280); 10]);
+    let before = rounds(&demands[..20], Settings::default(), 0);
+    let moves = rounds(&demands, Settings::default(), 0);
+    let back = moves[before.len()..].iter().filter(|plan| plan.to == "a").count();
+    assert_eq!(back, 0, "after {beginning} rounds: {moves:?}");
+}
+
 /// Guards against machines that stay off although a turn has begun which will need them: they were
 /// ordered two seconds later, once the demand exceeded what was in service.
 #[test]
