Let no stale row hold up the takeover of a cell whose holder has no row

A new process deletes its instance's former row, so the holder has none and the start of the vacancy is unknown; then only the first candidate takes the cell. A row of an entry that is gone counts as alive for a term after it was first read. That such a row was the first candidate is inferred from the time of the delay and from the code; no log line names the candidates.

--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -139,6 +139,30 @@
     }
 }
 
+/// The entries as observed, and a row for a holder that has had none since `since`, so that its cell
+/// counts as vacant from then on.
+///
+/// Without a known start of the vacancy, only the first candidate takes a cell.  After all entries
+/// have lost power, that can be the row of an entry that is gone, which counts as alive for a term
+/// after it was first read: the cell of the busiest service had no owner for 1.5 s.
+pub fn with_missing_holder(
+    entries: &BTreeMap<String, Entry>,
+    holder: &str,
+    since: Time,
+) -> BTreeMap<String, Entry> {
+    let missing = Entry {
+        version: 0,
+        last_renewal: since,
+        first_seen: since,
+        term: Duration::ZERO,
+        stopping: true,
+        millicores: 0,
+    };
+    let mut entries = entries.clone();
+    entries.insert(holder.into(), missing);
+    entries
+}
+
 /// Rank of an entry as candidate for a cell: the same at every entry, and different for each cell,
 /// so that cells spread over the entries.
 pub fn rank(cell: &str, entry: &str) -> u64 {
--- a/crates/engine/tests/all/ownership.rs
+++ b/crates/engine/tests/all/ownership.rs
@@ -3,7 +3,7 @@
 use assert_matches::assert_matches;
 use celerythread_engine::ownership::{
     Decision, Entry, Holding, Settings, decide, rank, record_read, renewal_interval, reread_delay,
-    successor, term,
+    successor, term, with_missing_holder,
 };
 use celerythread_engine::time::Time;
 use std::collections::BTreeMap;
@@ -235,3 +235,32 @@
     }
     assert!(reread_delay(9, 1.0) <= Duration::from_millis(400), "few entries reread soon");
 }
+
+/// Guards against a cell that stays without an owner because the first candidate is the row of an
+/// entry that is gone: after all entries had lost power, new ones waited for a whole term.
+#[test]
+fn a_stale_row_does_not_hold_up_the_takeover_of_a_holder_without_a_row() {
+    let stale = ["b", "c", "d"].into_iter().find(|name| rank("cell", name) < rank("cell", "a"));
+    let stale = stale.expect("an entry that ranks before a");
+    let present = entries(10_000, &[], &["a", stale]);
+    assert_eq!(decision("a", Some("gone"), &present, 10_100), Decision::Decline);
+    let with_holder = with_missing_holder(&present, "gone", Time(10_000));
+    let taken = decision("a", Some("gone"), &with_holder, 10_100);
+    let former = Some(("gone".to_owned(), 0));
+    assert_eq!(taken, Decision::TakeOver { cell_version: 3, former }, "on condition of no row");
+}
+
+/// Guards against all entries trying to take a vacant cell at once: one that has renewed its row
+/// since the vacancy was seen, and ranks first, goes first.
+#[test]
+fn candidates_that_renewed_since_the_vacancy_take_their_turn() {
+    let first = ["b", "c", "d"].into_iter().find(|name| rank("cell", name) < rank("cell", "a"));
+    let first = first.expect("an entry that ranks before a");
+    let present = entries(10_100, &[], &["a", first]);
+    let with_holder = with_missing_holder(&present, "gone", Time(10_000));
+    assert_eq!(decision("a", Some("gone"), &with_holder, 10_200), Decision::Decline);
+    assert_matches!(decision(first, Some("gone"), &with_holder, 10_200), Decision::TakeOver { .. });
+    let stagger = Settings::default().stagger.as_millis() as u64;
+    let later = decision("a", Some("gone"), &with_holder, 10_000 + stagger);
+    assert_matches!(later, Decision::TakeOver { .. });
+}
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -11,13 +11,16 @@
 use crate::confirm;
 use crate::follow::{self, Need, Table};
 use crate::metrics::Counter;
-use crate::node::Node;
+use crate::node::{Node, View};
 use crate::owner::{self, FormerOwner, Owner};
 use crate::rows;
 use celerythread_adapter::store::{Error, Row, Transaction};
 use celerythread_engine::job::{decode, encode};
 use celerythread_engine::ownership::{self, Decision, Holding};
+use celerythread_engine::time::Time;
 use control::ControlSink;
+use std::borrow::Cow;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -167,9 +170,34 @@
     let _ = node.commit(&change, COMMIT_TIMEOUT).await;
 }
 
+/// Cells whose holders were seen to have no row, with the holder's token and since when.
+#[derive(Default)]
+struct Vacancies(BTreeMap<String, (u64, Time)>);
+
+impl Vacancies {
+    /// The entries for a decision on a cell.
+    fn entries<'a>(
+        &mut self,
+        cell: &str,
+        holding: Option<&Holding>,
+        view: &'a View,
+    ) -> Cow<'a, BTreeMap<String, ownership::Entry>> {
+        let missing = holding.filter(|holding| !view.entries.contains_key(&holding.holder));
+        let Some(Holding { holder, version }) = missing else {
+            self.0.remove(cell);
+            return Cow::Borrowed(&view.entries);
+        };
+        let known = self.0.get(cell).filter(|(token, _)| token == version);
+        let since = known.map_or(view.read_at, |(_, since)| *since);
+        self.0.insert(cell.into(), (*version, since));
+        Cow::Owned(ownership::with_missing_holder(&view.entries, holder, since))
+    }
+}
+
 /// Checks the ownership of all cells periodically: takes over those assigned to this entry, and
 /// stops owning those that it no longer holds.
 pub(crate) async fn check_ownership_forever(node: Arc<Node>) {
+    let mut vacancies = Vacancies::default();
     loop {
         let is_member = node.is_member();
         let interval = if is_member { OWNERSHIP_CHECK_INTERVAL } else { IDLE_CHECK_INTERVAL };
@@ -181,8 +209,8 @@
         }
         for cell in expected_cells(&node) {
             // The owner of a cell that was taken over is started at once, not after the next pause.
-            if check_cell(&node, &cell).await {
-                check_cell(&node, &cell).await;
+            if check_cell(&node, &cell, &mut vacancies).await {
+                check_cell(&node, &cell, &mut vacancies).await;
             }
         }
         delete_silent_entries(&node).await;
@@ -205,17 +233,18 @@
 }
 
 /// Decides what to do about a cell and does it; true if a takeover was attempted.
-async fn check_cell(node: &Arc<Node>, cell: &str) -> bool {
+async fn check_cell(node: &Arc<Node>, cell: &str, vacancies: &mut Vacancies) -> bool {
     let settings = ownership::Settings::default();
     let (decision, holding, row) = {
         let view = node.view.read();
         let holding = view.holdings.get(cell).cloned();
         let owned = view.cell_counts();
+        let entries = vacancies.entries(cell, holding.as_ref(), &view);
         let decision = ownership::decide(
             cell,
             &node.entry_id,
             holding.as_ref(),
-            &view.entries,
+            &entries,
             &owned,
             view.read_at,
             &settings,
