Share a pool that lacks capacity between workspaces by weight

Cause: waiting jobs are ranked by value for the remaining work alone. A workspace that sends five times as much as the others, and sends it first, gets all 32 cores of a pool in one plan.

Change: with cell::Settings::workspace_shares (default false), each plan determines by water-filling what the workspaces are entitled to (cell/share.rs), if their claims exceed the capacity (cell/share/demand.rs). A task that would exceed its workspace's entitlement waits in the plan until all other jobs in time have had their turn (cell/start.rs), and then continues before late jobs. Starts are counted at once, so one plan gives no workspace everything. Long-running jobs, gangs and late jobs keep their place; so does one old job of a workspace that runs only long-running tasks. The log line workspace_over_share names the workspace at most once a second, and the counter jobs_over_share counts the jobs that were passed over.

With the setting off the workspace above starts 32 tasks of 32, with it 8 of 32. Over twenty seconds of such load the three others get what they send (1,280 starts in all).

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -19,6 +19,7 @@
 //! - [`crash`]: finds tasks that crash their minions
 //! - [`idle`]: reports jobs that could run and do not
 //! - [`quota`]: limits what a workspace has running
+//! - [`share`]: shares the capacity between workspaces while it is short
 //! - [`permit`]: limits what may be started while the store is unavailable
 //!
 //! Three rules ensure that no task runs twice:
@@ -45,6 +46,7 @@
 pub mod report;
 mod restart;
 mod settings;
+pub mod share;
 mod stall;
 mod start;
 mod straggler;
@@ -116,6 +118,8 @@
     pub(crate) events: Vec<Event>,
     /// Accounts of the workspaces, which limit what they have running.
     pub(crate) accounts: quota::Accounts,
+    /// Shares of workspaces in a pool that lacks capacity.
+    pub(crate) shares: share::State,
     /// Recent losses of minions, used to detect losses with a common cause.
     pub(crate) recent_losses: Vec<crash::Loss>,
 }
@@ -246,6 +250,18 @@
         /// Limit, share and usage of the workspace.
         summary: Summary,
     },
+    /// Jobs were passed over because their workspace uses its share of a pool that lacks capacity;
+    /// recorded at most once a second, for the workspace with most such jobs.
+    WorkspaceOverShare {
+        /// The workspace; `~public` for jobs without one.
+        workspace: Box<str>,
+        /// Millicores that its runs take, at the end of the plan.
+        used: u64,
+        /// Millicores that it is entitled to.
+        entitlement: u64,
+        /// Number of its jobs that were passed over in the plan.
+        jobs: usize,
+    },
     /// A minion gets no tasks for some time.
     Quarantined {
         /// The minion.
@@ -283,6 +299,7 @@
             queries: Vec::new(),
             events: Vec::new(),
             accounts: quota::Accounts::new(former_lease_expiry.is_none()),
+            shares: share::State::default(),
             recent_losses: Vec::new(),
         }
     }
--- a/crates/engine/src/cell/load.rs
+++ b/crates/engine/src/cell/load.rs
@@ -87,12 +87,14 @@
 }
 
 /// A minion of average capacity.
-struct AverageMinion {
+#[derive(Debug)]
+pub(crate) struct AverageMinion {
     capacity: Resources,
 }
 
 impl AverageMinion {
-    fn of<'a>(minions: impl Iterator<Item = &'a Minion>) -> Self {
+    /// The average of the listed minions.
+    pub(crate) fn of<'a>(minions: impl Iterator<Item = &'a Minion>) -> Self {
         let listed: Vec<&Resources> =
             minions.filter(|minion| minion.listed).map(|minion| &minion.listing.capacity).collect();
         let sum = listed.iter().fold(Resources::default(), |sum, one| sum.plus(one));
@@ -108,7 +110,7 @@
     /// The millicores that a task takes from others: its own, or those in proportion to the memory
     /// or the accelerators that it takes.  With its own alone, a pool whose tasks fill the memory
     /// of its minions and use half of their cores asked for half of the machines that it needs.
-    fn equivalent_cores(&self, need: &Resources) -> u64 {
+    pub(crate) fn equivalent_cores(&self, need: &Resources) -> u64 {
         let cpu_share = |part: u64, whole: u64| (part * self.capacity.cpu).checked_div(whole);
         let memory = cpu_share(need.memory_mb, self.capacity.memory_mb).unwrap_or(0);
         let accelerators = cpu_share(need.gpu, self.capacity.gpu).unwrap_or(0);
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -2,6 +2,7 @@
 
 use crate::cell::crash::Certainty;
 use crate::cell::minion::{Minion, MinionId, Run, RunPhase};
+use crate::cell::share::GroupId;
 use crate::cell::work::Phase;
 use crate::cell::{Cell, Event, Job, Permit};
 use crate::job::{Step, TaskName};
@@ -218,6 +219,15 @@
         let job = self.jobs.get(&first.job)?;
         let step = &job.accepted.definition.steps[first.step as usize];
         let needs_ticket = self.needs_ticket(&job.accepted.queue);
+        // A gang needs its cores at the same time, so it would lose its place to single tasks each
+        // time.
+        if let Some(shares) = &mut self.shares.current
+            && !step.gang
+            && job.first_waiting(first, now).is_some()
+            && shares.interrupt_at(first, &step.reserved_resources())
+        {
+            return None;
+        }
         let need = step.reserved_resources();
         if self.unmet_needs.covers(&need) && !(step.gang || step.long_running || needs_ticket) {
             return job.first_waiting(first, now);
@@ -246,6 +256,11 @@
             if task.phase != Phase::Waiting || now < task.not_before || !permit.covers_task(task) {
                 continue;
             }
+            if let Some(shares) = &mut self.shares.current
+                && shares.interrupt_at(first, &need)
+            {
+                return None;
+            }
             let suspicion = task.suspicion;
             let suspected = suspicion.is_likely_cause();
             if suspected && !self.may_start_suspect(job, &name) {
@@ -380,6 +395,9 @@
                 index.update(&id, &former, minion.free());
             }
             self.accounts.charge_run(charge);
+            if let (Some(shares), Some(step)) = (&mut self.shares.current, step) {
+                shares.count_start(GroupId::of(job.account), &step.reserved_resources());
+            }
         }
         Some(Order::Start {
             minion: id,
--- a/crates/engine/src/cell/quota.rs
+++ b/crates/engine/src/cell/quota.rs
@@ -24,6 +24,13 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct AccountId(u16);
 
+impl AccountId {
+    /// Its position among the cell's accounts.
+    pub(crate) fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
 /// What a run is charged to its workspace's account.
 #[derive(Clone, Copy, Debug)]
 pub struct Charge {
@@ -68,6 +75,16 @@
         &self.list[id.0 as usize]
     }
 
+    /// Number of accounts.
+    pub(crate) fn count(&self) -> usize {
+        self.list.len()
+    }
+
+    /// The account at a position below [`Accounts::count`].
+    pub(crate) fn by_index(&self, index: usize) -> &Account {
+        &self.list[index]
+    }
+
     /// Charges a run that is being started.
     pub(crate) fn charge_run(&mut self, charge: Option<Charge>) {
         if let Some(Charge { account, need }) = charge {
--- a/crates/engine/src/cell/ranking.rs
+++ b/crates/engine/src/cell/ranking.rs
@@ -19,10 +19,20 @@
 /// meet theirs.  Otherwise late jobs would wait for as long as a pool is busy.
 const AGING_FACTOR: f64 = 6.0;
 
+/// Values of [`Rank::class`].
+pub mod class {
+    /// Long-running jobs.
+    pub const LONG_RUNNING: u8 = 0;
+    /// Jobs that can meet their objective, and those that have waited for the aging limit.
+    pub const IN_TIME: u8 = 1;
+    /// The other jobs.
+    pub const LATE: u8 = 2;
+}
+
 /// Rank of a job; the smallest comes first.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Rank {
-    /// 0 for long-running jobs, 1 for jobs that can meet their objective, 2 for the others.
+    /// See [`mod@class`].
     pub class: u8,
     /// The queue's priority.
     pub priority: u32,
@@ -54,7 +64,7 @@
 pub fn rank(job: &Job, queue: &Queue, mean_core_ms: f64, now: Time) -> Rank {
     let definition = &job.accepted.definition;
     let base = Rank {
-        class: 0,
+        class: class::LONG_RUNNING,
         priority: queue.priority,
         value_density: 0.0,
         accepted_at: job.accepted_at,
@@ -62,7 +72,7 @@
     if definition.is_long_running() {
         return base;
     }
-    let objective = job.total.critical_path_ms as f64 * queue.stretch + queue.target_ms as f64;
+    let objective = objective_ms(job, queue);
     let age = now.since(job.accepted_at).as_millis() as f64;
     let can_meet_objective =
         age + job.remaining.critical_path_ms as f64 <= objective || definition.schedule.is_some();
@@ -70,13 +80,26 @@
     let value = FIXED_VALUE_SHARE + (1.0 - FIXED_VALUE_SHARE) * size;
     let value_density = value / (job.remaining.core_ms as f64).max(1.0);
     if can_meet_objective || age > objective * AGING_FACTOR {
-        Rank { class: 1, value_density, ..base }
+        Rank { class: class::IN_TIME, value_density, ..base }
     } else {
-        Rank { class: 2, value_density, ..base }
+        Rank { class: class::LATE, value_density, ..base }
     }
 }
 
+/// The objective of a job: how long after its acceptance it should be completed.
+fn objective_ms(job: &Job, queue: &Queue) -> f64 {
+    job.total.critical_path_ms as f64 * queue.stretch + queue.target_ms as f64
+}
+
 impl Cell {
+    /// Whether a job without a schedule has waited for so long that it is no longer ranked behind
+    /// those that can meet their objective.
+    pub(crate) fn is_aged(&self, job: &Job, now: Time) -> bool {
+        let objective = objective_ms(job, &self.queue(&job.accepted.queue));
+        let age = now.since(job.accepted_at).as_millis() as f64;
+        age > objective * AGING_FACTOR && job.accepted.definition.schedule.is_none()
+    }
+
     /// Returns the rank of a job of this cell.
     pub(crate) fn rank(&self, job: &Job, now: Time) -> Rank {
         let queue = self.queue(&job.accepted.queue);
--- a/crates/engine/src/cell/settings.rs
+++ b/crates/engine/src/cell/settings.rs
@@ -9,6 +9,8 @@
     pub name: Box<str>,
     /// Fencing token of its owner.
     pub token: u64,
+    /// Whether workspaces share the pool's capacity by weight while it is short.
+    pub workspace_shares: bool,
     /// Longest time that a minion takes to stop a run.
     pub stop_timeout: Duration,
     /// How long an ended job is retained for queries by its caller.
@@ -29,6 +31,7 @@
         Self {
             name: "cell".into(),
             token: 1,
+            workspace_shares: false,
             stop_timeout: Duration::from_millis(900),
             retention: Duration::from_secs(150),
             stall_factor: 1.0,
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -76,6 +76,8 @@
     pub(crate) account: Option<AccountId>,
     /// Whether a task of it has waited for its workspace's limit.
     pub(crate) held_back: bool,
+    /// Whether it was ever passed over because its workspace used its share of the pool.
+    pub(crate) over_share: bool,
     /// Whether its caller has cancelled it.
     pub cancelled: bool,
     /// Its outcome, once it has completed or failed.
@@ -150,6 +152,7 @@
             known_since: accepted_at,
             account: None,
             held_back: false,
+            over_share: false,
             cancelled: false,
             outcome: None,
             started: false,
--- a/crates/engine/src/quota/split.rs
+++ b/crates/engine/src/quota/split.rs
@@ -27,6 +27,12 @@
         amount >= UNLIMITED_AMOUNT
     }
 
+    /// The limit of millicores; `None` if they are not limited, or the workspace has no limit yet.
+    pub(crate) fn cpu(&self) -> Option<u64> {
+        let cpu = self.0.cpu;
+        (cpu > 0 && !Self::is_unlimited_amount(cpu)).then_some(cpu)
+    }
+
     /// Whether no resource is limited.
     pub fn is_unlimited(&self) -> bool {
         self.0.holds(&Self::UNLIMITED.0)
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod quota;
 mod restarts;
 mod runs;
+mod share;
 mod sharing;
 mod standby;
 mod submission;
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -51,6 +51,8 @@
     ShareWrites,
     /// Such transactions that conflicted with another cell's change.
     ShareConflicts,
+    /// Jobs that were passed over because their workspace used its share of a pool.
+    JobsOverShare,
     /// Cells taken over.
     CellsTaken,
     /// Cells lost to another entry.
@@ -109,7 +111,12 @@
 impl Metrics {
     /// Increments a counter.
     pub fn count(&self, counter: Counter) {
-        self.counters[counter as usize].fetch_add(1, Ordering::Relaxed);
+        self.add(counter, 1);
+    }
+
+    /// Adds to a counter.
+    pub fn add(&self, counter: Counter, amount: u64) {
+        self.counters[counter as usize].fetch_add(amount, Ordering::Relaxed);
     }
 
     /// The value of a counter.
--- a/crates/scheduler/src/owner/events.rs
+++ b/crates/scheduler/src/owner/events.rs
@@ -5,9 +5,12 @@
 use crate::owner::Owner;
 use celerythread_engine::cell::Event;
 
-/// Writes a line for each event that the cell has recorded since the last call.
+/// Writes a line for each event that the cell has recorded since the last call, and counts the jobs
+/// that were passed over.
 pub(crate) fn log_events(owner: &Owner) {
     let (journal, now) = (&owner.node.journal, clock::now());
+    let jobs_over_share = owner.with(|cell| cell.take_jobs_over_share()).unwrap_or_default();
+    owner.node.metrics.add(Counter::JobsOverShare, jobs_over_share);
     for event in owner.with(|cell| cell.take_events()).unwrap_or_default() {
         match &event {
             Event::Ended { minion, end } => journal.info(
@@ -120,6 +123,16 @@
                     ("age_ms", &summary.age.unwrap_or_default().as_millis()),
                 ],
             ),
+            Event::WorkspaceOverShare { workspace, used, entitlement, jobs } => journal.info(
+                "workspace_over_share",
+                &[
+                    ("service", &owner.service),
+                    ("workspace", workspace),
+                    ("used", &format_args!("{used}m")),
+                    ("entitlement", &format_args!("{entitlement}m")),
+                    ("jobs", jobs),
+                ],
+            ),
             Event::Quarantined { minion, until } => journal.warn(
                 "minion_quarantined",
                 &[("minion", minion), ("ms", &until.since(now).as_millis())],
