--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -130,6 +130,7 @@
         name: service.into(),
         token: owner.token,
         stop_timeout: owner.node.settings.stop_timeout.0,
+        workspace_shares: owner.node.settings.workspace_shares,
         retention: owner.node.settings.retention.0 + Duration::from_secs(30),
         ..Settings::default()
     };
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -43,6 +43,8 @@
     pub takeover_after: Span,
     /// Longest time that a minion takes to stop a run.
     pub stop_timeout: Span,
+    /// Whether workspaces share a pool's capacity by weight while it is short.
+    pub workspace_shares: bool,
     /// Term of a fleet controller's lease on a machine after an order, within which no other holder
     /// may order it.
     pub maintenance_lease: Span,
@@ -102,6 +104,7 @@
             // time; a slow store lengthens the term automatically.
             takeover_after: Span::millis(1300),
             stop_timeout: Span::millis(900),
+            workspace_shares: false,
             maintenance_lease: Span::millis(3000),
             maintenance_duration: Span::millis(2000),
             orders_per_s: 64.0,
@@ -164,6 +167,7 @@
             lease_limit: reader.value("run", "lease_limit", defaults.lease_limit),
             extend_alone: reader.value("run", "extend_alone", defaults.extend_alone),
             stop_timeout: reader.value("run", "stop_timeout", defaults.stop_timeout),
+            workspace_shares: reader.value("run", "workspace_shares", defaults.workspace_shares),
             maintenance_lease: reader.value("maintenance", "lease", defaults.maintenance_lease),
             maintenance_duration: {
                 let seconds = defaults.maintenance_duration.0.as_secs_f64();
--- a/tests/all/pages.rs
+++ b/tests/all/pages.rs
@@ -114,6 +114,22 @@
     }
 }
 
+/// Guards against an unreadable value of `workspace_shares` that counts as a valid one.
+#[test]
+fn workspace_shares_are_off_unless_set() {
+    let required = "[instance]\nname = a\nzone = b\n[caller]\nlisten = 127.0.0.1:1\n[peer]\n\
+                    listen = 127.0.0.1:2\n[platform]\nstore = 127.0.0.1:3\n";
+    let read = |run: &str| Settings::read(&format!("{required}{run}"));
+    assert!(!read("").unwrap().workspace_shares);
+    assert!(!read("[run]\nworkspace_shares = false\n").unwrap().workspace_shares);
+    assert!(read("[run]\nworkspace_shares = true\n").unwrap().workspace_shares);
+    let mistakes = read("[run]\nworkspace_shares = yes\n").unwrap_err();
+    assert_eq!(mistakes.len(), 1);
+    assert_eq!((&*mistakes[0].section, &*mistakes[0].key), ("run", "workspace_shares"));
+    let text = format!("{:?}", mistakes[0]);
+    assert!(text.contains("`true` or `false`"), "{text}");
+}
+
 #[test]
 fn every_counter_and_histogram_of_the_scheduler_is_explained() {
     let page = read_page("docs/OPERATIONS.md");
