Determine shares only where a minion has a core free, and count runs by job

Change: without a free core nothing but best-effort tasks can start, so the plan has no shares. The runs of a job on a minion are summed before they are looked up, and the age of a job is looked at only where its workspace runs nothing but long-running tasks.

Result: nothing is computed in a full pool.

--- a/crates/engine/src/cell/share.rs
+++ b/crates/engine/src/cell/share.rs
@@ -71,8 +71,8 @@
     pub(crate) entitlement: u64,
     /// Whether it has runs that end by themselves.
     pub(crate) has_ending_runs: bool,
-    /// Its oldest waiting job that has waited for the aging limit.
-    pub(crate) oldest_aged: Option<(Time, Id)>,
+    /// Without such runs, its oldest waiting job that has waited for the aging limit.
+    pub(crate) oldest_starving: Option<(Time, Id)>,
     /// Number of its jobs that were passed over.
     pub(crate) deferred: usize,
 }
@@ -137,8 +137,7 @@
     /// has waited for the aging limit is started beyond it.  Where other runs use it, jobs follow as
     /// these end; a backlog of old jobs must not exceed the entitlement then.
     pub(crate) fn is_starving(&self, group: GroupId, job: &Id) -> bool {
-        let group = &self.groups[group.0];
-        !group.has_ending_runs && group.oldest_aged.is_some_and(|(_, oldest)| oldest == *job)
+        self.groups[group.0].oldest_starving.is_some_and(|(_, oldest)| oldest == *job)
     }
 
     /// The group of which most jobs were passed over; `None` if none was.
--- a/crates/engine/src/cell/share/demand.rs
+++ b/crates/engine/src/cell/share/demand.rs
@@ -84,7 +84,7 @@
     /// by several groups.  `ranked` are the jobs that may be started.
     pub(crate) fn open_shares(&mut self, ranked: &[(Rank, Id)], now: Time, wall_ms: u64) {
         self.shares.current = None;
-        if !self.settings.workspace_shares {
+        if !self.settings.workspace_shares || !self.has_free_capacity(now) {
             return;
         }
         let average = AverageMinion::of(self.minions.values());
@@ -98,10 +98,12 @@
             let waiting = asked.minus(&running.amount);
             demands.waiting[index] = demands.waiting[index].plus(&waiting);
             examined += steps;
-            if waiting.cores > 0 && rank.class == class::IN_TIME && self.is_aged(job, now) {
-                let oldest = &mut demands.groups[index].oldest_aged;
+            let group = &mut demands.groups[index];
+            let may_starve = !group.has_ending_runs && waiting.cores > 0;
+            if may_starve && rank.class == class::IN_TIME && self.is_aged(job, now) {
                 let this = (job.accepted_at, *id);
-                *oldest = Some(oldest.map_or(this, |oldest| oldest.min(this)));
+                let oldest = group.oldest_starving.map_or(this, |oldest| oldest.min(this));
+                group.oldest_starving = Some(oldest);
             }
         }
         self.shares.examined += examined as u64;
@@ -120,6 +122,12 @@
             Some(Shares { groups, average, limiting: None, interrupted_at: None });
     }
 
+    /// Whether any minion has cores for a task.  Otherwise only best-effort tasks can start, and a
+    /// plan need not determine shares.
+    fn has_free_capacity(&self, now: Time) -> bool {
+        self.minions.values().any(|minion| minion.free().cpu > 0 && minion.accepts_tasks(now))
+    }
+
     /// Counts what runs, and the capacity that the groups share.
     ///
     /// A minion that accepts no tasks adds only what runs there.  Runs of unknown jobs, which a new
@@ -128,6 +136,7 @@
         let count = self.accounts.count() + 1;
         let mut groups = vec![Group::default(); count];
         let mut running = BTreeMap::<Id, Running>::new();
+        let mut last = (None, Running::default());
         let (mut capacity, mut unknown, mut examined) = (0, 0, 0);
         for minion in self.minions.values() {
             let mut used = 0;
@@ -135,13 +144,20 @@
                 let cores = average.equivalent_cores(&run.need);
                 used += cores;
                 let charge = run.charge.map_or(run.need, |charge| charge.need);
-                let of_job = running.entry(task.job).or_default();
-                of_job.amount = of_job.amount.plus(&Amount { cores, charge });
-                of_job.ends |= !run.long_running;
+                // The runs of a job on a minion follow each other.
+                if last.0 != Some(task.job) {
+                    add_running(
+                        &mut running,
+                        std::mem::replace(&mut last, (Some(task.job), Running::default())),
+                    );
+                }
+                last.1.amount = last.1.amount.plus(&Amount { cores, charge });
+                last.1.ends |= !run.long_running;
                 examined += 1;
             }
             capacity += if minion.accepts_tasks(now) { minion.listing.capacity.cpu } else { used };
         }
+        add_running(&mut running, last);
         for (id, Running { amount, ends }) in &running {
             let Some(job) = self.jobs.get(id) else {
                 unknown += amount.cores;
@@ -207,6 +223,13 @@
     }
 }
 
+fn add_running(running: &mut BTreeMap<Id, Running>, (job, part): (Option<Id>, Running)) {
+    let Some(job) = job else { return };
+    let sum = running.entry(job).or_default();
+    sum.amount = sum.amount.plus(&part.amount);
+    sum.ends |= part.ends;
+}
+
 /// What the open tasks of a job's ready steps take, whether they run or wait, and the number of
 /// steps examined.
 fn asked_amount(job: &Job, average: &AverageMinion, wall_ms: u64) -> (Amount, usize) {
