Test shares of a pool through an entry, with its log line and counter

Cause: the tests of shares run a cell alone; nothing showed that the setting reaches it.

Change: a test on the stand-in of the platform, with lines for the section run among an entry's additional settings; free_address moves to tests/all/site.rs.

--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -20,7 +20,7 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -43,6 +43,11 @@
 bound = 3s
 ";
 
+/// An address that nothing listens at.
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
 /// Settings of an entry besides those of all entries.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AdditionalSettings<'a> {
@@ -52,13 +57,15 @@
     pub(crate) instance: &'a str,
     /// Lines of the section `caller`.
     pub(crate) caller: &'a str,
+    /// Lines of the section `run`.
+    pub(crate) run: &'a str,
     /// Whole sections.
     pub(crate) sections: &'a str,
 }
 
 impl Default for AdditionalSettings<'_> {
     fn default() -> Self {
-        Self { zone: "zone", instance: "", caller: "", sections: "" }
+        Self { zone: "zone", instance: "", caller: "", run: "", sections: "" }
     }
 }
 
@@ -106,12 +113,13 @@
     ) -> Self {
         let path =
             std::env::temp_dir().join(format!("ct-{}-{test}-{name}.ini", std::process::id()));
-        let AdditionalSettings { zone, instance, caller, sections } = additional;
+        let AdditionalSettings { zone, instance, caller, run, sections } = additional;
+        let settings = SETTINGS.replace("[run]\n", &format!("[run]\n{run}\n"));
         let text = format!(
             "[instance]\nname = {name}\nzone = {zone}\n{instance}\n\n\
              [caller]\nlisten = 127.0.0.1:0\n{caller}\n\
              [peer]\nlisten = 127.0.0.1:0\nrenew = 100ms\ntakeover_after = 800ms\n\n\
-             [platform]\nstore = {store}\nmachines = {machines}\n{SETTINGS}\n{sections}"
+             [platform]\nstore = {store}\nmachines = {machines}\n{settings}\n{sections}"
         );
         fs::write(&path, text).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_celerythreadd"))
--- a/tests/all/site/delegation.rs
+++ b/tests/all/site/delegation.rs
@@ -2,7 +2,6 @@
 
 use super::*;
 use celerythread_standin::site::{check, store};
-use std::net::TcpListener;
 
 /// So little of a core that a few jobs a second make more calls than one entry is to make.
 const CORES: &str = "cores = 0.02";
@@ -139,11 +138,6 @@
     }
 }
 
-/// An address that nothing listens at.
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 /// Guards against an owner whose calls to minions grow with its service, until it has no processor
 /// time left, while other entries are idle.
 #[async_std::test]
--- a/tests/all/site/workspaces.rs
+++ b/tests/all/site/workspaces.rs
@@ -196,6 +196,50 @@
     }
 }
 
+/// Guards against shares that are computed but not enabled by their setting, and against workspaces
+/// over their share that show neither in the log nor among the counters.
+#[async_std::test]
+async fn a_workspace_over_its_share_is_logged_and_counted() {
+    let site = celerythread_standin::site::Site::start(1).await.unwrap();
+    let mut deployment = Deployment { site, entries: Vec::new(), test: "pool-shares" };
+    let metrics = free_address();
+    let sections = format!("[metrics]\nlisten = {metrics}\n");
+    let additional = AdditionalSettings {
+        run: "workspace_shares = true",
+        sections: &sections,
+        ..AdditionalSettings::default()
+    };
+    let (store, machines) = (deployment.site.store_address(), deployment.site.machine_address());
+    let entry = Entry::start_configured(store, machines, "pool-shares", "entry", additional).await;
+    deployment.add_started(entry).await;
+    eventually("the service has an owner", async || deployment.owner()).await;
+    deployment.site.configure_workspaces(2, &[TEAM, OTHER]);
+    let entry = &deployment.entries[0];
+    wait_for_status(entry.callers, 401, "/q/", &[]).await;
+    let path = |number| format!("/q/{}", id(number));
+    // The pool has 16 cores.
+    for number in 1..=6 {
+        assert_eq!(submit_as(entry.callers, KEY, &path(number), 8, "ms=200").await, 200);
+    }
+    assert_eq!(submit_as(entry.callers, OTHER_KEY, &path(7), 8, "ms=200").await, 200);
+    for number in 1..=6 {
+        wait_for_completion(entry.callers, KEY, &path(number)).await;
+    }
+    wait_for_completion(entry.callers, OTHER_KEY, &path(7)).await;
+    eventually("the workspace is logged", async || {
+        let lines = entry.lines.lock().unwrap();
+        let line = lines.iter().find(|line| line.contains("\"workspace_over_share\""))?;
+        line.contains("\"team\"").then_some(())
+    })
+    .await;
+    let page = call(metrics, Method::Get, "/metrics", None).await.unwrap().1;
+    let page = String::from_utf8(page).unwrap();
+    let mut values =
+        page.lines().filter_map(|line| line.strip_prefix("celerythread_jobs_over_share_total "));
+    let jobs: u64 = values.next().unwrap().parse().unwrap();
+    assert!((1..=7).contains(&jobs), "{jobs}");
+}
+
 /// A deployment with two services, and a workspace whose limit allows `cores` tasks over both
 /// services.
 async fn start_limited(test: &'static str, cores: u64) -> Deployment {
