Share short capacity by the weights that the configuration states

Cause: the configuration gives each workspace a weight, its share when capacity is short, and nothing read it; shares followed the limits. Measured: test share::configured_weights_divide_the_capacity; its first form, with limits that no split had granted, started nothing and was wrong.

--- a/crates/engine/src/cell/quota.rs
+++ b/crates/engine/src/cell/quota.rs
@@ -42,6 +42,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Accounts {
     list: Vec<Account>,
+    /// The workspaces' shares of short capacity relative to each other, by account; 0 without one.
+    weights: Vec<u64>,
     ids: BTreeMap<Box<str>, AccountId>,
     /// When the splits were last confirmed to be as read.
     confirmed_at: Option<Time>,
@@ -67,6 +69,7 @@
             account.confirm(confirmed);
         }
         self.list.push(account);
+        self.weights.push(0);
         self.ids.insert(workspace.into(), id);
         id
     }
@@ -85,6 +88,11 @@
         &self.list[index]
     }
 
+    /// The configured weight of an account's workspace; `None` without one.
+    pub(crate) fn weight(&self, index: usize) -> Option<u64> {
+        self.weights.get(index).copied().filter(|weight| *weight > 0)
+    }
+
     /// Charges a run that is being started.
     pub(crate) fn charge_run(&mut self, charge: Option<Charge>) {
         if let Some(Charge { account, need }) = charge {
@@ -116,6 +124,18 @@
         }
     }
 
+    /// Applies the workspaces' shares of short capacity from a configuration.
+    pub fn configure_weights(
+        &mut self,
+        weights: impl IntoIterator<Item = (Box<str>, u64)>,
+        now: Time,
+    ) {
+        for (workspace, weight) in weights {
+            let id = self.accounts.get_or_open(&workspace, self.holder(), now);
+            self.accounts.weights[id.0 as usize] = weight;
+        }
+    }
+
     /// Whether any workspace has a limit.
     pub fn has_limits(&self) -> bool {
         self.accounts.list.iter().any(|account| !account.limit().is_unlimited())
--- a/crates/engine/src/cell/share.rs
+++ b/crates/engine/src/cell/share.rs
@@ -14,7 +14,7 @@
 use crate::job::{Id, Resources, TaskName};
 use crate::time::Time;
 
-/// Weight of a group without a limit, in millicores.
+/// Weight of a group without a configured weight and without a limit, in millicores.
 pub(crate) const DEFAULT_WEIGHT: u64 = 1000;
 
 /// What a group can use of a capacity.
--- a/crates/engine/src/cell/share/demand.rs
+++ b/crates/engine/src/cell/share/demand.rs
@@ -177,12 +177,14 @@
         let (used, waiting) = (demands.groups[index].used, &demands.waiting[index]);
         let account = index.checked_sub(1).map(|index| self.accounts.by_index(index));
         let limited = account.and_then(|account| Some((account, account.limit().cpu()?)));
-        let (weight, waiting) = match limited {
-            Some((account, cpu)) => {
-                let room = account.limit().0.minus(&account.in_use());
-                (cpu, waiting.cores_within(&room))
-            }
-            None => (DEFAULT_WEIGHT, waiting.cores),
+        let configured = index.checked_sub(1).and_then(|index| self.accounts.weight(index));
+        let weight = configured
+            .map(|weight| weight * DEFAULT_WEIGHT)
+            .or(limited.map(|(_, cpu)| cpu))
+            .unwrap_or(DEFAULT_WEIGHT);
+        let waiting = match limited {
+            Some((account, _)) => waiting.cores_within(&account.limit().0.minus(&account.in_use())),
+            None => waiting.cores,
         };
         Claim { weight, demand: used + waiting }
     }
--- a/crates/engine/tests/all/share.rs
+++ b/crates/engine/tests/all/share.rs
@@ -431,3 +431,14 @@
     assert!(small > 1000, "{small}");
     assert!(large < small * 9 / 4, "{small} examined for 1000 jobs, {large} for 2000");
 }
+
+/// Guards against equal shares where the configuration states weights.
+#[test]
+fn configured_weights_divide_the_capacity() {
+    let mut harness = harness(2);
+    let now = harness.now;
+    harness.cell.configure_weights([("a".into(), 1), ("b".into(), 3)], now);
+    submit_jobs(&mut harness, 1, 10, "a");
+    submit_jobs(&mut harness, 20, 10, "b");
+    assert_eq!(plan(&mut harness), counts([("a", 8), ("b", 24)]), "of 32 cores");
+}
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -196,8 +196,12 @@
         });
         let workspaces = configuration.workspaces.iter();
         let limits = workspaces.map(|workspace| (workspace.name.as_str().into(), workspace.limit));
+        let workspaces = configuration.workspaces.iter();
+        let weights =
+            workspaces.map(|workspace| (workspace.name.as_str().into(), workspace.weight));
         self.with(|cell| {
             cell.configure(queues);
+            cell.configure_weights(weights, clock::now());
             cell.configure_limits(limits, configuration.version, clock::now());
         });
         self.plan_wake.wake();
--- a/tests/all/pages.rs
+++ b/tests/all/pages.rs
@@ -71,6 +71,10 @@
         ("{{#bounds.contactMs}}contact = {{.}}ms{{/bounds.contactMs}}", "contact = 6000ms"),
         ("{{bounds.stopTimeoutMs}}", "900"),
         ("{{#bounds.holdMaxMs}}lease_limit = {{.}}ms{{/bounds.holdMaxMs}}", "lease_limit = 6000ms"),
+        (
+            "{{#bounds.quotaWindowS}}workspace_shares = true{{/bounds.quotaWindowS}}",
+            "workspace_shares = true",
+        ),
         ("{{bounds.leaseMs}}", "3000"),
         ("{{bounds.upkeepS}}", "2.5"),
         (
@@ -99,7 +103,8 @@
     assert_eq!(settings.contact.0.as_millis(), 6000);
     assert_eq!(settings.lease_limit.0.as_millis(), 6000);
     assert_eq!(settings.trust_keys_for.0.as_millis(), 4500);
-    assert!(settings.strict_keys);
+    assert!(settings.strict_keys && settings.workspace_shares);
+    assert!(settings.share_by_urgency && settings.expect_equal_peaks);
     assert!(settings.advice.is_some() && settings.machines.is_some());
 }
 
