Report a cell's unused capacity beside its waiting tasks

Cause: nothing shows whether capacity is idle while tasks wait, or why. `owner_load` has no cores, and `job_idle` names one job and only if no task of it runs.

Change: `Cell::capacity` counts the waiting tasks by what keeps them from starting (delayed, blocked, inherited, restricted, held, or nothing) and the unused cores by what keeps ready tasks from using them (too small, unsuitable, reserved, unneeded, not accepting). Minions are matched against the distinct requirements of the tasks that may start, not against tasks. Jobs record when each step was done, so that the wait of a later step's task isn't counted from its job's acceptance.

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -16,6 +16,7 @@
 //! - [`straggler`]: finds slow minions
 //! - [`takeover`]: tracks what a former owner may have started
 //! - [`crash`]: finds tasks that crash their minions
+//! - [`capacity`]: reports unused capacity beside waiting tasks
 //! - [`idle`]: reports jobs that could run and do not
 //! - [`quota`]: limits what a workspace has running
 //! - [`permit`]: limits what may be started while the store is unavailable
@@ -29,6 +30,7 @@
 //! - A run end is acknowledged only after it is persisted.
 
 pub mod advice;
+pub mod capacity;
 pub mod crash;
 mod evacuation;
 pub mod idle;
--- a/crates/engine/src/cell/advice.rs
+++ b/crates/engine/src/cell/advice.rs
@@ -64,6 +64,17 @@
         (now + TICKET_EXPIRY_MARGIN < *until).then(|| ticket.clone())
     }
 
+    /// Minions for which a step has a ticket.
+    pub(crate) fn ticketed_minions(
+        &self,
+        name: &TaskName,
+        now: Time,
+    ) -> impl Iterator<Item = &MinionId> {
+        let tickets =
+            self.advice.get(&step_key(name)).into_iter().flat_map(|advice| &advice.tickets);
+        tickets.filter(move |(_, (_, until))| now + TICKET_EXPIRY_MARGIN < *until).map(|(id, _)| id)
+    }
+
     /// Queues a query for tickets, for a step with waiting tasks and no minion that has both a
     /// ticket and capacity.
     pub(crate) fn request_advice(&mut self, name: &TaskName, needed: usize, now: Time) {
--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -286,12 +286,16 @@
     }
 
     fn is_usable(&self, now: Time) -> bool {
+        !self.reserved && self.is_able(now)
+    }
+
+    /// Whether it can run further tasks, regardless of who may use its capacity.
+    pub(crate) fn is_able(&self, now: Time) -> bool {
         self.listed
             && self.answered
             && self.is_reachable()
             && self.has_current_listing()
             && !self.listing.draining
-            && !self.reserved
             && !self.in_silent_zone
             && !self.runs_isolated_trial()
             && now >= self.quarantined_until
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -419,10 +419,10 @@
         job.started = true;
         match end.reason {
             EndReason::Done if !long_running => {
-                job.finish_task(&end.task);
+                job.finish_task(&end.task, now);
                 if gang {
                     // The members of a gang complete together, so one such end counts for all.
-                    job.finish_step(&end.task);
+                    job.finish_step(&end.task, now);
                 }
                 if job.is_done() && !job.state().is_final() {
                     job.outcome = Some(State::Completed);
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -92,6 +92,9 @@
     offsets: SmallVec<[u32; 8]>,
     /// Number of tasks that are not done, by occurrence and step.
     pub(crate) open_counts: Vec<u32>,
+    /// When this owner learned that a step's last task was done, by occurrence and step; 0 before
+    /// that, and for steps restored as done.
+    done_at: Vec<Time>,
     /// Estimate of all of its work.
     pub(crate) total: Estimate,
     /// Estimate of its remaining work.
@@ -136,6 +139,7 @@
         let occurrences = definition.occurrences();
         let counts: Vec<u32> = definition.steps.iter().map(|step| step.count).collect();
         let open_counts = counts.repeat(occurrences as usize);
+        let done_at = vec![Time(0); open_counts.len()];
         let task = Task { waiting_since: accepted_at, ..Task::default() };
         let tasks = vec![task; (next * occurrences) as usize];
         let total = Estimate {
@@ -159,6 +163,7 @@
             tasks,
             offsets,
             open_counts,
+            done_at,
             total,
             remaining,
         }
@@ -289,6 +294,21 @@
         after.iter().all(|earlier| self.open_tasks(occurrence, *earlier) == 0)
     }
 
+    /// When all steps that a step waits for were done; 0 if it waits for none.
+    pub(crate) fn step_ready_at(&self, occurrence: u32, step: u32) -> Time {
+        let steps = &self.accepted.definition.steps;
+        let first = occurrence as usize * steps.len();
+        let after = steps[step as usize].after.iter();
+        after.map(|earlier| self.done_at[first + *earlier as usize]).max().unwrap_or(Time(0))
+    }
+
+    /// The tasks of a step.
+    pub(crate) fn step_tasks(&self, occurrence: u32, step: u32) -> &[Task] {
+        let first = occurrence * self.tasks_per_occurrence() + self.offsets[step as usize];
+        let count = self.accepted.definition.steps[step as usize].count;
+        &self.tasks[first as usize..][..count as usize]
+    }
+
     /// The first task of each gang step that is not done.
     pub(crate) fn open_gangs(&self, job: Id) -> Vec<TaskName> {
         let steps = &self.accepted.definition.steps;
@@ -304,14 +324,14 @@
     }
 
     /// Marks a task as done.  Returns whether it was not done before.
-    pub(crate) fn finish_task(&mut self, name: &TaskName) -> bool {
-        self.flat_index(name).is_some_and(|flat| self.finish_task_at(flat))
+    pub(crate) fn finish_task(&mut self, name: &TaskName, now: Time) -> bool {
+        self.flat_index(name).is_some_and(|flat| self.finish_task_at(flat, now))
     }
 
     /// Marks all tasks of a step as done.
-    pub(crate) fn finish_step(&mut self, name: &TaskName) {
+    pub(crate) fn finish_step(&mut self, name: &TaskName, now: Time) {
         for index in 0..self.accepted.definition.steps[name.step as usize].count {
-            self.finish_task(&TaskName { index, ..*name });
+            self.finish_task(&TaskName { index, ..*name }, now);
         }
     }
 
@@ -323,7 +343,7 @@
         runs.len()
     }
 
-    fn finish_task_at(&mut self, flat: usize) -> bool {
+    fn finish_task_at(&mut self, flat: usize, now: Time) -> bool {
         let Some(task) = self.tasks.get_mut(flat) else { return false };
         if task.phase == Phase::Done {
             return false;
@@ -332,7 +352,11 @@
         task.checkpoint = None;
         let (occurrence, step, _) = self.position_of(flat as u32);
         let steps = self.accepted.definition.steps.len();
-        self.open_counts[occurrence as usize * steps + step as usize] -= 1;
+        let position = occurrence as usize * steps + step as usize;
+        self.open_counts[position] -= 1;
+        if self.open_counts[position] == 0 {
+            self.done_at[position] = now;
+        }
         self.remaining = Estimate::of(&self.accepted.definition, &self.open_counts);
         self.mark_changed();
         true
@@ -372,7 +396,7 @@
     pub(crate) fn restore(&mut self, progress: &Progress) {
         self.outcome = progress.outcome;
         for flat in &progress.done {
-            self.finish_task_at(*flat as usize);
+            self.finish_task_at(*flat as usize, Time(0));
             self.started = true;
         }
         for (flat, failed) in &progress.failed {
