Log each cell's capacity once a second, and serve it as gauges

Cause: operators could not see whether cores are unused while tasks wait.

Change: the owner of a cell writes the line `capacity` once a second in which a task waits, and sets gauges per service on the metrics page. Label values are escaped as the text format requires. The gauges are removed when the owner stops, or when it can't extend leases and may have been replaced; a late call of a former owner neither replaces nor removes those of the current one.

--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -1,8 +1,10 @@
-//! Counters and latency histograms, served as a text page.
+//! Counters, latency histograms and the capacity of owned cells, served as a text page.
 
+use celerythread_engine::cell::capacity::{Capacity, Usability, WaitReason};
 use hdrhistogram::Histogram;
 use parking_lot::Mutex;
-use std::fmt::Write;
+use std::collections::BTreeMap;
+use std::fmt::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use strum::{Display, EnumCount, VariantArray};
@@ -86,10 +88,19 @@
 /// Largest recorded time: two minutes.  Longer ones count as this.
 const MAX_RECORDED_MS: u64 = 120_000;
 
-/// All counters and histograms of a process.
+/// The latest capacity report of a cell that this entry owns.
+struct CellCapacity {
+    /// The owner's fencing token.
+    token: u64,
+    capacity: Capacity,
+}
+
+/// All counters, histograms and gauges of a process.
 pub struct Metrics {
     counters: Vec<AtomicU64>,
     timings: Vec<Mutex<Histogram<u32>>>,
+    /// By service.
+    capacities: Mutex<BTreeMap<String, CellCapacity>>,
 }
 
 impl Default for Metrics {
@@ -102,6 +113,7 @@
         Self {
             counters: (0..Counter::COUNT).map(|_| AtomicU64::new(0)).collect(),
             timings: (0..Timing::COUNT).map(|_| histogram()).collect(),
+            capacities: Mutex::default(),
         }
     }
 }
@@ -122,6 +134,23 @@
         self.timings[timing as usize].lock().saturating_record((took.as_millis() as u64).max(1));
     }
 
+    /// Sets the gauges of a service's cell to the report of its owner with this fencing token.  The
+    /// report of an owner with a lower token than the last one's is ignored.
+    pub fn set_capacity(&self, service: &str, token: u64, capacity: Capacity) {
+        let mut capacities = self.capacities.lock();
+        if capacities.get(service).is_none_or(|known| known.token <= token) {
+            capacities.insert(service.into(), CellCapacity { token, capacity });
+        }
+    }
+
+    /// Removes the gauges of a service's cell if the owner with this fencing token set them.
+    pub fn remove_capacity(&self, service: &str, token: u64) {
+        let mut capacities = self.capacities.lock();
+        if capacities.get(service).is_some_and(|known| known.token == token) {
+            capacities.remove(service);
+        }
+    }
+
     /// All values as text, one a line.
     pub fn page(&self) -> String {
         let mut page = String::new();
@@ -140,6 +169,57 @@
             }
             let _ = writeln!(page, "celerythread_{timing}_milliseconds_count {}", histogram.len());
         }
+        for (service, CellCapacity { capacity, .. }) in &*self.capacities.lock() {
+            let _ = write_capacity(&mut page, service, capacity);
+        }
         page
     }
 }
+
+/// Writes the gauges of a cell.
+fn write_capacity(page: &mut String, service: &str, capacity: &Capacity) -> fmt::Result {
+    let service = escape_label(service);
+    let cores = |kind: &dyn fmt::Display, millicores: u64| {
+        let cores = to_cores(millicores);
+        format!("celerythread_capacity_cores{{service=\"{service}\",kind=\"{kind}\"}} {cores}\n")
+    };
+    writeln!(page, "celerythread_capacity_minions{{service=\"{service}\"}} {}", capacity.minions)?;
+    page.push_str(&cores(&"total", capacity.millicores));
+    page.push_str(&cores(&"free", capacity.free()));
+    for usability in Usability::VARIANTS {
+        page.push_str(&cores(usability, capacity.unused(*usability)));
+    }
+    for reason in WaitReason::VARIANTS {
+        let waiting = capacity.waiting(*reason);
+        let labels = format!("{{service=\"{service}\",reason=\"{reason}\"}}");
+        let cores = to_cores(waiting.millicores);
+        writeln!(page, "celerythread_capacity_waiting_tasks{labels} {}", waiting.tasks)?;
+        writeln!(page, "celerythread_capacity_waiting_cores{labels} {cores}")?;
+    }
+    writeln!(
+        page,
+        "celerythread_capacity_oldest_ready_milliseconds{{service=\"{service}\"}} {}",
+        capacity.oldest_ready_ms
+    )
+}
+
+/// Cores of a number of millicores.
+pub(crate) fn to_cores(millicores: u64) -> f64 {
+    millicores as f64 / 1000.0
+}
+
+/// Escapes a label value.  The text format requires it for backslashes, quotes and line feeds, and
+/// services may have any name that the configuration gives them: one with a line feed would
+/// otherwise add a line to the page, and a quote make the page unreadable for scrapers.
+fn escape_label(value: &str) -> String {
+    let mut escaped = String::with_capacity(value.len());
+    for letter in value.chars() {
+        match letter {
+            '\\' => escaped.push_str("\\\\"),
+            '"' => escaped.push_str("\\\""),
+            '\n' => escaped.push_str("\\n"),
+            other => escaped.push(other),
+        }
+    }
+    escaped
+}
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -2,7 +2,7 @@
 //!
 //! [`load`] reads the stored rows, [`supervisor`] polls and commands one minion, [`persist`] writes
 //! progress, [`advice`] asks for tickets, [`quota`] enforces workspaces' limits, [`events`] logs the
-//! cell's events and [`activity`] the owner's load.  [`calls`] are made to minions with the leases of
+//! cell's events, [`activity`] the owner's load and [`capacity`] what its cell could still run.  [`calls`] are made to minions with the leases of
 //! [`grant`], at peak load through the entries of [`delegation`]; [`starts`] limits how many starts
 //! are unanswered.  This file holds what they share,
 //! the planning loop, and the answers to other entries' questions.
@@ -10,6 +10,7 @@
 mod activity;
 mod advice;
 mod calls;
+mod capacity;
 pub(crate) mod delegation;
 mod events;
 mod grant;
--- a/crates/scheduler/src/owner/activity.rs
+++ b/crates/scheduler/src/owner/activity.rs
@@ -5,7 +5,7 @@
 //! neither is long.
 
 use crate::clock;
-use crate::owner::Owner;
+use crate::owner::{Owner, capacity};
 use celerythread_engine::time::Time;
 use parking_lot::Mutex;
 use std::fmt::Display;
@@ -80,12 +80,14 @@
     }
 }
 
-/// Logs the owner's activity once a second while it starts anything.
+/// Logs the owner's activity once a second while it starts anything, and reports its cell's
+/// capacity.
 pub(crate) async fn log_forever(owner: Arc<Owner>) {
     let mut logged = clock::now();
     loop {
         let began = clock::now();
         if !owner.pause(TIMER_INTERVAL).await {
+            capacity::withdraw(&owner);
             return;
         }
         let now = clock::now();
@@ -94,6 +96,7 @@
             let elapsed = now.since(logged);
             logged = now;
             log(&owner, owner.activity.take(), elapsed);
+            capacity::report(&owner);
         }
     }
 }
--- a/tests/all/pages.rs
+++ b/tests/all/pages.rs
@@ -1,8 +1,9 @@
 //! The pages on the daemon for the users' platform match its settings, metrics and tests.
 
+use celerythread_engine::cell::capacity::{Capacity, Usability, WaitReason};
 use celerythread_model::code::Code;
 use celerythread_model::ini::Mistake;
-use celerythread_scheduler::metrics::{Counter, Timing};
+use celerythread_scheduler::metrics::{Counter, Metrics, Timing};
 use celerythread_scheduler::{Daemon, Settings};
 use std::fs;
 use strum::VariantArray;
@@ -170,3 +171,64 @@
         assert!(text.contains(&format!("celerythread_{counter}_total ")), "{counter}");
     }
 }
+
+fn with_minions(minions: u64) -> Capacity {
+    let mut capacity = Capacity::default();
+    capacity.minions = minions;
+    capacity
+}
+
+/// Lines of the metrics page on the capacity of cells.
+fn capacity_lines(metrics: &Metrics) -> Vec<String> {
+    let page = metrics.page();
+    let lines = page.lines().filter(|line| line.starts_with("celerythread_capacity"));
+    lines.map(Into::into).collect()
+}
+
+/// Guards against a service whose name has letters with a meaning in the text format: a line feed
+/// would add a line to the page, and a quote make all of it unreadable.
+#[test]
+fn service_names_are_escaped_on_the_metrics_page() {
+    let metrics = Metrics::default();
+    metrics.set_capacity("a\"b\\c\nd", 1, with_minions(3));
+    let lines = capacity_lines(&metrics);
+    assert_eq!(lines[0], r#"celerythread_capacity_minions{service="a\"b\\c\nd"} 3"#);
+    assert!(lines.iter().all(|line| line.contains(r#"{service="a\"b\\c\nd""#)), "{lines:?}");
+}
+
+/// Guards against gauges that are left of a cell that the entry no longer owns, and against a late
+/// call of a former owner that replaces or removes those of the current one.
+#[test]
+fn gauges_belong_to_the_current_owner_of_a_cell() {
+    let metrics = Metrics::default();
+    metrics.set_capacity("desk", 7, with_minions(1));
+    metrics.set_capacity("hall", 5, with_minions(9));
+    metrics.set_capacity("desk", 8, with_minions(2));
+    metrics.set_capacity("desk", 7, with_minions(3));
+    metrics.remove_capacity("desk", 7);
+    let first = |service: &str| {
+        let name = format!("celerythread_capacity_minions{{service=\"{service}\"}} ");
+        capacity_lines(&metrics).iter().find_map(|line| Some(line.strip_prefix(&name)?.to_owned()))
+    };
+    assert_eq!(first("desk").as_deref(), Some("2"));
+    metrics.remove_capacity("desk", 8);
+    assert_eq!(first("desk"), None);
+    assert_eq!(first("hall").as_deref(), Some("9"));
+}
+
+#[test]
+fn every_gauge_and_field_of_the_capacity_report_is_explained() {
+    let page = read_page("docs/OPERATIONS.md");
+    let metrics = Metrics::default();
+    metrics.set_capacity("desk", 1, Capacity::default());
+    for line in capacity_lines(&metrics) {
+        let name = line.split('{').next().unwrap();
+        assert!(page.contains(&format!("`{name}`")), "{name}");
+    }
+    for usability in Usability::VARIANTS {
+        assert!(page.contains(&format!("`{usability}`")), "{usability}");
+    }
+    for reason in WaitReason::VARIANTS {
+        assert!(page.contains(&format!("`{reason}`")), "{reason}");
+    }
+}
