Time the capacity report in the owner bench

Cause: the bench measures an owner's plans and reports of minions, but not the capacity report, which the owner computes once a second.

Change: each round times one capacity report at the bench's three sizes.

--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -11,6 +11,7 @@
 use celerythread_engine::job::{Accepted, Definition, Id, Resources, Step, TaskName};
 use celerythread_engine::time::Time;
 use std::collections::BTreeMap;
+use std::hint::black_box;
 use std::time::{Duration, Instant};
 
 /// Minions of a cell on the smallest site, on the larger ones and at the users' future size, each
@@ -116,6 +117,7 @@
         let ids: Vec<MinionId> = owner.minions.keys().cloned().collect();
         let (mut plans, mut reports, mut starts, mut count) =
             (Duration::ZERO, Duration::ZERO, 0, 0);
+        let mut capacities = Duration::ZERO;
         for _ in 0..ROUNDS {
             for id in &ids {
                 reports += owner.end_one(id);
@@ -124,13 +126,17 @@
                 starts += orders;
                 count += 1;
             }
+            let began = Instant::now();
+            black_box(owner.cell.capacity(owner.now, owner.now.0, Permit::All));
+            capacities += began.elapsed();
         }
         println!(
             "{minions} minions, {jobs} jobs: first plan {first:.1?} for {started} starts; then \
-             {:.1?} a report, {:.1?} a plan, {:.1} starts each",
+             {:.1?} a report, {:.1?} a plan, {:.1} starts each; {:.1?} for the capacity",
             reports / count,
             plans / count,
             starts as f64 / f64::from(count),
+            capacities / ROUNDS as u32,
         );
     }
 }
