--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -17,6 +17,7 @@
 //! - [`straggler`]: finds slow minions
 //! - [`takeover`]: tracks what a former owner may have started
 //! - [`crash`]: finds tasks that crash their minions
+//! - [`capacity`]: reports unused capacity beside waiting tasks
 //! - [`idle`]: reports jobs that could run and do not
 //! - [`quota`]: limits what a workspace has running
 //! - [`share`]: shares the capacity between workspaces while it is short
@@ -31,6 +32,7 @@
 //! - A run end is acknowledged only after it is persisted.
 
 pub mod advice;
+pub mod capacity;
 pub mod crash;
 mod evacuation;
 pub mod idle;
