Decide who may order a machine while the store is unavailable

During an outage of the store the holder of the fleet's cell can neither write the row that names a machine nor renew its own, so it ordered no move, although the owners and the platform's machine interface answered.

Nothing uses the module yet.

--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -172,11 +172,13 @@
     /// Incarnation in the most recent answer that contained one.
     pub incarnation: Option<Incarnation>,
     /// When this incarnation first answered this owner.
-    pub(crate) answering_since: Time,
+    pub answering_since: Time,
     /// Former incarnations, oldest first.
     pub(crate) former_incarnations: SmallVec<[Incarnation; restart::MAX_FORMER_INCARNATIONS]>,
     /// When it last reported what runs there.
     pub reported_at: Time,
+    /// When the latest poll was sent that it answered.
+    pub polled_at: Time,
     /// When calls began to go unanswered; `None` while it answers.
     pub(crate) silent_since: Option<Time>,
     /// When all leases that it may have been given must have expired, on any clock.
@@ -218,6 +220,7 @@
             answering_since: Time(0),
             former_incarnations: SmallVec::new(),
             reported_at: Time(0),
+            polled_at: Time(0),
             silent_since: None,
             lease_expiry: Time(0),
             runs: BTreeMap::new(),
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -227,6 +227,7 @@
         }
         minion.answered = true;
         minion.reported_at = now;
+        minion.polled_at = minion.polled_at.max(sent);
         let seen = minion.seen;
         if minion.silent_since.take().is_some() {
             self.clear_possible_crash(id);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,9 +9,9 @@
 //! former owner have terminated; [`window`] limits how many starts are unanswered; [`quota`] splits
 //! a workspace's limit between the cells; [`lease`] computes when a minion's leases have expired;
 //! [`maintenance`] takes machines through maintenance waves, and [`pools`] moves them between pools
-//! as demand changes; [`timeout`] adapts timeouts to the latency of answers, [`outage`] detects
-//! that a service is unavailable, and [`submission`] decides when to stop retrying a caller's
-//! submission.
+//! as demand changes, and [`release`] decides who may order a machine while the store is
+//! unavailable; [`timeout`] adapts timeouts to the latency of answers, [`outage`] detects that a
+//! service is unavailable, and [`submission`] decides when to stop retrying a caller's submission.
 
 pub mod cell;
 pub mod delegation;
@@ -22,6 +22,7 @@
 pub mod ownership;
 pub mod pools;
 pub mod quota;
+pub mod release;
 pub mod submission;
 pub mod termination;
 pub mod time;
--- a/crates/engine/src/outage.rs
+++ b/crates/engine/src/outage.rs
@@ -54,6 +54,11 @@
         self.consecutive_failures >= SUSPECTED_FAILURES
     }
 
+    /// How long the service has not answered, if it is down.
+    pub fn duration(&self, now: Time) -> Option<Duration> {
+        self.is_ongoing(now).then(|| now.since(self.last_answer))
+    }
+
     /// Whether the service is down, as far as is known.
     pub fn is_ongoing(&self, now: Time) -> bool {
         self.consecutive_failures >= MIN_FAILURES && now.since(self.last_answer) >= MIN_SILENCE
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod placement;
 mod pools;
 mod quota;
+mod release;
 mod restarts;
 mod runs;
 mod sharing;
--- a/crates/engine/tests/all/outage.rs
+++ b/crates/engine/tests/all/outage.rs
@@ -27,6 +27,16 @@
     assert!(!outage(3000, &[2990]).is_ongoing(Time(3000)));
 }
 
+/// An outage lasts from the last answer on.  Guards against moves without the store that begin
+/// without an outage, or go on for longer than they may.
+#[test]
+fn an_outage_lasts_since_the_last_answer() {
+    assert_eq!(outage(1040, &[]).duration(Time(1040)), None);
+    // The call at 1490 ms was the last one answered.
+    let lasting = outage(3000, &[1500]);
+    assert_eq!(lasting.duration(Time(3000)).map(|time| time.as_millis()), Some(1510));
+}
+
 /// A store that refuses most calls, but not all, must not count as down: it would get no calls,
 /// although each caller is served at the second or third attempt.
 #[test]
