Move machines by the owners' permission during an outage of the store

Cause: a move needs a row that names the machine and a renewal of the holder's row of at most 1.5 s ago, so no machine moves while the store answers nobody, although owners and the platform's machine interface can be reached.

Change: Release carries the holder's fencing token and says whether a row requests it; without one, the owner answers with permissions. The holder of the fleet's cell plans on through an outage of up to [maintenance] order_alone (default 0s, off; 10s in deploy/entry.ini), orders by permission, and writes the missing rows before it plans moves or maintenance again. While that setting is on, no other holder is told for the lease that a permitted minion is empty, and a machine that is listed as moving and that this holder did not order gets no order for the lease. move_ordered has by=permission or by=row; the counter is moves_without_store.

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -10,13 +10,15 @@
 //!
 //! A machine is emptied before it is moved or goes down ([`emptying`]).  A row in the store names
 //! it for as long as nothing may be started on it, so that each later owner of its service's cell
-//! knows.
+//! knows.  During an outage of the store, the owner's permission replaces the row of a machine that
+//! is moved ([`without_store`]).
 
 pub(crate) mod emptying;
 pub(crate) mod list;
 mod log_limiter;
 pub(crate) mod maintenance;
 pub(crate) mod pools;
+mod without_store;
 
 use crate::clock;
 use crate::node::Node;
@@ -24,6 +26,7 @@
 use crate::rows;
 use celerythread_adapter::machine::{self, Issuer, Refusal};
 use celerythread_engine::pools::Load;
+use celerythread_engine::release::{Basis, Standing, Unrecorded};
 use celerythread_engine::time::Time;
 use celerythread_engine::{maintenance as maintenance_plan, pools as pool_plan};
 use celerythread_sync::Wake;
@@ -40,11 +43,6 @@
 /// Delay before a failed read of the stored state is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Greatest age of the last renewal at which orders are given.  Another entry may take over once
-/// this one has been silent for the takeover time, and then waits for the lease before it gives
-/// orders of its own.
-const MAX_RENEWAL_AGE: Duration = Duration::from_millis(1500);
-
 /// Greatest age of a reported demand that is still used for planning.  A lost owner is replaced
 /// within that time, and the stored rows still name the machines that are being emptied.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(2000);
@@ -94,6 +92,14 @@
     /// machines it must not order yet, and can order all others at once; waiting out the lease for
     /// all of them would take most of a burst.
     order_leases: BTreeMap<String, Time>,
+    /// Machines that are emptied, or were ordered, without a row.
+    pub(crate) unrecorded: Unrecorded<emptying::Target>,
+    /// Permissions for orders without the store.
+    pub(crate) permits: without_store::Permits,
+    /// When the last turn began, in milliseconds since the Unix epoch.
+    pub(crate) turn_began_ms: u64,
+    /// Whether that is not stored yet.
+    pub(crate) has_unsaved_turns: bool,
 }
 
 impl State {
@@ -221,11 +227,41 @@
         self.state.lock().order_leases.insert(machine.into(), clock::now() + lease);
     }
 
-    /// Whether this holder may give orders now.
-    pub(crate) fn may_order(&self) -> bool {
+    /// What this holder may do now.
+    pub(crate) fn standing(&self) -> Standing {
         let node = self.node();
-        let stops = self.owner.is_stopped() || node.is_stopping();
-        !stops && node.since_renewal() <= MAX_RENEWAL_AGE
+        Standing {
+            is_stopped: self.owner.is_stopped() || node.is_stopping(),
+            renewal_age: node.since_renewal(),
+            outage: node.outage_duration(),
+            max_outage: node.settings.order_alone.0,
+        }
+    }
+
+    /// Whether this holder may give orders for machines with rows now.
+    pub(crate) fn may_order(&self) -> bool {
+        self.standing().basis() == Some(Basis::Row)
+    }
+
+    /// Records orders of a former holder for machines that are listed as moving.
+    ///
+    /// One ordered during an outage of the store has no row.  Once it has arrived, this holder must
+    /// not order it before the lease of that order has expired.
+    pub(crate) fn record_foreign_moves(&self) {
+        if self.node().settings.order_alone.0.is_zero() {
+            return;
+        }
+        let foreign: Vec<String> = {
+            let state = self.state.lock();
+            let is_foreign = |machine: &&machine::Machine| {
+                machine.state == machine::State::Moving
+                    && !state.pools.is_moving(&machine.name)
+                    && !state.order_leases.contains_key(&machine.name)
+            };
+            let machines = state.list.machines.iter().filter(is_foreign);
+            machines.map(|machine| machine.name.clone()).collect()
+        };
+        foreign.iter().for_each(|machine| self.record_order(machine));
     }
 
     /// The holder and fencing token that orders carry.
--- a/crates/scheduler/src/fleet/emptying.rs
+++ b/crates/scheduler/src/fleet/emptying.rs
@@ -26,7 +26,11 @@
 /// fleet controllers know it too; then sends a message to the present owner, which answers at once
 /// which minions are already empty.  Returns the machines whose row could not be written.
 pub(crate) async fn request(controller: &Controller, targets: Vec<Target>) -> BTreeSet<String> {
-    let written = write_rows(controller.node(), &targets).await;
+    let written = if controller.standing().is_alone() {
+        BTreeSet::new()
+    } else {
+        write_rows(controller.node(), &targets).await
+    };
     let (written_targets, unwritten): (Vec<Target>, Vec<Target>) =
         targets.into_iter().partition(|target| written.contains(&target.machine));
     let mut by_pool: BTreeMap<String, Vec<(String, String)>> = BTreeMap::new();
@@ -39,7 +43,9 @@
         // show whether the request was sent after it.
         async_std::task::sleep(Duration::from_millis(1)).await;
         let sent = clock::now();
-        let question = Question::Release { service: pool.clone(), machines };
+        let token = controller.owner.token;
+        let question =
+            Question::Release { service: pool.clone(), machines, token, without_row: false };
         // If the message is lost, the owner learns it from the row.
         if let Some(Answer::Load(load)) = peers::ask_owner(controller.node(), &pool, question).await
         {
--- a/crates/scheduler/src/fleet/list.rs
+++ b/crates/scheduler/src/fleet/list.rs
@@ -27,7 +27,7 @@
 /// Reads the list periodically until this entry loses the cell.
 pub(crate) async fn read_forever(controller: &Controller) {
     while !controller.owner.is_stopped() {
-        if is_due(controller) && read(controller).await {
+        if is_due(controller) && read(controller).await && !controller.standing().is_alone() {
             emptying::delete_stale_rows(controller).await;
         }
         if !controller.owner.pause(DUE_CHECK_INTERVAL).await {
@@ -49,6 +49,7 @@
     let Some(list) = fetch(controller.node(), &controller.client).await else { return false };
     let read_at = Some(clock::now());
     controller.state.lock().list = MachineList { machines: list.machines, read_at };
+    controller.record_foreign_moves();
     true
 }
 
--- a/crates/scheduler/src/fleet/maintenance.rs
+++ b/crates/scheduler/src/fleet/maintenance.rs
@@ -78,7 +78,11 @@
 
 /// Carries out the next steps of all open waves.
 async fn advance_waves(controller: &Controller) {
-    if controller.state.lock().list.machines.is_empty() {
+    let must_wait = {
+        let state = controller.state.lock();
+        state.list.machines.is_empty() || state.unrecorded.has_orders()
+    };
+    if must_wait {
         return;
     }
     let node = controller.node();
--- a/crates/scheduler/src/fleet/pools.rs
+++ b/crates/scheduler/src/fleet/pools.rs
@@ -2,6 +2,7 @@
 
 use super::emptying::{self, Target};
 use super::log_limiter::LogLimiter;
+use super::without_store;
 use super::{CALL_TIMEOUT, Controller, OrderOutcome, State, order_all};
 use crate::clock;
 use crate::metrics::Counter;
@@ -12,6 +13,7 @@
 use celerythread_adapter::store::{Name, Transaction};
 use celerythread_engine::job::{decode, encode};
 use celerythread_engine::pools::{Balance, History, Machine, Move};
+use celerythread_engine::release::{Basis, PERMISSION_TERM, Standing};
 use celerythread_wire::job::{Answer, Question};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -49,11 +51,16 @@
 }
 
 /// Stores the turns for the next holder.
-async fn save_turns(node: &Node, history: &History) {
+async fn save_turns(controller: &Controller) {
+    let node = controller.node();
+    let history = {
+        let state = controller.state.lock();
+        History { began_ms: state.turn_began_ms, ..state.pools.history().clone() }
+    };
     let pool = history.turns.last().map(String::as_str).unwrap_or_default();
     node.journal.info("turn_began", &[("pool", &pool), ("turns", &history.turns.len())]);
     let name = Name::new(rows::FLEET, "", rows::TURNS_KEY);
-    let change = Transaction { writes: vec![(name, encode(history))], ..Transaction::default() };
+    let change = Transaction { writes: vec![(name, encode(&history))], ..Transaction::default() };
     // If this is lost, the next holder lacks one turn until it has observed it itself.
     if let Err(error) = node.commit(&change, CALL_TIMEOUT).await {
         node.journal.warn("turns_unkept", &[("reason", &error)]);
@@ -115,30 +122,62 @@
 }
 
 /// Plans further moves, and carries out those that are due.
-async fn advance_moves(controller: &Controller) {
+async fn advance_moves(controller: &Arc<Controller>) {
     let node = controller.node();
-    if controller.state.lock().list.machines.is_empty() || !controller.may_order() {
+    if controller.state.lock().list.machines.is_empty() {
+        return;
+    }
+    let standing = controller.standing();
+    let Some(basis) = standing.basis() else {
+        if standing.outage.is_some() {
+            without_store::cancel_moves(controller);
+        }
+        keep_unrecorded_empty(controller).await;
+        return;
+    };
+    // After an outage, nothing is planned before the rows of what was ordered in it are written.
+    if !standing.is_alone() && !without_store::write_rows(controller).await {
+        keep_unrecorded_empty(controller).await;
         return;
     }
     let Some(configuration) = node.configuration() else { return };
-    let (moves, turn) = plan_moves(&mut controller.state.lock(), configuration.spare_pool());
-    if let Some(history) = turn {
-        save_turns(node, &history).await;
+    let moves = plan_moves(&mut controller.state.lock(), configuration.spare_pool(), basis);
+    if !standing.is_alone() && std::mem::take(&mut controller.state.lock().has_unsaved_turns) {
+        save_turns(controller).await;
     }
     request_emptying(controller, &moves).await;
+    if basis == Basis::Permission {
+        without_store::request_permissions(controller, true).await;
+    } else {
+        keep_unrecorded_empty(controller).await;
+    }
     order_ready(controller).await;
     cancel_overdue_moves(controller).await;
 }
 
-/// Plans further moves; also returns the turns if another one began.
-fn plan_moves(state: &mut State, spare: Option<&str>) -> (Vec<Move>, Option<History>) {
-    let machines = machine_views(state);
+/// Repeats the requests to empty machines without rows, which the owners would forget.
+async fn keep_unrecorded_empty(controller: &Arc<Controller>) {
+    if !controller.owner.is_stopped() && !controller.state.lock().unrecorded.is_empty() {
+        without_store::request_permissions(controller, false).await;
+    }
+}
+
+/// Plans further moves, and notes if another turn began.
+///
+/// No owner could permit the move of a machine without a minion, so such a machine stays where it
+/// is while orders rest on permissions.
+fn plan_moves(state: &mut State, spare: Option<&str>, basis: Basis) -> Vec<Move> {
+    let mut machines = machine_views(state);
+    for machine in machines.values_mut() {
+        machine.pinned |= basis == Basis::Permission && machine.minion.is_none();
+    }
     let turns = state.pools.history().turns.clone();
     let moves = state.pools.plan(&machines, &state.loads, spare, clock::now());
-    let history = state.pools.history();
-    let began_ms = clock::wall_ms();
-    let began = (history.turns != turns).then(|| History { began_ms, ..history.clone() });
-    (moves, began)
+    if state.pools.history().turns != turns {
+        state.turn_began_ms = clock::wall_ms();
+        state.has_unsaved_turns = true;
+    }
+    moves
 }
 
 /// All machines as the engine sees them.
@@ -159,7 +198,8 @@
     (name, machine_view)
 }
 
-/// Requests the emptying of machines; cancels the moves of those whose row could not be written.
+/// Requests the emptying of machines.  Where a row could not be written, the move is continued
+/// without it during an outage, and cancelled otherwise.
 async fn request_emptying(controller: &Controller, moves: &[Move]) {
     if moves.is_empty() {
         return;
@@ -170,34 +210,66 @@
         minion: plan.minion.clone().unwrap_or_default(),
     };
     let unwritten = emptying::request(controller, moves.iter().map(target).collect()).await;
+    let is_alone = controller.standing().is_alone();
     let mut state = controller.state.lock();
-    unwritten.iter().for_each(|machine| state.pools.cancel_move(machine));
+    for plan in moves.iter().filter(|plan| unwritten.contains(&plan.machine)) {
+        if is_alone && plan.minion.is_some() {
+            state.unrecorded.insert(plan.machine.clone(), target(plan));
+        } else {
+            state.pools.cancel_move(&plan.machine);
+        }
+    }
 }
 
 /// Orders the moves of machines that are empty.
 async fn order_ready(controller: &Controller) {
-    let ready_moves = ready_moves(&controller.state.lock());
+    let ready_moves = ready_moves(&controller.state.lock(), &controller.standing());
     order_all(
         ready_moves.into_iter().map(|plan| async move { order_move(controller, &plan).await }),
     )
     .await;
 }
 
-fn ready_moves(state: &State) -> Vec<Move> {
+fn ready_moves(state: &State, standing: &Standing) -> Vec<Move> {
     let empty = state.empty_minions();
-    let is_ready = |plan: &&Move| plan.minion.as_ref().is_none_or(|minion| empty.contains(minion));
+    let is_empty = |plan: &Move| plan.minion.as_ref().is_none_or(|minion| empty.contains(minion));
+    let is_ready = |plan: &&Move| match order_basis(state, standing, plan) {
+        Some((Basis::Row, _)) => is_empty(plan),
+        // It was given for a minion that is empty.
+        Some((Basis::Permission, _)) => true,
+        None => false,
+    };
     state.pools.pending().filter(is_ready).cloned().collect()
 }
 
+/// What the order for a move rests on, and how long it may take; `None` if it may not be given.
+fn order_basis(state: &State, standing: &Standing, plan: &Move) -> Option<(Basis, Duration)> {
+    let permission_age = state.permits.age(plan.minion.as_ref(), clock::now());
+    let has_row = !state.unrecorded.contains(&plan.machine);
+    let basis = standing.may_order(has_row, permission_age)?;
+    let timeout = match basis {
+        Basis::Row => CALL_TIMEOUT,
+        Basis::Permission => PERMISSION_TERM.saturating_sub(permission_age.unwrap_or_default()),
+    };
+    Some((basis, timeout))
+}
+
 /// Orders one move.
 async fn order_move(controller: &Controller, plan: &Move) {
     let node = controller.node();
-    if !controller.may_order() {
-        return;
-    }
+    let standing = controller.standing();
+    let basis = {
+        let mut state = controller.state.lock();
+        let basis = order_basis(&state, &standing, plan);
+        if basis.is_some() {
+            state.unrecorded.record_order(&plan.machine, clock::now());
+        }
+        basis
+    };
+    let Some((basis, timeout)) = basis else { return };
     controller.record_order(&plan.machine);
     let by = controller.authority();
-    let answer = controller.client.change_pool(&plan.machine, &plan.to, &by, CALL_TIMEOUT).await;
+    let answer = controller.client.change_pool(&plan.machine, &plan.to, &by, timeout).await;
     let (ordered, outcome) = OrderOutcome::from_answer(answer);
     let waited = clock::now().since(plan.decided_at);
     node.journal.info(
@@ -207,6 +279,7 @@
             ("from", &plan.from),
             ("to", &plan.to),
             ("reason", &plan.reason),
+            ("by", &basis),
             ("token", &by.token),
             ("waited_ms", &waited.as_millis()),
             ("outcome", &outcome),
@@ -218,11 +291,19 @@
         // nothing is started on the old minion, which may stay listed for some seconds.
         OrderOutcome::Done => {
             node.metrics.count(Counter::Moves);
+            if basis == Basis::Permission {
+                node.metrics.count(Counter::MovesWithoutStore);
+            }
             state.pools.record_order(&plan.machine, clock::now());
         }
-        OrderOutcome::Refused | OrderOutcome::Unknown => state.pools.cancel_move(&plan.machine),
+        OrderOutcome::Unknown => state.pools.cancel_move(&plan.machine),
+        OrderOutcome::Refused => {
+            state.pools.cancel_move(&plan.machine);
+            state.unrecorded.revert_order(&plan.machine);
+            state.unrecorded.cancel(&plan.machine);
+        }
         // Ordered again with the next step.
-        OrderOutcome::Deferred => {}
+        OrderOutcome::Deferred => state.unrecorded.revert_order(&plan.machine),
     }
 }
 
@@ -235,12 +316,17 @@
         let mut state = controller.state.lock();
         state.pools.cancel_move(&plan.machine);
         node.journal.info("move_given_up", &[("machine", &plan.machine), ("to", &plan.to)]);
+        let has_row = !state.unrecorded.contains(&plan.machine);
+        state.unrecorded.cancel(&plan.machine);
         // A machine that may have been ordered keeps its row for the lease.
-        if !state.has_recent_order(&plan.machine) {
+        if has_row && !state.has_recent_order(&plan.machine) {
             rows.push(plan.machine.clone());
         }
     }
-    emptying::delete_rows(controller, &rows).await;
+    // While the store is unavailable the rows stay; they are stale afterwards.
+    if !controller.standing().is_alone() {
+        emptying::delete_rows(controller, &rows).await;
+    }
 }
 
 /// Logs each pool whose balance has changed.
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -65,6 +65,8 @@
     PeerFailures,
     /// Machines moved to another pool.
     Moves,
+    /// Such moves ordered by a permission of the machine's owner, without the store.
+    MovesWithoutStore,
     /// Machines whose maintenance began.
     Maintenances,
 }
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -455,6 +455,11 @@
         self.outage.lock().is_ongoing(clock::now())
     }
 
+    /// Time since the store last answered, if it is unavailable as far as this entry knows.
+    pub(crate) fn outage_duration(&self) -> Option<Duration> {
+        self.outage.lock().duration(clock::now())
+    }
+
     /// Commits a transaction and records the outcome.  Waits at most `timeout`, and less when recent
     /// answers were fast.
     pub(crate) async fn commit(
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -4,7 +4,7 @@
 //! progress, [`advice`] asks for tickets, [`quota`] enforces workspaces' limits, [`events`] logs the
 //! cell's events and [`activity`] the owner's load.  [`calls`] are made to minions with the leases of
 //! [`grant`], at peak load through the entries of [`delegation`]; [`starts`] limits how many starts
-//! are unanswered.  This file holds what they share,
+//! are unanswered, and [`release`] answers requests to empty minions.  This file holds what they share,
 //! the planning loop, and the answers to other entries' questions.
 
 mod activity;
@@ -16,6 +16,7 @@
 pub(crate) mod load;
 pub(crate) mod persist;
 mod quota;
+mod release;
 mod starts;
 pub(crate) mod supervisor;
 
@@ -30,6 +31,7 @@
 use celerythread_adapter::minion::Entry;
 use celerythread_engine::cell::{Cell, Incarnation, Order, Queue, Refusal, StartResult};
 use celerythread_engine::job::{Accepted, Id, TaskName};
+use celerythread_engine::release::Permissions;
 use celerythread_sync::Wake;
 use celerythread_wire::job::{Answer, Question};
 use delegation::Delegation;
@@ -120,6 +122,9 @@
     pub(crate) delegation: Delegation,
     pub(crate) order_timeout: OrderTimeout,
     pub(crate) starts: Starts,
+    /// Permissions to order machines without the store; `None` if that is off.  The lock is taken
+    /// last.
+    permissions: Option<Mutex<Permissions>>,
     stop_source: Mutex<Option<StopSource>>,
     pub(crate) stopped: StopToken,
 }
@@ -134,6 +139,7 @@
     ) -> Arc<Self> {
         let stop_source = StopSource::new();
         let stopped = stop_source.token();
+        let permissions = release::permissions(&node.settings);
         Arc::new(Self {
             node,
             service: service.into(),
@@ -153,6 +159,7 @@
             delegation: Delegation::default(),
             order_timeout: OrderTimeout::default(),
             starts: Starts::default(),
+            permissions,
             stop_source: Mutex::new(Some(stop_source)),
             stopped,
         })
@@ -249,13 +256,10 @@
             }
             // Any entry answers these, not only the owner.
             Question::Submit { .. } | Question::Configuration { .. } => None,
-            Question::Load { .. } => self.with(|cell| Answer::Load(cell.load(clock::now()))),
-            Question::Release { machines, .. } => {
-                let minions = machines.iter().map(|(_, minion)| minion.clone());
-                self.node.view.write().release(minions);
-                self.sync_minions();
-                self.plan_wake.wake();
-                self.with(|cell| Answer::Load(cell.load(clock::now())))
+            Question::Load { .. } => release::load(self, None).map(Answer::Load),
+            Question::Release { machines, token, without_row, .. } => {
+                let minions: Vec<&str> = machines.iter().map(|(_, id)| id.as_str()).collect();
+                release::answer(self, &minions, *token, *without_row)
             }
             Question::Pending { queue, .. } => {
                 self.with(|cell| Answer::Pending(cell.queued_jobs(queue) as u32))
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -50,6 +50,8 @@
     pub maintenance_duration: Span,
     /// Orders for machines that the platform accepts in a second, from all entries together.
     pub orders_per_s: f64,
+    /// Longest outage of the store during which machines are moved without it; zero to move none.
+    pub order_alone: Span,
     /// How long ended jobs are retained for queries by their callers.
     pub retention: Span,
     /// Time after a disturbance for which the platform doesn't count an entry as connected.
@@ -105,6 +107,7 @@
             maintenance_lease: Span::millis(3000),
             maintenance_duration: Span::millis(2000),
             orders_per_s: 64.0,
+            order_alone: Span::millis(0),
             retention: Span::secs(120),
             contact: Span::millis(3000),
             stop_bound: Span::millis(6000),
@@ -115,6 +118,10 @@
     }
 }
 
+/// Largest value of `order_alone`.  In a longer outage the holder's view of the pools, the
+/// configuration and the other entries is too old to move machines by.
+const MAX_ORDER_ALONE: Duration = Duration::from_secs(60);
+
 /// The sections of the file.
 const SECTIONS: [&str; 8] =
     ["instance", "caller", "peer", "metrics", "platform", "run", "maintenance", "stop"];
@@ -171,6 +178,7 @@
                 Span::millis((seconds.max(0.0) * 1000.0) as u64)
             },
             orders_per_s: reader.value("maintenance", "orders_per_s", defaults.orders_per_s),
+            order_alone: reader.value("maintenance", "order_alone", defaults.order_alone),
             stop_bound: reader.value("stop", "bound", defaults.stop_bound),
         }
     }
@@ -192,6 +200,11 @@
             );
             reader.add_mistake(Code::Contradiction, "maintenance", "orders_per_s", text);
         }
+        if self.order_alone.0 > MAX_ORDER_ALONE {
+            let text =
+                format!("order_alone {} is out of range; valid are 0s to 60s", self.order_alone);
+            reader.add_mistake(Code::Contradiction, "maintenance", "order_alone", text);
+        }
         if self.run_lease.0 < self.takeover_after.0 {
             let text = format!(
                 "lease {} is less than takeover_after {}; runs would end when their owner is lost",
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -58,12 +58,17 @@
         /// The version in force at the requesting entry.
         version: u64,
     },
-    /// Machines are to be emptied, and the request for it is stored.
+    /// Machines are to be emptied.
     Release {
         /// Their service.
         service: String,
         /// Pairs of machine and minion.
         machines: Vec<(String, String)>,
+        /// Fencing token of the fleet controller.
+        token: u64,
+        /// Whether no row requests it, so that the machines may be ordered only with the owner's
+        /// permission.  The answer is then [`Answer::Released`], else [`Answer::Load`].
+        without_row: bool,
     },
 }
 
@@ -121,4 +126,9 @@
     },
     /// The receiver doesn't own the service, or doesn't know its jobs yet.
     NotOwner,
+    /// Which machines the holder of the question's token may order without a row.
+    Released {
+        /// Their minions, which are empty.
+        permitted: Vec<String>,
+    },
 }
--- a/tests/all/pages.rs
+++ b/tests/all/pages.rs
@@ -96,6 +96,7 @@
     assert_eq!(settings.peer_listen.to_string(), "10.1.0.9:7060");
     assert_eq!(settings.maintenance_duration.0.as_millis(), 2500);
     assert_eq!(settings.orders_per_s, 590.0);
+    assert_eq!(settings.order_alone.0.as_millis(), 10_000);
     assert_eq!(settings.contact.0.as_millis(), 6000);
     assert_eq!(settings.lease_limit.0.as_millis(), 6000);
     assert_eq!(settings.trust_keys_for.0.as_millis(), 4500);
@@ -114,6 +115,27 @@
     }
 }
 
+/// Guards against orders without the store that nobody asked for, or that go on for as long as an
+/// outage lasts.
+#[test]
+fn orders_without_the_store_are_off_by_default_and_bounded() {
+    let text = |order_alone: &str| {
+        format!(
+            "[instance]\nname = a\nzone = b\n[caller]\nlisten = 127.0.0.1:1\n\
+             [peer]\nlisten = 127.0.0.1:2\n[platform]\nstore = 127.0.0.1:3\n\
+             [maintenance]\n{order_alone}\n"
+        )
+    };
+    assert!(Settings::read(&text("")).unwrap().order_alone.0.is_zero());
+    assert!(Settings::read(&text("order_alone = 60s")).is_ok());
+    for wrong in ["order_alone = 61s", "order_alone = -1s", "order_alone = 10"] {
+        let mistakes = Settings::read(&text(wrong)).unwrap_err();
+        assert!(mistakes.iter().all(|mistake| mistake.key == "order_alone"), "{mistakes:?}");
+    }
+    let mistakes = Settings::read(&text("order_alone = 61s")).unwrap_err();
+    assert!(mistakes[0].to_string().contains("0s to 60s"), "{mistakes:?}");
+}
+
 #[test]
 fn every_counter_and_histogram_of_the_scheduler_is_explained() {
     let page = read_page("docs/OPERATIONS.md");
