Test moves between pools during an outage of the store with real processes

The machine interface of the platform's stand-in refused every move as busy. It now carries moves out when a test asks for that: the machine is listed as moving, its worker ends, and after 400 ms a new one registers in the new pool.

--- a/crates/standin/src/site/machine.rs
+++ b/crates/standin/src/site/machine.rs
@@ -1,4 +1,5 @@
-//! The interface to machines: their list, and upkeep, after which a machine has a new worker.
+//! The interface to machines: their list, moves between pools, and upkeep, after both of which a
+//! machine has a new worker.
 
 use crate::serve::Server;
 use crate::site::any_port;
@@ -19,11 +20,15 @@
 /// Time that a machine is down for its upkeep.
 const UPKEEP_DURATION: Duration = Duration::from_millis(400);
 
+/// Time that a machine takes to move to another pool.
+const MOVE_DURATION: Duration = Duration::from_millis(400);
+
 struct Machine {
     pool: String,
     worker: Option<Arc<Worker>>,
     /// Start of the upkeep that the machine is down for.
     down_since: Option<Instant>,
+    is_moving: bool,
     restart_count: u32,
 }
 
@@ -34,6 +39,8 @@
     due_by_wave: BTreeMap<u64, Vec<String>>,
     /// Upkeeps that were started.
     upkeeps: Vec<Upkeep>,
+    move_mode: MoveMode,
+    moves: Vec<Move>,
     workers: Vec<Arc<Worker>>,
     servers: Vec<Server>,
 }
@@ -51,6 +58,37 @@
     pub holder: String,
 }
 
+/// How orders for moves are answered.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum MoveMode {
+    /// Refused as if the machine were busy.
+    #[default]
+    Busy,
+    /// Refused with 503.
+    Unavailable,
+    /// Carried out.
+    Accept,
+}
+
+/// A move of a machine to another pool that was started.
+#[derive(Clone, Debug)]
+pub struct Move {
+    /// Name of the machine.
+    pub machine: String,
+    /// Id of the worker that it ended.
+    pub worker: String,
+    /// When it began.
+    pub began: Instant,
+    /// Its new pool.
+    pub pool: String,
+    /// Tasks on the machine that it ended.
+    pub ended: Vec<String>,
+    /// Lease holder named in the order.
+    pub holder: String,
+    /// Fencing token of the order.
+    pub token: u64,
+}
+
 /// The interface to all machines.
 pub struct Machines {
     store: Arc<Store>,
@@ -65,8 +103,13 @@
     pub(super) fn add(&self, name: &str, pool: &str, worker: Arc<Worker>, _: SocketAddr) {
         let mut state = self.state.lock();
         state.workers.push(worker.clone());
-        let machine =
-            Machine { pool: pool.into(), worker: Some(worker), down_since: None, restart_count: 0 };
+        let machine = Machine {
+            pool: pool.into(),
+            worker: Some(worker),
+            down_since: None,
+            is_moving: false,
+            restart_count: 0,
+        };
         state.machines.insert(name.into(), machine);
     }
 
@@ -113,12 +156,23 @@
         self.state.lock().upkeeps.clone()
     }
 
+    /// Sets how orders for moves are answered.
+    pub fn set_move_mode(&self, mode: MoveMode) {
+        self.state.lock().move_mode = mode;
+    }
+
+    /// Moves that were started, in order.
+    pub fn moves(&self) -> Vec<Move> {
+        self.state.lock().moves.clone()
+    }
+
     fn list(&self) -> Response {
         let state = self.state.lock();
         let to_json = |(name, machine): (&String, &Machine)| {
             let id = machine.worker.as_ref().map_or("", |worker| worker.id());
             let state_name = match (&machine.down_since, &machine.worker) {
                 (Some(_), _) => "upkeep",
+                _ if machine.is_moving => "moving",
                 (None, Some(_)) => "up",
                 (None, None) => "down",
             };
@@ -149,29 +203,61 @@
         let down = state.machines.values().filter(|machine| machine.down_since.is_some()).count();
         state.upkeeps.push(Upkeep { machine: name.clone(), down, ended, holder: holder.into() });
         self.store.delete_row("servers", "", worker.id());
-        task::spawn(finish_upkeep(self.state.clone(), self.store.clone(), name));
+        task::spawn(finish(self.state.clone(), self.store.clone(), name, UPKEEP_DURATION));
+        answer(200, json!({}))
+    }
+
+    fn change_pool(&self, body: &Value, holder: &str, token: u64) -> Response {
+        let text = |name: &str| body[name].as_str().unwrap_or_default().to_owned();
+        let (name, pool) = (text("machine"), text("pool"));
+        let mut state = self.state.lock();
+        match state.move_mode {
+            MoveMode::Busy => return answer(409, json!({ "reason": "busy" })),
+            MoveMode::Unavailable => return answer(503, json!({})),
+            MoveMode::Accept => {}
+        }
+        let Some(machine) = state.machines.get_mut(&name) else { return answer(400, json!({})) };
+        let Some(worker) = machine.worker.take() else {
+            return answer(409, json!({ "reason": "busy" }));
+        };
+        let ended = worker.running();
+        worker.crash();
+        machine.is_moving = true;
+        machine.pool = pool.clone();
+        state.moves.push(Move {
+            machine: name.clone(),
+            worker: worker.id().to_owned(),
+            began: Instant::now(),
+            pool,
+            ended,
+            holder: holder.into(),
+            token,
+        });
+        self.store.delete_row("servers", "", worker.id());
+        task::spawn(finish(self.state.clone(), self.store.clone(), name, MOVE_DURATION));
         answer(200, json!({}))
     }
 }
 
-/// Ends an upkeep after its duration and starts a new worker on the machine.
-async fn finish_upkeep(state: Arc<Mutex<State>>, store: Arc<Store>, name: String) {
-    task::sleep(UPKEEP_DURATION).await;
-    let id = {
+/// Ends an upkeep or a move after its duration and starts a new worker on the machine.
+async fn finish(state: Arc<Mutex<State>>, store: Arc<Store>, name: String, duration: Duration) {
+    task::sleep(duration).await;
+    let (id, pool) = {
         let mut state = state.lock();
         let Some(machine) = state.machines.get_mut(&name) else { return };
         machine.restart_count += 1;
-        format!("i-{name}-{}", machine.restart_count)
+        (format!("i-{name}-{}", machine.restart_count), machine.pool.clone())
     };
     let worker = Arc::new(Worker::new(&id));
     let Ok(server) = Server::start(any_port(), worker.clone()).await else { return };
-    store.put("servers", "", &id, &worker.entry("desk", server.address(), "ready"));
+    store.put("servers", "", &id, &worker.entry(&pool, server.address(), "ready"));
     let mut state = state.lock();
     state.workers.push(worker.clone());
     state.servers.push(server);
     if let Some(machine) = state.machines.get_mut(&name) {
         machine.worker = Some(worker);
         machine.down_since = None;
+        machine.is_moving = false;
     }
 }
 
@@ -183,7 +269,10 @@
         match request.path() {
             "/-/machines" => self.list(),
             "/-/machine-upkeep" => self.upkeep(&body, &holder),
-            "/-/machine-move" => answer(409, json!({ "reason": "busy" })),
+            "/-/machine-move" => {
+                let token = request.header("x-celerythread-fencing-token").unwrap_or_default();
+                self.change_pool(&body, &holder, token.parse().unwrap_or(0))
+            }
             _ => answer(404, json!({})),
         }
     }
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -8,6 +8,7 @@
 mod jobs;
 mod loss;
 mod maintenance;
+mod moves;
 mod scale;
 mod store;
 mod workspaces;
@@ -38,6 +39,7 @@
 [maintenance]
 lease = 300ms
 duration_s = 0.4
+order_alone = 10s
 
 [stop]
 bound = 3s
