Ask for a permission again in the same step

Cause: an idle minion is polled every 1.5 s or more, too rarely for a permission, which needs a call of the last 0.5 s. The owner polls it when it is asked, but the holder asked again only in its next step: after 0.2 s, and after 0.62 s where there are 31 pools, when that answer is too old again. So no idle machine would have moved there.

Change: the holder asks a second time after 60 ms. A refused token is logged once, and machines emptied without a row are logged.

--- a/crates/scheduler/src/fleet/pools.rs
+++ b/crates/scheduler/src/fleet/pools.rs
@@ -215,6 +215,11 @@
     for plan in moves.iter().filter(|plan| unwritten.contains(&plan.machine)) {
         if is_alone && plan.minion.is_some() {
             state.unrecorded.insert(plan.machine.clone(), target(plan));
+            let minion = plan.minion.as_deref().unwrap_or_default();
+            controller.node().journal.info(
+                "machine_emptying",
+                &[("machine", &plan.machine), ("minion", &minion), ("by", &Basis::Permission)],
+            );
         } else {
             state.pools.cancel_move(&plan.machine);
         }
--- a/crates/scheduler/src/fleet/without_store.rs
+++ b/crates/scheduler/src/fleet/without_store.rs
@@ -12,9 +12,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Longest wait for the owners' answers before machines are ordered by those that arrived: ten
-/// times the usual round trip.  Later answers are received in the background.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest wait for the owners' answers before machines are ordered by those that arrived: both
+/// rounds of questions with ten times the usual round trip each.  Later answers are received in the
+/// background.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time that an owner gets to poll idle minions before it is asked again in the same step.  The next
+/// step is too late for an answer of theirs: it comes after 620 ms where there are 31 pools.
+const POLL_TIME: Duration = Duration::from_millis(60);
+
+/// Number of times that an owner is asked in a step.
+const ROUNDS: usize = 2;
 
 /// Permissions that the owners have given, and the requests for them.
 #[derive(Default)]
@@ -84,20 +92,33 @@
     by_pool.into_iter().map(|(pool, machines)| (pool, machines.into_iter().collect())).collect()
 }
 
+/// Asks an owner for permissions, and once more for those that it didn't give: it polls these
+/// minions meanwhile.
 async fn request_permission(
     controller: Arc<Controller>,
     pool: String,
-    machines: Vec<(String, String)>,
+    mut machines: Vec<(String, String)>,
 ) {
-    let asked = clock::now();
-    let token = controller.owner.token;
-    let question = Question::Release { service: pool.clone(), machines, token, without_row: true };
-    let answer = peers::ask_owner(controller.node(), &pool, question).await;
-    let mut state = controller.state.lock();
-    state.permits.awaited.remove(&pool);
-    if let Some(Answer::Released { permitted }) = answer {
-        state.permits.record(permitted, asked);
+    for round in 0..ROUNDS {
+        if round > 0 {
+            async_std::task::sleep(POLL_TIME).await;
+        }
+        let asked = clock::now();
+        let question = Question::Release {
+            service: pool.clone(),
+            machines: machines.clone(),
+            token: controller.owner.token,
+            without_row: true,
+        };
+        let answer = peers::ask_owner(controller.node(), &pool, question).await;
+        let Some(Answer::Released { permitted }) = answer else { break };
+        machines.retain(|(_, minion)| !permitted.contains(minion));
+        controller.state.lock().permits.record(permitted, asked);
+        if machines.is_empty() {
+            break;
+        }
     }
+    controller.state.lock().permits.awaited.remove(&pool);
 }
 
 /// Cancels the moves of machines without rows that have not been ordered, once the outage has
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -31,11 +31,11 @@
 use celerythread_adapter::minion::Entry;
 use celerythread_engine::cell::{Cell, Incarnation, Order, Queue, Refusal, StartResult};
 use celerythread_engine::job::{Accepted, Id, TaskName};
-use celerythread_engine::release::Permissions;
 use celerythread_sync::Wake;
 use celerythread_wire::job::{Answer, Question};
 use delegation::Delegation;
 use parking_lot::Mutex;
+use release::Releases;
 use starts::Starts;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Display;
@@ -122,9 +122,8 @@
     pub(crate) delegation: Delegation,
     pub(crate) order_timeout: OrderTimeout,
     pub(crate) starts: Starts,
-    /// Permissions to order machines without the store; `None` if that is off.  The lock is taken
-    /// last.
-    permissions: Option<Mutex<Permissions>>,
+    /// Permissions to order machines without the store; `None` if that is off.
+    releases: Option<Releases>,
     stop_source: Mutex<Option<StopSource>>,
     pub(crate) stopped: StopToken,
 }
@@ -139,7 +138,7 @@
     ) -> Arc<Self> {
         let stop_source = StopSource::new();
         let stopped = stop_source.token();
-        let permissions = release::permissions(&node.settings);
+        let releases = Releases::new(&node.settings);
         Arc::new(Self {
             node,
             service: service.into(),
@@ -159,7 +158,7 @@
             delegation: Delegation::default(),
             order_timeout: OrderTimeout::default(),
             starts: Starts::default(),
-            permissions,
+            releases,
             stop_source: Mutex::new(Some(stop_source)),
             stopped,
         })
--- a/crates/scheduler/src/owner/release.rs
+++ b/crates/scheduler/src/owner/release.rs
@@ -10,12 +10,26 @@
 use celerythread_wire::job::Answer;
 use parking_lot::Mutex;
 use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicU64, Ordering};
 
-/// The permissions of an owner that takes a cell over now; `None` if no machine is ordered without
-/// the store.
-pub(super) fn permissions(settings: &Settings) -> Option<Mutex<Permissions>> {
-    let is_used = !settings.order_alone.0.is_zero();
-    is_used.then(|| Mutex::new(Permissions::new(clock::now(), settings.maintenance_lease.0)))
+/// What an owner has permitted and refused.
+pub(crate) struct Releases {
+    /// Locked after the owner's cell.
+    permissions: Mutex<Permissions>,
+    /// The last fencing token that was refused, to log it once.
+    refused_token: AtomicU64,
+}
+
+impl Releases {
+    /// Those of an owner that takes a cell over now; `None` if no machine is ordered without the
+    /// store.
+    pub(super) fn new(settings: &Settings) -> Option<Self> {
+        let is_used = !settings.order_alone.0.is_zero();
+        is_used.then(|| Self {
+            permissions: Mutex::new(Permissions::new(clock::now(), settings.maintenance_lease.0)),
+            refused_token: AtomicU64::new(0),
+        })
+    }
 }
 
 /// The cell's load, whose empty minions are those that the holder with `token` may order by row, or
@@ -24,8 +38,8 @@
     owner.with(|cell| {
         let now = clock::now();
         let mut load = cell.load(now);
-        if let Some(permissions) = &owner.permissions {
-            let permissions = permissions.lock();
+        if let Some(releases) = &owner.releases {
+            let permissions = releases.permissions.lock();
             let may_report = |id: &String| {
                 let minion = cell.minion(id.as_str());
                 minion.is_some_and(|it| permissions.may_report(&candidate(it), token, now))
@@ -50,7 +64,7 @@
             false => refused().map(Answer::Load),
         };
     }
-    if without_row && owner.permissions.is_none() {
+    if without_row && owner.releases.is_none() {
         return Some(Answer::Released { permitted: Vec::new() });
     }
     owner.node.view.write().release(minions.iter().map(|id| (*id).to_owned()));
@@ -68,13 +82,13 @@
 /// Whether the holder with this fencing token has not been replaced, as far as this owner knows
 /// from questions, the control table and the directory.
 fn admit(owner: &Owner, token: u64) -> bool {
-    let Some(permissions) = &owner.permissions else { return true };
+    let Some(releases) = &owner.releases else { return true };
     let known = owner.node.holder(rows::FLEET_CELL).map_or(0, |route| route.token);
-    let mut permissions = permissions.lock();
+    let mut permissions = releases.permissions.lock();
     permissions.admit(known);
     let is_admitted = permissions.admit(token);
     drop(permissions);
-    if !is_admitted {
+    if !is_admitted && releases.refused_token.swap(token, Ordering::SeqCst) != token {
         owner.node.journal.warn(
             "release_refused",
             &[("service", &owner.service), ("token", &token), ("known", &known)],
@@ -85,10 +99,10 @@
 
 /// Permits the orders for those machines whose minions are empty; returns these minions.
 fn permit<'a>(owner: &Owner, minions: &[&'a str], token: u64) -> Option<BTreeSet<&'a str>> {
-    let permissions = owner.permissions.as_ref()?;
+    let releases = owner.releases.as_ref()?;
     let permitted: BTreeSet<&str> = owner.with(|cell| {
         let now = clock::now();
-        let mut permissions = permissions.lock();
+        let mut permissions = releases.permissions.lock();
         let mut is_permitted = |id: &&&str| {
             let minion = cell.minion(id);
             minion.is_some_and(|it| permissions.permit(&candidate(it), token, now))
