--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -4,7 +4,7 @@
 //! progress, [`advice`] asks for tickets, [`quota`] enforces workspaces' limits, [`events`] logs the
 //! cell's events, [`activity`] the owner's load and [`capacity`] what its cell could still run.  [`calls`] are made to minions with the leases of
 //! [`grant`], at peak load through the entries of [`delegation`]; [`starts`] limits how many starts
-//! are unanswered.  This file holds what they share,
+//! are unanswered, and [`release`] answers requests to empty minions.  This file holds what they share,
 //! the planning loop, and the answers to other entries' questions.
 
 mod activity;
@@ -17,6 +17,7 @@
 pub(crate) mod load;
 pub(crate) mod persist;
 mod quota;
+mod release;
 mod starts;
 pub(crate) mod supervisor;
 
@@ -35,6 +36,7 @@
 use celerythread_wire::job::{Answer, Question};
 use delegation::Delegation;
 use parking_lot::Mutex;
+use release::Releases;
 use starts::Starts;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Display;
@@ -121,6 +123,8 @@
     pub(crate) delegation: Delegation,
     pub(crate) order_timeout: OrderTimeout,
     pub(crate) starts: Starts,
+    /// Permissions to order machines without the store; `None` if that is off.
+    releases: Option<Releases>,
     stop_source: Mutex<Option<StopSource>>,
     pub(crate) stopped: StopToken,
 }
@@ -135,6 +139,7 @@
     ) -> Arc<Self> {
         let stop_source = StopSource::new();
         let stopped = stop_source.token();
+        let releases = Releases::new(&node.settings);
         Arc::new(Self {
             node,
             service: service.into(),
@@ -154,6 +159,7 @@
             delegation: Delegation::default(),
             order_timeout: OrderTimeout::default(),
             starts: Starts::default(),
+            releases,
             stop_source: Mutex::new(Some(stop_source)),
             stopped,
         })
@@ -254,13 +260,10 @@
             }
             // Any entry answers these, not only the owner.
             Question::Submit { .. } | Question::Configuration { .. } => None,
-            Question::Load { .. } => self.with(|cell| Answer::Load(cell.load(clock::now()))),
-            Question::Release { machines, .. } => {
-                let minions = machines.iter().map(|(_, minion)| minion.clone());
-                self.node.view.write().release(minions);
-                self.sync_minions();
-                self.plan_wake.wake();
-                self.with(|cell| Answer::Load(cell.load(clock::now())))
+            Question::Load { .. } => release::load(self, None).map(Answer::Load),
+            Question::Release { machines, token, without_row, .. } => {
+                let minions: Vec<&str> = machines.iter().map(|(_, id)| id.as_str()).collect();
+                release::answer(self, &minions, *token, *without_row)
             }
             Question::Pending { queue, .. } => {
                 self.with(|cell| Answer::Pending(cell.queued_jobs(queue) as u32))
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -56,6 +56,8 @@
     pub share_by_urgency: bool,
     /// Whether a pool's first demand peak is expected to be as high as those of the others.
     pub expect_equal_peaks: bool,
+    /// Longest outage of the store during which machines are moved without it; zero to move none.
+    pub order_alone: Span,
     /// How long ended jobs are retained for queries by their callers.
     pub retention: Span,
     /// Time after a disturbance for which the platform doesn't count an entry as connected.
@@ -114,6 +116,7 @@
             orders_per_s: 64.0,
             share_by_urgency: false,
             expect_equal_peaks: false,
+            order_alone: Span::millis(0),
             retention: Span::secs(120),
             contact: Span::millis(3000),
             stop_bound: Span::millis(6000),
@@ -124,6 +127,10 @@
     }
 }
 
+/// Largest value of `order_alone`.  In a longer outage the holder's view of the pools, the
+/// configuration and the other entries is too old to move machines by.
+const MAX_ORDER_ALONE: Duration = Duration::from_secs(60);
+
 /// The sections of the file.
 const SECTIONS: [&str; 8] =
     ["instance", "caller", "peer", "metrics", "platform", "run", "maintenance", "stop"];
@@ -191,6 +198,7 @@
                 "expect_equal_peaks",
                 defaults.expect_equal_peaks,
             ),
+            order_alone: reader.value("maintenance", "order_alone", defaults.order_alone),
             stop_bound: reader.value("stop", "bound", defaults.stop_bound),
         }
     }
@@ -212,6 +220,11 @@
             );
             reader.add_mistake(Code::Contradiction, "maintenance", "orders_per_s", text);
         }
+        if self.order_alone.0 > MAX_ORDER_ALONE {
+            let text =
+                format!("order_alone {} is out of range; valid are 0s to 60s", self.order_alone);
+            reader.add_mistake(Code::Contradiction, "maintenance", "order_alone", text);
+        }
         if self.run_lease.0 < self.takeover_after.0 {
             let text = format!(
                 "lease {} is less than takeover_after {}; runs would end when their owner is lost",
