Bound a former owner's knowledge and leases from its last renewal

Cause: a successor of a silent owner counts its wait from its own takeover and treats every stored job as inherited.

Change: engine::store_clock bounds the store's time from readings in its answers. engine::ownership::former decides which version of the store bounds what a former owner knew, and until when its leases last, with local clocks off by 2%. Nothing uses the decisions yet.

--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -452,14 +452,17 @@
     }
 }
 
-/// Fields appended to a stored value since its first release.
+/// Most fields appended to a stored value since its first release.
 const MAX_MISSING_FIELDS: usize = 2;
 
-/// Decodes a value whose last fields older releases didn't write, up to [`MAX_MISSING_FIELDS`].
+/// Decodes a value whose last fields, at most two, older releases didn't write.
 ///
 /// The appended zero bytes decode as the defaults of these fields.  After a complete value they
 /// aren't read.
-fn decode_extended<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FormatError> {
+///
+/// # Errors
+/// Returns an error if the bytes are malformed.
+pub fn decode_extended<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FormatError> {
     decode(&[bytes, &[0; MAX_MISSING_FIELDS]].concat())
 }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,7 +7,8 @@
 //! unit that a single entry instance schedules; [`ownership`] decides which entry that is,
 //! [`delegation`] which entries make its calls to minions, and [`termination`] which minions of the
 //! former owner have terminated; [`window`] limits how many starts are unanswered; [`quota`] splits
-//! a workspace's limit between the cells; [`lease`] computes when a minion's leases have expired;
+//! a workspace's limit between the cells; [`lease`] computes when a minion's leases have expired, and
+//! [`store_clock`] bounds the time on the store's clock;
 //! [`maintenance`] takes machines through maintenance waves, and [`pools`] moves them between pools
 //! as demand changes; [`timeout`] adapts timeouts to the latency of answers, [`outage`] detects
 //! that a service is unavailable, and [`submission`] decides when to stop retrying a caller's
@@ -22,6 +23,7 @@
 pub mod ownership;
 pub mod pools;
 pub mod quota;
+pub mod store_clock;
 pub mod submission;
 pub mod termination;
 pub mod time;
--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -6,6 +6,7 @@
 //! measures on its own clock how long a holder's row has not changed, and takes over in a
 //! transaction that requires the row to be still unchanged.
 
+pub mod former;
 pub mod standby;
 
 use crate::time::Time;
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod delegation;
 mod fixture;
+mod former;
 mod jobs;
 mod lease;
 mod load;
@@ -18,6 +19,7 @@
 mod runs;
 mod sharing;
 mod standby;
+mod store_clock;
 mod submission;
 mod takeover;
 mod termination;
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 /// Time between two checks for changes while a feed call waits.
@@ -184,7 +184,10 @@
         let rows: Vec<Value> = keys.iter().take(limit).map(|key| tables.row_json(key)).collect();
         let more = keys.len() > limit;
         self.record_read(table, rows.len());
-        answer(200, json!({ "rows": rows, "morePages": more, "ver": tables.version }))
+        answer(
+            200,
+            json!({ "rows": rows, "morePages": more, "ver": tables.version, "nowMs": now_ms() }),
+        )
     }
 
     fn parts(&self, request: &Request) -> Response {
@@ -218,7 +221,7 @@
         if self.held_feed.lock().as_deref() == Some(table) {
             return timed_out.then(|| {
                 self.record_read(table.into(), 0);
-                answer(200, json!({ "rows": [], "ver": after }))
+                answer(200, json!({ "rows": [], "ver": after, "nowMs": now_ms() }))
             });
         }
         let tables = self.tables.lock();
@@ -237,7 +240,7 @@
         let ready = timed_out || !rows.is_empty();
         ready.then(|| {
             self.record_read(table.into(), rows.len());
-            answer(200, json!({ "rows": rows, "ver": tables.version }))
+            answer(200, json!({ "rows": rows, "ver": tables.version, "nowMs": now_ms() }))
         })
     }
 }
@@ -271,6 +274,14 @@
     }
 }
 
+/// The store's steady clock, in milliseconds.
+fn now_ms() -> u64 {
+    /// What it shows when it is first read: different from any clock of an entry.
+    const START_MS: u64 = 7_000_000;
+    static STARTED: OnceLock<Instant> = OnceLock::new();
+    START_MS + STARTED.get_or_init(Instant::now).elapsed().as_millis() as u64
+}
+
 fn transact(tables: &mut Tables, body: &Value) -> Response {
     let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
     if ["expect", "writes", "remove"].iter().map(|name| list(name).len()).sum::<usize>()
@@ -287,7 +298,10 @@
         .map(|row| tables.row_json(&key(row)))
         .collect();
     if !mismatched.is_empty() {
-        return answer(412, json!({ "rows": mismatched, "ver": tables.version }));
+        return answer(
+            412,
+            json!({ "rows": mismatched, "ver": tables.version, "nowMs": now_ms() }),
+        );
     }
     tables.version += 1;
     for row in list("writes") {
@@ -296,7 +310,7 @@
     for row in list("remove") {
         tables.delete_at(key(&row));
     }
-    answer(200, json!({ "ver": tables.version }))
+    answer(200, json!({ "ver": tables.version, "nowMs": now_ms() }))
 }
 
 fn row_json((table, part, key): &Key, value: &str, version: u64) -> Value {
