Count a new owner's wait from the former owner's last renewal

A job accepted after an outage of the store waited for leases that its cell's former owner can't have granted.

Change: an entry's row states the latest time on the store's clock at which its renewal was sent, and a cell's row what its takeover knew of the former owners; rows of older releases lack these fields and are decoded as before. Members read a version of the store once a holder has been silent for long enough. A new owner waits until the earlier of both bounds, and inherits only jobs that the former owner can have known. A renewal that was sent before this entry took a cell no longer counts as proof for it: it can be committed after the cell is lost again. `cell_loaded` tells `inherited`, `wait_ms` and `bound`; new counters `waits_by_store_clock` and `jobs_not_inherited`.

--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -263,6 +263,7 @@
     membership::delete_former_entries(&node).await;
     async_std::task::spawn(upkeep.run());
     async_std::task::spawn(membership::follow_control(node.clone()));
+    async_std::task::spawn(membership::version::read_forever(node.clone()));
     async_std::task::spawn(membership::renew_forever(node.clone(), peer));
     node.journal.info("joined", &[("entry", &node.entry_id), ("peer", &peer)]);
     membership::check_ownership_forever(node).await;
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -6,6 +6,7 @@
 mod control;
 pub(crate) mod directory;
 pub(crate) mod standby;
+pub(crate) mod version;
 
 use crate::clock;
 use crate::confirm;
@@ -15,8 +16,10 @@
 use crate::owner::{self, FormerOwner, Owner};
 use crate::rows;
 use celerythread_adapter::store::{Error, Row, Transaction};
-use celerythread_engine::job::{decode, encode};
+use celerythread_engine::job::encode;
+use celerythread_engine::ownership::former::{self, EarlierOwners};
 use celerythread_engine::ownership::{self, Decision, Holding};
+use celerythread_engine::time::Time;
 use control::ControlSink;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -94,8 +97,14 @@
     }
 }
 
-/// This entry's row as of a renewal.
-fn entry_row(node: &Node, peer: SocketAddr, number: u64, term: Duration) -> rows::Entry {
+/// This entry's row as of a renewal whose permits count from `sent`.
+fn entry_row(
+    node: &Node,
+    peer: SocketAddr,
+    number: u64,
+    term: Duration,
+    sent: Time,
+) -> rows::Entry {
     rows::Entry {
         name: node.settings.name.clone(),
         peer,
@@ -103,6 +112,7 @@
         renewal: number,
         power: node.millicores(),
         stopping: node.is_stopping(),
+        renewed_by_ms: node.store.clock().latest_ms(sent).unwrap_or(0),
     }
 }
 
@@ -113,23 +123,20 @@
 /// taken over, and in between would start tasks that its successor already runs.
 pub(crate) async fn renew(node: &Arc<Node>, peer: SocketAddr) -> bool {
     let (number, term) = node.begin_renewal();
-    let row = entry_row(node, peer, number, term);
+    let sent = clock::now();
+    let row = entry_row(node, peer, number, term, sent);
     let owned: Vec<(String, u64)> =
         node.owners.read().iter().map(|(cell, owner)| (cell.clone(), owner.token)).collect();
     let name = rows::entry(&node.entry_id);
     let change = Transaction {
         across_parts: !owned.is_empty(),
-        conditions: owned.into_iter().map(|(cell, token)| (rows::cell(&cell), token)).collect(),
+        conditions: owned.iter().map(|(cell, token)| (rows::cell(cell), *token)).collect(),
         writes: vec![(name.clone(), encode(&row))],
         ..Transaction::default()
     };
-    let sent = clock::now();
     let is_this_renewal = |found: &Row| found.value == encode(&row);
     match confirm::commit(node, &change, RENEWAL_TIMEOUT, &name, is_this_renewal).await {
-        Ok(_) => {
-            node.record_renewal(sent, term);
-            true
-        }
+        Ok(_) => node.record_renewal(sent, term, &owned),
         Err(Error::Conflict { rows: found }) => {
             release_lost_cells(node, &found);
             false
@@ -251,7 +258,10 @@
     let former = match (row.generation, row.former_stopped) {
         (0, _) => FormerOwner::None,
         (_, true) => FormerOwner::Stopped,
-        (_, false) => FormerOwner::Silent,
+        (_, false) => FormerOwner::Silent {
+            renewed_by_ms: row.former_renewed_by_ms,
+            known_version: row.former_known_version,
+        },
     };
     let owner = Owner::new(node.clone(), cell, holding.version, row.generation, former);
     if let Some(old) = owners.insert(cell.into(), owner.clone()) {
@@ -297,11 +307,32 @@
     row: Option<rows::Cell>,
 ) {
     let name = rows::cell(cell);
+    let evidence = former.as_ref().map(|(_, renewal)| {
+        let view = node.view.read();
+        view.watch.evidence(cell, version, *renewal)
+    });
+    let evidence = evidence.unwrap_or_default();
+    let earlier = match &row {
+        Some(row) if row.generation > 0 => EarlierOwners::RenewedBy(row.former_renewed_by_ms),
+        _ => EarlierOwners::None,
+    };
+    let (now, store_clock) = (clock::now(), node.store.clock());
     let generation = row.map_or(0, |row| row.generation + 1);
     // The missing row of a holder was deleted by its own instance's next process, or after a long
     // silence.  A holder never deletes its own row.
     let former_stopped = former.as_ref().is_none_or(|(_, version)| *version == 0);
-    let value = rows::Cell { holder: node.entry_id.clone(), generation, former_stopped };
+    let value = rows::Cell {
+        holder: node.entry_id.clone(),
+        generation,
+        former_stopped,
+        former_renewed_by_ms: former::renewed_by_ms(
+            evidence.renewed_by_ms,
+            earlier,
+            now,
+            &store_clock,
+        ),
+        former_known_version: evidence.known_version,
+    };
     let mut conditions = vec![(name.clone(), version)];
     conditions.extend(former.map(|(id, version)| (rows::entry(&id), version)));
     let change = Transaction {
@@ -345,6 +376,8 @@
         holder: successor.clone(),
         generation: row.generation + 1,
         former_stopped: true,
+        former_renewed_by_ms: node.store.clock().latest_ms(clock::now()).unwrap_or(0),
+        former_known_version: 0,
     };
     let change = Transaction {
         conditions: vec![(name.clone(), holding.version)],
@@ -352,7 +385,7 @@
         ..Transaction::default()
     };
     let is_handed_over =
-        |row: &Row| decode::<rows::Cell>(&row.value).is_ok_and(|cell| cell.holder != node.entry_id);
+        |row: &Row| rows::Cell::decode(&row.value).is_ok_and(|cell| cell.holder != node.entry_id);
     let done = confirm::commit(node, &change, COMMIT_TIMEOUT, &name, is_handed_over).await;
     let is_certain = matches!(done, Ok(_) | Err(Error::Conflict { .. }));
     if is_certain {
--- a/crates/scheduler/src/membership/control.rs
+++ b/crates/scheduler/src/membership/control.rs
@@ -5,7 +5,7 @@
 use crate::node::{Node, View};
 use crate::rows;
 use celerythread_adapter::store::Row;
-use celerythread_engine::job::decode;
+use celerythread_engine::ownership::former::{Renewal, Source};
 use celerythread_engine::ownership::{self, Holding};
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,11 +14,10 @@
 pub(crate) struct ControlSink(pub(crate) Arc<Node>);
 
 impl ControlSink {
-    fn apply_row(&self, view: &mut View, row: &Row) {
-        let now = clock::now();
+    fn apply_row(&self, view: &mut View, row: &Row, source: Source) {
         let key = row.key.as_str();
         if let Some(id) = key.strip_prefix(rows::ENTRY_PREFIX) {
-            apply_entry(view, id, row, now);
+            self.apply_entry(view, id, row, source);
         } else if let Some(cell) = key.strip_prefix(rows::CELL_PREFIX) {
             self.apply_cell(view, cell, row);
         } else if let Some(machine) = key.strip_prefix(rows::EMPTYING_PREFIX) {
@@ -38,7 +37,7 @@
             view.cell_rows.remove(cell);
             return;
         }
-        let Ok(value) = decode::<rows::Cell>(&row.value) else {
+        let Ok(value) = rows::Cell::decode(&row.value) else {
             self.0.journal.warn("cell_row_unreadable", &[("cell", &cell)]);
             return;
         };
@@ -48,28 +47,40 @@
                 "cell_held",
                 &[("cell", &cell), ("holder", &holding.holder), ("token", &holding.version)],
             );
+            view.watch.record_holder(cell, &holding.holder, row.version, clock::now());
             view.holdings.insert(cell.into(), holding);
             view.cell_rows.insert(cell.into(), value);
         }
     }
-}
 
-fn apply_entry(view: &mut View, id: &str, row: &Row, now: celerythread_engine::time::Time) {
-    if row.deleted {
-        view.entries.remove(id);
-        view.entry_rows.remove(id);
-        return;
-    }
-    let Ok(value) = decode::<rows::Entry>(&row.value) else { return };
-    if view.entries.get(id).is_none_or(|known| known.version < row.version) {
-        let first_seen = view.entries.get(id).map_or(now, |known| known.first_seen);
-        let (version, stopping) = (row.version, value.stopping);
-        let millicores = value.power;
-        let term = Duration::from_millis(value.term_ms.into());
-        let entry =
-            ownership::Entry { version, last_renewal: now, first_seen, term, stopping, millicores };
-        view.entries.insert(id.into(), entry);
-        view.entry_rows.insert(id.into(), value);
+    fn apply_entry(&self, view: &mut View, id: &str, row: &Row, source: Source) {
+        if row.deleted {
+            view.entries.remove(id);
+            view.entry_rows.remove(id);
+            view.watch.forget_entry(id);
+            return;
+        }
+        let Ok(value) = rows::Entry::decode(&row.value) else { return };
+        if view.entries.get(id).is_none_or(|known| known.version < row.version) {
+            let now = clock::now();
+            let first_seen = view.entries.get(id).map_or(now, |known| known.first_seen);
+            let (version, stopping) = (row.version, value.stopping);
+            let millicores = value.power;
+            let term = Duration::from_millis(value.term_ms.into());
+            let (number, renewed_by_ms) = (value.renewal, value.renewed_by_ms);
+            let renewal = Renewal { version, term, number, renewed_by_ms };
+            view.watch.record_renewal(id, renewal, source, now, &self.0.store.clock());
+            let entry = ownership::Entry {
+                version,
+                last_renewal: now,
+                first_seen,
+                term,
+                stopping,
+                millicores,
+            };
+            view.entries.insert(id.into(), entry);
+            view.entry_rows.insert(id.into(), value);
+        }
     }
 }
 
@@ -79,8 +90,11 @@
     }
 
     fn replace(&self, rows: Vec<Row>, version: u64) {
-        let mut fresh = View { version, ..View::default() };
-        rows.iter().for_each(|row| self.apply_row(&mut fresh, row));
+        let watch = self.0.view.read().watch.clone();
+        let mut fresh = View { version, watch, ..View::default() };
+        rows.iter().for_each(|row| self.apply_row(&mut fresh, row, Source::FullRead));
+        let View { watch, entries, .. } = &mut fresh;
+        watch.retain_entries(|id| entries.contains_key(id));
         let mut view = self.0.view.write();
         // An unchanged row doesn't reset the silence of its entry.
         for (id, entry) in &mut fresh.entries {
@@ -103,7 +117,7 @@
 
     fn apply_changes(&self, rows: Vec<Row>) {
         let mut view = self.0.view.write();
-        rows.iter().for_each(|row| self.apply_row(&mut view, row));
+        rows.iter().for_each(|row| self.apply_row(&mut view, row, Source::Feed));
         drop(view);
         for owner in self.0.owners.read().values() {
             owner.notify_minions_changed();
--- a/crates/scheduler/src/membership/standby.rs
+++ b/crates/scheduler/src/membership/standby.rs
@@ -126,7 +126,8 @@
         let power = node.millicores();
         let standby = rows::Standby { entry: node.entry_id.clone(), peer, power };
         let (number, term) = node.begin_renewal();
-        let entry = super::entry_row(node, peer, number, term);
+        let sent = clock::now();
+        let entry = super::entry_row(node, peer, number, term, sent);
         let change = Transaction {
             conditions: std::iter::once((name.clone(), version)).chain(condition).collect(),
             writes: vec![
@@ -136,9 +137,8 @@
             across_parts: true,
             ..Transaction::default()
         };
-        let sent = clock::now();
         if self.commit(&change, &name).await {
-            node.record_renewal(sent, term);
+            node.record_renewal(sent, term, &[]);
             node.metrics.count(Counter::StandbysClaimed);
             node.journal.info("standby_claimed", &[("slot", &name.key)]);
             node.renewal_due.wake();
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -57,6 +57,10 @@
     CellsLost,
     /// Cells handed to another entry.
     CellsHandedOver,
+    /// Takeovers whose wait for the former owner's leases was bounded by the store's clock.
+    WaitsByStoreClock,
+    /// Jobs found at takeovers that the former owner can't have started.
+    JobsNotInherited,
     /// Standby slots that this entry occupied.
     StandbysClaimed,
     /// Calls to the store that failed.
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -71,6 +71,8 @@
     pub(crate) released: BTreeMap<String, Time>,
     /// When a read of the control table was last answered.
     pub(crate) read_at: Time,
+    /// What is known of the cells' holders for a takeover.
+    pub(crate) watch: ownership::former::Watch,
 }
 
 impl View {
@@ -207,7 +209,7 @@
         Self {
             advice,
             entry_id: format!("{}.{:08x}", settings.name, rand::random::<u32>()),
-            store: store::Client::new(service(settings.store)),
+            store: store::Client::new(service(settings.store)).with_local_clock(clock::now),
             minion_client: minion::Client::new(caller.clone()),
             machines,
             settings,
@@ -372,11 +374,19 @@
         (renewal.count, term)
     }
 
-    /// Records a successful renewal with this term that was sent at `sent`.
-    pub(crate) fn record_renewal(&self, sent: Time, term: Duration) {
+    /// Records a successful renewal with this term that was sent at `sent` and proved ownership of
+    /// these cells, with their tokens; false if this entry owns another cell by now.
+    ///
+    /// A renewal that was sent before a takeover can be committed after the cell is lost again.
+    pub(crate) fn record_renewal(&self, sent: Time, term: Duration, of: &[(String, u64)]) -> bool {
         let took = clock::now().since(sent);
+        let is_of = |cell, token| of.iter().any(|known| (&known.0, known.1) == (cell, token));
+        if !self.owners.read().iter().all(|(cell, owner)| is_of(cell, owner.token)) {
+            return false;
+        }
         let mut renewal = self.renewal.lock();
         *renewal = Renewal { sent, term, took, ..*renewal };
+        true
     }
 
     /// Time since the last successful renewal was sent.
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -72,7 +72,12 @@
     /// It sent its last order before the cell was taken over.
     Stopped,
     /// It may continue to send orders until minions refuse them, and to extend leases for a time.
-    Silent,
+    Silent {
+        /// The latest time on the store's clock at which it can have renewed its row; 0 if unknown.
+        renewed_by_ms: u64,
+        /// Jobs with a higher version can't have been started by it; 0 if none are known.
+        known_version: u64,
+    },
 }
 
 /// Minions that have terminated, with the incarnation that ended, if known.
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::fleet;
 use crate::follow::{self, Need, Sink, Table};
+use crate::metrics::Counter;
 use crate::node::Node;
 use crate::owner::{FormerOwner, Owner};
 use crate::rows;
@@ -11,7 +12,9 @@
 use celerythread_engine::job::{Accepted, Id, Progress, decode, encode};
 use celerythread_engine::lease;
 use celerythread_engine::maintenance::Machine;
+use celerythread_engine::ownership::former::{self, Bound, Terms};
 use celerythread_engine::termination;
+use celerythread_engine::time::Time;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -101,18 +104,23 @@
 }
 
 /// When the leases of everything that the former owner ordered must have expired on minions that
-/// don't answer.
-fn former_lease_expiry(owner: &Owner) -> Option<celerythread_engine::time::Time> {
+/// don't answer, and by which bound.
+fn former_lease_expiry(owner: &Owner) -> Option<(Time, Bound)> {
     let settings = &owner.node.settings;
-    let lease = lease::max_duration(settings.run_lease.0);
     match owner.former {
         FormerOwner::None => None,
-        FormerOwner::Stopped => Some(clock::now() + lease),
-        // Its last renewal was before its row was first seen unchanged, so it stops extending
-        // leases before this.
-        FormerOwner::Silent => {
-            let extends = settings.extend_alone.0.saturating_sub(settings.takeover_after.0);
-            Some(clock::now() + extends + lease)
+        FormerOwner::Stopped => {
+            let lease = lease::max_duration(settings.run_lease.0);
+            Some((clock::now() + lease, Bound::Takeover))
+        }
+        FormerOwner::Silent { renewed_by_ms, .. } => {
+            let terms = Terms {
+                extend_alone: settings.extend_alone.0,
+                takeover_after: settings.takeover_after.0,
+                run_lease: settings.run_lease.0,
+            };
+            let store_clock = owner.node.store.clock();
+            Some(former::lease_expiry(&terms, renewed_by_ms, clock::now(), &store_clock))
         }
     }
 }
@@ -133,9 +141,9 @@
         retention: owner.node.settings.retention.0 + Duration::from_secs(30),
         ..Settings::default()
     };
-    let mut cell = Cell::new(settings, owner.generation, lease_expiry);
+    let mut cell = Cell::new(settings, owner.generation, lease_expiry.map(|(expiry, _)| expiry));
     let version = jobs.version;
-    let count = add_jobs(owner, &mut cell, jobs, progress);
+    let (count, inherited) = add_jobs(owner, &mut cell, jobs, progress);
     let roster: rows::Roster = roster.and_then(|row| decode(&row.value).ok()).unwrap_or_default();
     for minion in roster.minions {
         let id: Arc<str> = minion.into();
@@ -150,9 +158,22 @@
     if let Some(configuration) = owner.node.configuration() {
         owner.configure(&configuration);
     }
+    let wait = lease_expiry.map_or(Duration::ZERO, |(expiry, _)| expiry.since(clock::now()));
+    let bound = lease_expiry.map_or(Bound::Takeover, |(_, bound)| bound);
+    if bound == Bound::StoreClock {
+        owner.node.metrics.count(Counter::WaitsByStoreClock);
+    }
     owner.node.journal.info(
         "cell_loaded",
-        &[("service", &service), ("token", &owner.token), ("jobs", &count), ("version", &version)],
+        &[
+            ("service", &service),
+            ("token", &owner.token),
+            ("jobs", &count),
+            ("inherited", &inherited),
+            ("wait_ms", &wait.as_millis()),
+            ("bound", &bound),
+            ("version", &version),
+        ],
     );
     Ok(version)
 }
@@ -237,15 +258,16 @@
     (terminated, machines.len())
 }
 
-/// Adds stored jobs to a cell; returns how many.
-fn add_jobs(owner: &Owner, cell: &mut Cell, jobs: Page, progress: Page) -> usize {
+/// Adds stored jobs to a cell; returns how many, and how many of them a former owner may have
+/// started.
+fn add_jobs(owner: &Owner, cell: &mut Cell, jobs: Page, progress: Page) -> (usize, usize) {
     let progress: BTreeMap<String, Progress> = progress
         .rows
         .into_iter()
         .filter_map(|row| Some((row.key.clone(), decode_progress(&owner.node, &row)?)))
         .collect();
     let (now, wall) = (clock::now(), clock::wall_ms());
-    let mut count = 0;
+    let (mut count, mut inherited_count) = (0, 0);
     for row in &jobs.rows {
         let Some(id) = job_id(row, rows::JOB_PREFIX) else { continue };
         let accepted = match Accepted::decode(&row.value) {
@@ -256,16 +278,27 @@
             }
         };
         let age = Duration::from_millis(wall.saturating_sub(accepted.at_ms));
-        let inherited = owner.generation > 0;
+        let progress = progress.get(&id.to_string());
+        let inherited = match owner.former {
+            FormerOwner::Silent { known_version, .. } => {
+                former::is_inherited(known_version, row.version, progress.is_some())
+            }
+            _ => owner.generation > 0,
+        };
         count += 1;
-        cell.add_job(id, accepted, progress.get(&id.to_string()), inherited, age, now);
+        if inherited {
+            inherited_count += 1;
+        } else if owner.generation > 0 {
+            owner.node.metrics.count(Counter::JobsNotInherited);
+        }
+        cell.add_job(id, accepted, progress, inherited, age, now);
     }
     for row in &jobs.rows {
         if let Some(id) = job_id(row, rows::CANCEL_PREFIX) {
             cell.cancel(&id, now);
         }
     }
-    count
+    (count, inherited_count)
 }
 
 /// Decodes a job's progress; none, with a log line, if its row can't be read.
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -25,7 +25,7 @@
 //! partitions, entries lost their cells and callers were refused for as long as the store was slow.
 
 use celerythread_adapter::store::Name;
-use celerythread_engine::job::Id;
+use celerythread_engine::job::{FormatError, Id, decode_extended};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -74,6 +74,19 @@
     pub(crate) renewal: u64,
     /// Whether the entry is shutting down.
     pub(crate) stopping: bool,
+    /// The latest time on the store's clock at which this renewal can have been sent; 0 if unknown,
+    /// and in rows of releases that didn't store it.
+    pub(crate) renewed_by_ms: u64,
+}
+
+impl Entry {
+    /// Decodes a row.  Rows of older releases end before `renewed_by_ms`.
+    ///
+    /// # Errors
+    /// Returns an error if the bytes are malformed.
+    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, FormatError> {
+        decode_extended(bytes)
+    }
 }
 
 /// A cell's row, rewritten only when its holder changes.
@@ -85,6 +98,22 @@
     pub(crate) generation: u32,
     /// Whether the former holder had certainly sent its last order before this was written.
     pub(crate) former_stopped: bool,
+    /// The latest time on the store's clock at which any former holder can have sent its last
+    /// renewal; 0 if unknown, and in rows of releases that didn't store it.
+    pub(crate) former_renewed_by_ms: u64,
+    /// Jobs whose rows have a higher version can't have been started by a former holder; 0 if there
+    /// is no such version, and in rows of releases that didn't store it.
+    pub(crate) former_known_version: u64,
+}
+
+impl Cell {
+    /// Decodes a row.  Rows of older releases end before `former_renewed_by_ms`.
+    ///
+    /// # Errors
+    /// Returns an error if the bytes are malformed.
+    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, FormatError> {
+        decode_extended(bytes)
+    }
 }
 
 /// Where the holder of a cell is reached.
--- a/crates/scheduler/src/status.rs
+++ b/crates/scheduler/src/status.rs
@@ -137,9 +137,10 @@
     fn add_row(&mut self, row: &Row) {
         let key = row.key.as_str();
         let readable = if let Some(id) = key.strip_prefix(rows::ENTRY_PREFIX) {
-            decode(&row.value).map(|entry| self.entries.push(Entry::new(id, &entry)))
+            rows::Entry::decode(&row.value).map(|entry| self.entries.push(Entry::new(id, &entry)))
         } else if let Some(service) = key.strip_prefix(rows::CELL_PREFIX) {
-            decode(&row.value).map(|cell| self.cells.push(Cell::new(service, &cell, row.version)))
+            rows::Cell::decode(&row.value)
+                .map(|cell| self.cells.push(Cell::new(service, &cell, row.version)))
         } else if let Some(machine) = key.strip_prefix(rows::EMPTYING_PREFIX) {
             let minion = String::from_utf8_lossy(&row.value).into_owned();
             self.emptying.push(Emptying { machine: machine.into(), minion });
