--- a/tests/all/site/store.rs
+++ b/tests/all/site/store.rs
@@ -191,3 +191,41 @@
     }
     assert_eq!(check::at_most_once(&deployment.site.history()), Vec::<String>::new());
 }
+
+/// Guards against a wait for the former owner's leases before a job is started that was accepted
+/// after an outage of the store, in which the former owner was lost.
+#[async_std::test]
+async fn jobs_accepted_after_an_outage_are_not_inherited() {
+    let deployment = Deployment::start("store-after", 2, 2).await;
+    let owner = deployment.owner().unwrap();
+    let other = 1 - owner;
+    assert_eq!(deployment.submit(owner, &id(1), 1, "ms=50").await, 200);
+    deployment.wait_for_state(owner, &id(1), "completed").await;
+    deployment.site.store.set_fault_mode(FaultMode::Refuses);
+    deployment.entries[owner].signal("-STOP");
+    // Longer than the longest term.
+    task::sleep(Duration::from_millis(3_500)).await;
+    deployment.site.store.set_fault_mode(FaultMode::None);
+    let mut accepted = Vec::new();
+    let mut number = 2;
+    while !deployment.entries[other].has_logged("cell_loaded") {
+        assert!(number < 400, "no takeover");
+        if deployment.submit(other, &id(number), 1, "ms=50").await == 200 {
+            accepted.push(id(number));
+        }
+        number += 1;
+        task::sleep(Duration::from_millis(50)).await;
+    }
+    for job in &accepted {
+        deployment.wait_for_state(other, job, "completed").await;
+    }
+    let lines = deployment.entries[other].lines.lock().unwrap().clone();
+    let loaded = lines.iter().find(|line| line.contains("\"cell_loaded\"")).unwrap();
+    let loaded: Value = serde_json::from_str(loaded).unwrap();
+    let field = |name: &str| loaded["kvs"][name].to_string().trim_matches('"').to_owned();
+    let number = |name: &str| field(name).parse::<u64>().unwrap();
+    assert!(number("jobs") > number("inherited"), "{loaded}");
+    assert_eq!(field("bound"), "store_clock", "{loaded}");
+    assert!(number("wait_ms") < 1_500, "{loaded}");
+    assert_eq!(check::at_most_once(&deployment.site.history()), Vec::<String>::new());
+}
