Test the takeover of a cell from an entry of an older release

Cause: rows of entries and cells have new last fields, which older releases don't write.

Change: a test writes such rows of a silent entry and lets a new one take its cell.

--- a/tests/all/site/loss.rs
+++ b/tests/all/site/loss.rs
@@ -1,6 +1,7 @@
 //! Loss of owners and workers.
 
 use super::*;
+use celerythread_engine::job::encode;
 use celerythread_standin::site::check;
 use celerythread_standin::site::worker::FaultMode;
 
@@ -239,3 +240,30 @@
     assert_eq!(deployment.submit(0, &id(2), 2, "ms=50").await, 200);
     deployment.wait_for_state(0, &id(2), "completed").await;
 }
+
+/// Guards against a cell that nobody takes over from an entry of an older release, whose row doesn't
+/// state when its renewal was sent, or that is taken over with a wait from the time 0.
+#[async_std::test]
+async fn a_cell_of_an_older_release_is_taken_over() {
+    let site = Site::start(2).await.unwrap();
+    let peer: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    // Name, address, millicores, term, number of the renewal, stopping.
+    let entry = encode(&("old", peer, 1000_u32, 800_u32, 7_u64, false));
+    // Holder, number of earlier holders, whether the former one had stopped.
+    let cell = encode(&("old.1", 3_u32, false));
+    site.store.put("control", "entry/old.1", "entry/old.1", &entry);
+    site.store.put("control", "cell/desk", "cell/desk", &cell);
+    let mut deployment = Deployment { site, entries: Vec::new(), test: "older" };
+    deployment.add_entry("entry-0").await;
+    eventually("the service has an owner", async || deployment.owner()).await;
+    assert_eq!(deployment.submit(0, &id(1), 1, "ms=50").await, 200);
+    deployment.wait_for_state(0, &id(1), "completed").await;
+    let lines = deployment.entries[0].lines.lock().unwrap().clone();
+    let loaded = lines.iter().find(|line| line.contains("\"cell_loaded\"")).unwrap();
+    assert!(loaded.contains("\"bound\":\"takeover\""), "{loaded}");
+    let taken = lines.iter().find(|line| line.contains("\"cell_taken\"")).unwrap();
+    assert!(
+        taken.contains("\"generation\":\"4\"") || taken.contains("\"generation\":4"),
+        "{taken}"
+    );
+}
