List the guards of a takeover's bounds on the faults page

Cause: the page is printed from tests/all/faults, and rows had been added to the page by hand; the_faults_page_is_current failed.

Change: the rows are in tests/all/faults/platform.rs, and the page is printed from it.

--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -81,6 +81,36 @@
                 "engine::cell::Cell::plan",
                 "without_leave_to_start_nothing_is_started",
             ),
+            (
+                "a version of the store bounds what a silent owner knew only if read late enough",
+                "engine::ownership::former",
+                "an_answer_produced_before_the_moment_does_not_count",
+            ),
+            (
+                "a version read before a renewal of the owner bounds nothing",
+                "engine::ownership::former::Watch::record_renewal",
+                "a_renewal_in_a_gap_between_reads_voids_the_version",
+            ),
+            (
+                "jobs that an owner before the former one knew are inherited",
+                "engine::ownership::former::is_bounding",
+                "a_version_read_before_the_holder_took_the_cell_does_not_count",
+            ),
+            (
+                "a wait covers the leases of the owners before the former one",
+                "engine::ownership::former::renewed_by_ms",
+                "the_wait_covers_the_owners_before_the_former_one",
+            ),
+            (
+                "a renewal that is committed late doesn't shorten the wait for leases",
+                "engine::ownership::former::Watch::record_renewal",
+                "a_renewal_committed_late_does_not_shorten_the_wait",
+            ),
+            (
+                "a store's clock that stepped bounds nothing",
+                "engine::store_clock::StoreClock::record",
+                "no_bound_is_given_after_the_clock_stepped_forward",
+            ),
             (
                 "inherited tasks wait for every minion that may run them",
                 "engine::cell::Cell::is_takeover_complete",
