Let a new owner learn the results of its predecessors' trials

Callers saw: a job failed although none of its tasks crashes minions (plan 0 KilledBefore, 76 Isolated, 123 KilledAfter, 138 Isolated, 153 AnswerLost, kept ids), and all tasks on a sixth minion were restarted (plans 12 KilledAfter, 39 KilledBefore, 92 KilledBefore, 121 Isolated and 8 KilledAfter, 27 Paused, 63 KilledAfter, 138 Partitioned).

Cause, from the timelines: what was stored of a trial said neither where it was nor how far it had come. A start that was never sent, and a crash that the former owner had seen begin, both counted as an uncertain trial.

Change: progress stores the minion and the incarnation of a task's last uncertain trial, and whether the minion had become silent after it confirmed the start (a field at the end; rows of older releases are read). A task is started on the minion that its record names, or recorded again. A new owner takes the trial back if the same incarnation answers, since that one refuses the former owner's orders by their token. If the incarnation has ended and was silent, the trial was a certain crash. Otherwise it stays uncertain. No write is added for tasks without points; one is for a trial whose minion becomes silent, and one if a recorded trial moves to another minion. Gangs are recorded without a minion, as before.

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -178,6 +178,8 @@
     pub(crate) events: Vec<Event>,
     /// Accounts of the workspaces, which limit what they have running.
     pub(crate) accounts: quota::Accounts,
+    /// Tasks whose trials under a former owner have no known result, by minion.
+    pub(crate) former_trials: crash::FormerTrials,
     /// Recent losses of minions, used to detect losses with a common cause.
     pub(crate) recent_losses: Vec<crash::Loss>,
 }
@@ -345,6 +347,7 @@
             queries: Vec::new(),
             events: Vec::new(),
             accounts: quota::Accounts::new(former_lease_expiry.is_none()),
+            former_trials: BTreeMap::new(),
             recent_losses: Vec::new(),
         }
     }
@@ -399,6 +402,7 @@
             self.active_jobs.insert(id);
         }
         self.jobs.insert(id, job);
+        self.add_former_trials(id, progress, now);
         true
     }
 
--- a/crates/engine/src/cell/crash.rs
+++ b/crates/engine/src/cell/crash.rs
@@ -15,9 +15,14 @@
 //!
 //! Once a minion has crashed after it started a task, each further start of the task is preceded by
 //! a persisted record that its minion may crash.  If the owner is lost during that trial, its
-//! successor counts it as uncertain, unless it finds the run.  Uncertain trials alone fail a job
-//! only if there are [`MIN_TRIALS`] of them, because an owner may be lost during the trial of a task
-//! that crashes nothing.
+//! successor learns the result from that minion ([`trial`]); otherwise it counts the trial as
+//! uncertain, unless it finds the run.  Uncertain trials alone fail a job only if there are
+//! [`MIN_TRIALS`] of them, because an owner may be lost during the trial of a task that crashes
+//! nothing.
+
+mod trial;
+
+pub(crate) use trial::FormerTrials;
 
 use crate::cell::minion::{Minion, MinionId, Run, RunPhase};
 use crate::cell::work::{Job, Phase, Task};
@@ -144,6 +149,15 @@
         Self { points: self.points.saturating_sub(LIKELY_CAUSE_POINTS), trials, ..self }
     }
 
+    /// The suspicion after the minion of the former owner's trial was found to have crashed.
+    fn with_certain_crash(self) -> Self {
+        if !self.is_restored || self.trials.uncertain == 0 {
+            return self;
+        }
+        let crashed = self.trials.crashed.saturating_add(1);
+        Self { trials: Trials { crashed, uncertain: self.trials.uncertain - 1 }, ..self }
+    }
+
     fn add_points(&mut self, points: u8) {
         self.points = self.points.saturating_add(points);
     }
@@ -378,42 +392,6 @@
         self.last_sweep = None;
     }
 
-    /// Records a possible crash for the runs on trial on a minion that became silent.
-    ///
-    /// Whether it crashed is known only seconds later.  If the owner were lost before that, the
-    /// crash would leave no trace, and its successor would start the task like any other.
-    pub(crate) fn mark_possible_crash(&mut self, id: &str) {
-        let Some(minion) = self.minions.get(id).filter(|minion| !minion.has_planned_end()) else {
-            return;
-        };
-        let on_trial = minion.runs.iter().filter(|(_, run)| run.is_on_trial());
-        self.set_possible_crash(on_trial.map(|(name, _)| *name).collect(), true);
-    }
-
-    /// Clears the possible crashes of the runs on a minion that answers.
-    pub(crate) fn clear_possible_crash(&mut self, id: &str) {
-        let Some(minion) = self.minions.get(id) else { return };
-        self.set_possible_crash(minion.runs.keys().copied().collect(), false);
-    }
-
-    /// Sets whether a crash under these tasks is possible and not known yet.
-    pub(crate) fn set_possible_crash(
-        &mut self,
-        names: SmallVec<[TaskName; 4]>,
-        is_crash_possible: bool,
-    ) {
-        for name in names {
-            let Some(job) = self.jobs.get_mut(&name.job) else { continue };
-            let is_open = !job.state().is_final();
-            let Some(task) = job.task(&name).filter(|_| is_open) else { continue };
-            let suspicion = task.suspicion;
-            if suspicion.is_crash_possible != is_crash_possible {
-                job.set_suspicion(&name, Suspicion { is_crash_possible, ..suspicion });
-                self.changed_jobs.insert(name.job);
-            }
-        }
-    }
-
     /// Records how long a run has lasted.  After the trial a crash is no longer possible, and after
     /// [`SUSPICION_RESET_AFTER`] its task's points are cleared.
     pub(crate) fn record_run_time(&mut self, id: &str, name: &TaskName) {
--- a/crates/engine/src/cell/place.rs
+++ b/crates/engine/src/cell/place.rs
@@ -104,6 +104,25 @@
         self.find_among(step, task, spread, may_run)
     }
 
+    /// A minion for a task, or one that is being emptied.  If a trial of the task is recorded, the
+    /// minion that the record names is preferred, because a trial on another needs another write.
+    pub(crate) fn find_for_start(
+        &self,
+        step: &Step,
+        task: &Task,
+        spread: &Spread,
+        now: Time,
+        may_run: impl Fn(&str) -> bool,
+    ) -> Option<MinionId> {
+        let find = |may_run: &dyn Fn(&str) -> bool| {
+            let minion = self.find_minion(step, task, spread, now, may_run);
+            minion.or_else(|| self.find_fallback(step, task, spread, now, may_run))
+        };
+        let recorded = task.recorded_minion();
+        let minion = recorded.and_then(|recorded| find(&|id| id == recorded && may_run(id)));
+        minion.or_else(|| find(&may_run))
+    }
+
     /// A minion that is being emptied, for a long-running task that found no other.
     ///
     /// While a wave empties most minions of a pool, the others may be full for a long time.  The
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -362,9 +362,7 @@
             };
             let has_ticket = |id: &str| !needs_ticket || self.ticket(&name, id, now).is_some();
             let may_run = |id: &str| can_host(id) && has_ticket(id);
-            let minion = self.find_minion(&step, task, used, now, may_run);
-            let minion = minion.or_else(|| self.find_fallback(&step, task, used, now, may_run));
-            let Some(minion) = minion else {
+            let Some(minion) = self.find_for_start(&step, task, used, now, may_run) else {
                 if needs_ticket {
                     self.request_advice(&name, (step.count - index) as usize, now);
                     return None;
@@ -380,10 +378,10 @@
                 }
                 return Some(name);
             };
-            if suspicion.needs_persisted_trial() && !job.is_possible_crash_persisted(task) {
+            if suspicion.needs_persisted_trial() && !job.is_trial_persisted(task, &minion) {
                 // Persisted before the start: if the owner were lost during the trial, its
                 // successor would not know of the possible crash.
-                self.set_possible_crash(smallvec![name], true);
+                self.record_trial(&name, &minion);
                 continue;
             }
             if let Some(spread) = &mut spread {
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -198,6 +198,7 @@
     pub fn remove_terminated_minion(&mut self, id: &str, now: Time) {
         let Some(minion) = self.minions.remove(id) else { return };
         self.record_loss(&minion, Certainty::Certain, now);
+        self.resolve_former_trials(id, None, now);
         self.requeue_lost_runs(&minion.id, minion.runs, now);
     }
 
@@ -238,6 +239,9 @@
         for running in &report.running {
             self.process_running(id, running, now, &mut orders);
         }
+        if report.incarnation.is_some() {
+            self.resolve_former_trials(id, report.incarnation, now);
+        }
         match restart {
             Some(restart) => self.drop_lost_runs(id, &restart, report, sent, now),
             None => self.drop_vanished_runs(id, report, sent, now),
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -3,7 +3,7 @@
 use crate::cell::crash::Suspicion;
 use crate::cell::minion::MinionId;
 use crate::cell::quota::{AccountId, Charge};
-use crate::job::{Accepted, Definition, Id, Progress, State, Step, TaskName, Trials};
+use crate::job::{Accepted, Definition, Id, Progress, State, Step, TaskName, TrialPlace, Trials};
 use crate::time::Time;
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, BTreeSet};
@@ -52,6 +52,9 @@
     pub suspicion: Suspicion,
     /// Number of its job's change that last changed its suspicion.
     pub(crate) suspicion_change: u64,
+    /// Where a crash is possible or, until the result is known, where a former owner persisted that
+    /// one is.
+    pub(crate) trial_place: Option<Box<TrialPlace>>,
 }
 
 impl Task {
@@ -203,12 +206,14 @@
         if let Some(task) = self.task_mut(name) {
             task.suspicion = suspicion;
             task.suspicion_change = change;
+            if !suspicion.has_possible_crash() {
+                task.trial_place = None;
+            }
         }
     }
 
-    /// Whether the possible crash of a task about to start is recorded and persisted.
-    ///
-    /// Other changes of the job need not be persisted: one with many tasks always has some.
+    /// Whether the possible crash of a task about to start is recorded and persisted, on whichever
+    /// minion.
     pub(crate) fn is_possible_crash_persisted(&self, task: &Task) -> bool {
         task.suspicion.has_possible_crash() && self.persisted_changes >= task.suspicion_change
     }
@@ -363,6 +368,8 @@
             if task.suspicion.persisted_points() > 0 && task.phase != Phase::Done {
                 progress.suspicions.push((flat, task.suspicion.persisted_points()));
                 progress.trials.push((flat, task.suspicion.persisted_trials()));
+                let place = task.trial_place.as_deref().cloned();
+                progress.trial_places.extend(place.map(|place| (flat, place)));
             }
         }
         progress
@@ -396,6 +403,11 @@
                 self.started = true;
             }
         }
+        for (flat, place) in &progress.trial_places {
+            if let Some(task) = self.tasks.get_mut(*flat as usize) {
+                task.trial_place = Some(Box::new(place.clone()));
+            }
+        }
         self.persisted_changes = self.changes;
     }
 }
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -429,6 +429,8 @@
     pub suspicions: Vec<(u32, u8)>,
     /// Trials of these tasks.
     pub trials: Vec<(u32, Trials)>,
+    /// Where their last uncertain trials are, as far as known.
+    pub trial_places: Vec<(u32, TrialPlace)>,
 }
 
 /// Starts of a task that ended with the loss of its minion, or may have.
@@ -441,9 +443,20 @@
     pub uncertain: u8,
 }
 
+/// Where a task may crash its minion.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct TrialPlace {
+    /// The minion.
+    pub minion: Box<str>,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Whether it became silent after it had started the task.
+    pub silent: bool,
+}
+
 impl Progress {
-    /// Decodes stored progress.  Rows of releases that stored no suspicions or no trials end before
-    /// that field.
+    /// Decodes stored progress.  Rows of releases that stored no suspicions, trials or places end
+    /// before that field.
     ///
     /// # Errors
     /// Returns an error if the bytes are malformed.
@@ -453,7 +466,7 @@
 }
 
 /// Fields appended to a stored value since its first release.
-const MAX_MISSING_FIELDS: usize = 2;
+const MAX_MISSING_FIELDS: usize = 3;
 
 /// Decodes a value whose last fields older releases didn't write, up to [`MAX_MISSING_FIELDS`].
 ///
--- a/crates/engine/tests/all/jobs.rs
+++ b/crates/engine/tests/all/jobs.rs
@@ -2,7 +2,7 @@
 
 use crate::fixture::*;
 use celerythread_engine::cell::{EndReason, Refusal, StartResult};
-use celerythread_engine::job::{Progress, State, Step, Trials, encode};
+use celerythread_engine::job::{Progress, State, Step, TrialPlace, Trials, encode};
 
 #[test]
 fn a_step_waits_for_all_tasks_of_the_steps_before_it() {
@@ -159,20 +159,24 @@
         checkpoints: vec![(4, "00ab".into())],
         suspicions: vec![(5, 4)],
         trials: vec![(5, Trials { crashed: 1, uncertain: 1 })],
+        trial_places: vec![(
+            5,
+            TrialPlace { minion: "minion-1".into(), incarnation: 7, silent: true },
+        )],
     };
     assert_eq!(Progress::decode(&encode(&progress)).unwrap(), progress);
     assert!(Progress::decode(&[0xff; 3]).is_err());
 }
 
 /// Guards against rows that a new release can't decode because they were written by a release that
-/// stored no suspicions, or no trials.  Tasks that are done would run again.
+/// stored no suspicions, trials or places of trials.  Tasks that are done would run again.
 #[test]
 fn rows_without_suspicions_are_read() {
     let progress = Progress { done: vec![0, 7], ..Progress::default() };
     let bytes = encode(&progress);
-    for missing in 1..=2 {
+    for missing in 1..=3 {
         let (without_lists, end) = bytes.split_at(bytes.len() - missing);
-        assert_eq!(end, &[0, 0][..missing]);
+        assert_eq!(end, &[0, 0, 0][..missing]);
         assert_eq!(Progress::decode(without_lists).unwrap(), progress);
     }
 }
--- a/crates/engine/tests/all/matrix.rs
+++ b/crates/engine/tests/all/matrix.rs
@@ -137,6 +137,34 @@
     ]);
 }
 
+/// Guards against failing a job none of whose tasks crashes minions, because its owners were lost
+/// during trials whose minions went on working.
+#[test]
+fn a_job_whose_trials_crashed_no_minion_does_not_fail() {
+    use Fault::*;
+    check_plans(&[(
+        true,
+        &[
+            (0, KilledBefore),
+            (76, Isolated),
+            (123, KilledAfter),
+            (138, Isolated),
+            (153, AnswerLost),
+        ],
+    )]);
+}
+
+/// Guards against a sixth start of a task that crashes its minions, because a crash that the former
+/// owner had noticed counted as uncertain.
+#[test]
+fn a_crash_that_a_lost_owner_noticed_counts() {
+    use Fault::*;
+    check_plans(&[
+        (false, &[(12, KilledAfter), (39, KilledBefore), (92, KilledBefore), (121, Isolated)]),
+        (false, &[(8, KilledAfter), (27, Paused), (63, KilledAfter), (138, Partitioned)]),
+    ]);
+}
+
 #[test]
 fn the_checks_detect_an_invalid_history() {
     let mut simulation = Simulation::new(BTreeMap::new());
