Count no trial for a former owner of a step that it can't have reached

Cause, from the timeline: the first certain crash of an inherited job's task counts one uncertain trial and two points for the former owner, which may have started the task without a record. The task belonged to the third step, whose earlier steps only the new owner had run. With the two points, a second minion that crashed just after the task's end was enough.

Change: no such trial counts if a task of a step that this task's step waits for had a run under the new owner.

Evidence: a_task_that_no_former_owner_can_have_started_gets_no_trial_for_it, by its plan, failed before and passes.

--- a/crates/engine/src/cell/crash.rs
+++ b/crates/engine/src/cell/crash.rs
@@ -300,9 +300,12 @@
         if certainty == Certainty::Possible || !run.is_start_confirmed {
             return Trial::Uncertain;
         }
-        let is_inherited = self.jobs.get(&name.job).is_some_and(|job| job.inherited);
-        let is_own_run = run.number > self.generation * RUNS_PER_GENERATION;
-        Trial::Crashed { had_former_owner: is_inherited && is_own_run }
+        let own_runs_after = self.generation * RUNS_PER_GENERATION;
+        let may_have_former_run =
+            |job: &Job| job.inherited && !job.has_earlier_step_run_after(name, own_runs_after);
+        let had_former_owner = run.number > own_runs_after
+            && self.jobs.get(&name.job).is_some_and(may_have_former_run);
+        Trial::Crashed { had_former_owner }
     }
 
     /// The likely causes among a minion's runs: those on trial whose tasks already have points or,
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -294,6 +294,17 @@
         after.iter().all(|earlier| self.open_tasks(occurrence, *earlier) == 0)
     }
 
+    /// Whether a task of a step that this task's step waits for had a run with a number above
+    /// `number`.
+    pub(crate) fn has_earlier_step_run_after(&self, name: &TaskName, number: u32) -> bool {
+        let steps = &self.accepted.definition.steps;
+        let earlier = steps[name.step as usize].after.iter().flat_map(|step| {
+            let step = *step;
+            (0..steps[step as usize].count).map(move |index| TaskName { step, index, ..*name })
+        });
+        earlier.filter_map(|name| self.task(&name)).any(|task| task.last_run > number)
+    }
+
     /// The first task of each gang step that is not done.
     pub(crate) fn open_gangs(&self, job: Id) -> Vec<TaskName> {
         let steps = &self.accepted.definition.steps;
--- a/crates/engine/tests/all/matrix.rs
+++ b/crates/engine/tests/all/matrix.rs
@@ -165,6 +165,17 @@
     ]);
 }
 
+/// Guards against failing a job none of whose tasks crashes minions, because a former owner counts
+/// as one that may have started a task whose step only its successor has reached.
+#[test]
+fn a_task_that_no_former_owner_can_have_started_gets_no_trial_for_it() {
+    use Fault::*;
+    check_plans(&[(
+        false,
+        &[(13, Isolated), (48, Crash), (50, KilledAfter), (132, Restart), (164, Crash)],
+    )]);
+}
+
 #[test]
 fn the_checks_detect_an_invalid_history() {
     let mut simulation = Simulation::new(BTreeMap::new());
