--- a/crates/engine/tests/all/matrix.rs
+++ b/crates/engine/tests/all/matrix.rs
@@ -176,6 +176,30 @@
     )]);
 }
 
+/// A task that crashes its minions is started a sixth time, because two first starts left no record
+/// when their owners were lost, and a later crash counted as one with a common cause.
+#[test]
+fn a_crashing_task_whose_first_starts_left_no_record_is_given_up() {
+    use Fault::*;
+    check_plans(&[
+        (
+            false,
+            &[
+                (14, KilledBefore),
+                (40, KilledAfter),
+                (75, KilledBefore),
+                (135, KilledBefore),
+                (192, Isolated),
+            ],
+        ),
+        (
+            true,
+            &[(9, KilledBefore), (26, KilledBefore), (98, KilledAfter), (126, Crash), (153, Crash)],
+        ),
+        (false, &[(8, KilledBefore), (31, KilledAfter), (102, Isolated), (196, Crash)]),
+    ]);
+}
+
 #[test]
 fn the_checks_detect_an_invalid_history() {
     let mut simulation = Simulation::new(BTreeMap::new());
