--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -122,6 +122,8 @@
     pub(crate) accounts: quota::Accounts,
     /// Shares of workspaces in a pool that lacks capacity.
     pub(crate) shares: share::State,
+    /// Tasks whose trials under a former owner have no known result, by minion.
+    pub(crate) former_trials: crash::FormerTrials,
     /// Recent losses of minions, used to detect losses with a common cause.
     pub(crate) recent_losses: Vec<crash::Loss>,
 }
@@ -302,6 +304,7 @@
             events: Vec::new(),
             accounts: quota::Accounts::new(former_lease_expiry.is_none()),
             shares: share::State::default(),
+            former_trials: BTreeMap::new(),
             recent_losses: Vec::new(),
         }
     }
@@ -356,6 +359,7 @@
             self.active_jobs.insert(id);
         }
         self.jobs.insert(id, job);
+        self.add_former_trials(id, progress, now);
         true
     }
 
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -264,6 +264,8 @@
             let suspicion = task.suspicion;
             let suspected = suspicion.is_likely_cause();
             if suspected && !self.may_start_suspect(job, &name) {
+                // A trial that is not next must not count against it if the owner is lost.
+                self.set_possible_crash(smallvec![name], false);
                 continue;
             }
             if !self.is_within_limit(job, &step.need, 1, now) {
@@ -288,9 +290,7 @@
             };
             let has_ticket = |id: &str| !needs_ticket || self.ticket(&name, id, now).is_some();
             let may_run = |id: &str| can_host(id) && has_ticket(id);
-            let minion = self.find_minion(&step, task, used, now, may_run);
-            let minion = minion.or_else(|| self.find_fallback(&step, task, used, now, may_run));
-            let Some(minion) = minion else {
+            let Some(minion) = self.find_for_start(&step, task, used, now, may_run) else {
                 if needs_ticket {
                     self.request_advice(&name, (step.count - index) as usize, now);
                     return None;
@@ -306,10 +306,10 @@
                 }
                 return Some(name);
             };
-            if suspicion.needs_persisted_trial() && !job.is_possible_crash_persisted(task) {
+            if suspicion.needs_persisted_trial() && !job.is_trial_persisted(task, &minion) {
                 // Persisted before the start: if the owner were lost during the trial, its
                 // successor would not know of the possible crash.
-                self.set_possible_crash(smallvec![name], true);
+                self.record_trial(&name, &minion);
                 continue;
             }
             if let Some(spread) = &mut spread {
