--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -8,11 +8,13 @@
 //!
 //! [`turns`] predicts which pool's turn comes next, so that idle machines can move there before it.
 
+mod balance;
 mod load;
 mod share;
 mod turns;
 
 use crate::time::Time;
+pub use balance::Balance;
 pub use load::Load;
 use share::Claim;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -108,32 +110,6 @@
     pub decided_at: Time,
 }
 
-/// Demand and capacity of a pool, for the log and for maintenance.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Balance {
-    /// Cores that its finite tasks ask for.
-    pub demand: u64,
-    /// Cores in use by long-running tasks.
-    pub long_running: u64,
-    /// Machines that are in it and aren't leaving.
-    pub present: usize,
-    /// Machines that are moving to it.
-    pub arriving: usize,
-    /// Machines that it needs.
-    pub needed: usize,
-    /// Of these, the ones for long-running tasks and for jobs that can meet their objective.
-    pub timely: usize,
-    /// Minions without any task.
-    pub idle: usize,
-}
-
-impl Balance {
-    /// Machines beyond those that it needs.
-    pub fn surplus(&self) -> usize {
-        (self.present + self.arriving).saturating_sub(self.needed)
-    }
-}
-
 /// Input and result of one round of planning.
 struct Round<'a> {
     machines: &'a BTreeMap<String, Machine>,
