--- a/crates/engine/src/cell/quota.rs
+++ b/crates/engine/src/cell/quota.rs
@@ -24,6 +24,13 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct AccountId(u16);
 
+impl AccountId {
+    /// Its position among the cell's accounts.
+    pub(crate) fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
 /// What a run is charged to its workspace's account.
 #[derive(Clone, Copy, Debug)]
 pub struct Charge {
@@ -35,6 +42,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Accounts {
     list: Vec<Account>,
+    /// The workspaces' shares of short capacity relative to each other, by account; 0 without one.
+    weights: Vec<u64>,
     ids: BTreeMap<Box<str>, AccountId>,
     /// When the splits were last confirmed to be as read.
     confirmed_at: Option<Time>,
@@ -60,6 +69,7 @@
             account.confirm(confirmed);
         }
         self.list.push(account);
+        self.weights.push(0);
         self.ids.insert(workspace.into(), id);
         id
     }
@@ -68,6 +78,21 @@
         &self.list[id.0 as usize]
     }
 
+    /// Number of accounts.
+    pub(crate) fn count(&self) -> usize {
+        self.list.len()
+    }
+
+    /// The account at a position below [`Accounts::count`].
+    pub(crate) fn by_index(&self, index: usize) -> &Account {
+        &self.list[index]
+    }
+
+    /// The configured weight of an account's workspace; `None` without one.
+    pub(crate) fn weight(&self, index: usize) -> Option<u64> {
+        self.weights.get(index).copied().filter(|weight| *weight > 0)
+    }
+
     /// Charges a run that is being started.
     pub(crate) fn charge_run(&mut self, charge: Option<Charge>) {
         if let Some(Charge { account, need }) = charge {
@@ -99,6 +124,18 @@
         }
     }
 
+    /// Applies the workspaces' shares of short capacity from a configuration.
+    pub fn configure_weights(
+        &mut self,
+        weights: impl IntoIterator<Item = (Box<str>, u64)>,
+        now: Time,
+    ) {
+        for (workspace, weight) in weights {
+            let id = self.accounts.get_or_open(&workspace, self.holder(), now);
+            self.accounts.weights[id.0 as usize] = weight;
+        }
+    }
+
     /// Whether any workspace has a limit.
     pub fn has_limits(&self) -> bool {
         self.accounts.list.iter().any(|account| !account.limit().is_unlimited())
@@ -201,7 +238,7 @@
     }
 
     /// The account that limits a job's tasks; `None` if nothing limits them.
-    fn limited_account(&self, job: &Job) -> Option<AccountId> {
+    pub(crate) fn limited_account(&self, job: &Job) -> Option<AccountId> {
         let is_open = || self.queues.get(&job.accepted.queue).is_some_and(|queue| queue.public);
         job.account.filter(|_| job.accepted.origin != Origin::Unknown || !is_open())
     }
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -1,15 +1,16 @@
 //! Processing of minions' answers and of the results of orders.
 
+mod answer;
+
 use crate::cell::crash::Certainty;
-use crate::cell::minion::{Incarnation, Listing, Minion, MinionId, Run, RunPhase};
+use crate::cell::minion::{Listing, Minion, MinionId, Run, RunPhase};
 use crate::cell::work::{Phase, Task};
 use crate::cell::{Cell, Event, Order};
 use crate::job::{State, TaskName};
 use crate::time::Time;
-use serde::{Deserialize, Serialize};
+pub use answer::{End, EndReason, Refusal, Report, Running, StartResult};
 use smallvec::smallvec;
 use std::time::Duration;
-use strum::Display;
 
 /// Failures of this many different jobs without a success between them quarantine a minion.  A
 /// single job may fail through its own fault.
@@ -35,97 +36,6 @@
 /// State of a run to be stopped, due for the next plan to send the stop.
 pub(crate) const STOP_DUE: RunPhase = RunPhase::Stopping { ordered: Time(0), confirmed: None };
 
-/// How a run ended.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize, Deserialize)]
-#[strum(serialize_all = "snake_case")]
-pub enum EndReason {
-    /// It completed its work.
-    Done,
-    /// It failed, through its own fault or the minion's.
-    Failed,
-    /// It was stopped by an order.
-    Stopped,
-    /// Its lease expired.
-    Expired,
-    /// Another member of its gang ended.
-    PeerEnded,
-    /// The other members of its gang did not start in time.
-    PeersMissing,
-}
-
-/// A run that a minion lists.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Running {
-    /// The task.
-    pub task: TaskName,
-    /// The run's number.
-    pub run: u32,
-    /// Its latest checkpoint.
-    pub checkpoint: Option<Box<str>>,
-    /// Progress in percent; for long-running tasks, 100 means active.
-    pub percent: u8,
-    /// A rough figure for the last half second: for a serving task its tail latency in
-    /// milliseconds, for others the millicores in use.
-    pub load: Option<u64>,
-}
-
-/// The end of a run that a minion lists.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct End {
-    /// Its number in the minion's list of ends.
-    pub number: u64,
-    /// The task.
-    pub task: TaskName,
-    /// The run's number.
-    pub run: u32,
-    /// How it ended.
-    pub reason: EndReason,
-    /// Its last checkpoint.
-    pub checkpoint: Option<Box<str>>,
-}
-
-/// A minion's answer to a poll.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Report {
-    /// Incarnation of the minion, if the answer contains one.
-    pub incarnation: Option<Incarnation>,
-    /// All runs on the minion.
-    pub running: Vec<Running>,
-    /// Ends that are not acknowledged, at most 500.
-    pub finished: Vec<End>,
-}
-
-/// Why a minion refused a start.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize, Deserialize)]
-#[strum(serialize_all = "snake_case")]
-pub enum Refusal {
-    /// It has seen a higher fencing token.
-    Fenced,
-    /// A run with this number or a higher one was stopped or ended there.
-    StaleRun,
-    /// The order arrived after its deadline.
-    TooLate,
-    /// It has not enough free capacity.
-    NoRoom,
-    /// The ticket is missing or has expired.
-    NoTicket,
-    /// The order could not be decoded.
-    Malformed,
-    /// It is unhealthy, and did nothing.
-    Unhealthy,
-}
-
-/// Result of a start order.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub enum StartResult {
-    /// The run started; it may have ended since.
-    Started,
-    /// It was refused and will not run.
-    Refused(Refusal),
-    /// Unknown: it may run now or start later.
-    Unknown,
-}
-
 impl Minion {
     /// Returns the runs absent from the answer to a poll sent at `sent` that were active before
     /// then, or whose stop was confirmed before then.
@@ -198,6 +108,7 @@
     pub fn remove_terminated_minion(&mut self, id: &str, now: Time) {
         let Some(minion) = self.minions.remove(id) else { return };
         self.record_loss(&minion, Certainty::Certain, now);
+        self.resolve_former_trials(id, None, now);
         self.requeue_lost_runs(&minion.id, minion.runs, now);
     }
 
@@ -227,6 +138,7 @@
         }
         minion.answered = true;
         minion.reported_at = now;
+        minion.polled_at = minion.polled_at.max(sent);
         let seen = minion.seen;
         if minion.silent_since.take().is_some() {
             self.clear_possible_crash(id);
@@ -238,6 +150,9 @@
         for running in &report.running {
             self.process_running(id, running, now, &mut orders);
         }
+        if report.incarnation.is_some() {
+            self.resolve_former_trials(id, report.incarnation, now);
+        }
         match restart {
             Some(restart) => self.drop_lost_runs(id, &restart, report, sent, now),
             None => self.drop_vanished_runs(id, report, sent, now),
@@ -419,10 +334,10 @@
         job.started = true;
         match end.reason {
             EndReason::Done if !long_running => {
-                job.finish_task(&end.task);
+                job.finish_task(&end.task, now);
                 if gang {
                     // The members of a gang complete together, so one such end counts for all.
-                    job.finish_step(&end.task);
+                    job.finish_step(&end.task, now);
                 }
                 if job.is_done() && !job.state().is_final() {
                     job.outcome = Some(State::Completed);
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -3,7 +3,7 @@
 use crate::cell::crash::Suspicion;
 use crate::cell::minion::MinionId;
 use crate::cell::quota::{AccountId, Charge};
-use crate::job::{Accepted, Definition, Id, Progress, State, Step, TaskName, Trials};
+use crate::job::{Accepted, Definition, Id, Progress, State, Step, TaskName, TrialPlace, Trials};
 use crate::time::Time;
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, BTreeSet};
@@ -52,6 +52,9 @@
     pub suspicion: Suspicion,
     /// Number of its job's change that last changed its suspicion.
     pub(crate) suspicion_change: u64,
+    /// Where a crash is possible or, until the result is known, where a former owner persisted that
+    /// one is.
+    pub(crate) trial_place: Option<Box<TrialPlace>>,
 }
 
 impl Task {
@@ -76,6 +79,8 @@
     pub(crate) account: Option<AccountId>,
     /// Whether a task of it has waited for its workspace's limit.
     pub(crate) held_back: bool,
+    /// Whether it was ever passed over because its workspace used its share of the pool.
+    pub(crate) over_share: bool,
     /// Whether its caller has cancelled it.
     pub cancelled: bool,
     /// Its outcome, once it has completed or failed.
@@ -92,6 +97,9 @@
     offsets: SmallVec<[u32; 8]>,
     /// Number of tasks that are not done, by occurrence and step.
     pub(crate) open_counts: Vec<u32>,
+    /// When this owner learned that a step's last task was done, by occurrence and step; 0 before
+    /// that, and for steps restored as done.
+    done_at: Vec<Time>,
     /// Estimate of all of its work.
     pub(crate) total: Estimate,
     /// Estimate of its remaining work.
@@ -136,6 +144,7 @@
         let occurrences = definition.occurrences();
         let counts: Vec<u32> = definition.steps.iter().map(|step| step.count).collect();
         let open_counts = counts.repeat(occurrences as usize);
+        let done_at = vec![Time(0); open_counts.len()];
         let task = Task { waiting_since: accepted_at, ..Task::default() };
         let tasks = vec![task; (next * occurrences) as usize];
         let total = Estimate {
@@ -150,6 +159,7 @@
             known_since: accepted_at,
             account: None,
             held_back: false,
+            over_share: false,
             cancelled: false,
             outcome: None,
             started: false,
@@ -159,6 +169,7 @@
             tasks,
             offsets,
             open_counts,
+            done_at,
             total,
             remaining,
         }
@@ -203,12 +214,14 @@
         if let Some(task) = self.task_mut(name) {
             task.suspicion = suspicion;
             task.suspicion_change = change;
+            if !suspicion.has_possible_crash() {
+                task.trial_place = None;
+            }
         }
     }
 
-    /// Whether the possible crash of a task about to start is recorded and persisted.
-    ///
-    /// Other changes of the job need not be persisted: one with many tasks always has some.
+    /// Whether the possible crash of a task about to start is recorded and persisted, on whichever
+    /// minion.
     pub(crate) fn is_possible_crash_persisted(&self, task: &Task) -> bool {
         task.suspicion.has_possible_crash() && self.persisted_changes >= task.suspicion_change
     }
@@ -289,6 +302,32 @@
         after.iter().all(|earlier| self.open_tasks(occurrence, *earlier) == 0)
     }
 
+    /// When all steps that a step waits for were done; 0 if it waits for none.
+    pub(crate) fn step_ready_at(&self, occurrence: u32, step: u32) -> Time {
+        let steps = &self.accepted.definition.steps;
+        let first = occurrence as usize * steps.len();
+        let after = steps[step as usize].after.iter();
+        after.map(|earlier| self.done_at[first + *earlier as usize]).max().unwrap_or(Time(0))
+    }
+
+    /// The tasks of a step.
+    pub(crate) fn step_tasks(&self, occurrence: u32, step: u32) -> &[Task] {
+        let first = occurrence * self.tasks_per_occurrence() + self.offsets[step as usize];
+        let count = self.accepted.definition.steps[step as usize].count;
+        &self.tasks[first as usize..][..count as usize]
+    }
+
+    /// Whether a task of a step that this task's step waits for had a run with a number above
+    /// `number`.
+    pub(crate) fn has_earlier_step_run_after(&self, name: &TaskName, number: u32) -> bool {
+        let steps = &self.accepted.definition.steps;
+        let earlier = steps[name.step as usize].after.iter().flat_map(|step| {
+            let step = *step;
+            (0..steps[step as usize].count).map(move |index| TaskName { step, index, ..*name })
+        });
+        earlier.filter_map(|name| self.task(&name)).any(|task| task.last_run > number)
+    }
+
     /// The first task of each gang step that is not done.
     pub(crate) fn open_gangs(&self, job: Id) -> Vec<TaskName> {
         let steps = &self.accepted.definition.steps;
@@ -304,14 +343,14 @@
     }
 
     /// Marks a task as done.  Returns whether it was not done before.
-    pub(crate) fn finish_task(&mut self, name: &TaskName) -> bool {
-        self.flat_index(name).is_some_and(|flat| self.finish_task_at(flat))
+    pub(crate) fn finish_task(&mut self, name: &TaskName, now: Time) -> bool {
+        self.flat_index(name).is_some_and(|flat| self.finish_task_at(flat, now))
     }
 
     /// Marks all tasks of a step as done.
-    pub(crate) fn finish_step(&mut self, name: &TaskName) {
+    pub(crate) fn finish_step(&mut self, name: &TaskName, now: Time) {
         for index in 0..self.accepted.definition.steps[name.step as usize].count {
-            self.finish_task(&TaskName { index, ..*name });
+            self.finish_task(&TaskName { index, ..*name }, now);
         }
     }
 
@@ -323,7 +362,7 @@
         runs.len()
     }
 
-    fn finish_task_at(&mut self, flat: usize) -> bool {
+    fn finish_task_at(&mut self, flat: usize, now: Time) -> bool {
         let Some(task) = self.tasks.get_mut(flat) else { return false };
         if task.phase == Phase::Done {
             return false;
@@ -332,7 +371,11 @@
         task.checkpoint = None;
         let (occurrence, step, _) = self.position_of(flat as u32);
         let steps = self.accepted.definition.steps.len();
-        self.open_counts[occurrence as usize * steps + step as usize] -= 1;
+        let position = occurrence as usize * steps + step as usize;
+        self.open_counts[position] -= 1;
+        if self.open_counts[position] == 0 {
+            self.done_at[position] = now;
+        }
         self.remaining = Estimate::of(&self.accepted.definition, &self.open_counts);
         self.mark_changed();
         true
@@ -363,6 +406,8 @@
             if task.suspicion.persisted_points() > 0 && task.phase != Phase::Done {
                 progress.suspicions.push((flat, task.suspicion.persisted_points()));
                 progress.trials.push((flat, task.suspicion.persisted_trials()));
+                let place = task.trial_place.as_deref().cloned();
+                progress.trial_places.extend(place.map(|place| (flat, place)));
             }
         }
         progress
@@ -372,7 +417,7 @@
     pub(crate) fn restore(&mut self, progress: &Progress) {
         self.outcome = progress.outcome;
         for flat in &progress.done {
-            self.finish_task_at(*flat as usize);
+            self.finish_task_at(*flat as usize, Time(0));
             self.started = true;
         }
         for (flat, failed) in &progress.failed {
@@ -396,6 +441,11 @@
                 self.started = true;
             }
         }
+        for (flat, place) in &progress.trial_places {
+            if let Some(task) = self.tasks.get_mut(*flat as usize) {
+                task.trial_place = Some(Box::new(place.clone()));
+            }
+        }
         self.persisted_changes = self.changes;
     }
 }
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -1,6 +1,8 @@
 //! Jobs: their definition, their stored form and their progress.
 
-use serde::de::DeserializeOwned;
+mod format;
+
+pub use format::{FormatError, decode, decode_extended, encode};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use snafu::Snafu;
@@ -429,6 +431,8 @@
     pub suspicions: Vec<(u32, u8)>,
     /// Trials of these tasks.
     pub trials: Vec<(u32, Trials)>,
+    /// Where their last uncertain trials are, as far as known.
+    pub trial_places: Vec<(u32, TrialPlace)>,
 }
 
 /// Starts of a task that ended with the loss of its minion, or may have.
@@ -441,9 +445,20 @@
     pub uncertain: u8,
 }
 
+/// Where a task may crash its minion.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct TrialPlace {
+    /// The minion.
+    pub minion: Box<str>,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Whether it became silent after it had started the task.
+    pub silent: bool,
+}
+
 impl Progress {
-    /// Decodes stored progress.  Rows of releases that stored no suspicions or no trials end before
-    /// that field.
+    /// Decodes stored progress.  Rows of releases that stored no suspicions, trials or places end
+    /// before that field.
     ///
     /// # Errors
     /// Returns an error if the bytes are malformed.
@@ -451,34 +466,3 @@
         decode_extended(bytes)
     }
 }
-
-/// Fields appended to a stored value since its first release.
-const MAX_MISSING_FIELDS: usize = 2;
-
-/// Decodes a value whose last fields older releases didn't write, up to [`MAX_MISSING_FIELDS`].
-///
-/// The appended zero bytes decode as the defaults of these fields.  After a complete value they
-/// aren't read.
-fn decode_extended<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FormatError> {
-    decode(&[bytes, &[0; MAX_MISSING_FIELDS]].concat())
-}
-
-/// The error for a stored value that can't be decoded.
-#[derive(Debug, Snafu)]
-#[snafu(display("stored value can't be read: {source}"))]
-pub struct FormatError {
-    source: postcard::Error,
-}
-
-/// Encodes a value for the store.
-pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
-    postcard::to_stdvec(value).expect("these types always serialize")
-}
-
-/// Decodes a stored value.
-///
-/// # Errors
-/// Returns an error if the bytes are malformed.
-pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, FormatError> {
-    postcard::from_bytes(bytes).map_err(|source| FormatError { source })
-}
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the engine's rules, without a network or clocks.
 
+mod capacity;
 mod crashes;
 mod delegation;
 mod fixture;
+mod former;
 mod jobs;
 mod lease;
 mod load;
@@ -14,10 +16,13 @@
 mod placement;
 mod pools;
 mod quota;
+mod release;
 mod restarts;
 mod runs;
+mod share;
 mod sharing;
 mod standby;
+mod store_clock;
 mod submission;
 mod takeover;
 mod termination;
--- a/crates/engine/tests/all/matrix.rs
+++ b/crates/engine/tests/all/matrix.rs
@@ -85,6 +85,121 @@
     assert_eq!([kept_ids, new_ids], [Vec::<String>::new(), Vec::new()]);
 }
 
+/// A plan of faults, and whether crashed minions restart under their former ids.
+type Plan = (bool, &'static [(usize, Fault)]);
+
+fn check_plans(plans: &[Plan]) {
+    for (keeps_ids, plan) in plans {
+        let faults = plan.iter().copied().collect();
+        let simulation =
+            if *keeps_ids { Simulation::with_kept_ids(faults) } else { Simulation::new(faults) };
+        assert_eq!(simulation.run().failures(), Vec::<String>::new(), "{plan:?}");
+    }
+}
+
+/// Guards against failing a job none of whose tasks crashes minions, because its owners were lost
+/// when trials of several of its tasks were stored and one of them was started.
+#[test]
+fn a_job_with_stored_trials_that_never_began_does_not_fail() {
+    use Fault::*;
+    check_plans(&[
+        (
+            true,
+            &[
+                (72, KilledBefore),
+                (91, Outage),
+                (92, KilledAfter),
+                (100, KilledBefore),
+                (102, KilledAfter),
+            ],
+        ),
+        (
+            false,
+            &[
+                (17, Crash),
+                (73, KilledBefore),
+                (83, KilledAfter),
+                (91, Partitioned),
+                (107, KilledAfter),
+            ],
+        ),
+        (
+            false,
+            &[
+                (2, KilledBefore),
+                (72, KilledAfter),
+                (87, Crash),
+                (88, KilledBefore),
+                (144, AnswerLost),
+            ],
+        ),
+        (false, &[(2, KilledBefore), (65, Lost), (71, KilledBefore), (91, KilledAfter)]),
+    ]);
+}
+
+/// Guards against failing a job none of whose tasks crashes minions, because its owners were lost
+/// during trials whose minions went on working.
+#[test]
+fn a_job_whose_trials_crashed_no_minion_does_not_fail() {
+    use Fault::*;
+    check_plans(&[(
+        true,
+        &[
+            (0, KilledBefore),
+            (76, Isolated),
+            (123, KilledAfter),
+            (138, Isolated),
+            (153, AnswerLost),
+        ],
+    )]);
+}
+
+/// Guards against a sixth start of a task that crashes its minions, because a crash that the former
+/// owner had noticed counted as uncertain.
+#[test]
+fn a_crash_that_a_lost_owner_noticed_counts() {
+    use Fault::*;
+    check_plans(&[
+        (false, &[(12, KilledAfter), (39, KilledBefore), (92, KilledBefore), (121, Isolated)]),
+        (false, &[(8, KilledAfter), (27, Paused), (63, KilledAfter), (138, Partitioned)]),
+    ]);
+}
+
+/// Guards against failing a job none of whose tasks crashes minions, because a former owner counts
+/// as one that may have started a task whose step only its successor has reached.
+#[test]
+fn a_task_that_no_former_owner_can_have_started_gets_no_trial_for_it() {
+    use Fault::*;
+    check_plans(&[(
+        false,
+        &[(13, Isolated), (48, Crash), (50, KilledAfter), (132, Restart), (164, Crash)],
+    )]);
+}
+
+/// A task that crashes its minions is started a sixth time, because two first starts left no record
+/// when their owners were lost, and a later crash counted as one with a common cause.
+#[test]
+fn a_crashing_task_whose_first_starts_left_no_record_is_given_up() {
+    use Fault::*;
+    check_plans(&[
+        (
+            false,
+            &[
+                (14, KilledBefore),
+                (40, KilledAfter),
+                (75, KilledBefore),
+                (135, KilledBefore),
+                (192, Isolated),
+            ],
+        ),
+        (
+            true,
+            &[(9, KilledBefore), (26, KilledBefore), (98, KilledAfter), (126, Crash), (153, Crash)],
+        ),
+        (false, &[(8, KilledBefore), (31, KilledAfter), (102, Isolated), (196, Crash)]),
+    ]);
+}
+
 #[test]
 fn the_checks_detect_an_invalid_history() {
     let mut simulation = Simulation::new(BTreeMap::new());
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -2,20 +2,22 @@
 //!
 //! [`load`] reads the stored rows, [`supervisor`] polls and commands one minion, [`persist`] writes
 //! progress, [`advice`] asks for tickets, [`quota`] enforces workspaces' limits, [`events`] logs the
-//! cell's events and [`activity`] the owner's load.  [`calls`] are made to minions with the leases of
+//! cell's events, [`activity`] the owner's load and [`capacity`] what its cell could still run.  [`calls`] are made to minions with the leases of
 //! [`grant`], at peak load through the entries of [`delegation`]; [`starts`] limits how many starts
-//! are unanswered.  This file holds what they share,
+//! are unanswered, and [`release`] answers requests to empty minions.  This file holds what they share,
 //! the planning loop, and the answers to other entries' questions.
 
 mod activity;
 mod advice;
 mod calls;
+mod capacity;
 pub(crate) mod delegation;
 mod events;
 mod grant;
 pub(crate) mod load;
 pub(crate) mod persist;
 mod quota;
+mod release;
 mod starts;
 pub(crate) mod supervisor;
 
@@ -34,6 +36,7 @@
 use celerythread_wire::job::{Answer, Question};
 use delegation::Delegation;
 use parking_lot::Mutex;
+use release::Releases;
 use starts::Starts;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Display;
@@ -72,7 +75,12 @@
     /// It sent its last order before the cell was taken over.
     Stopped,
     /// It may continue to send orders until minions refuse them, and to extend leases for a time.
-    Silent,
+    Silent {
+        /// The latest time on the store's clock at which it can have renewed its row; 0 if unknown.
+        renewed_by_ms: u64,
+        /// Jobs with a higher version can't have been started by it; 0 if none are known.
+        known_version: u64,
+    },
 }
 
 /// Minions that have terminated, with the incarnation that ended, if known.
@@ -120,6 +128,8 @@
     pub(crate) delegation: Delegation,
     pub(crate) order_timeout: OrderTimeout,
     pub(crate) starts: Starts,
+    /// Permissions to order machines without the store; `None` if that is off.
+    releases: Option<Releases>,
     stop_source: Mutex<Option<StopSource>>,
     pub(crate) stopped: StopToken,
 }
@@ -134,6 +144,7 @@
     ) -> Arc<Self> {
         let stop_source = StopSource::new();
         let stopped = stop_source.token();
+        let releases = Releases::new(&node.settings);
         Arc::new(Self {
             node,
             service: service.into(),
@@ -153,6 +164,7 @@
             delegation: Delegation::default(),
             order_timeout: OrderTimeout::default(),
             starts: Starts::default(),
+            releases,
             stop_source: Mutex::new(Some(stop_source)),
             stopped,
         })
@@ -196,8 +208,12 @@
         });
         let workspaces = configuration.workspaces.iter();
         let limits = workspaces.map(|workspace| (workspace.name.as_str().into(), workspace.limit));
+        let workspaces = configuration.workspaces.iter();
+        let weights =
+            workspaces.map(|workspace| (workspace.name.as_str().into(), workspace.weight));
         self.with(|cell| {
             cell.configure(queues);
+            cell.configure_weights(weights, clock::now());
             cell.configure_limits(limits, configuration.version, clock::now());
         });
         self.plan_wake.wake();
@@ -249,13 +265,10 @@
             }
             // Any entry answers these, not only the owner.
             Question::Submit { .. } | Question::Configuration { .. } => None,
-            Question::Load { .. } => self.with(|cell| Answer::Load(cell.load(clock::now()))),
-            Question::Release { machines, .. } => {
-                let minions = machines.iter().map(|(_, minion)| minion.clone());
-                self.node.view.write().release(minions);
-                self.sync_minions();
-                self.plan_wake.wake();
-                self.with(|cell| Answer::Load(cell.load(clock::now())))
+            Question::Load { .. } => release::load(self, None).map(Answer::Load),
+            Question::Release { machines, token, without_row, .. } => {
+                let minions: Vec<&str> = machines.iter().map(|(_, id)| id.as_str()).collect();
+                release::answer(self, &minions, *token, *without_row)
             }
             Question::Pending { queue, .. } => {
                 self.with(|cell| Answer::Pending(cell.queued_jobs(queue) as u32))
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -43,6 +43,8 @@
     pub takeover_after: Span,
     /// Longest time that a minion takes to stop a run.
     pub stop_timeout: Span,
+    /// Whether workspaces share a pool's capacity by weight while it is short.
+    pub workspace_shares: bool,
     /// Term of a fleet controller's lease on a machine after an order, within which no other holder
     /// may order it.
     pub maintenance_lease: Span,
@@ -54,6 +56,8 @@
     pub share_by_urgency: bool,
     /// Whether a pool's first demand peak is expected to be as high as those of the others.
     pub expect_equal_peaks: bool,
+    /// Longest outage of the store during which machines are moved without it; zero to move none.
+    pub order_alone: Span,
     /// How long ended jobs are retained for queries by their callers.
     pub retention: Span,
     /// Time after a disturbance for which the platform doesn't count an entry as connected.
@@ -106,11 +110,13 @@
             // time; a slow store lengthens the term automatically.
             takeover_after: Span::millis(1300),
             stop_timeout: Span::millis(900),
+            workspace_shares: false,
             maintenance_lease: Span::millis(3000),
             maintenance_duration: Span::millis(2000),
             orders_per_s: 64.0,
             share_by_urgency: false,
             expect_equal_peaks: false,
+            order_alone: Span::millis(0),
             retention: Span::secs(120),
             contact: Span::millis(3000),
             stop_bound: Span::millis(6000),
@@ -121,6 +127,10 @@
     }
 }
 
+/// Largest value of `order_alone`.  In a longer outage the holder's view of the pools, the
+/// configuration and the other entries is too old to move machines by.
+const MAX_ORDER_ALONE: Duration = Duration::from_secs(60);
+
 /// The sections of the file.
 const SECTIONS: [&str; 8] =
     ["instance", "caller", "peer", "metrics", "platform", "run", "maintenance", "stop"];
@@ -170,6 +180,7 @@
             lease_limit: reader.value("run", "lease_limit", defaults.lease_limit),
             extend_alone: reader.value("run", "extend_alone", defaults.extend_alone),
             stop_timeout: reader.value("run", "stop_timeout", defaults.stop_timeout),
+            workspace_shares: reader.value("run", "workspace_shares", defaults.workspace_shares),
             maintenance_lease: reader.value("maintenance", "lease", defaults.maintenance_lease),
             maintenance_duration: {
                 let seconds = defaults.maintenance_duration.0.as_secs_f64();
@@ -187,6 +198,7 @@
                 "expect_equal_peaks",
                 defaults.expect_equal_peaks,
             ),
+            order_alone: reader.value("maintenance", "order_alone", defaults.order_alone),
             stop_bound: reader.value("stop", "bound", defaults.stop_bound),
         }
     }
@@ -208,6 +220,11 @@
             );
             reader.add_mistake(Code::Contradiction, "maintenance", "orders_per_s", text);
         }
+        if self.order_alone.0 > MAX_ORDER_ALONE {
+            let text =
+                format!("order_alone {} is out of range; valid are 0s to 60s", self.order_alone);
+            reader.add_mistake(Code::Contradiction, "maintenance", "order_alone", text);
+        }
         if self.run_lease.0 < self.takeover_after.0 {
             let text = format!(
                 "lease {} is less than takeover_after {}; runs would end when their owner is lost",
--- a/tests/all/pages.rs
+++ b/tests/all/pages.rs
@@ -1,8 +1,9 @@
 //! The pages on the daemon for the users' platform match its settings, metrics and tests.
 
+use celerythread_engine::cell::capacity::{Capacity, Usability, WaitReason};
 use celerythread_model::code::Code;
 use celerythread_model::ini::Mistake;
-use celerythread_scheduler::metrics::{Counter, Timing};
+use celerythread_scheduler::metrics::{Counter, Metrics, Timing};
 use celerythread_scheduler::{Daemon, Settings};
 use std::fs;
 use strum::VariantArray;
@@ -71,6 +72,10 @@
         ("{{#bounds.contactMs}}contact = {{.}}ms{{/bounds.contactMs}}", "contact = 6000ms"),
         ("{{bounds.stopTimeoutMs}}", "900"),
         ("{{#bounds.holdMaxMs}}lease_limit = {{.}}ms{{/bounds.holdMaxMs}}", "lease_limit = 6000ms"),
+        (
+            "{{#bounds.quotaWindowS}}workspace_shares = true{{/bounds.quotaWindowS}}",
+            "workspace_shares = true",
+        ),
         ("{{bounds.leaseMs}}", "3000"),
         ("{{bounds.upkeepS}}", "2.5"),
         (
@@ -96,10 +101,12 @@
     assert_eq!(settings.peer_listen.to_string(), "10.1.0.9:7060");
     assert_eq!(settings.maintenance_duration.0.as_millis(), 2500);
     assert_eq!(settings.orders_per_s, 590.0);
+    assert_eq!(settings.order_alone.0.as_millis(), 10_000);
     assert_eq!(settings.contact.0.as_millis(), 6000);
     assert_eq!(settings.lease_limit.0.as_millis(), 6000);
     assert_eq!(settings.trust_keys_for.0.as_millis(), 4500);
-    assert!(settings.strict_keys);
+    assert!(settings.strict_keys && settings.workspace_shares);
+    assert!(settings.share_by_urgency && settings.expect_equal_peaks);
     assert!(settings.advice.is_some() && settings.machines.is_some());
 }
 
@@ -114,6 +121,43 @@
     }
 }
 
+/// Guards against an unreadable value of `workspace_shares` that counts as a valid one.
+#[test]
+fn workspace_shares_are_off_unless_set() {
+    let required = "[instance]\nname = a\nzone = b\n[caller]\nlisten = 127.0.0.1:1\n[peer]\n\
+                    listen = 127.0.0.1:2\n[platform]\nstore = 127.0.0.1:3\n";
+    let read = |run: &str| Settings::read(&format!("{required}{run}"));
+    assert!(!read("").unwrap().workspace_shares);
+    assert!(!read("[run]\nworkspace_shares = false\n").unwrap().workspace_shares);
+    assert!(read("[run]\nworkspace_shares = true\n").unwrap().workspace_shares);
+    let mistakes = read("[run]\nworkspace_shares = yes\n").unwrap_err();
+    assert_eq!(mistakes.len(), 1);
+    assert_eq!((&*mistakes[0].section, &*mistakes[0].key), ("run", "workspace_shares"));
+    let text = format!("{:?}", mistakes[0]);
+    assert!(text.contains("`true` or `false`"), "{text}");
+}
+
+/// Guards against orders without the store that nobody asked for, or that go on for as long as an
+/// outage lasts.
+#[test]
+fn orders_without_the_store_are_off_by_default_and_bounded() {
+    let text = |order_alone: &str| {
+        format!(
+            "[instance]\nname = a\nzone = b\n[caller]\nlisten = 127.0.0.1:1\n\
+             [peer]\nlisten = 127.0.0.1:2\n[platform]\nstore = 127.0.0.1:3\n\
+             [maintenance]\n{order_alone}\n"
+        )
+    };
+    assert!(Settings::read(&text("")).unwrap().order_alone.0.is_zero());
+    assert!(Settings::read(&text("order_alone = 60s")).is_ok());
+    for wrong in ["order_alone = 61s", "order_alone = -1s", "order_alone = 10"] {
+        let mistakes = Settings::read(&text(wrong)).unwrap_err();
+        assert!(mistakes.iter().all(|mistake| mistake.key == "order_alone"), "{mistakes:?}");
+    }
+    let mistakes = Settings::read(&text("order_alone = 61s")).unwrap_err();
+    assert!(mistakes[0].to_string().contains("0s to 60s"), "{mistakes:?}");
+}
+
 #[test]
 fn every_counter_and_histogram_of_the_scheduler_is_explained() {
     let page = read_page("docs/OPERATIONS.md");
@@ -170,3 +214,64 @@
         assert!(text.contains(&format!("celerythread_{counter}_total ")), "{counter}");
     }
 }
+
+fn with_minions(minions: u64) -> Capacity {
+    let mut capacity = Capacity::default();
+    capacity.minions = minions;
+    capacity
+}
+
+/// Lines of the metrics page on the capacity of cells.
+fn capacity_lines(metrics: &Metrics) -> Vec<String> {
+    let page = metrics.page();
+    let lines = page.lines().filter(|line| line.starts_with("celerythread_capacity"));
+    lines.map(Into::into).collect()
+}
+
+/// Guards against a service whose name has letters with a meaning in the text format: a line feed
+/// would add a line to the page, and a quote make all of it unreadable.
+#[test]
+fn service_names_are_escaped_on_the_metrics_page() {
+    let metrics = Metrics::default();
+    metrics.set_capacity("a\"b\\c\nd", 1, with_minions(3));
+    let lines = capacity_lines(&metrics);
+    assert_eq!(lines[0], r#"celerythread_capacity_minions{service="a\"b\\c\nd"} 3"#);
+    assert!(lines.iter().all(|line| line.contains(r#"{service="a\"b\\c\nd""#)), "{lines:?}");
+}
+
+/// Guards against gauges that are left of a cell that the entry no longer owns, and against a late
+/// call of a former owner that replaces or removes those of the current one.
+#[test]
+fn gauges_belong_to_the_current_owner_of_a_cell() {
+    let metrics = Metrics::default();
+    metrics.set_capacity("desk", 7, with_minions(1));
+    metrics.set_capacity("hall", 5, with_minions(9));
+    metrics.set_capacity("desk", 8, with_minions(2));
+    metrics.set_capacity("desk", 7, with_minions(3));
+    metrics.remove_capacity("desk", 7);
+    let first = |service: &str| {
+        let name = format!("celerythread_capacity_minions{{service=\"{service}\"}} ");
+        capacity_lines(&metrics).iter().find_map(|line| Some(line.strip_prefix(&name)?.to_owned()))
+    };
+    assert_eq!(first("desk").as_deref(), Some("2"));
+    metrics.remove_capacity("desk", 8);
+    assert_eq!(first("desk"), None);
+    assert_eq!(first("hall").as_deref(), Some("9"));
+}
+
+#[test]
+fn every_gauge_and_field_of_the_capacity_report_is_explained() {
+    let page = read_page("docs/OPERATIONS.md");
+    let metrics = Metrics::default();
+    metrics.set_capacity("desk", 1, Capacity::default());
+    for line in capacity_lines(&metrics) {
+        let name = line.split('{').next().unwrap();
+        assert!(page.contains(&format!("`{name}`")), "{name}");
+    }
+    for usability in Usability::VARIANTS {
+        assert!(page.contains(&format!("`{usability}`")), "{usability}");
+    }
+    for reason in WaitReason::VARIANTS {
+        assert!(page.contains(&format!("`{reason}`")), "{reason}");
+    }
+}
