Play takeovers with the new bounds in the model of faults

Cause: the model's successor had its own bound and inherited every job, so the matrix said nothing about the new rules.

Change: the model's candidate observes the holder through the engine's `Watch` and `StoreClock`, and takes over with their bounds. Simulations with late jobs have callers that submit jobs before, during and after takeovers, known at once to every running owner. Two tests show that the model finds unsafe rules: jobs taken for unknown that the former owner learned of after its last renewal, and a wait that leaves out `extend_alone`. Checks, bounds and seeds of the existing tests are as before; their simulations without late jobs make the same calls until a takeover.

--- a/crates/engine/tests/all/matrix.rs
+++ b/crates/engine/tests/all/matrix.rs
@@ -6,7 +6,7 @@
 use crate::fixture::task;
 use crate::model::Start;
 use crate::model::owner::{CAPACITY, Call};
-use crate::model::simulation::{CHAINED_JOB, Fault, Simulation, TIME_LIMIT};
+use crate::model::simulation::{CHAINED_JOB, Fault, Rule, Simulation, TIME_LIMIT};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use strum::VariantArray;
@@ -16,21 +16,31 @@
 /// or pauses at that call.
 #[test]
 fn every_fault_at_every_call() {
-    check_every_fault(Simulation::new);
+    check_every_fault(Simulation::new, 1);
 }
 
 /// As above, with crashed minions restarting under their former ids.
 #[test]
 fn every_fault_at_every_call_with_minions_that_keep_their_ids() {
-    check_every_fault(Simulation::with_kept_ids);
+    check_every_fault(Simulation::with_kept_ids, 1);
 }
 
-fn check_every_fault(new_simulation: fn(BTreeMap<usize, Fault>) -> Simulation) {
+/// As above, with callers that submit jobs before, during and after each takeover: guards against a
+/// successor that starts a task of a job which its predecessor has started.
+///
+/// At every fifth call, since all of them take ten minutes; the random plans below have any.
+#[test]
+fn every_fault_at_some_calls_with_jobs_submitted_meanwhile() {
+    check_every_fault(|faults| Simulation::new(faults).with_late_jobs(Rule::Bounded), 5);
+}
+
+/// Injects each fault at each `interval`-th call.
+fn check_every_fault(new_simulation: fn(BTreeMap<usize, Fault>) -> Simulation, interval: usize) {
     let baseline = new_simulation(BTreeMap::new()).run();
     assert_eq!(baseline.failures(), Vec::<String>::new());
     assert!(baseline.crashing_starts() <= 3, "{} minions for one task", baseline.crashing_starts());
     let mut failed = Vec::new();
-    for call in 0..baseline.call_count {
+    for call in (0..baseline.call_count).step_by(interval) {
         for fault in Fault::VARIANTS {
             let found = new_simulation(BTreeMap::from([(call, *fault)])).run().failures();
             if !found.is_empty() {
@@ -69,6 +79,53 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
+
+    /// As above, with several faults and with jobs submitted meanwhile.
+    #[test]
+    fn several_faults_with_jobs_submitted_meanwhile(
+        plan in prop::collection::btree_map(0..800_usize, prop::sample::select(Fault::VARIANTS), 2..5)
+    ) {
+        let found = Simulation::new(plan).with_late_jobs(Rule::Bounded).run().failures();
+        prop_assert!(found.is_empty(), "{found:?}");
+    }
+}
+
+/// Whether a task runs twice at once under these faults and this rule.
+fn runs_twice(plan: &[(usize, Fault)], rule: Rule) -> bool {
+    let faults = plan.iter().copied().collect();
+    let failures = Simulation::new(faults).with_late_jobs(rule).run().failures();
+    failures.iter().any(|failure| failure.contains("twice at once"))
+}
+
+/// Guards against a model that can't tell an unsafe wait: one that leaves out that the former owner
+/// extended leases during an outage of the table.
+#[test]
+fn the_model_detects_a_wait_that_is_too_short() {
+    let plans = (60..400).step_by(4).map(|call| {
+        [(40, Fault::Outage), (call, Fault::Partitioned), (call + 2, Fault::KilledBefore)]
+    });
+    let broken = plans.into_iter().find(|plan| runs_twice(plan, Rule::LeaseOnly));
+    let broken = broken.expect("a plan that breaks the unsafe rule");
+    println!("{broken:?}");
+    assert!(!runs_twice(&broken, Rule::Bounded));
+}
+
+/// Guards against a model that can't tell an unsafe rule: one that takes the jobs stored after the
+/// former owner's last renewal for unknown to it.  It starts some of them before its next renewal.
+#[test]
+fn the_model_detects_jobs_wrongly_taken_for_unknown() {
+    let plans = (0..200).flat_map(|call| {
+        let lost = [2, 5, 8].map(|gap| (call + gap, Fault::KilledBefore));
+        lost.map(|lost| [(call, Fault::Partitioned), lost])
+    });
+    let broken = plans.into_iter().find(|plan| runs_twice(plan, Rule::SeenRenewal));
+    let broken = broken.expect("a plan that breaks the unsafe rule");
+    println!("{broken:?}");
+    assert!(!runs_twice(&broken, Rule::Bounded));
+}
+
 /// A task that crashes its minions is started a sixth time, because a crash is not counted when the
 /// owner is lost during a trial that was not persisted.
 #[test]
--- a/crates/engine/tests/all/model/owner.rs
+++ b/crates/engine/tests/all/model/owner.rs
@@ -26,7 +26,10 @@
 
 #[derive(Clone, Debug)]
 pub(crate) enum Call {
-    Renew,
+    Renew {
+        /// When it is sent for the first time.
+        sent: Option<Time>,
+    },
     Hold {
         minion: MinionId,
         /// The incarnation that last answered on the connection; none if it is new.
@@ -83,7 +86,7 @@
 impl Call {
     pub(crate) fn minion(&self) -> Option<MinionId> {
         match self {
-            Call::Renew | Call::Store { .. } => None,
+            Call::Renew { .. } | Call::Store { .. } => None,
             Call::Hold { minion, .. } | Call::Start { minion, .. } | Call::Stop { minion, .. } => {
                 Some(minion.clone())
             }
@@ -140,7 +143,7 @@
     pub(crate) fn plan_calls(&mut self, listed: &[MinionId], ledger_version: u64, now: Time) {
         if now >= self.next_renewal {
             self.next_renewal = now + RENEWAL_INTERVAL;
-            self.calls.push_back(Call::Renew);
+            self.calls.push_back(Call::Renew { sent: None });
         }
         for minion in listed {
             let listing = Listing { capacity: CAPACITY, ..Listing::default() };
@@ -228,7 +231,7 @@
         }
         match (call, answer) {
             (_, Answer::Superseded) => self.is_stopped = true,
-            (Call::Renew, Answer::Done) => self.last_renewal = now,
+            (Call::Renew { .. }, Answer::Done) => self.last_renewal = now,
             (Call::Store { batch, .. }, Answer::Done) => self.cell.record_persisted(batch),
             (Call::Hold { minion, .. }, Answer::Report(report)) => {
                 if let Some(incarnation) = report.incarnation {
--- a/crates/engine/tests/all/model/simulation.rs
+++ b/crates/engine/tests/all/model/simulation.rs
@@ -1,20 +1,20 @@
 //! A simulation with fault injection: successive owners, minions, the table and a caller.
 
+mod takeover;
 mod timeline;
 
-use super::owner::{
-    Answer, CAPACITY, Call, EXTEND_ALONE_LIMIT, LEASE_DURATION, LEASE_MARGIN, Owner,
-};
+pub(crate) use takeover::Rule;
+
+use super::owner::{Answer, CAPACITY, Call, EXTEND_ALONE_LIMIT, LEASE_DURATION, Owner};
 use super::{Minion, RunRecord, Table};
 use crate::fixture::{definition, id, step};
-use celerythread_engine::cell::{
-    Batch, Cell, EndReason, Incarnation, MinionId, Queue, Refusal, Settings,
-};
-use celerythread_engine::job::{Accepted, Definition, Id, State, Step, TaskName};
+use celerythread_engine::cell::{Batch, EndReason, Incarnation, MinionId, Refusal};
+use celerythread_engine::job::{Definition, Id, State, Step, TaskName};
 use celerythread_engine::time::Time;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use strum::VariantArray;
+use takeover::Candidate;
 
 const TICK: Duration = Duration::from_millis(20);
 /// Time without a renewal after which another entry takes over, by the daemon's default settings.
@@ -39,6 +39,10 @@
 const CANCELLED_JOB: u8 = 3;
 /// The job whose only task crashes each minion that starts it.
 const CRASHING_JOB: u8 = 4;
+/// Number of the first job that is submitted during a simulation with late jobs.
+const FIRST_LATE_JOB: u8 = 20;
+/// Jobs submitted during a simulation with late jobs.
+const LATE_JOBS: u8 = 8;
 /// Time from the start of the crashing task to the crash of its minion.
 const CRASH_DELAY: Duration = Duration::from_millis(10);
 /// Crashes of minions with the same task after which its job may fail, whatever caused them.
@@ -100,6 +104,8 @@
     /// Number of renewals that a candidate for the cell observed, and when it was first observed.
     observed_renewals: (u64, Time),
     cancelled: bool,
+    /// The entry that takes over next.
+    candidate: Candidate,
     /// What has happened so far, if it is recorded.
     timeline: Option<Vec<String>>,
 }
@@ -125,10 +131,11 @@
             owners: Vec::new(),
             observed_renewals: (0, START_TIME),
             cancelled: false,
+            candidate: Candidate::new(),
             timeline: None,
         };
         MINION_IDS.iter().for_each(|name| simulation.start_minion(name));
-        simulation.take_over(None);
+        simulation.take_over();
         simulation
     }
 
@@ -143,39 +150,10 @@
         self.minions.push(Minion::new(name, Incarnation(self.last_incarnation), CAPACITY));
     }
 
-    /// A new owner takes the cell and reads the table.
-    fn take_over(&mut self, former_lease_expiry: Option<Time>) {
-        self.table.token += 1;
-        let token = self.table.token;
-        self.record(|| format!("owner {token} takes over until {former_lease_expiry:?}"));
-        let generation = self.table.token as u32 - 1;
-        let mut cell = Cell::new(Settings::default(), generation, former_lease_expiry);
-        let queue = Queue { attempts: 2, ..Queue::default() };
-        cell.configure([("queue".into(), queue)]);
-        let inherited = former_lease_expiry.is_some();
-        if inherited {
-            self.roster.iter().for_each(|minion| cell.inherit_minion(minion));
-        }
-        for (id, definition) in jobs() {
-            let accepted = Accepted {
-                queue: "queue".into(),
-                at_ms: 0,
-                definition,
-                origin: celerythread_engine::job::Origin::Public,
-            };
-            let progress = self.table.progress.get(&id);
-            cell.add_job(id, accepted, progress, inherited, Duration::ZERO, self.now);
-        }
-        if self.cancelled {
-            cell.cancel(&id(CANCELLED_JOB), self.now);
-        }
-        self.owners.push(Owner::new(cell, self.table.token, self.now));
-        self.observed_renewals = (self.table.renewals, self.now);
-    }
-
     pub(crate) fn run(mut self) -> Self {
         while self.now < TIME_LIMIT && !self.is_finished() {
             self.advance();
+            self.submit_late_jobs();
             for index in 0..self.owners.len() {
                 self.drive(index);
             }
@@ -196,9 +174,13 @@
         let done = self.table.progress.get(&id(CHAINED_JOB)).and_then(|stored| stored.outcome);
         let crashing = self.table.progress.get(&id(CRASHING_JOB)).and_then(|stored| stored.outcome);
         let done = done == Some(State::Completed) || self.may_give_up(CHAINED_JOB);
+        let late = self.late_jobs().all(|job| {
+            let stored = self.table.progress.get(&id(job)).and_then(|stored| stored.outcome);
+            stored == Some(State::Completed) || self.may_give_up(job)
+        });
         let ended = done && crashing == Some(State::Failed);
         let long_running = self.active_long_running() == 2 || self.may_give_up(LONG_RUNNING_JOB);
-        quiet && !paused && ended && long_running
+        quiet && !paused && ended && long_running && late
     }
 
     fn active_long_running(&self) -> usize {
@@ -243,17 +225,6 @@
         }
     }
 
-    /// Lets another entry take over from an owner that doesn't renew.
-    fn take_over_if_silent(&mut self) {
-        let (observed, since) = self.observed_renewals;
-        if self.now < self.outage_until || self.table.renewals != observed {
-            self.observed_renewals = (self.table.renewals, self.now);
-        } else if self.now.since(since) >= TAKEOVER_DELAY {
-            let extends = EXTEND_ALONE_LIMIT.saturating_sub(TAKEOVER_DELAY);
-            self.take_over(Some(self.now + extends + LEASE_DURATION + LEASE_MARGIN));
-        }
-    }
-
     fn drive(&mut self, index: usize) {
         let now = self.now;
         let listed: Vec<MinionId> = self.minions.iter().map(|minion| minion.id.clone()).collect();
@@ -276,6 +247,10 @@
             self.owners[index].handle_answer(&call, Answer::Refused(Refusal::Unhealthy), self.now);
             return true;
         }
+        let call = match call {
+            Call::Renew { sent } => Call::Renew { sent: sent.or(Some(self.now)) },
+            call => call,
+        };
         let token = self.owners[index].token;
         let fault = self.faults.get(&self.call_count).copied();
         self.call_count += 1;
@@ -367,12 +342,15 @@
     pub(crate) fn execute(&mut self, token: u64, call: &Call) -> Answer {
         let now = self.now;
         match call {
-            Call::Renew | Call::Store { .. } if now < self.outage_until => return Answer::Unknown,
-            Call::Renew | Call::Store { .. } if token != self.table.token => {
+            Call::Renew { .. } | Call::Store { .. } if now < self.outage_until => {
+                return Answer::Unknown;
+            }
+            Call::Renew { .. } | Call::Store { .. } if token != self.table.token => {
                 return Answer::Superseded;
             }
-            Call::Renew => {
+            Call::Renew { sent } => {
                 self.table.renewals += 1;
+                self.write_renewal(token, sent.unwrap_or(now));
                 return Answer::Done;
             }
             Call::Store { version, .. } if *version != self.table.ledger_version => {
@@ -522,8 +500,21 @@
     }
 }
 
-/// The jobs that callers submit.
+/// Number of the late job with this index.
+fn late_job(index: u8) -> u8 {
+    FIRST_LATE_JOB + index
+}
+
+/// The jobs that callers may submit.
 fn jobs() -> Vec<(Id, Definition)> {
+    // Still running when another owner has taken over.
+    let long = Step { estimate_ms: 2500, ..step(1) };
+    let late = (0..LATE_JOBS).map(|index| (id(late_job(index)), definition(vec![long.clone()])));
+    base_jobs().into_iter().chain(late).collect()
+}
+
+/// The jobs that callers submit before the beginning.
+fn base_jobs() -> Vec<(Id, Definition)> {
     let after = |before: u32, step: Step| Step { after: [before].into_iter().collect(), ..step };
     // Ends before the next poll, so that an acknowledgement can cover an end not yet read.
     let quick = Step { estimate_ms: 40, ..step(2) };
--- /dev/null
+++ b/crates/engine/tests/all/model/simulation/takeover.rs
@@ -0,0 +1,233 @@
+//! Takeovers of the simulation: what the next owner observes, and the jobs that callers submit
+//! meanwhile.
+
+use super::{
+    CANCELLED_JOB, EXTEND_ALONE_LIMIT, LATE_JOBS, LEASE_DURATION, Simulation, TAKEOVER_DELAY,
+    base_jobs, late_job,
+};
+use crate::fixture::id;
+use crate::model::owner::Owner;
+use celerythread_engine::cell::{Cell, Queue, Settings};
+use celerythread_engine::job::{Accepted, Definition, Id, Origin};
+use celerythread_engine::ownership::former::{
+    EarlierOwners, Evidence, Renewal, Sending, Source, Terms, Watch, is_inherited, lease_expiry,
+    renewed_by_ms,
+};
+use celerythread_engine::store_clock::{Reading, StoreClock};
+use celerythread_engine::time::Time;
+use std::time::Duration;
+
+const CELL: &str = "svc";
+
+/// What the table's clock shows more than the others.
+const TABLE_CLOCK_AHEAD_MS: u64 = 50_000;
+
+/// Time between two jobs that callers submit.
+const SUBMISSION_INTERVAL: Duration = Duration::from_millis(400);
+
+/// By which rules a successor decides which jobs are inherited and how long it waits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Rule {
+    /// The engine's.
+    Bounded,
+    /// The jobs stored by the time at which the former owner's last renewal was seen, which misses
+    /// those that it learned of after that.
+    SeenRenewal,
+    /// A wait for the term of a lease from the last renewal, which ignores that the former owner
+    /// extended leases after it.
+    LeaseOnly,
+}
+
+/// The candidate for the cell, and the rows of the table that it reads.
+pub(crate) struct Candidate {
+    watch: Watch,
+    clock: StoreClock,
+    /// Renewals that it hasn't read, with their tokens.
+    unread: Vec<(u64, Renewal)>,
+    /// Number of renewals of the present holder.
+    renewals: u64,
+    /// Version of the table's last change.
+    version: u64,
+    /// Version of the holder's row.
+    holder_version: u64,
+    /// Version of the table when the holder's row was last seen to change.
+    seen_version: u64,
+    /// What the cell's row states of earlier owners, if there were any.
+    earlier: EarlierOwners,
+    rule: Rule,
+    /// Versions of the submitted jobs.
+    submitted: Vec<u64>,
+    late_jobs: u8,
+}
+
+impl Candidate {
+    pub(super) fn new() -> Self {
+        Self {
+            watch: Watch::default(),
+            clock: StoreClock::default(),
+            unread: Vec::new(),
+            renewals: 0,
+            version: 0,
+            holder_version: 0,
+            seen_version: 0,
+            earlier: EarlierOwners::None,
+            rule: Rule::Bounded,
+            submitted: Vec::new(),
+            late_jobs: 0,
+        }
+    }
+}
+
+fn owner_name(token: u64) -> String {
+    format!("owner-{token}")
+}
+
+fn table_ms(at: Time) -> u64 {
+    at.0 + TABLE_CLOCK_AHEAD_MS
+}
+
+impl Simulation {
+    /// Lets callers submit a job at regular intervals, from the beginning on.
+    pub(crate) fn with_late_jobs(self, rule: Rule) -> Self {
+        let candidate = Candidate { late_jobs: LATE_JOBS, rule, ..self.candidate };
+        Self { candidate, ..self }
+    }
+
+    /// The rule of its successors.
+    pub(super) fn rule(&self) -> Rule {
+        self.candidate.rule
+    }
+
+    /// The late jobs that are submitted in this simulation.
+    pub(super) fn late_jobs(&self) -> impl Iterator<Item = u8> {
+        (0..self.candidate.late_jobs).map(late_job)
+    }
+
+    /// Writes the row of a renewal by the owner with this token, sent at `sent`.
+    pub(super) fn write_renewal(&mut self, token: u64, sent: Time) {
+        let candidate = &mut self.candidate;
+        candidate.version += 1;
+        candidate.renewals += 1;
+        candidate.holder_version = candidate.version;
+        let (version, number) = (candidate.version, candidate.renewals);
+        let renewed_by_ms = table_ms(sent);
+        let renewal = Renewal { version, term: TAKEOVER_DELAY, number, renewed_by_ms };
+        candidate.unread.push((token, renewal));
+    }
+
+    /// Submits the jobs that are due.  Every running owner learns of them at once, also those that
+    /// can't reach the table.
+    pub(super) fn submit_late_jobs(&mut self) {
+        let now = self.now;
+        let next = self.candidate.submitted.len() as u8;
+        let due = super::START_TIME + SUBMISSION_INTERVAL * u32::from(next);
+        if next < self.candidate.late_jobs && now >= due && now >= self.outage_until {
+            self.candidate.version += 1;
+            self.candidate.submitted.push(self.candidate.version);
+        }
+        let submitted = self.candidate.submitted.len() as u8;
+        for owner in self.owners.iter_mut() {
+            if owner.paused_until.is_some_and(|until| now < until) {
+                continue;
+            }
+            for (job, definition) in (0..submitted).map(|number| late_definition(late_job(number)))
+            {
+                owner.cell.add_job(job, accepted(definition), None, false, Duration::ZERO, now);
+            }
+        }
+    }
+
+    /// A new owner takes the cell and reads the table.
+    pub(super) fn take_over(&mut self) {
+        let (now, clock) = (self.now, self.candidate.clock);
+        let token = self.table.token;
+        let evidence = self.candidate.watch.evidence(CELL, token, self.candidate.holder_version);
+        let known_version = match self.candidate.rule {
+            Rule::Bounded | Rule::LeaseOnly => evidence.known_version,
+            Rule::SeenRenewal => self.candidate.seen_version,
+        };
+        let Evidence { renewed_by_ms: holder, .. } = evidence;
+        let renewed_by_ms = renewed_by_ms(holder, self.candidate.earlier, now, &clock);
+        let former_lease_expiry = (token > 0).then(|| {
+            let extend_alone = match self.candidate.rule {
+                Rule::LeaseOnly => Duration::ZERO,
+                _ => EXTEND_ALONE_LIMIT,
+            };
+            let terms =
+                Terms { extend_alone, takeover_after: TAKEOVER_DELAY, run_lease: LEASE_DURATION };
+            lease_expiry(&terms, renewed_by_ms, now, &clock)
+        });
+        self.table.token += 1;
+        let token = self.table.token;
+        self.record(|| format!("owner {token} takes over until {former_lease_expiry:?}"));
+        let former_lease_expiry = former_lease_expiry.map(|(expiry, _)| expiry);
+        let generation = token as u32 - 1;
+        let mut cell = Cell::new(Settings::default(), generation, former_lease_expiry);
+        let queue = Queue { attempts: 2, ..Queue::default() };
+        cell.configure([("queue".into(), queue)]);
+        let is_silent = former_lease_expiry.is_some();
+        if is_silent {
+            self.roster.iter().for_each(|minion| cell.inherit_minion(minion));
+        }
+        let late = self.candidate.submitted.iter().enumerate();
+        let late =
+            late.map(|(number, version)| (*version, late_definition(late_job(number as u8))));
+        let jobs = base_jobs().into_iter().map(|job| (0, job)).chain(late);
+        for (version, (id, definition)) in jobs {
+            let progress = self.table.progress.get(&id);
+            let inherited = is_silent && is_inherited(known_version, version, progress.is_some());
+            cell.add_job(id, accepted(definition), progress, inherited, Duration::ZERO, now);
+        }
+        if self.cancelled {
+            cell.cancel(&id(CANCELLED_JOB), now);
+        }
+        self.owners.push(Owner::new(cell, token, now));
+        self.observed_renewals = (self.table.renewals, now);
+        if is_silent {
+            self.candidate.earlier = EarlierOwners::RenewedBy(renewed_by_ms);
+        }
+        self.candidate.version += 1;
+        self.candidate.watch.record_holder(CELL, &owner_name(token), token, now);
+        // The new owner's permits count from its takeover.
+        self.candidate.renewals = 0;
+        self.write_renewal(token, now);
+        self.observe();
+    }
+
+    /// Lets the candidate read the table.
+    fn observe(&mut self) {
+        let (now, candidate) = (self.now, &mut self.candidate);
+        let sent = now - super::TICK;
+        candidate.clock.record(Reading { now_ms: table_ms(now), sent, received: now });
+        for (token, renewal) in std::mem::take(&mut candidate.unread) {
+            let owner = owner_name(token);
+            candidate.watch.record_renewal(&owner, renewal, Source::Feed, now, &candidate.clock);
+            candidate.seen_version = candidate.version;
+        }
+        let sending = Sending::new(now, &candidate.clock);
+        if candidate.watch.is_read_due(sending) {
+            candidate.watch.record_read(sending, candidate.version);
+        }
+    }
+
+    /// Lets another entry take over from an owner that doesn't renew.
+    pub(super) fn take_over_if_silent(&mut self) {
+        if self.now >= self.outage_until {
+            self.observe();
+        }
+        let (observed, since) = self.observed_renewals;
+        if self.now < self.outage_until || self.table.renewals != observed {
+            self.observed_renewals = (self.table.renewals, self.now);
+        } else if self.now.since(since) >= TAKEOVER_DELAY {
+            self.take_over();
+        }
+    }
+}
+
+fn late_definition(job: u8) -> (Id, Definition) {
+    super::jobs().into_iter().find(|(known, _)| *known == id(job)).unwrap()
+}
+
+fn accepted(definition: Definition) -> Accepted {
+    Accepted { queue: "queue".into(), at_ms: 0, definition, origin: Origin::Public }
+}
--- a/crates/engine/tests/all/model/simulation/timeline.rs
+++ b/crates/engine/tests/all/model/simulation/timeline.rs
@@ -8,6 +8,10 @@
     /// and events of the cells, one line each.
     pub(super) fn replay_timeline(&self) -> String {
         let simulation = Self { keeps_ids: self.keeps_ids, ..Self::new(self.faults.clone()) };
+        let simulation = match self.late_jobs().count() {
+            0 => simulation,
+            _ => simulation.with_late_jobs(self.rule()),
+        };
         let replayed = Self { timeline: Some(Vec::new()), ..simulation }.run();
         replayed.timeline.into_iter().flatten().map(|line| line + "\n").collect()
     }
@@ -27,7 +31,7 @@
     ) {
         let is_routine = matches!(
             (call, answer),
-            (Call::Renew, Answer::Done) | (Call::Hold { .. }, Answer::Report(_))
+            (Call::Renew { .. }, Answer::Done) | (Call::Hold { .. }, Answer::Report(_))
         );
         let (token, number) = (self.owners[index].token, self.call_count - 1);
         if fault.is_some() || !is_routine {
