Log a crash that a new owner learns of from its predecessor's trial

Cause: a trial that a new owner found to be a certain crash counted against its task without a line in the log. Change: it records the event Suspected, as other crashes do (task_suspected).

--- a/crates/engine/src/cell/crash/trial.rs
+++ b/crates/engine/src/cell/crash/trial.rs
@@ -7,9 +7,9 @@
 //! Otherwise the trial stays uncertain: the start may not have been sent.
 
 use super::Suspicion;
-use crate::cell::Cell;
 use crate::cell::minion::{Incarnation, Minion, MinionId};
 use crate::cell::work::{Job, Task};
+use crate::cell::{Cell, Event};
 use crate::job::{Id, Progress, TaskName, TrialPlace};
 use crate::time::Time;
 use smallvec::SmallVec;
@@ -155,9 +155,18 @@
             } else {
                 continue;
             };
+            let is_crash = suspicion.trials.crashed > task.suspicion.trials.crashed;
             job.set_suspicion(&name, suspicion);
             let must_fail = job.crashes_minions();
             self.changed_jobs.insert(name.job);
+            if is_crash {
+                self.record_event(Event::Suspected {
+                    minion: id.into(),
+                    task: name,
+                    points: suspicion.points,
+                    given_up: suspicion.is_conclusive(),
+                });
+            }
             // Until the takeover is complete, the run may still be found.
             if must_fail && self.takeover_completed_at.is_some() {
                 self.fail_job(&name.job, now);
