--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -233,6 +233,31 @@
                 "engine::cell::crash::is_conclusive",
                 "trials_of_lost_owners_fail_a_job_only_with_enough_crashes",
             ),
+            (
+                "a trial is recorded for the next suspect of a job only",
+                "engine::cell::crash::is_next_suspect",
+                "a_trial_is_stored_for_the_next_suspect_only",
+            ),
+            (
+                "a new owner learns the result of its predecessor's trial from the minion",
+                "engine::cell::crash::trial::resolve_former_trials",
+                "a_trial_on_a_minion_that_answers_the_next_owner_was_no_crash",
+            ),
+            (
+                "the same for a minion that was silent and has ended",
+                "engine::cell::crash::trial::resolve_former_trials",
+                "a_trial_on_a_minion_that_was_silent_and_has_ended_was_a_crash",
+            ),
+            (
+                "a trial takes place on the minion that its record names",
+                "engine::cell::crash::trial::is_trial_persisted",
+                "a_trial_takes_place_on_the_stored_minion",
+            ),
+            (
+                "no trial counts for a former owner of a step that it can't have reached",
+                "engine::cell::work::has_earlier_step_run_after",
+                "a_task_that_no_former_owner_can_have_started_gets_no_trial_for_it",
+            ),
             (
                 "a crash after the trial is no trial",
                 "engine::cell::crash::record_loss",
