--- a/review/kit/src/harness.rs
+++ b/review/kit/src/harness.rs
@@ -91,9 +91,19 @@
         }
     }
 
-    /// Makes a task whose spec says `flaky=N` fail in its first N runs.
+    /// Makes a task whose spec says `flaky=N` fail in its first N runs.  One whose spec says `once`
+    /// fails in its first run and lasts from then on.
     fn plan_failure(&self, mut request: Request, mut body: Value) -> Request {
         let spec = body["spec"].as_str().unwrap_or_default().to_owned();
+        if spec.contains("once") {
+            let task = body["task"].as_str().unwrap_or_default().to_owned();
+            let mut counts = self.failures.lock().unwrap();
+            let count = counts.entry(task).or_default();
+            *count += 1;
+            body["spec"] = if *count == 1 { json!(format!("{spec} fail")) } else { json!("lasts") };
+            request.body = body.to_string().into_bytes();
+            return request;
+        }
         let failures = spec.split_whitespace().find_map(|word| word.strip_prefix("flaky="));
         let Some(failures) = failures.and_then(|text| text.parse::<u32>().ok()) else {
             return request;
@@ -388,7 +398,14 @@
 
     /// Writes the log lines of entries about who owns the cell into the record.
     pub fn record_owners(&self) {
-        let events = ["cell_taken", "cell_loaded", "cell_lost", "cell_handed_over", "history_gone"];
+        let events = [
+            "minion_quarantined",
+            "cell_taken",
+            "cell_loaded",
+            "cell_lost",
+            "cell_handed_over",
+            "history_gone",
+        ];
         for entry in &self.entries {
             for (at, line) in entry.lines.lock().unwrap().iter() {
                 let is_event = events.iter().any(|event| line.contains(&format!("\"{event}\"")));
--- a/review/kit/src/main.rs
+++ b/review/kit/src/main.rs
@@ -6,6 +6,7 @@
 mod cancelled;
 mod harness;
 mod policy;
+mod stalled;
 mod twice;
 
 use std::path::Path;
@@ -22,6 +23,7 @@
         "twice" => async_std::task::block_on(twice::run(record)),
         "cancelled" => async_std::task::block_on(cancelled::run(record)),
         "policy" => async_std::task::block_on(policy::run(record)),
+        "stalled" => async_std::task::block_on(stalled::run(record)),
         _ => Err(format!("unknown case {case}")),
     };
     match outcome {
