Wait for silent owners before an owner that stopped

What callers saw: tasks that may run once ran twice at the same time for 0.4 to 0.9 s. A zone was cut off with a cell's owner, the entry that took the cell over got SIGTERM and handed it on, and the third owner started the cut zone's tasks again while they ran there.

Cause: a cell's row said of the last owner only whether it had stopped. An owner that follows one that stopped waited for one lease term from its own takeover, and ignored owners before that one, which may extend leases for 3 s after their last renewal on minions that only they reach.

With the old rule in the engine's new function, the_wait_covers_silent_owners_before_owners_that_stopped, unknown_earlier_owners_are_waited_for_from_the_takeover and an_owner_that_departs_during_its_takeover_leaves_no_task_to_run_twice failed; they pass with the change.

Why this works: the row keeps apart from the last owner which owners before it may still extend leases (`earlier`), through any number of owners that stop, and the next owner waits for the later of both times. It is dropped when the takeover of the owner that hands over was complete, since each minion then refuses the earlier owners or their leases are over. The time is on the store's clock and has no effect once the leases are over, so a restarted owner whose completion isn't known costs nothing either.

The model of faults has three new faults (a zone cut off with the owner, a handover, a restart that deletes the owner's row).

--- a/crates/engine/src/ownership/former.rs
+++ b/crates/engine/src/ownership/former.rs
@@ -15,12 +15,18 @@
 //! last renewal was committed before the holder's takeover.  The version is therefore read after
 //! the takeover was seen, and the row of the cell keeps the time of the earlier owners' last
 //! renewal.
+//!
+//! An owner that stops extends no lease afterwards, but it says nothing about the owners before it:
+//! if they fell silent, they may extend leases for as long as if it hadn't stopped.  So the row of
+//! the cell keeps them apart from the last owner ([`Predecessors`]).
 
 use super::MAX_TERM;
 use crate::lease;
 use crate::store_clock::{StoreClock, certain, longest};
 use crate::time::Time;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::fmt;
 use std::time::Duration;
 
 /// The version of an entry's row as observed.
@@ -235,15 +241,67 @@
     is_long_unchanged || is_long_sent
 }
 
-/// The earlier owners of a cell, at the takeover from its holder.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// Owners of a cell that may still extend leases of runs that they started.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub enum EarlierOwners {
-    /// There were none.
+    /// Nothing is known of them, as in rows of releases that didn't store this.
+    #[default]
+    Unknown,
+    /// There are none.
     None,
-    /// Their last renewal was sent by this time on the store's clock, 0 if it is unknown.
+    /// Their last renewal was sent by this time on the store's clock.
     RenewedBy(u64),
 }
 
+impl fmt::Display for EarlierOwners {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unknown => f.write_str("unknown"),
+            Self::None => f.write_str("none"),
+            Self::RenewedBy(ms) => ms.fmt(f),
+        }
+    }
+}
+
+/// What the row of a cell states about the owners before its holder.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Predecessors {
+    /// Number of these owners.
+    pub count: u32,
+    /// Whether the last of them had certainly sent its last order before the holder took the cell.
+    pub is_last_stopped: bool,
+    /// The latest time on the store's clock at which any of them can have sent its last renewal; 0
+    /// if it is unknown.
+    pub renewed_by_ms: u64,
+    /// Those before the last one that may still extend leases.
+    pub earlier: EarlierOwners,
+}
+
+impl Predecessors {
+    /// All of them, for an observer that can't tell which ones have stopped.
+    pub fn all(&self) -> EarlierOwners {
+        match *self {
+            Self { count: 0, .. } => EarlierOwners::None,
+            Self { renewed_by_ms: 0, .. } => EarlierOwners::Unknown,
+            Self { renewed_by_ms, .. } => EarlierOwners::RenewedBy(renewed_by_ms),
+        }
+    }
+
+    /// Those that may still extend leases once the holder has stopped.
+    ///
+    /// `is_takeover_complete` says that every minion that they used refuses them, or that their
+    /// leases must have expired.
+    pub fn unstopped(&self, is_takeover_complete: bool) -> EarlierOwners {
+        if is_takeover_complete || self.count == 0 {
+            EarlierOwners::None
+        } else if self.is_last_stopped {
+            self.earlier
+        } else {
+            self.all()
+        }
+    }
+}
+
 /// The latest time on the store's clock at which any owner before a takeover can have renewed its
 /// row, for the row that the takeover writes; 0 if it is unknown.
 ///
@@ -257,7 +315,7 @@
 ) -> u64 {
     let known = match earlier {
         EarlierOwners::None => holder,
-        EarlierOwners::RenewedBy(0) => None,
+        EarlierOwners::Unknown => None,
         EarlierOwners::RenewedBy(earlier) => holder.map(|holder| holder.max(earlier)),
     };
     known.or_else(|| clock.latest_ms(now)).unwrap_or(0)
@@ -311,6 +369,24 @@
     }
 }
 
+/// When the leases of all former owners must have expired, for an owner whose predecessor stopped
+/// before `now` and had the owners `earlier` before it.
+pub fn lease_expiry_after_stop(
+    terms: &Terms,
+    earlier: EarlierOwners,
+    now: Time,
+    clock: &StoreClock,
+) -> (Time, Bound) {
+    let by_stop = (now + lease::max_duration(terms.run_lease), Bound::Takeover);
+    let renewed_by_ms = match earlier {
+        EarlierOwners::None => return by_stop,
+        EarlierOwners::Unknown => 0,
+        EarlierOwners::RenewedBy(ms) => ms,
+    };
+    let by_silence = lease_expiry(terms, renewed_by_ms, now, clock);
+    if by_silence.0 > by_stop.0 { by_silence } else { by_stop }
+}
+
 /// Whether a former owner may have started tasks of a job.
 ///
 /// `known_version` is from the row that the takeover wrote ([`Evidence::known_version`]).  A former
--- a/crates/engine/tests/all/former.rs
+++ b/crates/engine/tests/all/former.rs
@@ -1,9 +1,10 @@
 //! Tests of what a successor concludes about the former owner of a cell.
 
+use celerythread_engine::job::{decode_extended, encode};
 use celerythread_engine::lease;
 use celerythread_engine::ownership::former::{
-    Bound, EarlierOwners, Evidence, Renewal, Sending, Source, Terms, Watch, is_inherited,
-    lease_expiry, renewed_by_ms,
+    Bound, EarlierOwners, Evidence, Predecessors, Renewal, Sending, Source, Terms, Watch,
+    is_inherited, lease_expiry, lease_expiry_after_stop, renewed_by_ms,
 };
 use celerythread_engine::store_clock::{Reading, StoreClock};
 use celerythread_engine::time::Time;
@@ -60,6 +61,12 @@
         self.watch.record_renewal(entry, renewal, source, self.now, &self.clock);
     }
 
+    /// The store's clock, read now.
+    fn clone_clock(&mut self) -> StoreClock {
+        self.read_clock();
+        self.clock
+    }
+
     fn send(&self) -> Sending {
         Sending::new(self.now, &self.clock)
     }
@@ -209,7 +216,7 @@
     assert_eq!(by(Some(71_000), EarlierOwners::None), 71_000);
     assert_eq!(by(Some(71_000), EarlierOwners::RenewedBy(72_500)), 72_500);
     assert_eq!(by(Some(73_000), EarlierOwners::RenewedBy(72_500)), 73_000);
-    assert!(by(Some(73_000), EarlierOwners::RenewedBy(0)) >= 79_000, "before this takeover");
+    assert!(by(Some(73_000), EarlierOwners::Unknown) >= 79_000, "before this takeover");
     assert!(by(None, EarlierOwners::RenewedBy(72_500)) >= 79_000);
     let unknown = StoreClock::default();
     assert_eq!(renewed_by_ms(None, EarlierOwners::None, Time(9_000), &unknown), 0);
@@ -313,3 +320,83 @@
     let none = StoreClock::default();
     assert_eq!(lease_expiry(&TERMS, 500, Time(9_100), &none).1, Bound::Takeover);
 }
+
+/// What a row states after a takeover from an owner that fell silent, with `count` owners before.
+fn after_silence(count: u32, renewed_by_ms: u64) -> Predecessors {
+    let earlier = EarlierOwners::None;
+    Predecessors { count, is_last_stopped: false, renewed_by_ms, earlier }
+}
+
+/// What the next row states when the holder stops.
+fn after_stop(row: Predecessors, is_takeover_complete: bool, now: u64) -> Predecessors {
+    Predecessors {
+        count: row.count + 1,
+        is_last_stopped: true,
+        renewed_by_ms: now + AHEAD_MS,
+        earlier: row.unstopped(is_takeover_complete),
+    }
+}
+
+/// Until when an owner waits that takes over at `now` from one that stopped.
+fn waits_until(row: Predecessors, now: u64) -> Time {
+    let clock = Successor::new().at(now).clone_clock();
+    lease_expiry_after_stop(&TERMS, row.earlier, Time(now), &clock).0
+}
+
+/// The time from an owner's last renewal after which its leases must have expired.
+fn longest_silent_lease() -> Duration {
+    TERMS.extend_alone.div_f64(0.98) + lease::max_duration(TERMS.run_lease)
+}
+
+/// Guards against running a task twice: a silent owner that may still extend leases is forgotten when
+/// the owner after it stops before its takeover is complete, and when further ones do.
+#[test]
+fn the_wait_covers_silent_owners_before_owners_that_stopped() {
+    let renewed = 5_000;
+    let mut row = after_silence(1, renewed + AHEAD_MS);
+    for handover in [6_400, 6_800, 7_500] {
+        row = after_stop(row, false, handover);
+        let expiry = Time(renewed) + longest_silent_lease();
+        assert!(waits_until(row, handover) >= expiry, "{:?}", waits_until(row, handover));
+    }
+}
+
+/// Guards against longer waits after ordinary handovers: an owner whose takeover is complete, and the
+/// first owner, leave only their own leases to wait for.
+#[test]
+fn owners_before_a_complete_takeover_are_not_waited_for() {
+    let usual = |now| Time(now) + lease::max_duration(TERMS.run_lease);
+    let silent = after_silence(1, 5_000 + AHEAD_MS);
+    assert_eq!(waits_until(after_stop(silent, true, 6_400), 6_400), usual(6_400));
+    let first = Predecessors { count: 0, ..silent };
+    assert_eq!(waits_until(after_stop(first, false, 6_400), 6_400), usual(6_400));
+    let unknown = Predecessors { earlier: EarlierOwners::Unknown, ..silent };
+    assert_eq!(waits_until(after_stop(unknown, true, 6_400), 6_400), usual(6_400));
+    // Also if it isn't known whether the takeover was complete, once the leases are over.
+    assert_eq!(waits_until(after_stop(silent, false, 12_000), 12_000), usual(12_000));
+}
+
+/// Guards against a wait that leaves out earlier owners of which nothing is known, because an older
+/// release wrote the row or the store's clock is unknown: each of them had been silent for the
+/// takeover time.
+#[test]
+fn unknown_earlier_owners_are_waited_for_from_the_takeover() {
+    let unknown = after_silence(1, 0);
+    assert_eq!(unknown.unstopped(false), EarlierOwners::Unknown);
+    let extends = TERMS.extend_alone - TERMS.takeover_after;
+    let until = waits_until(after_stop(unknown, false, 6_400), 6_400);
+    assert_eq!(until, Time(6_400) + extends + lease::max_duration(TERMS.run_lease));
+}
+
+/// Guards against reading the end of an older release's row as "no earlier owners".
+#[test]
+fn a_row_that_ends_before_the_earlier_owners_says_nothing_of_them() {
+    let older = encode(&("holder", 3_u32));
+    let row: (String, u32, EarlierOwners) = decode_extended(&older).unwrap();
+    assert_eq!(row.2, EarlierOwners::Unknown);
+    for earlier in [EarlierOwners::None, EarlierOwners::RenewedBy(u64::MAX)] {
+        let (_, _, read): (String, u32, EarlierOwners) =
+            decode_extended(&encode(&("holder", 3_u32, earlier))).unwrap();
+        assert_eq!(read, earlier);
+    }
+}
--- a/crates/engine/tests/all/matrix.rs
+++ b/crates/engine/tests/all/matrix.rs
@@ -126,6 +126,35 @@
     assert!(!runs_twice(&broken, Rule::Bounded));
 }
 
+/// Whether a task runs twice at once if a zone is cut off with an owner, and its successor departs
+/// soon after its takeover, at any of the calls at which both may happen.
+fn runs_twice_after_departures(departure: Fault, rule: Rule) -> bool {
+    let cuts = (20..60).map(|call| (call, Fault::ZoneCut));
+    // The former owner's calls count, too, until it fails to reach anything.
+    let mut plans = cuts.flat_map(|cut| (30..120).step_by(5).map(move |gap| (cut, gap)));
+    plans.any(|(cut, gap)| {
+        let plan = [cut, (cut.0 + gap, departure)].into_iter().collect();
+        let failures = Simulation::new(plan).with_rule(rule).run().failures();
+        failures.iter().any(|failure| failure.contains("twice at once"))
+    })
+}
+
+/// Guards against a task that runs twice because the owner that takes over from a silent one stops or
+/// is restarted, and its successor doesn't wait for the leases of the silent owner.
+#[test]
+fn an_owner_that_departs_during_its_takeover_leaves_no_task_to_run_twice() {
+    assert!(!runs_twice_after_departures(Fault::HandedOver, Rule::Bounded));
+    assert!(!runs_twice_after_departures(Fault::Replaced, Rule::Bounded));
+}
+
+/// Guards against a model that can't tell an unsafe wait: one that ignores the owners before one that
+/// stopped.
+#[test]
+fn the_model_detects_a_wait_for_the_last_owner_only() {
+    assert!(runs_twice_after_departures(Fault::HandedOver, Rule::LastStop));
+    assert!(runs_twice_after_departures(Fault::Replaced, Rule::LastStop));
+}
+
 /// A task that crashes its minions is started a sixth time, because a crash is not counted when the
 /// owner is lost during a trial that was not persisted.
 #[test]
--- a/crates/engine/tests/all/model/simulation.rs
+++ b/crates/engine/tests/all/model/simulation.rs
@@ -1,8 +1,10 @@
 //! A simulation with fault injection: successive owners, minions, the table and a caller.
 
+mod fault;
 mod takeover;
 mod timeline;
 
+pub(crate) use fault::Fault;
 pub(crate) use takeover::Rule;
 
 use super::owner::{Answer, CAPACITY, Call, EXTEND_ALONE_LIMIT, LEASE_DURATION, Owner};
@@ -13,8 +15,7 @@
 use celerythread_engine::time::Time;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use strum::VariantArray;
-use takeover::Candidate;
+use takeover::{Candidate, Departure};
 
 const TICK: Duration = Duration::from_millis(20);
 /// Time without a renewal after which another entry takes over, by the daemon's default settings.
@@ -50,33 +51,6 @@
 /// Starts of the crashing task that are too many: three more after the third crash.
 const TOO_MANY_STARTS: usize = 6;
 
-/// A fault injected at a call.
-#[derive(Clone, Copy, Debug, VariantArray)]
-pub(crate) enum Fault {
-    /// The call is lost.
-    Lost,
-    /// The call is executed, but its answer is lost.
-    AnswerLost,
-    /// The call is executed seconds later, and its answer is lost.
-    Delayed,
-    /// The owner crashes before it sends the call.
-    KilledBefore,
-    /// The owner crashes after the call is executed.
-    KilledAfter,
-    /// The owner pauses until every lease has expired, then sends the call.
-    Paused,
-    /// The minion crashes and comes back after a delay.
-    Crash,
-    /// The minion restarts immediately under the same id.
-    Restart,
-    /// The minion is disconnected from all entries, but continues its runs.
-    Partitioned,
-    /// The owner is disconnected from the table and from all minions but one.
-    Isolated,
-    /// The table is unavailable.
-    Outage,
-}
-
 /// A simulation of the scenario.
 pub(crate) struct Simulation {
     now: Time,
@@ -93,6 +67,8 @@
     /// Minions that have started the crashing task, and when they crash.
     pending_crashes: Vec<(Time, MinionId)>,
     partitioned_until: BTreeMap<MinionId, Time>,
+    /// Minions that only the owner with this token can reach, and until when.
+    zone_cuts: BTreeMap<MinionId, (u64, Time)>,
     outage_until: Time,
     /// Delayed calls: when they are executed, the caller's token, the call and the receiving
     /// incarnation.
@@ -123,6 +99,7 @@
             last_incarnation: 0,
             pending_crashes: Vec::new(),
             partitioned_until: BTreeMap::new(),
+            zone_cuts: BTreeMap::new(),
             outage_until: Time(0),
             delayed_calls: Vec::new(),
             table: Table::default(),
@@ -135,7 +112,7 @@
             timeline: None,
         };
         MINION_IDS.iter().for_each(|name| simulation.start_minion(name));
-        simulation.take_over();
+        simulation.take_over(Departure::Silent);
         simulation
     }
 
@@ -241,83 +218,6 @@
         }
     }
 
-    /// Makes a call, with its fault if there is one; false if the owner makes no further call now.
-    fn make_call(&mut self, index: usize, call: Call) -> bool {
-        if self.owners[index].is_forbidden(&call, self.now) {
-            self.owners[index].handle_answer(&call, Answer::Refused(Refusal::Unhealthy), self.now);
-            return true;
-        }
-        let call = match call {
-            Call::Renew { sent } => Call::Renew { sent: sent.or(Some(self.now)) },
-            call => call,
-        };
-        let token = self.owners[index].token;
-        let fault = self.faults.get(&self.call_count).copied();
-        self.call_count += 1;
-        let answer = match fault {
-            Some(Fault::Lost) => Answer::Unknown,
-            Some(Fault::AnswerLost) => {
-                self.execute(token, &call);
-                Answer::Unknown
-            }
-            Some(Fault::Delayed) => {
-                let receiver = self.incarnation_of(call.minion());
-                self.delayed_calls.push((self.now + CALL_DELAY, token, call.clone(), receiver));
-                Answer::Unknown
-            }
-            Some(Fault::KilledBefore) => {
-                self.record(|| format!("owner {token} killed before {call:?}"));
-                self.owners[index].is_stopped = true;
-                return false;
-            }
-            Some(Fault::KilledAfter) => {
-                self.record(|| format!("owner {token} killed after {call:?}"));
-                self.execute(token, &call);
-                self.owners[index].is_stopped = true;
-                return false;
-            }
-            Some(Fault::Paused) => {
-                self.record(|| format!("owner {token} paused before {call:?}"));
-                let owner = &mut self.owners[index];
-                owner.paused_until = Some(self.now + PAUSE_DURATION);
-                owner.calls.push_front(call);
-                return false;
-            }
-            Some(Fault::Crash) => {
-                self.crash(call.minion());
-                self.execute(token, &call)
-            }
-            Some(Fault::Restart) => {
-                if let Some(name) = self.remove_minion(call.minion()) {
-                    self.start_minion(&name);
-                }
-                self.execute(token, &call)
-            }
-            Some(Fault::Partitioned) => {
-                let minion = call.minion().unwrap_or(MINION_IDS[0].into());
-                self.partitioned_until.insert(minion, self.now + PARTITION_DURATION);
-                self.execute(token, &call)
-            }
-            Some(Fault::Isolated) => {
-                let minion = call.minion().unwrap_or(MINION_IDS[0].into());
-                self.owners[index].isolation = Some((self.now + PARTITION_DURATION, minion));
-                Answer::Unknown
-            }
-            Some(Fault::Outage) => {
-                self.outage_until = self.now + OUTAGE_DURATION;
-                self.execute(token, &call)
-            }
-            None if !self.owners[index].can_reach(call.minion(), self.now) => Answer::Unknown,
-            None => self.execute(token, &call),
-        };
-        let recorded_answer = self.timeline.as_ref().map(|_| answer.clone());
-        self.owners[index].handle_answer(&call, answer, self.now);
-        if let Some(answer) = recorded_answer {
-            self.record_call(index, &call, fault, &answer);
-        }
-        !self.owners[index].is_stopped
-    }
-
     fn crash(&mut self, minion: Option<MinionId>) {
         let Some(name) = self.remove_minion(minion) else { return };
         self.record(|| format!("minion {name} crashes"));
@@ -364,7 +264,9 @@
             _ => {}
         }
         let name = call.minion().unwrap();
-        if self.partitioned_until.get(&name).is_some_and(|until| now < *until) {
+        let is_cut =
+            self.zone_cuts.get(&name).is_some_and(|(at, until)| token != *at && now < *until);
+        if is_cut || self.partitioned_until.get(&name).is_some_and(|until| now < *until) {
             return Answer::Unknown;
         }
         let Some(at) = self.minions.iter().position(|minion| minion.id == name) else {
--- a/crates/engine/tests/all/model/simulation/takeover.rs
+++ b/crates/engine/tests/all/model/simulation/takeover.rs
@@ -10,8 +10,8 @@
 use celerythread_engine::cell::{Cell, Queue, Settings};
 use celerythread_engine::job::{Accepted, Definition, Id, Origin};
 use celerythread_engine::ownership::former::{
-    EarlierOwners, Evidence, Renewal, Sending, Source, Terms, Watch, is_inherited, lease_expiry,
-    renewed_by_ms,
+    EarlierOwners, Evidence, Predecessors, Renewal, Sending, Source, Terms, Watch, is_inherited,
+    lease_expiry, lease_expiry_after_stop, renewed_by_ms,
 };
 use celerythread_engine::store_clock::{Reading, StoreClock};
 use celerythread_engine::time::Time;
@@ -36,6 +36,22 @@
     /// A wait for the term of a lease from the last renewal, which ignores that the former owner
     /// extended leases after it.
     LeaseOnly,
+    /// A wait that ignores the owners before one that stopped.
+    LastStop,
+}
+
+/// How the owner of a cell ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Departure {
+    /// It doesn't renew its row any more.
+    Silent,
+    /// It stopped, and handed the cell over.
+    HandedOver {
+        /// Whether its own takeover was complete.
+        is_complete: bool,
+    },
+    /// It crashed, and the next process of its instance deleted its row.
+    Replaced,
 }
 
 /// The candidate for the cell, and the rows of the table that it reads.
@@ -52,8 +68,8 @@
     holder_version: u64,
     /// Version of the table when the holder's row was last seen to change.
     seen_version: u64,
-    /// What the cell's row states of earlier owners, if there were any.
-    earlier: EarlierOwners,
+    /// What the cell's row states of the owners before its holder.
+    predecessors: Predecessors,
     rule: Rule,
     /// Versions of the submitted jobs.
     submitted: Vec<u64>,
@@ -70,7 +86,12 @@
             version: 0,
             holder_version: 0,
             seen_version: 0,
-            earlier: EarlierOwners::None,
+            predecessors: Predecessors {
+                count: 0,
+                is_last_stopped: true,
+                renewed_by_ms: 0,
+                earlier: EarlierOwners::None,
+            },
             rule: Rule::Bounded,
             submitted: Vec::new(),
             late_jobs: 0,
@@ -89,8 +110,13 @@
 impl Simulation {
     /// Lets callers submit a job at regular intervals, from the beginning on.
     pub(crate) fn with_late_jobs(self, rule: Rule) -> Self {
-        let candidate = Candidate { late_jobs: LATE_JOBS, rule, ..self.candidate };
-        Self { candidate, ..self }
+        let candidate = Candidate { late_jobs: LATE_JOBS, ..self.candidate };
+        Self { candidate, ..self }.with_rule(rule)
+    }
+
+    /// Lets successors decide by this rule.
+    pub(crate) fn with_rule(self, rule: Rule) -> Self {
+        Self { candidate: Candidate { rule, ..self.candidate }, ..self }
     }
 
     /// The rule of its successors.
@@ -137,36 +163,68 @@
         }
     }
 
+    /// When the leases of all former owners must have expired, for the owner that takes over now.
+    fn former_lease_expiry(&self, row: &Predecessors) -> Option<Time> {
+        let (now, clock, rule) = (self.now, self.candidate.clock, self.candidate.rule);
+        let extend_alone = match rule {
+            Rule::LeaseOnly => Duration::ZERO,
+            _ => EXTEND_ALONE_LIMIT,
+        };
+        let terms =
+            Terms { extend_alone, takeover_after: TAKEOVER_DELAY, run_lease: LEASE_DURATION };
+        let earlier = match rule {
+            Rule::LastStop => EarlierOwners::None,
+            _ => row.earlier,
+        };
+        let (expiry, _) = match row.is_last_stopped {
+            true => lease_expiry_after_stop(&terms, earlier, now, &clock),
+            false => lease_expiry(&terms, row.renewed_by_ms, now, &clock),
+        };
+        (row.count > 0).then_some(expiry)
+    }
+
+    /// What the row that a takeover writes states of the owners before the new one.
+    fn next_predecessors(&self, departure: Departure, holder: Option<u64>) -> Predecessors {
+        let (now, clock, row) = (self.now, self.candidate.clock, self.candidate.predecessors);
+        let is_complete = departure == Departure::HandedOver { is_complete: true };
+        let renewed_by_ms = match departure {
+            Departure::HandedOver { .. } => clock.latest_ms(now).unwrap_or(0),
+            _ => renewed_by_ms(holder, row.all(), now, &clock),
+        };
+        Predecessors {
+            count: self.table.token as u32,
+            is_last_stopped: departure != Departure::Silent,
+            renewed_by_ms,
+            earlier: row.unstopped(is_complete),
+        }
+    }
+
     /// A new owner takes the cell and reads the table.
-    pub(super) fn take_over(&mut self) {
-        let (now, clock) = (self.now, self.candidate.clock);
+    pub(super) fn take_over(&mut self, departure: Departure) {
+        let now = self.now;
         let token = self.table.token;
-        let evidence = self.candidate.watch.evidence(CELL, token, self.candidate.holder_version);
+        let evidence = match departure {
+            Departure::Silent => {
+                self.candidate.watch.evidence(CELL, token, self.candidate.holder_version)
+            }
+            _ => Evidence::default(),
+        };
         let known_version = match self.candidate.rule {
-            Rule::Bounded | Rule::LeaseOnly => evidence.known_version,
-            Rule::SeenRenewal => self.candidate.seen_version,
+            Rule::SeenRenewal if departure == Departure::Silent => self.candidate.seen_version,
+            _ => evidence.known_version,
         };
-        let Evidence { renewed_by_ms: holder, .. } = evidence;
-        let renewed_by_ms = renewed_by_ms(holder, self.candidate.earlier, now, &clock);
-        let former_lease_expiry = (token > 0).then(|| {
-            let extend_alone = match self.candidate.rule {
-                Rule::LeaseOnly => Duration::ZERO,
-                _ => EXTEND_ALONE_LIMIT,
-            };
-            let terms =
-                Terms { extend_alone, takeover_after: TAKEOVER_DELAY, run_lease: LEASE_DURATION };
-            lease_expiry(&terms, renewed_by_ms, now, &clock)
-        });
+        let row = self.next_predecessors(departure, evidence.renewed_by_ms);
+        let former_lease_expiry = self.former_lease_expiry(&row);
+        self.candidate.predecessors = row;
         self.table.token += 1;
         let token = self.table.token;
         self.record(|| format!("owner {token} takes over until {former_lease_expiry:?}"));
-        let former_lease_expiry = former_lease_expiry.map(|(expiry, _)| expiry);
         let generation = token as u32 - 1;
         let mut cell = Cell::new(Settings::default(), generation, former_lease_expiry);
         let queue = Queue { attempts: 2, ..Queue::default() };
         cell.configure([("queue".into(), queue)]);
-        let is_silent = former_lease_expiry.is_some();
-        if is_silent {
+        let has_former = former_lease_expiry.is_some();
+        if has_former {
             self.roster.iter().for_each(|minion| cell.inherit_minion(minion));
         }
         let late = self.candidate.submitted.iter().enumerate();
@@ -175,7 +233,7 @@
         let jobs = base_jobs().into_iter().map(|job| (0, job)).chain(late);
         for (version, (id, definition)) in jobs {
             let progress = self.table.progress.get(&id);
-            let inherited = is_silent && is_inherited(known_version, version, progress.is_some());
+            let inherited = has_former && is_inherited(known_version, version, progress.is_some());
             cell.add_job(id, accepted(definition), progress, inherited, Duration::ZERO, now);
         }
         if self.cancelled {
@@ -183,9 +241,6 @@
         }
         self.owners.push(Owner::new(cell, token, now));
         self.observed_renewals = (self.table.renewals, now);
-        if is_silent {
-            self.candidate.earlier = EarlierOwners::RenewedBy(renewed_by_ms);
-        }
         self.candidate.version += 1;
         self.candidate.watch.record_holder(CELL, &owner_name(token), token, now);
         // The new owner's permits count from its takeover.
@@ -219,7 +274,7 @@
         if self.now < self.outage_until || self.table.renewals != observed {
             self.observed_renewals = (self.table.renewals, self.now);
         } else if self.now.since(since) >= TAKEOVER_DELAY {
-            self.take_over();
+            self.take_over(Departure::Silent);
         }
     }
 }
--- a/crates/engine/tests/all/model/simulation/timeline.rs
+++ b/crates/engine/tests/all/model/simulation/timeline.rs
@@ -9,7 +9,7 @@
     pub(super) fn replay_timeline(&self) -> String {
         let simulation = Self { keeps_ids: self.keeps_ids, ..Self::new(self.faults.clone()) };
         let simulation = match self.late_jobs().count() {
-            0 => simulation,
+            0 => simulation.with_rule(self.rule()),
             _ => simulation.with_late_jobs(self.rule()),
         };
         let replayed = Self { timeline: Some(Vec::new()), ..simulation }.run();
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -16,6 +16,7 @@
 use crate::owner::{self, FormerOwner, Owner};
 use crate::rows;
 use celerythread_adapter::store::{Error, Row, Transaction};
+use celerythread_engine::cell::Cell;
 use celerythread_engine::job::encode;
 use celerythread_engine::ownership::former::{self, EarlierOwners};
 use celerythread_engine::ownership::{self, Decision, Holding};
@@ -285,7 +286,7 @@
     }
     let former = match (row.generation, row.former_stopped) {
         (0, _) => FormerOwner::None,
-        (_, true) => FormerOwner::Stopped,
+        (_, true) => FormerOwner::Stopped { earlier: row.earlier },
         (_, false) => FormerOwner::Silent {
             renewed_by_ms: row.former_renewed_by_ms,
             known_version: row.former_known_version,
@@ -340,10 +341,10 @@
         view.watch.evidence(cell, version, *renewal)
     });
     let evidence = evidence.unwrap_or_default();
-    let earlier = match &row {
-        Some(row) if row.generation > 0 => EarlierOwners::RenewedBy(row.former_renewed_by_ms),
-        _ => EarlierOwners::None,
-    };
+    let predecessors = row.as_ref().map(rows::Cell::predecessors);
+    let earlier = predecessors.map_or(EarlierOwners::None, |owners| owners.all());
+    // Whether the holder has completed its own takeover isn't known.
+    let unstopped = predecessors.map_or(EarlierOwners::None, |owners| owners.unstopped(false));
     let (now, store_clock) = (clock::now(), node.store.clock());
     let generation = row.map_or(0, |row| row.generation + 1);
     // The missing row of a holder was deleted by its own instance's next process, or after a long
@@ -360,6 +361,7 @@
             &store_clock,
         ),
         former_known_version: evidence.known_version,
+        earlier: unstopped,
     };
     let mut conditions = vec![(name.clone(), version)];
     conditions.extend(former.map(|(id, version)| (rows::entry(&id), version)));
@@ -400,12 +402,17 @@
         return false;
     };
     let name = rows::cell(cell);
+    let is_complete = |cell: &mut Cell| cell.is_takeover_complete(clock::now());
+    let is_takeover_complete =
+        node.owner(cell).and_then(|owner| owner.with(is_complete)).unwrap_or(false);
+    let earlier = row.predecessors().unstopped(is_takeover_complete);
     let value = rows::Cell {
         holder: successor.clone(),
         generation: row.generation + 1,
         former_stopped: true,
         former_renewed_by_ms: node.store.clock().latest_ms(clock::now()).unwrap_or(0),
         former_known_version: 0,
+        earlier,
     };
     let change = Transaction {
         conditions: vec![(name.clone(), holding.version)],
@@ -418,7 +425,10 @@
     let is_certain = matches!(done, Ok(_) | Err(Error::Conflict { .. }));
     if is_certain {
         node.metrics.count(Counter::CellsHandedOver);
-        node.journal.info("cell_handed_over", &[("cell", &cell), ("to", &successor)]);
+        node.journal.info(
+            "cell_handed_over",
+            &[("cell", &cell), ("to", &successor), ("earlier_owners", &earlier)],
+        );
     }
     is_certain
 }
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -32,6 +32,7 @@
 use celerythread_adapter::minion::Entry;
 use celerythread_engine::cell::{Cell, Incarnation, Order, Queue, Refusal, StartResult};
 use celerythread_engine::job::{Accepted, Id, TaskName};
+use celerythread_engine::ownership::former::EarlierOwners;
 use celerythread_sync::Wake;
 use celerythread_wire::job::{Answer, Question};
 use delegation::Delegation;
@@ -68,12 +69,16 @@
 const MAX_MINION_SYNC_INTERVAL: Duration = Duration::from_millis(500);
 
 /// How the former owner ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
 pub(crate) enum FormerOwner {
     /// There was none.
     None,
     /// It sent its last order before the cell was taken over.
-    Stopped,
+    Stopped {
+        /// The owners before it that may still extend leases.
+        earlier: EarlierOwners,
+    },
     /// It may continue to send orders until minions refuse them, and to extend leases for a time.
     Silent {
         /// The latest time on the store's clock at which it can have renewed its row; 0 if unknown.
@@ -83,6 +88,18 @@
     },
 }
 
+impl FormerOwner {
+    /// The owners before it that may still extend leases, as far as they are told apart from it.
+    fn earlier(self) -> EarlierOwners {
+        match self {
+            Self::None => EarlierOwners::None,
+            Self::Stopped { earlier } => earlier,
+            Self::Silent { renewed_by_ms: 0, .. } => EarlierOwners::Unknown,
+            Self::Silent { renewed_by_ms, .. } => EarlierOwners::RenewedBy(renewed_by_ms),
+        }
+    }
+}
+
 /// Minions that have terminated, with the incarnation that ended, if known.
 #[derive(Default)]
 pub(crate) struct TerminatedMinions(BTreeMap<Arc<str>, Option<Incarnation>>);
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -10,7 +10,6 @@
 use celerythread_adapter::store::{Error, Name, Page, Row, Transaction};
 use celerythread_engine::cell::{Cell, Settings};
 use celerythread_engine::job::{Accepted, Id, Progress, decode, encode};
-use celerythread_engine::lease;
 use celerythread_engine::maintenance::Machine;
 use celerythread_engine::ownership::former::{self, Bound, Terms};
 use celerythread_engine::termination;
@@ -107,20 +106,19 @@
 /// don't answer, and by which bound.
 fn former_lease_expiry(owner: &Owner) -> Option<(Time, Bound)> {
     let settings = &owner.node.settings;
+    let terms = Terms {
+        extend_alone: settings.extend_alone.0,
+        takeover_after: settings.takeover_after.0,
+        run_lease: settings.run_lease.0,
+    };
+    let (now, store_clock) = (clock::now(), owner.node.store.clock());
     match owner.former {
         FormerOwner::None => None,
-        FormerOwner::Stopped => {
-            let lease = lease::max_duration(settings.run_lease.0);
-            Some((clock::now() + lease, Bound::Takeover))
+        FormerOwner::Stopped { earlier } => {
+            Some(former::lease_expiry_after_stop(&terms, earlier, now, &store_clock))
         }
         FormerOwner::Silent { renewed_by_ms, .. } => {
-            let terms = Terms {
-                extend_alone: settings.extend_alone.0,
-                takeover_after: settings.takeover_after.0,
-                run_lease: settings.run_lease.0,
-            };
-            let store_clock = owner.node.store.clock();
-            Some(former::lease_expiry(&terms, renewed_by_ms, clock::now(), &store_clock))
+            Some(former::lease_expiry(&terms, renewed_by_ms, now, &store_clock))
         }
     }
 }
@@ -169,6 +167,8 @@
         &[
             ("service", &service),
             ("token", &owner.token),
+            ("former", &owner.former),
+            ("earlier_owners", &owner.former.earlier()),
             ("jobs", &count),
             ("inherited", &inherited),
             ("wait_ms", &wait.as_millis()),
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -26,6 +26,7 @@
 
 use celerythread_adapter::store::Name;
 use celerythread_engine::job::{FormatError, Id, decode_extended};
+use celerythread_engine::ownership::former::{EarlierOwners, Predecessors};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -104,6 +105,8 @@
     /// Jobs whose rows have a higher version can't have been started by a former holder; 0 if there
     /// is no such version, and in rows of releases that didn't store it.
     pub(crate) former_known_version: u64,
+    /// The owners before the former holder that may still extend leases.
+    pub(crate) earlier: EarlierOwners,
 }
 
 impl Cell {
@@ -114,6 +117,16 @@
     pub(crate) fn decode(bytes: &[u8]) -> Result<Self, FormatError> {
         decode_extended(bytes)
     }
+
+    /// What it states about the owners before its holder.
+    pub(crate) fn predecessors(&self) -> Predecessors {
+        Predecessors {
+            count: self.generation,
+            is_last_stopped: self.former_stopped,
+            renewed_by_ms: self.former_renewed_by_ms,
+            earlier: self.earlier,
+        }
+    }
 }
 
 /// Where the holder of a cell is reached.
--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -101,6 +101,11 @@
                 "engine::ownership::former::renewed_by_ms",
                 "the_wait_covers_the_owners_before_the_former_one",
             ),
+            (
+                "a wait covers silent owners before one that stopped during its takeover",
+                "engine::ownership::former::Predecessors",
+                "the_wait_covers_silent_owners_before_owners_that_stopped",
+            ),
             (
                 "a renewal that is committed late doesn't shorten the wait for leases",
                 "engine::ownership::former::Watch::record_renewal",
