Keep a cancellation that arrives before its job

What callers saw: a job that was accepted (200) and then cancelled (200) was run, and its next step was started 7 s after the cancellation. The owner of its cell had been frozen for 0.7 s meanwhile, and the store had forgotten its history.

Cause: after a 410 an owner reads the whole table and applies the rows in the order of their keys, so cancel/ID before job/ID. Cell::cancel dropped the cancellation of a job that it didn't know, and the job was added next as a new one. Nothing told the owner again.

Without the change a_job_whose_cancellation_arrived_first_is_not_started and an_inherited_job_whose_cancellation_arrived_first_is_stopped failed, and so did every_fault_at_some_calls_with_jobs_submitted_meanwhile, in which callers now withdraw a job whose cancellation reaches owners first.

Why this works: the cell keeps the cancellation of an unknown job for as long as it keeps ended jobs, and applies it when the job is added, whichever row or message comes first. No reader of any table has to know an order.

Related paths, by reading the readers of all followed tables: a takeover adds all jobs before it applies cancellations; rows of the control table, the directory, the minions, the splits, the configuration and the waves don't depend on each other's order. Messages about a job and about its cancellation may now arrive in any order.

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -11,6 +11,7 @@
 //! - [`place`]: selects a minion for a task
 //! - [`evacuation`]: moves long-running tasks off minions that are to be emptied
 //! - [`ranking`]: ranks the waiting jobs
+//! - [`cancellation`]: cancels jobs
 //! - [`persist`]: tracks what must be persisted before a run end may be acknowledged
 //! - [`advice`]: holds tickets
 //! - [`pace`]: throttles tasks that disturb serving tasks
@@ -32,6 +33,7 @@
 //! - A run end is acknowledged only after it is persisted.
 
 pub mod advice;
+mod cancellation;
 pub mod capacity;
 pub mod crash;
 mod evacuation;
@@ -91,6 +93,8 @@
     pub(crate) active_jobs: BTreeSet<Id>,
     /// Jobs with changes that are not persisted.
     pub(crate) changed_jobs: BTreeSet<Id>,
+    /// Cancellations of jobs that aren't known yet, with the time of their arrival.
+    pub(crate) early_cancellations: BTreeMap<Id, Time>,
     pub(crate) minions: BTreeMap<MinionId, Minion>,
     pub(crate) zones: zone::Zones,
     /// When all runs were last checked for what must stop; `None` if the next plan must check.
@@ -288,6 +292,7 @@
             jobs: BTreeMap::new(),
             active_jobs: BTreeSet::new(),
             changed_jobs: BTreeSet::new(),
+            early_cancellations: BTreeMap::new(),
             minions: BTreeMap::new(),
             zones: zone::Zones::default(),
             last_sweep: None,
@@ -360,20 +365,10 @@
         }
         self.jobs.insert(id, job);
         self.add_former_trials(id, progress, now);
+        self.apply_early_cancellation(&id, now);
         true
     }
 
-    /// Cancels a job.  The next plan stops its runs.
-    pub fn cancel(&mut self, id: &Id, now: Time) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        if !job.state().is_final() {
-            job.cancelled = true;
-            job.ended_at = Some(now);
-            self.active_jobs.remove(id);
-            self.last_sweep = None;
-        }
-    }
-
     /// The state to report to callers; `None` for an unknown job.
     ///
     /// An outcome is reported only once it is persisted, because a later owner must never restart a
@@ -440,6 +435,7 @@
             self.changed_jobs.remove(id);
         }
         self.remove_ended_advice();
+        self.expire_early_cancellations(now);
         ids
     }
 
--- /dev/null
+++ b/crates/engine/src/cell/cancellation.rs
@@ -0,0 +1,39 @@
+//! Cancellations of jobs, also of jobs that the owner doesn't know yet.
+//!
+//! A job and its cancellation reach an owner in any order: the message about the job may be lost,
+//! and a read of the whole table, which replaces a feed that lost its history, has the rows in the
+//! order of their keys.
+
+use crate::cell::Cell;
+use crate::job::Id;
+use crate::time::Time;
+
+impl Cell {
+    /// Cancels a job.  The next plan stops its runs.  A job that isn't known is cancelled when it is
+    /// added.
+    pub fn cancel(&mut self, id: &Id, now: Time) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            self.early_cancellations.insert(*id, now);
+            return;
+        };
+        if !job.state().is_final() {
+            job.cancelled = true;
+            job.ended_at = Some(now);
+            self.active_jobs.remove(id);
+            self.last_sweep = None;
+        }
+    }
+
+    /// Cancels a job that has just been added, if its cancellation arrived before it.
+    pub(crate) fn apply_early_cancellation(&mut self, id: &Id, now: Time) {
+        if self.early_cancellations.remove(id).is_some() {
+            self.cancel(id, now);
+        }
+    }
+
+    /// Forgets cancellations whose job was not added within the retention of ended jobs.
+    pub(crate) fn expire_early_cancellations(&mut self, now: Time) {
+        let retention = self.settings.retention;
+        self.early_cancellations.retain(|_, at| now.since(*at) <= retention);
+    }
+}
--- a/crates/engine/tests/all/jobs.rs
+++ b/crates/engine/tests/all/jobs.rs
@@ -1,8 +1,9 @@
 //! Tests of a job's life cycle: order of steps, attempts, cancellation, gangs, reported states.
 
 use crate::fixture::*;
-use celerythread_engine::cell::{EndReason, Refusal, StartResult};
+use celerythread_engine::cell::{EndReason, Refusal, Report, Settings, StartResult};
 use celerythread_engine::job::{Progress, State, Step, TrialPlace, Trials, encode};
+use std::time::Duration;
 
 #[test]
 fn a_step_waits_for_all_tasks_of_the_steps_before_it() {
@@ -90,6 +91,49 @@
     assert_eq!(harness.cell.state(&id(1)), Some(State::Cancelled));
 }
 
+/// Guards against running a cancelled job: a read of the whole table, which has the rows in the order
+/// of their keys, or a message can bring the cancellation before the job.
+#[test]
+fn a_job_whose_cancellation_arrived_first_is_not_started() {
+    let mut harness = Harness::new(1);
+    harness.cell.cancel(&id(1), harness.now);
+    harness.submit(2, definition(vec![step(1)]));
+    harness.advance_ms(2_000);
+    harness.submit(1, definition(vec![step(1)]));
+    assert_eq!(harness.cell.state(&id(1)), Some(State::Cancelled));
+    let started = harness.start_all();
+    assert_eq!(started.iter().map(|start| start.1.job).collect::<Vec<_>>(), [id(2)]);
+    // The same rows are read again after further losses of the history.
+    harness.cell.cancel(&id(1), harness.now);
+    harness.submit(1, definition(vec![step(1)]));
+    assert!(starts(&harness.plan()).is_empty());
+}
+
+/// Guards against the same for a job that a former owner may have started: its runs are stopped where
+/// they are found.
+#[test]
+fn an_inherited_job_whose_cancellation_arrived_first_is_stopped() {
+    let mut harness = Harness::new(1);
+    harness.cell.cancel(&id(1), harness.now);
+    harness.add_job(1, definition(vec![step(1)]), true);
+    let found = vec![running(task(1, 0, 0), 3, 50)];
+    let mut orders = harness.answer(0, Report { running: found, ..Report::default() });
+    orders.extend(harness.plan());
+    assert_eq!(stops(&orders), [(Harness::minion(0), task(1, 0, 0), 3)]);
+}
+
+/// Guards against cancelling another submission with the same id, long after the job and its
+/// cancellation were deleted, and against a memory of cancellations that only grows.
+#[test]
+fn a_cancellation_without_a_job_is_forgotten_after_the_retention() {
+    let mut harness = Harness::new(1);
+    harness.cell.cancel(&id(1), harness.now);
+    harness.now = harness.now + Settings::default().retention + Duration::from_millis(1);
+    harness.cell.remove_expired_jobs(harness.now);
+    harness.submit(1, definition(vec![step(1)]));
+    assert_eq!(harness.start_all().len(), 1);
+}
+
 /// Guards against starting part of a gang.  Its members wait for each other, so one that is started
 /// without capacity for the rest holds its cores for seconds and then ends without them.
 #[test]
--- a/crates/engine/tests/all/model/simulation.rs
+++ b/crates/engine/tests/all/model/simulation.rs
@@ -40,6 +40,9 @@
 const CANCELLED_JOB: u8 = 3;
 /// The job whose only task crashes each minion that starts it.
 const CRASHING_JOB: u8 = 4;
+/// A job that its caller cancels at once, in a simulation with late jobs.  Owners learn of the
+/// cancellation first.
+const WITHDRAWN_JOB: u8 = 19;
 /// Number of the first job that is submitted during a simulation with late jobs.
 const FIRST_LATE_JOB: u8 = 20;
 /// Jobs submitted during a simulation with late jobs.
@@ -342,7 +345,8 @@
         if self.history.iter().filter(earlier).any(|other| done(other) && other.acknowledged) {
             violations.push("after its end was acknowledged");
         }
-        if run.task.job == id(CANCELLED_JOB) && self.cancelled {
+        let is_cancelled = run.task.job == id(CANCELLED_JOB) && self.cancelled;
+        if is_cancelled || run.task.job == id(WITHDRAWN_JOB) {
             violations.push("after its job was cancelled");
         }
         if run.task.job == id(CRASHING_JOB) && self.crashing_starts() == TOO_MANY_STARTS {
@@ -411,7 +415,8 @@
 fn jobs() -> Vec<(Id, Definition)> {
     // Still running when another owner has taken over.
     let long = Step { estimate_ms: 2500, ..step(1) };
-    let late = (0..LATE_JOBS).map(|index| (id(late_job(index)), definition(vec![long.clone()])));
+    let late = (0..LATE_JOBS).map(late_job).chain([WITHDRAWN_JOB]);
+    let late = late.map(|number| (id(number), definition(vec![long.clone()])));
     base_jobs().into_iter().chain(late).collect()
 }
 
--- a/crates/engine/tests/all/model/simulation/takeover.rs
+++ b/crates/engine/tests/all/model/simulation/takeover.rs
@@ -3,7 +3,7 @@
 
 use super::{
     CANCELLED_JOB, EXTEND_ALONE_LIMIT, LATE_JOBS, LEASE_DURATION, Simulation, TAKEOVER_DELAY,
-    base_jobs, late_job,
+    WITHDRAWN_JOB, base_jobs, late_job,
 };
 use crate::fixture::id;
 use crate::model::owner::Owner;
@@ -156,8 +156,13 @@
             if owner.paused_until.is_some_and(|until| now < until) {
                 continue;
             }
-            for (job, definition) in (0..submitted).map(|number| late_definition(late_job(number)))
-            {
+            let late = (0..submitted).map(late_job);
+            let is_unknown = owner.cell.job(&id(WITHDRAWN_JOB)).is_none();
+            let withdrawn = (submitted > 0 && is_unknown).then_some(WITHDRAWN_JOB);
+            if withdrawn.is_some() {
+                owner.cell.cancel(&id(WITHDRAWN_JOB), now);
+            }
+            for (job, definition) in late.chain(withdrawn).map(late_definition) {
                 owner.cell.add_job(job, accepted(definition), None, false, Duration::ZERO, now);
             }
         }
@@ -239,6 +244,10 @@
         if self.cancelled {
             cell.cancel(&id(CANCELLED_JOB), now);
         }
+        // Read with the jobs, but not in the order of their arrival.
+        if !self.candidate.submitted.is_empty() {
+            cell.cancel(&id(WITHDRAWN_JOB), now);
+        }
         self.owners.push(Owner::new(cell, token, now));
         self.observed_renewals = (self.table.renewals, now);
         self.candidate.version += 1;
--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -136,6 +136,11 @@
                 "engine::cell::Cell::process_start_result",
                 "an_unanswered_start_is_stopped_before_the_task_starts_elsewhere",
             ),
+            (
+                "a cancellation that arrives before its job is kept for it",
+                "engine::cell::cancellation",
+                "a_job_whose_cancellation_arrived_first_is_not_started",
+            ),
             (
                 "a run end is acknowledged only after it is persisted",
                 "engine::cell::persist",
