Don't run a removed job again when its rows are read again

Cause: a cell removes an ended job after its retention and deletes its rows. If the deletion fails or isn't answered (`rows_left`), the rows stay. A read of the whole table after lost history then brings the job's row alone, and the job was added as a new one. A read sent before a deletion and answered after it did the same, as did the message about a job that an entry read from the store just before.

Evidence: a_removed_job_whose_rows_are_read_again_is_not_run_again fails without the check. No run of real processes: the retention makes it too long for a script.

Why this works: the cell remembers a removed job until its rows are certainly deleted, and for another retention after that, by its id and the time at which it was accepted. A later submission with the same id was accepted at another time and runs.

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -12,6 +12,7 @@
 //! - [`evacuation`]: moves long-running tasks off minions that are to be emptied
 //! - [`ranking`]: ranks the waiting jobs
 //! - [`cancellation`]: cancels jobs
+//! - [`retention`]: removes ended jobs
 //! - [`persist`]: tracks what must be persisted before a run end may be acknowledged
 //! - [`advice`]: holds tickets
 //! - [`pace`]: throttles tasks that disturb serving tasks
@@ -49,6 +50,7 @@
 pub mod ranking;
 pub mod report;
 mod restart;
+mod retention;
 mod settings;
 pub mod share;
 mod stall;
@@ -95,6 +97,8 @@
     pub(crate) changed_jobs: BTreeSet<Id>,
     /// Cancellations of jobs that aren't known yet, with the time of their arrival.
     pub(crate) early_cancellations: BTreeMap<Id, Time>,
+    /// Jobs that were removed after their retention, while their rows may still be read.
+    pub(crate) removed_jobs: BTreeMap<Id, retention::Removed>,
     pub(crate) minions: BTreeMap<MinionId, Minion>,
     pub(crate) zones: zone::Zones,
     /// When all runs were last checked for what must stop; `None` if the next plan must check.
@@ -293,6 +297,7 @@
             active_jobs: BTreeSet::new(),
             changed_jobs: BTreeSet::new(),
             early_cancellations: BTreeMap::new(),
+            removed_jobs: BTreeMap::new(),
             minions: BTreeMap::new(),
             zones: zone::Zones::default(),
             last_sweep: None,
@@ -325,7 +330,7 @@
         self.queues.get(name).cloned().unwrap_or_default()
     }
 
-    /// Adds an accepted job.  Returns false if it is already known.
+    /// Adds an accepted job.  Returns false if it is already known, or was removed after its end.
     ///
     /// `inherited` tells whether a former owner may have started tasks of it.
     pub fn add_job(
@@ -337,7 +342,7 @@
         age: Duration,
         now: Time,
     ) -> bool {
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.was_removed(&id, &accepted) {
             return false;
         }
         let core_ms = accepted.definition.core_ms() as f64;
@@ -424,21 +429,6 @@
         self.jobs.get(id)
     }
 
-    /// Removes jobs whose retention has passed and returns them, so that their rows can be deleted.
-    pub fn remove_expired_jobs(&mut self, now: Time) -> Vec<Id> {
-        let retention = self.settings.retention;
-        let is_expired = |job: &Job| job.ended_at.is_some_and(|at| now.since(at) > retention);
-        let ids: Vec<Id> =
-            self.jobs.iter().filter(|(_, job)| is_expired(job)).map(|(id, _)| *id).collect();
-        for id in &ids {
-            self.jobs.remove(id);
-            self.changed_jobs.remove(id);
-        }
-        self.remove_ended_advice();
-        self.expire_early_cancellations(now);
-        ids
-    }
-
     /// The lowest run number of this owner that is above `last`.
     pub(crate) fn next_run_number(&self, last: u32) -> u32 {
         (last + 1).max(self.generation * RUNS_PER_GENERATION + 1)
--- a/crates/engine/tests/all/fixture.rs
+++ b/crates/engine/tests/all/fixture.rs
@@ -116,6 +116,13 @@
         self.cell.add_job(id(job), accepted, None, inherited, Duration::ZERO, self.now);
     }
 
+    /// Adds a job that was accepted at `at_ms` on the wall clock.
+    pub(crate) fn submit_at(&mut self, job: u8, definition: Definition, at_ms: u64) {
+        let accepted =
+            Accepted { queue: "queue".into(), at_ms, definition, origin: Origin::Public };
+        self.cell.add_job(id(job), accepted, None, false, Duration::ZERO, self.now);
+    }
+
     /// Adds a job with progress that a former owner stored.
     pub(crate) fn add_job_with_progress(
         &mut self,
--- a/crates/engine/tests/all/jobs.rs
+++ b/crates/engine/tests/all/jobs.rs
@@ -134,6 +134,51 @@
     assert_eq!(harness.start_all().len(), 1);
 }
 
+/// Guards against running an ended job again: its rows could not be deleted after its retention, and
+/// a read of the whole table has them, without its progress.
+#[test]
+fn a_removed_job_whose_rows_are_read_again_is_not_run_again() {
+    let mut harness = Harness::new(1);
+    harness.submit(1, definition(vec![step(1)]));
+    let (minion, name, run) = harness.start_all().remove(0);
+    harness.report_end(&minion, name, run, EndReason::Done);
+    harness.store_progress();
+    let retention = Settings::default().retention + Duration::from_millis(1);
+    harness.now = harness.now + retention;
+    assert_eq!(harness.cell.remove_expired_jobs(harness.now), [id(1)]);
+    for _ in 0..2 {
+        harness.submit(1, definition(vec![step(1)]));
+        assert!(starts(&harness.plan()).is_empty());
+        // Not forgotten with time either, as long as the rows may be there.
+        harness.now = harness.now + retention;
+        harness.cell.remove_expired_jobs(harness.now);
+    }
+}
+
+/// Guards against ignoring a new submission with the id of a removed job, and against a memory of
+/// removed jobs that only grows.
+#[test]
+fn a_removed_jobs_id_can_be_submitted_again() {
+    let mut harness = Harness::new(1);
+    harness.submit(1, definition(vec![step(1)]));
+    harness.cell.cancel(&id(1), harness.now);
+    let retention = Settings::default().retention + Duration::from_millis(1);
+    harness.now = harness.now + retention;
+    let removed = harness.cell.remove_expired_jobs(harness.now);
+    harness.submit_at(1, definition(vec![step(1)]), harness.now.0);
+    assert_eq!(harness.start_all().len(), 1, "accepted later");
+
+    harness.cell.record_deleted_rows(&removed, harness.now);
+    harness.cell.cancel(&id(1), harness.now);
+    harness.now = harness.now + retention;
+    assert_eq!(harness.cell.remove_expired_jobs(harness.now), [id(1)]);
+    harness.cell.record_deleted_rows(&[id(1)], harness.now);
+    harness.now = harness.now + retention;
+    harness.cell.remove_expired_jobs(harness.now);
+    harness.submit(1, definition(vec![step(1)]));
+    assert_eq!(harness.start_all().len(), 1, "nothing is remembered");
+}
+
 /// Guards against starting part of a gang.  Its members wait for each other, so one that is started
 /// without capacity for the rest holds its cores for seconds and then ends without them.
 #[test]
--- a/crates/scheduler/src/owner/persist.rs
+++ b/crates/scheduler/src/owner/persist.rs
@@ -159,7 +159,9 @@
             })
             .collect();
         let change = Transaction { deletes, across_parts: true, ..Transaction::default() };
-        if !commit_fenced(owner, change).await {
+        if commit_fenced(owner, change).await {
+            owner.with(|cell| cell.record_deleted_rows(chunk, clock::now()));
+        } else {
             // The rows stay until the next owner finds them expired.
             owner.node.journal.warn("rows_left", &[("jobs", &chunk.len())]);
         }
--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -141,6 +141,11 @@
                 "engine::cell::cancellation",
                 "a_job_whose_cancellation_arrived_first_is_not_started",
             ),
+            (
+                "a job that was removed after its end is not added again",
+                "engine::cell::retention",
+                "a_removed_job_whose_rows_are_read_again_is_not_run_again",
+            ),
             (
                 "a run end is acknowledged only after it is persisted",
                 "engine::cell::persist",
