Judge a takeover by the owner of the holding that is handed over

An entry loses a cell and gets it back, and stops before it has noticed either.

Cause: hand_over asks this entry's owner of the cell whether its takeover is complete. That may still be the owner of an earlier holding, whose takeover says nothing about the owners in between.

Why this works: only the owner with the token of the holding that is handed over is asked; otherwise the earlier owners are kept in the row.

Found by reading the change again; no test, as the entry's state is outside the engine.

--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -403,8 +403,9 @@
     };
     let name = rows::cell(cell);
     let is_complete = |cell: &mut Cell| cell.is_takeover_complete(clock::now());
-    let is_takeover_complete =
-        node.owner(cell).and_then(|owner| owner.with(is_complete)).unwrap_or(false);
+    // The owner of an earlier holding of the same cell tells nothing about this one.
+    let owner = node.owner(cell).filter(|owner| owner.token == holding.version);
+    let is_takeover_complete = owner.and_then(|owner| owner.with(is_complete)).unwrap_or(false);
     let earlier = row.predecessors().unstopped(is_takeover_complete);
     let value = rows::Cell {
         holder: successor.clone(),
