Test a cancellation during lost history with the stand-ins

The engine's tests guard the decision; this one guards that the readers of rows leave it to the engine.

--- a/tests/all/site/store.rs
+++ b/tests/all/site/store.rs
@@ -71,6 +71,49 @@
     }
 }
 
+/// Guards against running a job that was cancelled while its owner was paused.  The owner has had no
+/// message about either, and rereads the table, which has the cancellation before the job.
+#[async_std::test]
+async fn a_job_cancelled_while_the_history_is_lost_does_not_run_on() {
+    let deployment = Deployment::start("store-withdrawn", 3, 3).await;
+    let owner = deployment.owner().unwrap();
+    let other = (owner + 1) % 3;
+    // The link to the owner is open before the pause.
+    assert_eq!(deployment.submit(other, &id(1), 1, "ms=50").await, 200);
+    deployment.wait_for_state(other, &id(1), "completed").await;
+    deployment.entries[owner].signal("-STOP");
+    assert_eq!(deployment.submit(other, &id(2), 1, "ms=50").await, 200);
+    // The message about this job stays unanswered, after which no others are sent for a while.
+    task::sleep(Duration::from_millis(450)).await;
+    assert_eq!(deployment.submit(other, &id(3), 2, "ms=60000").await, 200);
+    let path = format!("/q/{}", id(3));
+    let callers = deployment.entries[other].callers;
+    let (status, _) = call(callers, Method::Delete, &path, None).await.unwrap();
+    assert_eq!(status, 200);
+    deployment.site.store.forget_history();
+    deployment.entries[owner].signal("-CONT");
+    eventually("the jobs are read again", async || {
+        let is_read = |entry: &Entry| {
+            let lines = entry.lines.lock().unwrap();
+            lines.iter().any(|line| line.contains("\"history_gone\"") && line.contains("\"jobs\""))
+        };
+        // A paused process that gets no processor time afterwards may lose the cell.
+        let has_new_owner = deployment.owner() != Some(owner);
+        (has_new_owner || is_read(&deployment.entries[owner])).then_some(())
+    })
+    .await;
+    deployment.wait_for_state(other, &id(2), "completed").await;
+    task::sleep(Duration::from_millis(500)).await;
+    let withdrawn = id(3);
+    eventually("nothing of the cancelled job runs", async || {
+        let history = deployment.site.history();
+        let mut runs = history.iter().filter(|run| run.task.starts_with(&withdrawn));
+        runs.all(|run| run.ended.is_some()).then_some(())
+    })
+    .await;
+    assert_eq!(deployment.state(other, &id(3)).await.as_deref(), Some("cancelled"));
+}
+
 /// Guards against refusing callers of a burst, or giving them unknown outcomes, for as long as the
 /// store is slow.  Each unanswered write was sent again and each copy queued in its partition,
 /// until no write was answered in time for its caller.
