Split the list of guarantees on the platform

The guarantees on the fleet and on the ownership of cells move into a file of their own; docs/FAULTS.md, which is printed from both, stays the same.

--- a/tests/all/faults.rs
+++ b/tests/all/faults.rs
@@ -1,5 +1,6 @@
 //! The list of faults and the tests that cover them, from which `docs/FAULTS.md` is printed.
 
+mod fleet;
 mod platform;
 
 use std::collections::BTreeSet;
@@ -334,7 +335,7 @@
 
 /// The guarantees of the product's own interface, then those on the users' platform.
 fn guarantees() -> impl Iterator<Item = &'static Guarantee> {
-    GUARANTEES.iter().chain(platform::GUARANTEES)
+    GUARANTEES.iter().chain(platform::GUARANTEES).chain(fleet::GUARANTEES)
 }
 
 /// The names of all tests in the list.
