Don't take concurrent readings of the store's clock for a step

What callers would notice: after a change of owner, tasks on minions that don't answer wait for up to 1.7 s longer than needed.

Cause: local times are in whole milliseconds. A call that was sent in the millisecond in which another answer arrived was taken for one sent after it, though it may have been served before. With a tick of the store's clock between the two, they seemed to contradict each other, and the process never used the store's clock again.

Evidence: concurrent_calls_within_a_millisecond_do_not_contradict_each_other fails without the change.

Why this works: within the millisecond of an answer's arrival the lower bound is that of a moment before it, as for earlier moments already. It is lower by 2 ms there and the same elsewhere.

--- a/crates/engine/src/store_clock.rs
+++ b/crates/engine/src/store_clock.rs
@@ -89,8 +89,9 @@
 
 /// The earliest that the store's clock shows at `now`, by one reading.
 fn at_least(reading: &Reading, now: Time) -> u64 {
-    if now < reading.received {
-        // Answers to concurrent calls are recorded in any order.
+    if now <= reading.received {
+        // Answers to concurrent calls are recorded in any order.  Within the same millisecond, `now`
+        // may be before the arrival as well.
         let until = longest(reading.received.since(now)).as_millis() as u64 + 1;
         return reading.now_ms.saturating_sub(until + RESOLUTION_MS);
     }
--- a/crates/engine/tests/all/store_clock.rs
+++ b/crates/engine/tests/all/store_clock.rs
@@ -48,6 +48,19 @@
     assert_eq!((clock.earliest_ms(Time(2_100)), clock.latest_ms(Time(2_100))), (None, None));
 }
 
+/// Guards against taking a steady clock for one that stepped, after which it is never used again: of
+/// two concurrent calls within a millisecond, the one that is answered first was served last.
+#[test]
+fn concurrent_calls_within_a_millisecond_do_not_contradict_each_other() {
+    let first = reading(70_001, 1_000, 1_000);
+    let second = reading(70_000, 1_000, 1_000);
+    for readings in [[first, second], [second, first]] {
+        let clock = clock(&readings);
+        assert!(clock.earliest_ms(Time(1_000)).is_some_and(|earliest| earliest <= 70_000));
+        assert!(clock.latest_ms(Time(1_000)).is_some_and(|latest| latest >= 70_001));
+    }
+}
+
 /// Guards against a bound before the first answer.
 #[test]
 fn nothing_is_known_without_a_reading() {
--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -116,6 +116,11 @@
                 "engine::store_clock::StoreClock::record",
                 "no_bound_is_given_after_the_clock_stepped_forward",
             ),
+            (
+                "concurrent readings of a steady clock don't contradict each other",
+                "engine::store_clock::at_least",
+                "concurrent_calls_within_a_millisecond_do_not_contradict_each_other",
+            ),
             (
                 "inherited tasks wait for every minion that may run them",
                 "engine::cell::Cell::is_takeover_complete",
