Log whether a job was cancelled before its owner learned of it

An owner that applied an early cancellation logged job_known as for any other job, so operators couldn't tell the case from its log. The line now has the job's state.

--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -247,11 +247,19 @@
         };
         let job_age = Duration::from_millis(clock::wall_ms().saturating_sub(accepted.at_ms));
         let now = clock::now();
-        let added = self.with(|cell| cell.add_job(id, accepted, None, false, job_age, now));
-        if added == Some(true) {
+        let added = self.with(|cell| {
+            let is_new = cell.add_job(id, accepted, None, false, job_age, now);
+            cell.state(&id).filter(|_| is_new)
+        });
+        if let Some(state) = added.flatten() {
             self.node.journal.info(
                 "job_known",
-                &[("job", &id), ("service", &self.service), ("age_ms", &job_age.as_millis())],
+                &[
+                    ("job", &id),
+                    ("service", &self.service),
+                    ("age_ms", &job_age.as_millis()),
+                    ("state", &state),
+                ],
             );
             self.plan_wake.wake();
         }
