Store the policies that jobs of removed queues are treated by

Cause: a job was stored with its queue's name alone. The policy of a removed queue stayed in the memory of the owner that had seen the queue, and each later owner used the default: 3 attempts and no advice. The same held for the limit and the weight of a removed workspace, and the time that the advice service takes was read from the configuration in force.

A job is now stored with its terms: the policies of its queue and its workspace in the configuration by which it was accepted, with that configuration's version. A cell's owner stores the policies that differ from the terms of active jobs, in the row `policies`, with the next write of progress. The newest version binds wherever it is from, so the treatment is the same after a restart, a chain of owners and the loss of all processes. Rows of earlier releases decode without terms, and earlier releases read rows with terms.

--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -43,6 +43,7 @@
         at_ms: 0,
         definition: Definition { spec: "x".repeat(200).into(), steps, schedule: None },
         origin: celerythread_engine::job::Origin::Public,
+        terms: None,
     }
 }
 
@@ -50,7 +51,7 @@
     fn new(minions: usize, jobs: u32) -> Self {
         let now = Time(1_000_000);
         let mut cell = Cell::new(Settings::default(), 0, None);
-        cell.configure([("queue".into(), Queue::default())]);
+        cell.configure([("queue".into(), Queue::default())], 1);
         let capacity = Resources { cpu: 16_000, memory_mb: 32_768, gpu: 0 };
         let minions: BTreeMap<MinionId, _> = (0..minions)
             .map(|number| (format!("minion-{number}").into(), (Vec::new(), 0)))
--- a/benches/recovery.rs
+++ b/benches/recovery.rs
@@ -39,6 +39,7 @@
         at_ms: 0,
         definition: Definition { spec: "x".repeat(200).into(), steps, schedule: None },
         origin: celerythread_engine::job::Origin::Public,
+        terms: None,
     }
 }
 
@@ -60,7 +61,7 @@
 fn take_over(rows: &[(Id, Vec<u8>, Vec<u8>)], minions: usize) -> ([Duration; 3], usize) {
     let began = Instant::now();
     let mut cell = Cell::new(Settings::default(), 1, Some(NOW + Duration::from_secs(6)));
-    cell.configure([("queue".into(), Queue::default())]);
+    cell.configure([("queue".into(), Queue::default())], 1);
     for (id, job, progress) in rows {
         let job: Accepted = decode(job).expect("just encoded");
         let progress: Progress = decode(progress).expect("just encoded");
--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -14,6 +14,7 @@
 //! - [`cancellation`]: cancels jobs
 //! - [`retention`]: removes ended jobs
 //! - [`persist`]: tracks what must be persisted before a run end may be acknowledged
+//! - [`policies`]: holds the policies of queues and workspaces
 //! - [`advice`]: holds tickets
 //! - [`pace`]: throttles tasks that disturb serving tasks
 //! - [`straggler`]: finds slow minions
@@ -46,6 +47,7 @@
 pub mod persist;
 pub mod place;
 pub mod plan;
+pub mod policies;
 pub mod quota;
 pub mod ranking;
 pub mod report;
@@ -60,6 +62,7 @@
 pub mod work;
 pub(crate) mod zone;
 
+pub use crate::job::Queue;
 use crate::job::{Accepted, Id, Origin, Progress, Resources, State, TaskName};
 use crate::quota::Summary;
 use crate::time::Time;
@@ -72,7 +75,7 @@
 pub use plan::Order;
 pub use quota::Charge;
 pub use report::{End, EndReason, Refusal, Report, Running, StartResult};
-pub use settings::{Queue, Settings};
+pub use settings::Settings;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
@@ -89,7 +92,7 @@
     pub(crate) settings: Settings,
     /// Number of owners that the cell had before this one.
     pub(crate) generation: u32,
-    pub(crate) queues: BTreeMap<Box<str>, Queue>,
+    pub(crate) policies: policies::Policies,
     pub(crate) jobs: BTreeMap<Id, Job>,
     /// Jobs that have not ended.
     pub(crate) active_jobs: BTreeSet<Id>,
@@ -292,7 +295,7 @@
         Self {
             settings,
             generation,
-            queues: BTreeMap::new(),
+            policies: policies::Policies::default(),
             jobs: BTreeMap::new(),
             active_jobs: BTreeSet::new(),
             changed_jobs: BTreeSet::new(),
@@ -319,17 +322,6 @@
         }
     }
 
-    /// Applies the queues of the configuration in force.  A queue that was removed keeps its last
-    /// policy for the jobs accepted before.
-    pub fn configure(&mut self, queues: impl IntoIterator<Item = (Box<str>, Queue)>) {
-        self.queues.extend(queues);
-    }
-
-    /// A queue's policy.
-    pub(crate) fn queue(&self, name: &str) -> Queue {
-        self.queues.get(name).cloned().unwrap_or_default()
-    }
-
     /// Adds an accepted job.  Returns false if it is already known, or was removed after its end.
     ///
     /// `inherited` tells whether a former owner may have started tasks of it.
@@ -350,6 +342,7 @@
         // A weight of a twentieth averages over some twenty jobs.  At ten jobs a second this
         // follows a change of the mix within a few seconds.
         *mean_core_ms += (core_ms - *mean_core_ms) * 0.05;
+        self.apply_terms(&accepted, now);
         let account = self.open_account(&accepted.origin, now);
         let mut job = Job::new(accepted, inherited, now - age);
         job.account = account;
--- a/crates/engine/src/cell/advice.rs
+++ b/crates/engine/src/cell/advice.rs
@@ -55,7 +55,13 @@
 impl Cell {
     /// Whether a queue's steps need tickets.
     pub(crate) fn needs_ticket(&self, queue: &str) -> bool {
-        self.queues.get(queue).is_some_and(|queue| queue.needs_ticket)
+        self.policies.queue(queue).is_some_and(|queue| queue.advice.is_some())
+    }
+
+    /// Time that the advice service takes for a query about `minions`, by the slowest queue.
+    pub fn query_time(&self, minions: usize) -> Duration {
+        let latencies = self.policies.queues().filter_map(|queue| queue.advice);
+        latencies.map(|latency| latency.of_query(minions)).max().unwrap_or_default()
     }
 
     /// The ticket for starting a task on a minion, if there is one.
--- a/crates/engine/src/cell/persist.rs
+++ b/crates/engine/src/cell/persist.rs
@@ -1,5 +1,6 @@
 //! Tracks what must be persisted before run ends may be acknowledged.
 
+use crate::cell::policies::Stored;
 use crate::cell::{Cell, Incarnation, Minion, MinionId};
 use crate::job::{Id, Progress};
 
@@ -19,10 +20,19 @@
 pub struct Batch {
     /// Jobs with their progress and the number of the last change that it covers.
     pub rows: Vec<(Id, u64, Progress)>,
+    /// The cell's policies, if a later owner needs them.
+    pub policies: Option<Stored>,
     /// The ends that may be acknowledged once the rows are written, one cursor per minion.
     pub ends: Vec<EndCursor>,
 }
 
+impl Batch {
+    /// Whether the batch only acknowledges ends, so that nothing has to be written.
+    pub fn is_write_free(&self) -> bool {
+        self.rows.is_empty() && self.policies.is_none()
+    }
+}
+
 impl Minion {
     /// Returns the position of the last end processed.
     fn end_cursor(&self) -> EndCursor {
@@ -32,8 +42,8 @@
 
 impl Cell {
     /// The progress to persist now, of at most `limit` jobs; `None` if everything is persisted.
-    pub fn unpersisted_batch(&self, limit: usize) -> Option<Batch> {
-        let mut batch = Batch::default();
+    pub fn unpersisted_batch(&mut self, limit: usize) -> Option<Batch> {
+        let mut batch = Batch { policies: self.unstored_policies(), ..Batch::default() };
         let mut complete = true;
         let changed = self.changed_jobs.iter().filter_map(|id| Some((id, self.jobs.get(id)?)));
         for (id, job) in changed.filter(|(_, job)| !job.is_persisted()) {
@@ -47,12 +57,14 @@
             let unacknowledged = self.minions.values().filter(|minion| minion.has_unpersisted());
             batch.ends = unacknowledged.map(Minion::end_cursor).collect();
         }
-        (!batch.rows.is_empty() || !batch.ends.is_empty()).then_some(batch)
+        (!batch.is_write_free() || !batch.ends.is_empty()).then_some(batch)
     }
 
     /// Whether anything has to be persisted.
     pub fn has_unpersisted(&self) -> bool {
-        !self.changed_jobs.is_empty() || self.minions.values().any(Minion::has_unpersisted)
+        !self.changed_jobs.is_empty()
+            || self.has_unstored_policies()
+            || self.minions.values().any(Minion::has_unpersisted)
     }
 
     /// Whether a caller waits for the write, because a job has ended.
@@ -63,6 +75,9 @@
 
     /// Records that a batch is persisted.
     pub fn record_persisted(&mut self, batch: &Batch) {
+        if let Some(policies) = &batch.policies {
+            self.record_stored_policies(policies);
+        }
         for (id, change, _) in &batch.rows {
             if let Some(job) = self.jobs.get_mut(id) {
                 job.persisted_changes = job.persisted_changes.max(*change);
--- a/crates/engine/src/cell/quota.rs
+++ b/crates/engine/src/cell/quota.rs
@@ -239,7 +239,7 @@
 
     /// The account that limits a job's tasks; `None` if nothing limits them.
     pub(crate) fn limited_account(&self, job: &Job) -> Option<AccountId> {
-        let is_open = || self.queues.get(&job.accepted.queue).is_some_and(|queue| queue.public);
+        let is_open = || self.policies.queue(&job.accepted.queue).is_some_and(|queue| queue.public);
         job.account.filter(|_| job.accepted.origin != Origin::Unknown || !is_open())
     }
 
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -326,8 +326,8 @@
         self.update_quarantine(id, end, now);
         let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
         let attempts = self
-            .queues
-            .get(&job.accepted.queue)
+            .policies
+            .queue(&job.accepted.queue)
             .map_or(crate::cell::Queue::default().attempts, |queue| queue.attempts);
         let step = &job.accepted.definition.steps[end.task.step as usize];
         let (long_running, gang) = (step.long_running, step.gang);
--- a/crates/engine/src/cell/settings.rs
+++ b/crates/engine/src/cell/settings.rs
@@ -1,4 +1,4 @@
-//! Settings of a cell, and the policies of its queues.
+//! Settings of a cell.
 
 use std::time::Duration;
 
@@ -40,33 +40,3 @@
         }
     }
 }
-
-/// How the jobs of a queue are treated, from the configuration in force.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Queue {
-    /// 0 is the most urgent.
-    pub priority: u32,
-    /// Runs of a task that may fail before its job fails.
-    pub attempts: u32,
-    /// The objective of a job is this multiple of its critical path ...
-    pub stretch: f64,
-    /// ... plus this many milliseconds.
-    pub target_ms: u64,
-    /// Whether starting a task requires a ticket.
-    pub needs_ticket: bool,
-    /// Whether callers need no API key.
-    pub public: bool,
-}
-
-impl Default for Queue {
-    fn default() -> Self {
-        Self {
-            priority: 1,
-            attempts: 3,
-            stretch: 2.0,
-            target_ms: 1000,
-            needs_ticket: false,
-            public: false,
-        }
-    }
-}
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -1,6 +1,7 @@
 //! Jobs: their definition, their stored form and their progress.
 
 mod format;
+mod terms;
 
 pub use format::{FormatError, decode, decode_extended, encode};
 use serde::{Deserialize, Serialize};
@@ -10,6 +11,7 @@
 use std::str::FromStr;
 use std::sync::Arc;
 use strum::{Display, EnumString};
+pub use terms::{AdviceLatency, Queue, Terms, Workspace};
 
 /// Digits of a job's id.
 const ID_DIGITS: usize = 16;
@@ -378,10 +380,13 @@
     pub definition: Definition,
     /// Who submitted the job.
     pub origin: Origin,
+    /// The policies in force at its acceptance; `None` if the accepting release didn't store them.
+    pub terms: Option<Terms>,
 }
 
 impl Accepted {
-    /// Decodes a stored job.  Rows of releases that stored no origin end before that field.
+    /// Decodes a stored job.  Rows of releases that stored no origin or no terms end before that
+    /// field.
     ///
     /// # Errors
     /// Returns an error if the bytes are malformed.
--- a/crates/engine/tests/all/capacity.rs
+++ b/crates/engine/tests/all/capacity.rs
@@ -3,7 +3,9 @@
 use crate::fixture::*;
 use celerythread_engine::cell::capacity::{Capacity, Usability, WaitReason, Waiting};
 use celerythread_engine::cell::{Cell, EndReason, Permit, Queue, Settings};
-use celerythread_engine::job::{Accepted, Definition, Id, Origin, Resources, Schedule, Step};
+use celerythread_engine::job::{
+    Accepted, AdviceLatency, Definition, Id, Origin, Resources, Schedule, Step,
+};
 use celerythread_engine::quota::Limit;
 use celerythread_engine::time::Time;
 use rand::rngs::StdRng;
@@ -218,7 +220,7 @@
 }
 
 fn submit_for(harness: &mut Harness, job: u8, origin: Origin, definition: Definition) {
-    let accepted = Accepted { queue: "queue".into(), at_ms: 0, definition, origin };
+    let accepted = Accepted { queue: "queue".into(), at_ms: 0, definition, origin, terms: None };
     harness.cell.add_job(id(job), accepted, None, false, Duration::ZERO, harness.now);
 }
 
@@ -302,8 +304,8 @@
 #[test]
 fn tasks_without_a_ticket_are_restricted() {
     let mut harness = Harness::new(2);
-    let queue = Queue { needs_ticket: true, public: true, ..Queue::default() };
-    harness.cell.configure([("queue".into(), queue)]);
+    let queue = Queue { advice: Some(AdviceLatency::default()), public: true, ..Queue::default() };
+    harness.cell.configure([("queue".into(), queue)], 1);
     harness.submit(1, definition(vec![step(2)]));
     harness.plan();
     assert_eq!(waiting(&capacity(&harness)), [(WaitReason::Restricted, 2, 2000)]);
@@ -358,6 +360,7 @@
             at_ms: 0,
             definition: definition(steps),
             origin: Origin::Public,
+            terms: None,
         };
         let now = harness.now;
         harness.cell.add_job(wide_id(number), accepted, None, false, Duration::ZERO, now);
--- a/crates/engine/tests/all/fixture.rs
+++ b/crates/engine/tests/all/fixture.rs
@@ -50,10 +50,10 @@
             attempts: 2,
             stretch: 1.6,
             target_ms: 600,
-            needs_ticket: false,
+            advice: None,
             public: true,
         };
-        harness.cell.configure([("queue".into(), queue)]);
+        harness.cell.configure([("queue".into(), queue)], 1);
         for number in 0..minions {
             harness.add_minion(number);
         }
@@ -111,15 +111,25 @@
     }
 
     pub(crate) fn add_job(&mut self, job: u8, definition: Definition, inherited: bool) {
-        let accepted =
-            Accepted { queue: "queue".into(), at_ms: 0, definition, origin: Origin::Public };
+        let accepted = Accepted {
+            queue: "queue".into(),
+            at_ms: 0,
+            definition,
+            origin: Origin::Public,
+            terms: None,
+        };
         self.cell.add_job(id(job), accepted, None, inherited, Duration::ZERO, self.now);
     }
 
     /// Adds a job that was accepted at `at_ms` on the wall clock.
     pub(crate) fn submit_at(&mut self, job: u8, definition: Definition, at_ms: u64) {
-        let accepted =
-            Accepted { queue: "queue".into(), at_ms, definition, origin: Origin::Public };
+        let accepted = Accepted {
+            queue: "queue".into(),
+            at_ms,
+            definition,
+            origin: Origin::Public,
+            terms: None,
+        };
         self.cell.add_job(id(job), accepted, None, false, Duration::ZERO, self.now);
     }
 
@@ -130,8 +140,13 @@
         definition: Definition,
         progress: &Progress,
     ) {
-        let accepted =
-            Accepted { queue: "queue".into(), at_ms: 0, definition, origin: Origin::Public };
+        let accepted = Accepted {
+            queue: "queue".into(),
+            at_ms: 0,
+            definition,
+            origin: Origin::Public,
+            terms: None,
+        };
         let now = self.now;
         self.cell.add_job(id(job), accepted, Some(progress), false, Duration::ZERO, now);
     }
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod outage;
 mod ownership;
 mod placement;
+mod policies;
 mod pools;
 mod quota;
 mod release;
--- a/crates/engine/tests/all/matrix.rs
+++ b/crates/engine/tests/all/matrix.rs
@@ -34,6 +34,13 @@
     check_every_fault(|faults| Simulation::new(faults).with_late_jobs(Rule::Bounded), 5);
 }
 
+/// As above, with a job of a queue that was removed after its acceptance: guards against an owner that
+/// doesn't treat it as the owner before did, and fails it before its attempts are used up.
+#[test]
+fn every_fault_at_some_calls_with_a_removed_queue() {
+    check_every_fault(|faults| Simulation::new(faults).with_failing_job(), 5);
+}
+
 /// Injects each fault at each `interval`-th call.
 fn check_every_fault(new_simulation: fn(BTreeMap<usize, Fault>) -> Simulation, interval: usize) {
     let baseline = new_simulation(BTreeMap::new()).run();
@@ -296,6 +303,7 @@
         first: run == 1,
         need: CAPACITY,
         work: None,
+        fails: false,
         deadline: TIME_LIMIT,
         token: 1,
     };
--- a/crates/engine/tests/all/model.rs
+++ b/crates/engine/tests/all/model.rs
@@ -30,6 +30,8 @@
     record: usize,
     /// When it is done; none for a long-running task.
     done_at: Option<Time>,
+    /// Whether it fails then.
+    fails: bool,
     /// When a stop takes effect.
     stops_at: Option<Time>,
     began_at: Time,
@@ -60,6 +62,8 @@
     pub(crate) need: Resources,
     /// How long the task runs; none for a long-running task.
     pub(crate) work: Option<Duration>,
+    /// Whether the run fails instead of being done.
+    pub(crate) fails: bool,
     pub(crate) deadline: Time,
     pub(crate) token: u64,
 }
@@ -110,6 +114,7 @@
             need: start.need,
             record: history.len(),
             done_at: start.work.map(|work| now + work),
+            fails: start.fails,
             stops_at: None,
             began_at: now,
         };
@@ -185,6 +190,7 @@
             let done = work.done_at.is_some_and(|at| now >= at);
             let stopped = work.stops_at.is_some_and(|at| now >= at);
             let reason = match (done, stopped, expired) {
+                (true, ..) if work.fails => EndReason::Failed,
                 (true, ..) => EndReason::Done,
                 (_, true, _) => EndReason::Stopped,
                 (_, _, true) => EndReason::Expired,
--- a/crates/engine/tests/all/model/owner.rs
+++ b/crates/engine/tests/all/model/owner.rs
@@ -202,6 +202,7 @@
                         first,
                         need: step.need,
                         work: (!step.long_running).then_some(work),
+                        fails: false,
                         deadline,
                         token: self.token,
                     };
--- a/crates/engine/tests/all/model/simulation.rs
+++ b/crates/engine/tests/all/model/simulation.rs
@@ -8,7 +8,7 @@
 pub(crate) use takeover::Rule;
 
 use super::owner::{Answer, CAPACITY, Call, EXTEND_ALONE_LIMIT, LEASE_DURATION, Owner};
-use super::{Minion, RunRecord, Table};
+use super::{Minion, RunRecord, Start, Table};
 use crate::fixture::{definition, id, step};
 use celerythread_engine::cell::{Batch, EndReason, Incarnation, MinionId, Refusal};
 use celerythread_engine::job::{Definition, Id, State, Step, TaskName};
@@ -47,6 +47,11 @@
 const FIRST_LATE_JOB: u8 = 20;
 /// Jobs submitted during a simulation with late jobs.
 const LATE_JOBS: u8 = 8;
+/// The job of a queue that no owner sees in its configuration.  Its task fails one time less than the
+/// queue allows.
+const FAILING_JOB: u8 = 5;
+/// Runs of its task that may fail.
+const FAILING_JOB_ATTEMPTS: u32 = 4;
 /// Time from the start of the crashing task to the crash of its minion.
 const CRASH_DELAY: Duration = Duration::from_millis(10);
 /// Crashes of minions with the same task after which its job may fail, whatever caused them.
@@ -159,8 +164,12 @@
             stored == Some(State::Completed) || self.may_give_up(job)
         });
         let ended = done && crashing == Some(State::Failed);
+        let failing = self.table.progress.get(&id(FAILING_JOB)).and_then(|stored| stored.outcome);
+        let failing = !self.has_failing_job()
+            || failing == Some(State::Completed)
+            || self.may_give_up(FAILING_JOB);
         let long_running = self.active_long_running() == 2 || self.may_give_up(LONG_RUNNING_JOB);
-        quiet && !paused && ended && long_running && late
+        quiet && !paused && ended && long_running && late && failing
     }
 
     fn active_long_running(&self) -> usize {
@@ -290,7 +299,9 @@
                 minion.hold(token, *acknowledged, *deadline, now, history).map(Answer::Report)
             }
             Call::Start { start, .. } => {
-                minion.start(start, now, &mut self.history).map(|()| Answer::Done)
+                let start =
+                    Start { fails: fails_next(&self.history, &start.task), ..start.clone() };
+                minion.start(&start, now, &mut self.history).map(|()| Answer::Done)
             }
             Call::Stop { task, run, .. } => {
                 minion.stop(*task, *run, token, now).map(|()| Answer::Done)
@@ -406,6 +417,14 @@
     }
 }
 
+/// Whether the next run of a task fails.
+fn fails_next(history: &[RunRecord], task: &TaskName) -> bool {
+    let has_failed =
+        |run: &&RunRecord| run.task == *task && matches!(run.ended, Some((_, EndReason::Failed)));
+    let failures = history.iter().filter(has_failed).count();
+    task.job == id(FAILING_JOB) && failures + 1 < FAILING_JOB_ATTEMPTS as usize
+}
+
 /// Number of the late job with this index.
 fn late_job(index: u8) -> u8 {
     FIRST_LATE_JOB + index
@@ -417,7 +436,8 @@
     let long = Step { estimate_ms: 2500, ..step(1) };
     let late = (0..LATE_JOBS).map(late_job).chain([WITHDRAWN_JOB]);
     let late = late.map(|number| (id(number), definition(vec![long.clone()])));
-    base_jobs().into_iter().chain(late).collect()
+    let failing = (id(FAILING_JOB), definition(vec![step(1)]));
+    base_jobs().into_iter().chain(late).chain([failing]).collect()
 }
 
 /// The jobs that callers submit before the beginning.
--- a/crates/engine/tests/all/model/simulation/takeover.rs
+++ b/crates/engine/tests/all/model/simulation/takeover.rs
@@ -2,13 +2,13 @@
 //! meanwhile.
 
 use super::{
-    CANCELLED_JOB, EXTEND_ALONE_LIMIT, LATE_JOBS, LEASE_DURATION, Simulation, TAKEOVER_DELAY,
-    WITHDRAWN_JOB, base_jobs, late_job,
+    CANCELLED_JOB, EXTEND_ALONE_LIMIT, FAILING_JOB, FAILING_JOB_ATTEMPTS, LATE_JOBS,
+    LEASE_DURATION, Simulation, TAKEOVER_DELAY, WITHDRAWN_JOB, base_jobs, late_job,
 };
 use crate::fixture::id;
 use crate::model::owner::Owner;
 use celerythread_engine::cell::{Cell, Queue, Settings};
-use celerythread_engine::job::{Accepted, Definition, Id, Origin};
+use celerythread_engine::job::{self, Accepted, Definition, Id, Origin};
 use celerythread_engine::ownership::former::{
     EarlierOwners, Evidence, Predecessors, Renewal, Sending, Source, Terms, Watch, is_inherited,
     lease_expiry, lease_expiry_after_stop, renewed_by_ms,
@@ -19,6 +19,13 @@
 
 const CELL: &str = "svc";
 
+/// The queue of all jobs but [`FAILING_JOB`], and its attempts.
+const QUEUE: &str = "queue";
+const ATTEMPTS: u32 = 2;
+
+/// The queue that no owner has in its configuration.
+const REMOVED_QUEUE: &str = "removed";
+
 /// What the table's clock shows more than the others.
 const TABLE_CLOCK_AHEAD_MS: u64 = 50_000;
 
@@ -74,6 +81,8 @@
     /// Versions of the submitted jobs.
     submitted: Vec<u64>,
     late_jobs: u8,
+    /// Whether a job of a removed queue runs, whose task fails.
+    has_failing_job: bool,
 }
 
 impl Candidate {
@@ -95,6 +104,7 @@
             rule: Rule::Bounded,
             submitted: Vec::new(),
             late_jobs: 0,
+            has_failing_job: false,
         }
     }
 }
@@ -114,6 +124,15 @@
         Self { candidate, ..self }.with_rule(rule)
     }
 
+    /// Lets a job of a removed queue run, whose task fails.
+    pub(crate) fn with_failing_job(self) -> Self {
+        Self { candidate: Candidate { has_failing_job: true, ..self.candidate }, ..self }
+    }
+
+    pub(super) fn has_failing_job(&self) -> bool {
+        self.candidate.has_failing_job
+    }
+
     /// Lets successors decide by this rule.
     pub(crate) fn with_rule(self, rule: Rule) -> Self {
         Self { candidate: Candidate { rule, ..self.candidate }, ..self }
@@ -162,8 +181,10 @@
             if withdrawn.is_some() {
                 owner.cell.cancel(&id(WITHDRAWN_JOB), now);
             }
-            for (job, definition) in late.chain(withdrawn).map(late_definition) {
-                owner.cell.add_job(job, accepted(definition), None, false, Duration::ZERO, now);
+            let failing = self.candidate.has_failing_job.then_some(FAILING_JOB);
+            for (job, definition) in late.chain(withdrawn).chain(failing).map(definition_of) {
+                let accepted = accepted(job, definition);
+                owner.cell.add_job(job, accepted, None, false, Duration::ZERO, now);
             }
         }
     }
@@ -226,20 +247,20 @@
         self.record(|| format!("owner {token} takes over until {former_lease_expiry:?}"));
         let generation = token as u32 - 1;
         let mut cell = Cell::new(Settings::default(), generation, former_lease_expiry);
-        let queue = Queue { attempts: 2, ..Queue::default() };
-        cell.configure([("queue".into(), queue)]);
+        let queue = Queue { attempts: ATTEMPTS, ..Queue::default() };
+        cell.configure([(QUEUE.into(), queue)], 1);
         let has_former = former_lease_expiry.is_some();
         if has_former {
             self.roster.iter().for_each(|minion| cell.inherit_minion(minion));
         }
         let late = self.candidate.submitted.iter().enumerate();
-        let late =
-            late.map(|(number, version)| (*version, late_definition(late_job(number as u8))));
-        let jobs = base_jobs().into_iter().map(|job| (0, job)).chain(late);
+        let late = late.map(|(number, version)| (*version, definition_of(late_job(number as u8))));
+        let failing = self.candidate.has_failing_job.then(|| definition_of(FAILING_JOB));
+        let jobs = base_jobs().into_iter().chain(failing).map(|job| (0, job)).chain(late);
         for (version, (id, definition)) in jobs {
             let progress = self.table.progress.get(&id);
             let inherited = has_former && is_inherited(known_version, version, progress.is_some());
-            cell.add_job(id, accepted(definition), progress, inherited, Duration::ZERO, now);
+            cell.add_job(id, accepted(id, definition), progress, inherited, Duration::ZERO, now);
         }
         if self.cancelled {
             cell.cancel(&id(CANCELLED_JOB), now);
@@ -288,10 +309,17 @@
     }
 }
 
-fn late_definition(job: u8) -> (Id, Definition) {
+fn definition_of(job: u8) -> (Id, Definition) {
     super::jobs().into_iter().find(|(known, _)| *known == id(job)).unwrap()
 }
 
-fn accepted(definition: Definition) -> Accepted {
-    Accepted { queue: "queue".into(), at_ms: 0, definition, origin: Origin::Public }
+/// A job as an entry accepts it.
+fn accepted(job: Id, definition: Definition) -> Accepted {
+    let (queue, attempts) = match job == id(FAILING_JOB) {
+        true => (REMOVED_QUEUE, FAILING_JOB_ATTEMPTS),
+        false => (QUEUE, ATTEMPTS),
+    };
+    let policy = Queue { attempts, ..Queue::default() };
+    let terms = Some(job::Terms { configuration: 1, workspace: None, queue: policy });
+    Accepted { queue: queue.into(), at_ms: 0, definition, origin: Origin::Public, terms }
 }
--- a/crates/engine/tests/all/placement.rs
+++ b/crates/engine/tests/all/placement.rs
@@ -17,7 +17,7 @@
 /// A cell with minions that have answered, and jobs whose tasks need this much.
 fn full_cell(minions: usize, need: Resources) -> Cell {
     let mut cell = Cell::new(Settings::default(), 0, None);
-    cell.configure([("queue".into(), Queue::default())]);
+    cell.configure([("queue".into(), Queue::default())], 1);
     for number in 0..minions {
         let id: MinionId = format!("minion-{number}").into();
         cell.update_listing(&id, Listing { capacity: CAPACITY, ..Listing::default() });
@@ -30,6 +30,7 @@
             at_ms: 0,
             definition: definition(vec![Step { need, ..step(TASKS) }]),
             origin: Origin::Public,
+            terms: None,
         };
         cell.add_job(job, accepted, None, false, Duration::ZERO, NOW);
     }
--- a/crates/engine/tests/all/quota.rs
+++ b/crates/engine/tests/all/quota.rs
@@ -181,7 +181,7 @@
 
 fn submit(harness: &mut Harness, number: u8, origin: Origin, steps: Vec<Step>) -> Id {
     let definition = Definition { spec: "work".into(), steps, schedule: None };
-    let accepted = Accepted { queue: "queue".into(), at_ms: 0, definition, origin };
+    let accepted = Accepted { queue: "queue".into(), at_ms: 0, definition, origin, terms: None };
     let now = harness.now;
     harness.cell.add_job(id(number), accepted, None, false, Duration::ZERO, now);
     id(number)
@@ -245,7 +245,7 @@
 fn jobs_of_an_unknown_workspace_run_one_task_at_a_time() {
     let mut harness = limited(2, 5);
     let keyed = celerythread_engine::cell::Queue { public: false, ..Default::default() };
-    harness.cell.configure([("queue".into(), keyed)]);
+    harness.cell.configure([("queue".into(), keyed)], 1);
     submit(&mut harness, 1, Origin::Unknown, vec![step(3)]);
     harness.plan();
     write_all(&mut harness, 1);
@@ -273,9 +273,10 @@
         at_ms: 5,
         definition: Definition { spec: "work".into(), steps: vec![step(1)], schedule: None },
         origin: Origin::Unknown,
+        terms: None,
     };
     let mut bytes = celerythread_engine::job::encode(&accepted);
-    assert_eq!(bytes.pop(), Some(0));
+    assert_eq!([bytes.pop(), bytes.pop()], [Some(0); 2], "no terms and no origin");
     assert_eq!(Accepted::decode(&bytes).unwrap(), accepted);
 }
 
--- a/crates/engine/tests/all/restarts.rs
+++ b/crates/engine/tests/all/restarts.rs
@@ -180,14 +180,14 @@
     assert_eq!(stops(&scenario.harness.plan()).len(), 1);
     scenario.harness.cell.record_missed_answer(&minion, scenario.harness.now);
     scenario.harness.advance_ms(DOWNTIME_MS);
-    let stored_points = |scenario: &RestartScenario| {
+    let stored_points = |scenario: &mut RestartScenario| {
         let batch = scenario.harness.cell.unpersisted_batch(90).expect("progress to store");
         batch.rows[0].2.suspicions.clone()
     };
     scenario.restart();
-    assert_eq!(stored_points(&scenario), [(0, 2)]);
+    assert_eq!(stored_points(&mut scenario), [(0, 2)]);
     scenario.restart();
-    assert_eq!(stored_points(&scenario), [(0, 2)], "counted once");
+    assert_eq!(stored_points(&mut scenario), [(0, 2)], "counted once");
 }
 
 /// Guards against starts beyond the capacity of a restarted minion whose listing predates the
--- a/crates/engine/tests/all/share.rs
+++ b/crates/engine/tests/all/share.rs
@@ -59,6 +59,7 @@
         at_ms: 0,
         definition: definition(steps),
         origin: origin(workspace),
+        terms: None,
     };
     harness.cell.add_job(id, accepted, None, false, age, harness.now);
 }
@@ -303,6 +304,7 @@
         at_ms: 0,
         definition: definition(vec![step(40)]),
         origin: origin("a"),
+        terms: None,
     };
     harness.cell.add_job(id(1), accepted, None, true, Duration::ZERO, harness.now);
     submit(&mut harness, 2, "b", vec![step(40)]);
--- a/crates/engine/tests/all/sharing.rs
+++ b/crates/engine/tests/all/sharing.rs
@@ -2,7 +2,7 @@
 
 use crate::fixture::*;
 use celerythread_engine::cell::{Order, Queue, Refusal, Report, Running, StartResult};
-use celerythread_engine::job::{Step, TaskName};
+use celerythread_engine::job::{AdviceLatency, Step, TaskName};
 use std::time::Duration;
 
 fn paces(orders: &[Order]) -> Vec<(TaskName, u8)> {
@@ -79,8 +79,8 @@
 
 fn with_tickets(minions: usize) -> Harness {
     let mut harness = Harness::new(minions);
-    let queue = Queue { attempts: 2, needs_ticket: true, ..Queue::default() };
-    harness.cell.configure([("queue".into(), queue)]);
+    let queue = Queue { attempts: 2, advice: Some(AdviceLatency::default()), ..Queue::default() };
+    harness.cell.configure([("queue".into(), queue)], 1);
     harness
 }
 
--- a/crates/engine/tests/all/trials.rs
+++ b/crates/engine/tests/all/trials.rs
@@ -135,6 +135,7 @@
         at_ms: 0,
         definition: definition(vec![step(1)]),
         origin: Origin::Public,
+        terms: None,
     };
     let now = harness.now;
     harness.cell.add_job(id(1), accepted, Some(&progress), true, Duration::ZERO, now);
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -1,5 +1,7 @@
 //! The HTTP interface to callers.
 
+mod context;
+
 use crate::clock;
 use crate::metrics::{Counter, Timing};
 use crate::node::Node;
@@ -7,26 +9,23 @@
 use crate::peers;
 use crate::rows;
 use crate::submit::{self, Job, WriteOutcome};
+use crate::terms;
 use async_trait::async_trait;
 use celerythread_adapter::configuration::{Queue, Refusal};
 use celerythread_adapter::credential;
 use celerythread_adapter::store::{Error, Transaction};
 use celerythread_adapter::submission;
-use celerythread_engine::job::{Accepted, DefinitionError, Id, Origin, State, encode};
-use celerythread_engine::submission::{Attempt, retry_after_s, usable_time};
-use celerythread_engine::time::Time;
+use celerythread_engine::job::{Accepted, DefinitionError, Id, Origin, State, Terms, encode};
+use celerythread_engine::submission::{Attempt, retry_after_s};
 use celerythread_http::Fault;
 use celerythread_http::server::{Handler, Request};
 use celerythread_wire::job::{Answer, Question};
+use context::{Context, DEFAULT_DEADLINE, InFlight};
 use http_types::headers::HeaderValue;
 use http_types::{Method, Response, StatusCode};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// Deadline of requests that give none.
-const DEFAULT_DEADLINE: Duration = Duration::from_millis(3000);
-
 /// Longest wait for one transaction.  The store answers in some 4 ms, so an answer that takes this
 /// long is most likely lost; a retry is harmless.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(1400);
@@ -42,61 +41,16 @@
     node: Arc<Node>,
 }
 
-/// Counts a request as in flight until dropped.
-struct InFlight<'a>(&'a Node);
-
-impl<'a> InFlight<'a> {
-    fn new(node: &'a Node) -> Self {
-        node.in_flight.fetch_add(1, Ordering::SeqCst);
-        Self(node)
-    }
-}
-
-impl Drop for InFlight<'_> {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
-/// The context of a caller's request.
-struct Context {
-    /// The id that the caller gave it; `-` if none.
-    request_id: String,
-    /// On whose behalf the request is made.
-    origin: Origin,
-    /// When the response must be sent.
-    deadline: Time,
-    began: Time,
-}
-
 /// The queue that a request addresses, and on whose behalf.
 struct Target {
     queue: Queue,
     origin: Origin,
+    /// The terms on which the queue accepts jobs.
+    terms: Terms,
     /// The path after the queue's own: a job's id, or empty.
     subpath: String,
 }
 
-impl Context {
-    fn new(request: &Request, origin: Origin) -> Self {
-        let given = request.header(submission::DEADLINE_HEADER);
-        let deadline = given
-            .and_then(|text| text.parse().ok())
-            .map_or(DEFAULT_DEADLINE, Duration::from_millis);
-        let began = clock::now();
-        Self {
-            request_id: request.header(submission::REQUEST_ID_HEADER).unwrap_or("-").into(),
-            origin,
-            deadline: began + usable_time(deadline),
-            began,
-        }
-    }
-
-    fn remaining(&self) -> Duration {
-        self.deadline.since(clock::now())
-    }
-}
-
 impl CallerHandler {
     pub(crate) fn new(node: Arc<Node>) -> Self {
         Self { node }
@@ -125,7 +79,7 @@
             Ok(target) => target,
             Err(response) => return *response,
         };
-        let context = Context::new(request, target.origin);
+        let context = Context::new(request, target.origin.clone());
         let queue = &target.queue;
         if target.subpath.is_empty() && request.head.method() == Method::Get {
             return self.pending(queue).await;
@@ -134,7 +88,7 @@
             return status_response(StatusCode::NotFound);
         };
         match request.head.method() {
-            Method::Post => self.submit(&context, queue, id, &request.body).await,
+            Method::Post => self.submit(&context, &target, id, &request.body).await,
             Method::Get => self.state(&context, queue, id).await,
             Method::Delete => self.cancel(&context, queue, id).await,
             _ => status_response(StatusCode::MethodNotAllowed),
@@ -165,7 +119,8 @@
             return Err(self.refuse_unconfirmed(head, queue).into());
         }
         let subpath = path[queue.path_prefix.len()..].to_owned();
-        Ok(Target { queue: queue.clone(), origin, subpath })
+        let terms = terms::of_job(&configuration, queue, &origin);
+        Ok(Target { queue: queue.clone(), origin, terms, subpath })
     }
 
     /// Refuses a request without a valid key.
@@ -207,8 +162,8 @@
         unavailable_response(DEFAULT_DEADLINE)
     }
 
-    async fn submit(&self, context: &Context, queue: &Queue, id: Id, body: &[u8]) -> Response {
-        let node = &self.node;
+    async fn submit(&self, context: &Context, target: &Target, id: Id, body: &[u8]) -> Response {
+        let (node, queue) = (&self.node, &target.queue);
         let definition = match submission::decode(body) {
             Ok(definition) => definition,
             Err(error) => return self.reject(context, id, StatusCode::BadRequest, &error),
@@ -225,6 +180,7 @@
             at_ms: clock::wall_ms(),
             definition,
             origin: context.origin.clone(),
+            terms: Some(target.terms.clone()),
         };
         let row = encode(&accepted);
         let job = Job { service: &queue.service, id, row: &row, deadline: context.deadline };
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -11,7 +11,7 @@
 //! the minions that the platform lists; [`in_force`] asks peers for the configuration when the
 //! store doesn't provide it; [`peers`] sends questions to other entries and [`serve`] answers theirs; [`fleet`] carries out
 //! maintenance waves and moves machines between pools.  [`confirm`] tells slow transactions from
-//! lost ones; [`probe`] notices the begin and the end of an outage of the store.  [`node`] is the state that all of them share, with the lock order; [`rows`] defines
+//! lost ones; [`terms`] translates the configuration's policies; [`probe`] notices the begin and the end of an outage of the store.  [`node`] is the state that all of them share, with the lock order; [`rows`] defines
 //! the stored rows.
 //!
 //! [`settings`] is the validated INI file; [`daemon`] starts everything and shuts it down
@@ -39,6 +39,7 @@
 pub mod settings;
 pub mod status;
 mod submit;
+mod terms;
 
 pub use daemon::Daemon;
 pub use settings::Settings;
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -26,11 +26,12 @@
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::rows;
+use crate::terms;
 use activity::Activity;
 use calls::OrderTimeout;
 use celerythread_adapter::configuration::Configuration;
 use celerythread_adapter::minion::Entry;
-use celerythread_engine::cell::{Cell, Incarnation, Order, Queue, Refusal, StartResult};
+use celerythread_engine::cell::{Cell, Incarnation, Order, Refusal, StartResult};
 use celerythread_engine::job::{Accepted, Id, TaskName};
 use celerythread_engine::ownership::former::EarlierOwners;
 use celerythread_sync::Wake;
@@ -209,33 +210,18 @@
         self.cell.lock().as_mut().map(work)
     }
 
-    /// Applies the queues and the workspaces' limits of a configuration.
+    /// Applies the queues and the workspaces of a configuration.
     pub(crate) fn configure(&self, configuration: &Configuration) {
-        let mine = configuration.queues.iter().filter(|queue| queue.service == self.service);
-        let queues = mine.map(|queue| {
-            let policy = Queue {
-                priority: queue.priority,
-                attempts: queue.attempts,
-                stretch: queue.stretch,
-                target_ms: queue.target_ms,
-                needs_ticket: queue.advice.is_some(),
-                public: configuration.is_public(queue),
-            };
-            (queue.name.as_str().into(), policy)
-        });
-        let workspaces = configuration.workspaces.iter();
-        let limits = workspaces.map(|workspace| (workspace.name.as_str().into(), workspace.limit));
-        let workspaces = configuration.workspaces.iter();
-        let weights =
-            workspaces.map(|workspace| (workspace.name.as_str().into(), workspace.weight));
-        self.with(|cell| {
-            cell.configure(queues);
-            cell.configure_weights(weights, clock::now());
-            cell.configure_limits(limits, configuration.version, clock::now());
-        });
+        self.with(|cell| self.configure_cell(cell, configuration));
         self.plan_wake.wake();
     }
 
+    fn configure_cell(&self, cell: &mut Cell, configuration: &Configuration) {
+        let version = configuration.version;
+        cell.configure(terms::queues(configuration, &self.service), version);
+        cell.configure_workspaces(terms::workspaces(configuration), version, clock::now());
+    }
+
     /// Adds an accepted job to the cell.
     pub(crate) fn add_job(&self, id: Id, row: &[u8]) {
         let accepted = match Accepted::decode(row) {
--- a/crates/scheduler/src/owner/advice.rs
+++ b/crates/scheduler/src/owner/advice.rs
@@ -22,7 +22,8 @@
     let answer = match &node.advice {
         Some(client) => {
             let client = client.lock().await;
-            Some(client.request_tickets(&query, advice_timeout(&owner, asked)).await)
+            let query_time = owner.with(|cell| cell.query_time(asked)).unwrap_or_default();
+            Some(client.request_tickets(&query, query_time + ADVICE_TIMEOUT_MARGIN).await)
         }
         None => None,
     };
@@ -47,15 +48,3 @@
     node.journal.info("advice", &[("job", &step.job), ("step", &step), ("outcome", &outcome)]);
     owner.plan_wake.wake();
 }
-
-/// Timeout for a query, by the slowest queue of the service.
-fn advice_timeout(owner: &Owner, asked: usize) -> Duration {
-    let configuration = owner.node.configuration();
-    let queues = configuration.iter().flat_map(|configuration| configuration.queues.iter());
-    let ms = queues
-        .filter(|queue| queue.service == owner.service)
-        .filter_map(|queue| queue.advice)
-        .map(|advice| advice.decide_ms + advice.period_ms * asked as f64)
-        .fold(0.0, f64::max);
-    Duration::from_millis(ms as u64) + ADVICE_TIMEOUT_MARGIN
-}
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -8,6 +8,7 @@
 use crate::owner::{FormerOwner, Owner};
 use crate::rows;
 use celerythread_adapter::store::{Error, Name, Page, Row, Transaction};
+use celerythread_engine::cell::policies::Stored;
 use celerythread_engine::cell::{Cell, Settings};
 use celerythread_engine::job::{Accepted, Id, Progress, decode, encode};
 use celerythread_engine::maintenance::Machine;
@@ -128,6 +129,7 @@
     let lease_expiry = former_lease_expiry(owner);
     read_emptying(owner).await?;
     let roster = store.get(rows::JOBS, service, rows::ROSTER_KEY, CALL_TIMEOUT).await?;
+    let policies = store.get(rows::JOBS, service, rows::POLICIES_KEY, CALL_TIMEOUT).await?;
     // Jobs are read first: those accepted later are in the feed, and have no progress yet.
     let jobs =
         store.read_partitions(rows::JOBS, &rows::shard_prefix(service), CALL_TIMEOUT).await?;
@@ -141,6 +143,10 @@
         ..Settings::default()
     };
     let mut cell = Cell::new(settings, owner.generation, lease_expiry.map(|(expiry, _)| expiry));
+    cell.restore_policies(stored_policies(owner, policies), clock::now());
+    if let Some(configuration) = owner.node.configuration() {
+        owner.configure_cell(&mut cell, &configuration);
+    }
     let version = jobs.version;
     let (count, inherited) = add_jobs(owner, &mut cell, jobs, progress);
     let roster: rows::Roster = roster.and_then(|row| decode(&row.value).ok()).unwrap_or_default();
@@ -154,6 +160,7 @@
     }
     mark_terminated(&mut cell, find_terminated_minions(owner).await.0);
     *owner.cell.lock() = Some(cell);
+    // It may have changed since the cell was created.
     if let Some(configuration) = owner.node.configuration() {
         owner.configure(&configuration);
     }
@@ -179,6 +186,18 @@
     Ok(version)
 }
 
+/// The policies that a former owner stored; none, with a log line, if their row can't be read.
+fn stored_policies(owner: &Owner, row: Option<Row>) -> Stored {
+    let Some(row) = row else { return Stored::default() };
+    decode(&row.value)
+        .inspect_err(|error| {
+            let fields: [(&'static str, &dyn std::fmt::Display); 2] =
+                [("service", &owner.service), ("reason", error)];
+            owner.node.journal.warn("policies_unreadable", &fields);
+        })
+        .unwrap_or_default()
+}
+
 /// Waits until the minion table is read, which entries without cells don't follow; false if the
 /// cell is lost.  A listed minion that isn't known yet would count as terminated.
 async fn wait_for_minions(owner: &Owner) -> bool {
--- a/crates/scheduler/src/owner/persist.rs
+++ b/crates/scheduler/src/owner/persist.rs
@@ -5,14 +5,14 @@
 use crate::owner::Owner;
 use crate::owner::load::write_ledger;
 use crate::rows;
-use celerythread_adapter::store::{Error, Transaction};
+use celerythread_adapter::store::{Error, Name, Transaction};
 use celerythread_engine::cell::Batch;
 use celerythread_engine::job::{Id, Progress, decode, encode};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Maximum number of jobs in one transaction.  A transaction is limited to a hundred rows, one of
-/// which is the ledger's.
+/// Maximum number of jobs in one transaction.  A transaction is limited to a hundred rows, two of
+/// which may be the ledger's and that of the policies.
 const MAX_ROWS: usize = 90;
 
 /// How long ended runs are collected for one transaction.  Every transaction costs a call to the
@@ -71,7 +71,7 @@
             if owner.is_stopped() {
                 return false;
             }
-            if batch.rows.is_empty()
+            if batch.is_write_free()
                 || commit_locked(owner, &mut ledger, progress_transaction(owner, &batch)).await
             {
                 finish_batch(owner, &batch);
@@ -88,7 +88,13 @@
     let row = |(id, _, progress): &(Id, u64, Progress)| {
         (rows::progress(&owner.service, id), encode(progress))
     };
-    Transaction { writes: batch.rows.iter().map(row).collect(), ..Transaction::default() }
+    let policies = batch.policies.iter().map(|policies| {
+        (Name::new(rows::JOBS, &owner.service, rows::POLICIES_KEY), encode(policies))
+    });
+    Transaction {
+        writes: batch.rows.iter().map(row).chain(policies).collect(),
+        ..Transaction::default()
+    }
 }
 
 /// Commits a change under the ledger; true if it is certain to be committed.
@@ -128,6 +134,14 @@
 
 fn finish_batch(owner: &Owner, batch: &Batch) {
     owner.with(|cell| cell.record_persisted(batch));
+    if let Some(policies) = &batch.policies {
+        let fields: [(&'static str, &dyn std::fmt::Display); 3] = [
+            ("service", &owner.service),
+            ("queues", &policies.queues.len()),
+            ("workspaces", &policies.workspaces.len()),
+        ];
+        owner.node.journal.info("policies_stored", &fields);
+    }
     for (id, change, progress) in &batch.rows {
         if let Some(outcome) = progress.outcome {
             let age =
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -14,8 +14,8 @@
 //! names to all 147 entries.
 //!
 //! Table `jobs`: accepted jobs (`job/ID`) and cancellations (`cancel/ID`), in partitions
-//! `SERVICE/SHARD`; the owner's ledger (`ledger`) and the minions that it uses (`roster`) in the
-//! partition `SERVICE`.  Table `progress`, partition `SERVICE`: each job's progress (`ID`).
+//! `SERVICE/SHARD`; the owner's ledger (`ledger`), the minions that it uses (`roster`) and the
+//! policies that changed since jobs were accepted (`policies`) in the partition `SERVICE`.  Table `progress`, partition `SERVICE`: each job's progress (`ID`).
 //!
 //! Table `splits`: how each workspace's limit is split between the cells (`WORKSPACE`), in the
 //! empty partition.
@@ -55,6 +55,7 @@
 pub(crate) const CANCEL_PREFIX: &str = "cancel/";
 pub(crate) const LEDGER_KEY: &str = "ledger";
 pub(crate) const ROSTER_KEY: &str = "roster";
+pub(crate) const POLICIES_KEY: &str = "policies";
 
 /// The cell whose owner is the fleet controller.  No service has such a name: the platform's begin
 /// with a letter.
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -158,13 +158,22 @@
 
     /// Writes a configuration with one queue at `jobs.example/q/`.
     pub fn configure(&self, version: u64) {
-        let queue = json!({
-            "name": "queue", "host": "jobs.example", "pathPrefix": "/q/", "service": "desk",
-            "kind": "non_idempotent", "priority": 0, "attempts": 2, "stretch": 1.6,
-            "targetLatencyMs": 600, "timeoutMs": 3000,
+        self.configure_attempts(version, Some(2));
+    }
+
+    /// Writes a configuration with one queue at `jobs.example/q/` that allows these attempts, or
+    /// without the queue.
+    pub fn configure_attempts(&self, version: u64, attempts: Option<u32>) {
+        let queue = attempts.map(|attempts| {
+            json!({
+                "name": "queue", "host": "jobs.example", "pathPrefix": "/q/", "service": "desk",
+                "kind": "non_idempotent", "priority": 0, "attempts": attempts, "stretch": 1.6,
+                "targetLatencyMs": 600, "timeoutMs": 3000,
+            })
         });
+        let queues: Vec<Value> = queue.into_iter().collect();
         let service = json!({ "name": "desk", "admissionCheck": true, "spare": false });
-        let body = json!({ "version": version, "routes": [queue], "services": [service] });
+        let body = json!({ "version": version, "routes": queues, "services": [service] });
         self.store.put("op", "", "config", body.to_string().as_bytes());
     }
 
--- a/tests/all/site/loss.rs
+++ b/tests/all/site/loss.rs
@@ -122,6 +122,33 @@
     assert_once(&deployment, &answers, 2);
 }
 
+/// Guards against failing a job before its queue's attempts are used up, when the queue was removed and
+/// no entry is left that has seen it.  The attempts were changed after the job was accepted.
+#[async_std::test]
+async fn the_attempts_of_a_removed_queue_survive_the_loss_of_all_entries() {
+    let mut deployment = Deployment::start("policy", 3, 4).await;
+    let job = id(1);
+    assert_eq!(deployment.submit(0, &job, 1, "ms=700 fail").await, 200);
+    deployment.site.configure_attempts(2, Some(5));
+    eventually("the changed policy is stored", async || {
+        deployment.entries.iter().any(|entry| entry.has_logged("policies_stored")).then_some(())
+    })
+    .await;
+    deployment.entries.clear();
+    deployment.site.configure_attempts(3, None);
+    for number in 0..3 {
+        deployment.add_entry(&format!("entry-{number}")).await;
+    }
+    let failed = || {
+        let runs = deployment.site.history();
+        runs.iter().filter(|run| run.end_reason == Some("failed")).count()
+    };
+    eventually("all attempts are used up", async || (failed() == 5).then_some(())).await;
+    deployment.site.configure_attempts(4, Some(5));
+    deployment.wait_for_state(0, &job, "failed").await;
+    assert_eq!(failed(), 5);
+}
+
 #[async_std::test]
 async fn tasks_of_a_crashed_worker_run_elsewhere() {
     let mut deployment = Deployment::start("crash", 2, 3).await;
