Don't send starts of cancelled jobs that waited behind unanswered ones

Cause: a supervisor sends three orders to its minion at a time. While the minion doesn't answer, each takes up to 0.3 s and a poll of 0.4 s, and the starts behind them wait. Before sending one the owner checked its permit again, but not whether the run was still wanted.

A start is dropped now if its job has ended or its run is no longer to be started, and its task counts as not started (`starts_dropped`). The same covers runs of gangs that were stopped meanwhile.

The delegate's side is unchanged: it makes a call however late it reads it.

--- a/crates/engine/src/cell/cancellation.rs
+++ b/crates/engine/src/cell/cancellation.rs
@@ -4,8 +4,9 @@
 //! and a read of the whole table, which replaces a feed that lost its history, has the rows in the
 //! order of their keys.
 
-use crate::cell::Cell;
-use crate::job::Id;
+use crate::cell::minion::RunPhase;
+use crate::cell::{Cell, Job};
+use crate::job::{Id, TaskName};
 use crate::time::Time;
 
 impl Cell {
@@ -24,6 +25,16 @@
         }
     }
 
+    /// Whether a start that was ordered is still to be sent.
+    ///
+    /// Orders to a minion that doesn't answer wait for each other.  When one is sent, its job may have
+    /// ended, or its run may be stopped.
+    pub fn is_start_wanted(&self, minion: &str, task: &TaskName, run: u32) -> bool {
+        let is_ended = self.jobs.get(&task.job).is_none_or(Job::is_end_persisted);
+        let known = self.minions.get(minion).and_then(|minion| minion.run(task, run));
+        !is_ended && known.is_some_and(|run| run.phase == RunPhase::Ordered)
+    }
+
     /// Cancels a job that has just been added, if its cancellation arrived before it.
     pub(crate) fn apply_early_cancellation(&mut self, id: &Id, now: Time) {
         if self.early_cancellations.remove(id).is_some() {
--- a/crates/engine/tests/all/jobs.rs
+++ b/crates/engine/tests/all/jobs.rs
@@ -91,6 +91,33 @@
     assert_eq!(harness.cell.state(&id(1)), Some(State::Cancelled));
 }
 
+/// Guards against starting a task of a cancelled job by an order that waited behind calls that its
+/// minion didn't answer.
+#[test]
+fn a_start_that_was_not_sent_is_dropped_when_its_job_is_cancelled() {
+    let mut harness = Harness::new(1);
+    harness.submit(1, definition(vec![step(1)]));
+    harness.submit(2, definition(vec![step(1)]));
+    let ordered = starts(&harness.plan());
+    let is_wanted = |harness: &Harness| -> Vec<bool> {
+        let wanted = ordered
+            .iter()
+            .map(|(minion, task, run)| harness.cell.is_start_wanted(minion, task, *run));
+        wanted.collect()
+    };
+    assert_eq!(is_wanted(&harness), [true, true]);
+    harness.cell.cancel(&id(1), harness.now);
+    assert_eq!(is_wanted(&harness), [false, true], "before a plan stops the run");
+    harness.plan();
+    assert_eq!(is_wanted(&harness), [false, true], "after it");
+    let (minion, task, run) = &ordered[0];
+    let dropped = StartResult::Refused(Refusal::TooLate);
+    harness.cell.process_start_result(minion, task, *run, dropped, harness.now);
+    let used = CAPACITY.minus(&harness.cell.minion(minion).unwrap().free());
+    assert_eq!(used, step(1).need, "the other one's");
+    assert!(harness.plan().is_empty(), "neither stopped nor started again");
+}
+
 /// Guards against running a cancelled job: a read of the whole table, which has the rows in the order
 /// of their keys, or a message can bring the cancellation before the job.
 #[test]
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -29,6 +29,8 @@
     StartsRefused,
     /// Starts without an answer.
     StartsUnknown,
+    /// Starts that were not sent because their job had ended or their run was to stop.
+    StartsDropped,
     /// Runs ordered to stop.
     Stops,
     /// Runs lost with their minion.
--- a/crates/scheduler/src/owner/supervisor.rs
+++ b/crates/scheduler/src/owner/supervisor.rs
@@ -460,6 +460,13 @@
         return StartResult::Refused(Refusal::Unhealthy);
     }
     let to = &supervisor.target;
+    let Order::Start { task, run, .. } = order else {
+        return StartResult::Refused(Refusal::Malformed);
+    };
+    if owner.with(|cell| cell.is_start_wanted(&to.id, task, *run)) != Some(true) {
+        owner.node.metrics.count(Counter::StartsDropped);
+        return StartResult::Refused(Refusal::TooLate);
+    }
     let Some(deadline_ms) = supervisor.grants.next_deadline(owner, &to.id) else {
         return StartResult::Refused(Refusal::Unhealthy);
     };
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -37,6 +37,8 @@
     None,
     /// It neither executes nor answers them, as in a network partition.
     Silent,
+    /// It neither executes nor answers starts.
+    IgnoresStarts,
     /// It executes starts without answering them.
     LosesAnswers,
     /// It executes starts after this delay without answering them.
@@ -372,6 +374,7 @@
         }
         let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
         match (request.path(), fault_mode) {
+            ("/-/run-start", FaultMode::IgnoresStarts) => hang().await,
             ("/-/run-start", FaultMode::LosesAnswers) => {
                 self.start(&body);
                 hang().await
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -1,5 +1,6 @@
 //! Tests with daemons as real processes on a stand-in of the users' platform.
 
+mod cancellations;
 mod capacity;
 mod check;
 mod delegation;
