Start nothing with an old view of the jobs' cancellations

Cause: an owner learns of cancellations by messages, which are given up for 1.5 s after one that wasn't answered, and by the feed of the table of jobs. Nothing bounded how old its view of that table may be while it starts tasks: a feed without answers, lost history or a takeover that waits for the list of machines leave it as old as they last.

Evidence: with the stand-ins on, an owner that missed the message and got no changes of the jobs, while the store answered all else, started the second step of a job 4.02 s after its cancellation was acknowledged.

An owner now knows as of when it knows all jobs and cancellations, by the versions of the store that calls of known times showed, and starts nothing while that is longer ago than three quarters of `run.cancel_within`, from the platform's `cancel_ms`. It is asked again right before a start is sent. While the store is lost, which acknowledges no cancellation then, what was never started goes on as before. So the rule holds whatever delays the view; the rest of the bound is for the order's way.

New lines tell the cases apart: `cancellation_known` with its way, version and age, `jobs_age_ms` in `start_ordered`, `start_with_old_jobs`, `starts_held` and `starts_resumed`. The row of a cancellation has its time; rows without one are read.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -8,7 +8,8 @@
 //! [`delegation`] which entries make its calls to minions, and [`termination`] which minions of the
 //! former owner have terminated; [`window`] limits how many starts are unanswered; [`quota`] splits
 //! a workspace's limit between the cells; [`lease`] computes when a minion's leases have expired, and
-//! [`store_clock`] bounds the time on the store's clock;
+//! [`store_clock`] bounds the time on the store's clock, and [`recency`] the age of an owner's view of
+//! the jobs;
 //! [`maintenance`] takes machines through maintenance waves, and [`pools`] moves them between pools
 //! as demand changes, and [`release`] decides who may order a machine while the store is
 //! unavailable; [`timeout`] adapts timeouts to the latency of answers, [`outage`] detects that a
@@ -23,6 +24,7 @@
 pub mod ownership;
 pub mod pools;
 pub mod quota;
+pub mod recency;
 pub mod release;
 pub mod store_clock;
 pub mod submission;
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod policies;
 mod pools;
 mod quota;
+mod recency;
 mod release;
 mod restarts;
 mod runs;
--- a/crates/engine/tests/all/matrix.rs
+++ b/crates/engine/tests/all/matrix.rs
@@ -41,6 +41,13 @@
     check_every_fault(|faults| Simulation::new(faults).with_failing_job(), 5);
 }
 
+/// As above, with owners that get no changes of the jobs for some seconds: guards against an owner
+/// that starts tasks of a job long after its cancellation.
+#[test]
+fn every_fault_at_some_calls_with_a_held_feed_of_the_jobs() {
+    check_every_fault(|faults| Simulation::new(faults).with_held_feed(), 5);
+}
+
 /// Injects each fault at each `interval`-th call.
 fn check_every_fault(new_simulation: fn(BTreeMap<usize, Fault>) -> Simulation, interval: usize) {
     let baseline = new_simulation(BTreeMap::new()).run();
--- a/crates/engine/tests/all/model/owner.rs
+++ b/crates/engine/tests/all/model/owner.rs
@@ -6,6 +6,7 @@
     Batch, Cell, Incarnation, Listing, MinionId, Order, Permit, Refusal, Report, StartResult,
 };
 use celerythread_engine::job::{Resources, TaskName};
+use celerythread_engine::recency::Recency;
 use celerythread_engine::time::Time;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -19,6 +20,9 @@
 pub(crate) const LEASE_DURATION: Duration = Duration::from_millis(4500);
 pub(crate) const LEASE_MARGIN: Duration = Duration::from_millis(150);
 
+/// Age of its view of the jobs from which on an owner starts nothing.
+const MAX_JOBS_AGE: Duration = Duration::from_millis(2250);
+
 /// Time between two polls of a minion.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -81,6 +85,8 @@
     /// While isolated: until when, and the only minion that it can reach.
     pub(crate) isolation: Option<(Time, MinionId)>,
     pub(crate) is_stopped: bool,
+    /// How recent its view of the jobs is.
+    pub(crate) jobs_recency: Recency,
 }
 
 impl Call {
@@ -97,6 +103,8 @@
 impl Owner {
     /// An owner whose takeover has just been stored.
     pub(crate) fn new(cell: Cell, token: u64, now: Time) -> Self {
+        let mut jobs_recency = Recency::default();
+        jobs_recency.record_read(now, 0);
         Self {
             cell,
             token,
@@ -109,10 +117,15 @@
             paused_until: None,
             isolation: None,
             is_stopped: false,
+            jobs_recency,
         }
     }
 
     fn permit(&self, now: Time) -> Permit {
+        self.jobs_recency.restrict(self.ownership_permit(now), MAX_JOBS_AGE, false, now)
+    }
+
+    fn ownership_permit(&self, now: Time) -> Permit {
         match now.since(self.last_renewal) {
             silence if silence <= START_ALONE_LIMIT => Permit::All,
             silence if silence <= EXTEND_ALONE_LIMIT => {
--- a/crates/engine/tests/all/model/simulation.rs
+++ b/crates/engine/tests/all/model/simulation.rs
@@ -1,6 +1,7 @@
 //! A simulation with fault injection: successive owners, minions, the table and a caller.
 
 mod fault;
+mod feed;
 mod takeover;
 mod timeline;
 
@@ -13,6 +14,7 @@
 use celerythread_engine::cell::{Batch, EndReason, Incarnation, MinionId, Refusal};
 use celerythread_engine::job::{Definition, Id, State, Step, TaskName};
 use celerythread_engine::time::Time;
+use feed::Feed;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use takeover::{Candidate, Departure};
@@ -88,6 +90,7 @@
     /// Number of renewals that a candidate for the cell observed, and when it was first observed.
     observed_renewals: (u64, Time),
     cancelled: bool,
+    feed: Feed,
     /// The entry that takes over next.
     candidate: Candidate,
     /// What has happened so far, if it is recorded.
@@ -116,6 +119,7 @@
             owners: Vec::new(),
             observed_renewals: (0, START_TIME),
             cancelled: false,
+            feed: Feed::default(),
             candidate: Candidate::new(),
             timeline: None,
         };
@@ -206,12 +210,7 @@
             self.roster.insert(name.as_str().into());
             self.start_minion(&name);
         }
-        if now >= CANCEL_TIME && !self.cancelled {
-            self.cancelled = true;
-            for owner in &mut self.owners {
-                owner.cell.cancel(&id(CANCELLED_JOB), now);
-            }
-        }
+        self.follow_jobs();
     }
 
     fn drive(&mut self, index: usize) {
@@ -356,7 +355,7 @@
         if self.history.iter().filter(earlier).any(|other| done(other) && other.acknowledged) {
             violations.push("after its end was acknowledged");
         }
-        let is_cancelled = run.task.job == id(CANCELLED_JOB) && self.cancelled;
+        let is_cancelled = run.task.job == id(CANCELLED_JOB) && self.is_cancellation_due();
         if is_cancelled || run.task.job == id(WITHDRAWN_JOB) {
             violations.push("after its job was cancelled");
         }
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -9,6 +9,7 @@
 use celerythread_adapter::store::{self, Error, Page, Row};
 use celerythread_adapter::wave::{self, Wave};
 use celerythread_engine::ownership;
+use celerythread_engine::time::Time;
 use celerythread_sync::Wake;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -40,8 +41,9 @@
     fn apply_changes(&self, rows: Vec<Row>);
     /// Called when a read was answered, before its rows are applied.
     fn read_answered(&self) {}
-    /// Called when all rows of a read have been applied.
-    fn read_applied(&self) {}
+    /// Called when all rows of a read have been applied, with when it was sent and the version as of
+    /// which the table is known.
+    fn read_applied(&self, _sent: Time, _version: u64) {}
     /// Called when the table is no longer followed; what was applied becomes outdated.
     fn unfollowed(&self) {}
 }
@@ -121,6 +123,7 @@
     version: &mut u64,
 ) {
     while table.need.is_met(node) && node.pause(table.batch_delay).await {
+        let sent = clock::now();
         let result = node.store.feed(table.name, *version, table.max_wait).await;
         node.record_store_result(&result);
         match result {
@@ -128,7 +131,7 @@
                 sink.read_answered();
                 log_unreadable_rows(node, table, &page);
                 apply_page(page, version, sink);
-                sink.read_applied();
+                sink.read_applied(sent, *version);
             }
             Err(Error::HistoryGone) => {
                 node.journal.warn("history_gone", &[("table", &table.name), ("after", version)]);
@@ -166,6 +169,7 @@
 /// Reads a table in full, retrying until it succeeds; none when the node stops.
 async fn read_table(node: &Arc<Node>, table: &Table, sink: &dyn Sink) -> Option<u64> {
     loop {
+        let sent = clock::now();
         let result = if table.has_partitions {
             node.store.read_partitions(table.name, "", READ_TIMEOUT).await
         } else {
@@ -176,7 +180,7 @@
             sink.read_answered();
             log_unreadable_rows(node, table, &page);
             sink.replace(page.rows, page.version);
-            sink.read_applied();
+            sink.read_applied(sent, page.version);
             return Some(page.version);
         }
         if !node.pause_for_store(RETRY_DELAY + reread_delay(node, table)).await {
@@ -230,7 +234,7 @@
 }
 
 impl Sink for OperatorSink {
-    fn read_applied(&self) {
+    fn read_applied(&self, _: Time, _: u64) {
         self.0.in_force.confirm(clock::now());
     }
 
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -353,8 +353,9 @@
             Ok(_) => return status_response(StatusCode::Gone),
             Err(_) => return unavailable_response(context.remaining()),
         }
+        let cancellation = rows::Cancellation { layout: 1, at_ms: clock::wall_ms() };
         let change = Transaction {
-            writes: vec![(rows::cancel(service, &id), vec![1])],
+            writes: vec![(rows::cancel(service, &id), encode(&cancellation))],
             ..Transaction::default()
         };
         let began = clock::now();
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -421,6 +421,11 @@
     ) -> Result<u64, store::Error> {
         let began = clock::now();
         let result = self.store.commit(change, timeout).await;
+        if let Ok(version) = result {
+            for owner in self.owners.read().values() {
+                owner.jobs_recency.lock().record_version(began, version);
+            }
+        }
         let took = clock::now().since(began);
         self.metrics.time(crate::metrics::Timing::Commit, took);
         match &result {
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -1,6 +1,6 @@
 //! The owner of a cell: takes it over, carries out its plans, and persists its progress.
 //!
-//! [`load`] reads the stored rows, [`supervisor`] polls and commands one minion, [`persist`] writes
+//! [`load`] reads the stored rows, [`cancellation`] logs cancellations, [`supervisor`] polls and commands one minion, [`persist`] writes
 //! progress, [`advice`] asks for tickets, [`quota`] enforces workspaces' limits, [`events`] logs the
 //! cell's events, [`activity`] the owner's load and [`capacity`] what its cell could still run.  [`calls`] are made to minions with the leases of
 //! [`grant`], at peak load through the entries of [`delegation`]; [`starts`] limits how many starts
@@ -10,6 +10,7 @@
 mod activity;
 mod advice;
 mod calls;
+mod cancellation;
 mod capacity;
 pub(crate) mod delegation;
 mod events;
@@ -29,11 +30,14 @@
 use crate::terms;
 use activity::Activity;
 use calls::OrderTimeout;
+use cancellation::Source;
 use celerythread_adapter::configuration::Configuration;
 use celerythread_adapter::minion::Entry;
-use celerythread_engine::cell::{Cell, Incarnation, Order, Refusal, StartResult};
+use celerythread_adapter::store::Row;
+use celerythread_engine::cell::{Cell, Incarnation, Order, Permit, Refusal, StartResult};
 use celerythread_engine::job::{Accepted, Id, TaskName};
 use celerythread_engine::ownership::former::EarlierOwners;
+use celerythread_engine::recency::Recency;
 use celerythread_sync::Wake;
 use celerythread_wire::job::{Answer, Question};
 use delegation::Delegation;
@@ -69,6 +73,10 @@
 /// minion is to be emptied counts only for a time.
 const MAX_MINION_SYNC_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Age of the view of the jobs from which on starts are logged in addition: lines of ordinary starts
+/// are left out in bursts.
+const LOGGED_JOBS_AGE: Duration = Duration::from_millis(1000);
+
 /// How the former owner ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -146,6 +154,10 @@
     pub(crate) delegation: Delegation,
     pub(crate) order_timeout: OrderTimeout,
     pub(crate) starts: Starts,
+    /// How recent the cell's jobs and cancellations are.
+    pub(crate) jobs_recency: Mutex<Recency>,
+    /// Whether starts wait for a more recent view of the jobs.
+    are_starts_held: AtomicBool,
     /// Permissions to order machines without the store; `None` if that is off.
     releases: Option<Releases>,
     stop_source: Mutex<Option<StopSource>>,
@@ -182,6 +194,8 @@
             delegation: Delegation::default(),
             order_timeout: OrderTimeout::default(),
             starts: Starts::default(),
+            jobs_recency: Mutex::default(),
+            are_starts_held: AtomicBool::new(false),
             releases,
             stop_source: Mutex::new(Some(stop_source)),
             stopped,
@@ -251,11 +265,40 @@
         }
     }
 
-    pub(crate) fn cancel_job(&self, id: Id) {
-        self.with(|cell| cell.cancel(&id, clock::now()));
+    /// Cancels a job; `row` is that of the cancellation, if it was read.
+    pub(crate) fn cancel_job(&self, id: Id, source: Source, row: Option<&Row>) {
+        let is_known = self.with(|cell| {
+            cell.cancel(&id, clock::now());
+            cell.job(&id).is_some()
+        });
+        cancellation::log(self, &id, source, row, is_known == Some(true));
         self.plan_wake.wake();
     }
 
+    /// What may be started now.
+    pub(crate) fn permit(&self) -> Permit {
+        let (now, permit) = (clock::now(), self.node.permit());
+        let max_age = self.node.settings.max_jobs_age();
+        let is_store_lost = self.node.is_outage_suspected();
+        let recency = self.jobs_recency.lock();
+        let restricted = recency.restrict(permit, max_age, is_store_lost, now);
+        let age = recency.age(now);
+        drop(recency);
+        let is_held = restricted != permit;
+        if self.are_starts_held.swap(is_held, Ordering::SeqCst) != is_held {
+            let event = if is_held { "starts_held" } else { "starts_resumed" };
+            let fields: [(&'static str, &dyn Display); 2] =
+                [("service", &self.service), ("jobs_age_ms", &age.as_millis())];
+            self.node.journal.warn(event, &fields);
+        }
+        restricted
+    }
+
+    /// Time since the moment up to which all jobs and cancellations are known.
+    pub(crate) fn jobs_age(&self) -> Duration {
+        self.jobs_recency.lock().age(clock::now())
+    }
+
     /// Answers a question of another entry or of this entry's HTTP interface; none while the cell
     /// is not loaded.
     pub(crate) fn answer(&self, question: &Question) -> Option<Answer> {
@@ -268,7 +311,7 @@
                 Some(Answer::Noted)
             }
             Question::Cancelled { id, .. } => {
-                self.cancel_job(*id);
+                self.cancel_job(*id, Source::Message, None);
                 Some(Answer::Noted)
             }
             Question::State { id, origin, .. } => {
@@ -358,7 +401,7 @@
         // An owner that may have been replaced starts and stops nothing.
         if owner.node.may_extend_leases() {
             let now = clock::now();
-            let permit = owner.node.permit();
+            let permit = owner.permit();
             let max_starts = owner.starts.available();
             let plan = |cell: &mut Cell| {
                 cell.limit_starts(max_starts);
@@ -408,6 +451,7 @@
         owner.node.metrics.count(counter);
         let (job_age, report_age) =
             owner.with(|cell| ages(cell, &task.job, minion)).unwrap_or_default();
+        let jobs_age = owner.jobs_age();
         owner.node.journal.info(
             event,
             &[
@@ -418,8 +462,20 @@
                 ("token", &owner.token),
                 ("job_age_ms", &job_age.as_millis()),
                 ("look_age_ms", &report_age.as_millis()),
+                ("jobs_age_ms", &jobs_age.as_millis()),
             ],
         );
+        if matches!(order, Order::Start { .. }) && jobs_age >= LOGGED_JOBS_AGE {
+            owner.node.journal.info(
+                "start_with_old_jobs",
+                &[
+                    ("job", &task.job),
+                    ("task", &task),
+                    ("run", &run),
+                    ("jobs_age_ms", &jobs_age.as_millis()),
+                ],
+            );
+        }
         let (minion, starts) = (minion.clone(), matches!(order, Order::Start { .. }));
         let unanswered = starts.then(|| owner.starts.add());
         let supervisor = supervisors.get(&minion);
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -5,6 +5,7 @@
 use crate::follow::{self, Need, Sink, Table};
 use crate::metrics::Counter;
 use crate::node::Node;
+use crate::owner::cancellation::{self, Source};
 use crate::owner::{FormerOwner, Owner};
 use crate::rows;
 use celerythread_adapter::store::{Error, Name, Page, Row, Transaction};
@@ -130,6 +131,7 @@
     read_emptying(owner).await?;
     let roster = store.get(rows::JOBS, service, rows::ROSTER_KEY, CALL_TIMEOUT).await?;
     let policies = store.get(rows::JOBS, service, rows::POLICIES_KEY, CALL_TIMEOUT).await?;
+    let sent = clock::now();
     // Jobs are read first: those accepted later are in the feed, and have no progress yet.
     let jobs =
         store.read_partitions(rows::JOBS, &rows::shard_prefix(service), CALL_TIMEOUT).await?;
@@ -148,6 +150,7 @@
         owner.configure_cell(&mut cell, &configuration);
     }
     let version = jobs.version;
+    owner.jobs_recency.lock().record_read(sent, version);
     let (count, inherited) = add_jobs(owner, &mut cell, jobs, progress);
     let roster: rows::Roster = roster.and_then(|row| decode(&row.value).ok()).unwrap_or_default();
     for minion in roster.minions {
@@ -316,6 +319,8 @@
     for row in &jobs.rows {
         if let Some(id) = job_id(row, rows::CANCEL_PREFIX) {
             cell.cancel(&id, now);
+            let is_known = cell.job(&id).is_some();
+            cancellation::log(owner, &id, Source::Takeover, Some(row), is_known);
         }
     }
     (count, inherited_count)
@@ -339,17 +344,30 @@
 
 impl Sink for JobSink {
     fn replace(&self, rows: Vec<Row>, _: u64) {
-        self.apply_changes(rows);
+        self.apply(&rows, Source::FullRead);
     }
 
     fn apply_changes(&self, rows: Vec<Row>) {
+        self.apply(&rows, Source::Feed);
+    }
+
+    fn read_applied(&self, sent: Time, version: u64) {
+        self.0.jobs_recency.lock().record_read(sent, version);
+        if self.0.are_starts_held.load(Ordering::SeqCst) {
+            self.0.plan_wake.wake();
+        }
+    }
+}
+
+impl JobSink {
+    fn apply(&self, rows: &[Row], source: Source) {
         let owner = &self.0;
         let shards = rows::shard_prefix(&owner.service);
         for row in rows.iter().filter(|row| row.part.starts_with(&shards) && !row.deleted) {
             if let Some(id) = job_id(row, rows::JOB_PREFIX) {
                 owner.add_job(id, &row.value);
             } else if let Some(id) = job_id(row, rows::CANCEL_PREFIX) {
-                owner.cancel_job(id);
+                owner.cancel_job(id, source, Some(row));
             }
         }
     }
@@ -365,7 +383,7 @@
         has_row_per_entry: false,
         batch_delay: JOBS_BATCH_DELAY,
         need: Need::Always,
-        max_wait: follow::MAX_FEED_WAIT,
+        max_wait: owner.node.settings.jobs_feed_wait(),
     };
     let sink = JobSink(owner.clone());
     let mut version = version;
--- a/crates/scheduler/src/owner/quota.rs
+++ b/crates/scheduler/src/owner/quota.rs
@@ -8,6 +8,7 @@
 use celerythread_adapter::store::{Error, Row, Transaction};
 use celerythread_engine::job::{decode, encode};
 use celerythread_engine::quota::{Change, Split};
+use celerythread_engine::time::Time;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -54,7 +55,7 @@
         apply_splits(&self.0, &rows);
     }
 
-    fn read_applied(&self) {
+    fn read_applied(&self, _: Time, _: u64) {
         self.0.with(|cell| cell.confirm_splits(clock::now()));
     }
 }
--- a/crates/scheduler/src/owner/starts.rs
+++ b/crates/scheduler/src/owner/starts.rs
@@ -1,11 +1,19 @@
 //! Starts that were ordered and are not answered yet.
 
 use crate::clock;
+use crate::owner::Owner;
+use celerythread_engine::cell::Order;
 use celerythread_engine::window::Window;
 use parking_lot::Mutex;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
+/// Whether a start that was ordered is still to be sent.
+pub(crate) fn is_wanted(owner: &Owner, order: &Order) -> bool {
+    let Order::Start { minion, task, run, .. } = order else { return false };
+    owner.with(|cell| cell.is_start_wanted(minion, task, *run)) == Some(true)
+}
+
 /// The unanswered starts of a cell, and how many there may be.
 #[derive(Debug, Default)]
 pub(crate) struct Starts {
--- a/crates/scheduler/src/owner/supervisor.rs
+++ b/crates/scheduler/src/owner/supervisor.rs
@@ -3,7 +3,7 @@
 use crate::clock;
 use crate::metrics::{Counter, Timing};
 use crate::owner::grant::Grants;
-use crate::owner::starts::Unanswered;
+use crate::owner::starts::{self, Unanswered};
 use crate::owner::{Owner, calls, dispatch, persist};
 use crate::rows;
 use async_std::channel;
@@ -451,7 +451,7 @@
 async fn start_run(owner: &Owner, supervisor: &Supervisor, order: &Order) -> StartResult {
     // Checked again, because the order may have waited in the queue.  The plan has decided for
     // which jobs it may start something.
-    let allowed = match owner.node.permit() {
+    let allowed = match owner.permit() {
         Permit::All => true,
         Permit::NeverStarted { .. } => matches!(order, Order::Start { first: true, .. }),
         Permit::Nothing => false,
@@ -460,10 +460,7 @@
         return StartResult::Refused(Refusal::Unhealthy);
     }
     let to = &supervisor.target;
-    let Order::Start { task, run, .. } = order else {
-        return StartResult::Refused(Refusal::Malformed);
-    };
-    if owner.with(|cell| cell.is_start_wanted(&to.id, task, *run)) != Some(true) {
+    if !starts::is_wanted(owner, order) {
         owner.node.metrics.count(Counter::StartsDropped);
         return StartResult::Refused(Refusal::TooLate);
     }
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -161,6 +161,26 @@
     pub(crate) token: u64,
 }
 
+/// The cancellation of a job.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct Cancellation {
+    /// The layout, always 1.
+    pub(crate) layout: u8,
+    /// When it was accepted, in milliseconds since 1970 by the accepting entry's clock; 0 in rows of
+    /// releases that didn't store it.
+    pub(crate) at_ms: u64,
+}
+
+impl Cancellation {
+    /// Decodes a row.  Rows of older releases end before `at_ms`.
+    ///
+    /// # Errors
+    /// Returns an error if the bytes are malformed.
+    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, FormatError> {
+        decode_extended(bytes)
+    }
+}
+
 /// The minions on which an owner may have started something.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Roster {
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -43,6 +43,8 @@
     pub takeover_after: Span,
     /// Longest time that a minion takes to stop a run.
     pub stop_timeout: Span,
+    /// Time after a cancellation was acknowledged within which no task of its job is started any more.
+    pub cancel_within: Span,
     /// Whether workspaces share a pool's capacity by weight while it is short.
     pub workspace_shares: bool,
     /// Term of a fleet controller's lease on a machine after an order, within which no other holder
@@ -77,6 +79,19 @@
 /// connection that was lost.
 const OPERATOR_FEEDS_PER_CONTACT: u32 = 3;
 
+/// Part of the time to act on a cancellation in which an owner learns of it.
+const JOBS_AGE_PART: f64 = 0.75;
+
+/// Lower bound of this age.  An ordinary view is younger with the shortest wait of the feed.
+const MIN_JOBS_AGE: Duration = Duration::from_millis(1200);
+
+/// Age that an ordinary view reaches beyond the wait of the feed.
+const MAX_JOBS_AGE_WITHOUT_WAIT: Duration = Duration::from_millis(1000);
+
+/// Bounds of the wait of one call of the jobs' feed, whatever the settings.
+const MIN_JOBS_FEED_WAIT: Duration = Duration::from_millis(200);
+const MAX_JOBS_FEED_WAIT: Duration = Duration::from_millis(1000);
+
 /// Bounds of the wait of one call of the operators' table, whatever the settings.
 const MIN_OPERATOR_FEED_WAIT: Duration = Duration::from_millis(500);
 const MAX_OPERATOR_FEED_WAIT: Duration = Duration::from_secs(10);
@@ -110,6 +125,7 @@
             // time; a slow store lengthens the term automatically.
             takeover_after: Span::millis(1300),
             stop_timeout: Span::millis(900),
+            cancel_within: Span::millis(3000),
             workspace_shares: false,
             maintenance_lease: Span::millis(3000),
             maintenance_duration: Span::millis(2000),
@@ -143,6 +159,19 @@
         wait.clamp(MIN_OPERATOR_FEED_WAIT, MAX_OPERATOR_FEED_WAIT)
     }
 
+    /// Age of an owner's view of the jobs from which on it starts nothing.  The rest of the time is for
+    /// the order's way to the minion.
+    pub(crate) fn max_jobs_age(&self) -> Duration {
+        self.cancel_within.0.mul_f64(JOBS_AGE_PART).max(MIN_JOBS_AGE)
+    }
+
+    /// Longest wait of one call of the jobs' feed.  With the pause before it, the time between two
+    /// renewals and that of an answer, a view without changes stays recent enough.
+    pub(crate) fn jobs_feed_wait(&self) -> Duration {
+        let wait = self.max_jobs_age().saturating_sub(MAX_JOBS_AGE_WITHOUT_WAIT);
+        wait.clamp(MIN_JOBS_FEED_WAIT, MAX_JOBS_FEED_WAIT)
+    }
+
     /// Reads a settings file.
     ///
     /// # Errors
@@ -180,6 +209,7 @@
             lease_limit: reader.value("run", "lease_limit", defaults.lease_limit),
             extend_alone: reader.value("run", "extend_alone", defaults.extend_alone),
             stop_timeout: reader.value("run", "stop_timeout", defaults.stop_timeout),
+            cancel_within: reader.value("run", "cancel_within", defaults.cancel_within),
             workspace_shares: reader.value("run", "workspace_shares", defaults.workspace_shares),
             maintenance_lease: reader.value("maintenance", "lease", defaults.maintenance_lease),
             maintenance_duration: {
--- a/tests/all/site/cancellations.rs
+++ b/tests/all/site/cancellations.rs
@@ -3,6 +3,9 @@
 use super::*;
 use celerythread_standin::site::worker::FaultMode;
 
+/// Time after an acknowledged cancellation from which no task of the job may be started.
+const CANCEL_BOUND: Duration = Duration::from_secs(3);
+
 async fn cancel(deployment: &Deployment, entry: usize, id: &str) -> Instant {
     let callers = deployment.entries[entry].callers;
     let (status, _) = call(callers, Method::Delete, &format!("/q/{id}"), None).await.unwrap();
@@ -17,6 +20,36 @@
     runs.map(|run| format!("{} {:?} after it", run.task, run.began - time)).collect()
 }
 
+/// Guards against starting tasks of a job that was cancelled some seconds ago, by an owner that gets
+/// no changes of the table of jobs and missed the message.
+#[async_std::test]
+async fn an_owner_without_the_changes_of_the_jobs_starts_no_cancelled_job() {
+    let deployment = Deployment::start("cancel-feed", 3, 3).await;
+    let owner = deployment.owner().unwrap();
+    let other = (owner + 1) % 3;
+    let job = id(2);
+    let step = |after: Value| json!({ "count": 1, "cpu": 1000, "memMb": 64, "estimateMs": 4500, "after": after });
+    let body = json!({ "spec": "ms=4500", "steps": [step(json!([])), step(json!([0]))] });
+    let callers = deployment.entries[other].callers;
+    let accepted = call(callers, Method::Post, &format!("/q/{job}"), Some(body)).await;
+    assert_eq!(accepted.map(|(status, _)| status), Some(200));
+    deployment.wait_for_state(other, &job, "running").await;
+    deployment.site.store.hold_feed(Some("jobs"));
+    // After a message that isn't answered, no others are sent for a while.
+    deployment.entries[owner].signal("-STOP");
+    assert_eq!(deployment.submit(other, &id(3), 1, "ms=50").await, 200);
+    task::sleep(Duration::from_millis(450)).await;
+    deployment.entries[owner].signal("-CONT");
+    let cancelled_at = cancel(&deployment, other, &job).await;
+    task::sleep(Duration::from_secs(7)).await;
+    let late = started_after(&deployment, &job, cancelled_at + CANCEL_BOUND);
+    assert_eq!(late, Vec::<String>::new());
+    assert_eq!(deployment.owner(), Some(owner), "the cell has kept its owner");
+    deployment.site.store.hold_feed(None);
+    deployment.wait_for_state(other, &id(3), "completed").await;
+    deployment.wait_for_state(other, &job, "cancelled").await;
+}
+
 /// Guards against sending starts of a cancelled job that were ordered before the cancellation and
 /// waited behind calls that the minion didn't answer.
 #[async_std::test]
