Trace the test of moves that fails beside load

Not seen by callers. site::moves::machines_move_while_the_store_is_unavailable failed with "the rows are written" and no more. Its message now has what the entries logged of the fleet's cell and the store. A renewal that was under way as the store came back waits for up to 2 s for its answer, longer than the silence after which cells are taken over.

--- a/tests/all/site/moves.rs
+++ b/tests/all/site/moves.rs
@@ -29,6 +29,20 @@
     orders.filter(|(_, line)| is_done(line)).map(|(at, _)| at).collect()
 }
 
+/// What all entries have logged about the fleet's cell, the store and the rows of moves.
+fn fleet_log(deployment: &Deployment) -> Vec<String> {
+    let events = ["moves_recorded", "move_given_up", "store_lost", "store_back"];
+    let cell_events = ["cell_taken", "cell_lost", "cell_handed_over"];
+    let is_relevant = |line: &&String| {
+        let has = |event: &&str| line.contains(&format!("\"message\":\"{event}\""));
+        events.iter().any(has) || cell_events.iter().any(has) && line.contains("~fleet")
+    };
+    let relevant = |entry: &Entry| -> Vec<String> {
+        entry.lines.lock().unwrap().iter().filter(is_relevant).cloned().collect()
+    };
+    deployment.entries.iter().flat_map(relevant).collect()
+}
+
 /// The demand of a pool rises, and the store doesn't answer anybody.  Guards against machines that
 /// stay where they are for as long as that lasts, although owners and the machine interface can be
 /// reached; against moves that end tasks; and against a holder that plans after the outage before it
@@ -77,7 +91,9 @@
     })
     .await;
     let recorded = logged(holder, "moves_recorded");
-    let (recorded_at, _) = recorded.first().expect("the rows are written");
+    let Some((recorded_at, _)) = recorded.first() else {
+        panic!("no rows are written: {:#?}", fleet_log(&deployment));
+    };
     let after =
         done(holder, "row").into_iter().find(|at| at > done(holder, "permission").last().unwrap());
     assert!(after.is_none_or(|at| at > *recorded_at), "planned before the rows were written");
