Read the jobs again while their feed lags behind

What callers can see: tasks of a cancelled job run on for as long as their owner gets no changes of the table of jobs and has missed the message (UNASKED); and since owners start nothing with an old view of the jobs, callers wait for as long.

Cause: the feed was the only way to the jobs besides messages. A call of it that was under way when a connection or the store failed waits for up to 1.7 s, and lost history has the jobs of all cells read.

Evidence: with the stand-ins on, all three tasks of a job still ran 3.9 s after its cancellation was acknowledged, under an owner in touch with the store. The test fails without this change.

An owner whose view of the jobs is too old to start tasks now reads the jobs of its own cell, unless the store is unavailable, until that succeeds (`jobs_reread`). Cancellations that are known are not logged again.

--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -1,6 +1,6 @@
 //! The owner of a cell: takes it over, carries out its plans, and persists its progress.
 //!
-//! [`load`] reads the stored rows, [`cancellation`] logs cancellations, [`supervisor`] polls and commands one minion, [`persist`] writes
+//! [`load`] reads the stored rows and [`reread`] the jobs again, [`cancellation`] logs cancellations, [`supervisor`] polls and commands one minion, [`persist`] writes
 //! progress, [`advice`] asks for tickets, [`quota`] enforces workspaces' limits, [`events`] logs the
 //! cell's events, [`activity`] the owner's load and [`capacity`] what its cell could still run.  [`calls`] are made to minions with the leases of
 //! [`grant`], at peak load through the entries of [`delegation`]; [`starts`] limits how many starts
@@ -19,6 +19,7 @@
 pub(crate) mod persist;
 mod quota;
 mod release;
+mod reread;
 mod starts;
 pub(crate) mod supervisor;
 
@@ -33,7 +34,6 @@
 use cancellation::Source;
 use celerythread_adapter::configuration::Configuration;
 use celerythread_adapter::minion::Entry;
-use celerythread_adapter::store::Row;
 use celerythread_engine::cell::{Cell, Incarnation, Order, Permit, Refusal, StartResult};
 use celerythread_engine::job::{Accepted, Id, TaskName};
 use celerythread_engine::ownership::former::EarlierOwners;
@@ -265,16 +265,6 @@
         }
     }
 
-    /// Cancels a job; `row` is that of the cancellation, if it was read.
-    pub(crate) fn cancel_job(&self, id: Id, source: Source, row: Option<&Row>) {
-        let is_known = self.with(|cell| {
-            cell.cancel(&id, clock::now());
-            cell.job(&id).is_some()
-        });
-        cancellation::log(self, &id, source, row, is_known == Some(true));
-        self.plan_wake.wake();
-    }
-
     /// What may be started now.
     pub(crate) fn permit(&self) -> Permit {
         let (now, permit) = (clock::now(), self.node.permit());
@@ -377,6 +367,7 @@
 async fn run_owner(owner: Arc<Owner>) {
     let Some(version) = load::take_over(&owner).await else { return };
     async_std::task::spawn(load::follow_jobs(owner.clone(), version));
+    async_std::task::spawn(reread::reread_forever(owner.clone()));
     async_std::task::spawn(load::mark_terminated_until_settled(owner.clone()));
     async_std::task::spawn(persist::persist_forever(owner.clone()));
     async_std::task::spawn(quota::follow_splits(owner.clone()));
--- a/crates/scheduler/src/owner/cancellation.rs
+++ b/crates/scheduler/src/owner/cancellation.rs
@@ -1,4 +1,4 @@
-//! Log lines for cancellations that an owner learns of.
+//! Cancellations that an owner learns of.
 
 use crate::clock;
 use crate::owner::Owner;
@@ -22,7 +22,22 @@
     Takeover,
 }
 
-/// Logs that an owner learned of a cancellation, once for each way.  The age is the time since its row
+impl Owner {
+    /// Cancels a job; `row` is that of the cancellation, if it was read.
+    pub(crate) fn cancel_job(&self, id: Id, source: Source, row: Option<&Row>) {
+        let known = self.with(|cell| {
+            let is_cancelled = cell.job(&id).map(|job| job.cancelled);
+            cell.cancel(&id, clock::now());
+            is_cancelled
+        });
+        if known.flatten() != Some(true) {
+            log(self, &id, source, row, known.flatten().is_some());
+        }
+        self.plan_wake.wake();
+    }
+}
+
+/// Logs that an owner learned of a cancellation.  The age is the time since its row
 /// was written, by the clocks of both entries; 0 if that is unknown.
 pub(crate) fn log(owner: &Owner, id: &Id, source: Source, row: Option<&Row>, is_job_known: bool) {
     let written = row.and_then(|row| rows::Cancellation::decode(&row.value).ok());
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -340,7 +340,7 @@
 }
 
 /// Sink for the rows of this cell's jobs.
-struct JobSink(Arc<Owner>);
+pub(crate) struct JobSink(pub(crate) Arc<Owner>);
 
 impl Sink for JobSink {
     fn replace(&self, rows: Vec<Row>, _: u64) {
--- /dev/null
+++ b/crates/scheduler/src/owner/reread.rs
@@ -0,0 +1,48 @@
+//! Reads the cell's jobs while their feed lags behind.
+//!
+//! An owner with an old view of the jobs starts nothing, and doesn't stop what was cancelled
+//! meanwhile.  The feed alone may be late: a call that was under way when the store or a connection
+//! failed waits for its timeout, and after lost history the jobs of all cells are read.
+
+use crate::clock;
+use crate::follow::Sink;
+use crate::owner::Owner;
+use crate::owner::load::JobSink;
+use crate::rows;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Interval between two checks of the view's age.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Longest wait for one call of a read.
+const READ_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Reads the cell's jobs whenever the view of them is too old to start tasks, until the cell is lost.
+pub(crate) async fn reread_forever(owner: Arc<Owner>) {
+    while owner.pause(CHECK_INTERVAL).await {
+        let age = owner.jobs_age();
+        if age > owner.node.settings.max_jobs_age() && !owner.node.is_outage_suspected() {
+            reread(&owner, age).await;
+        }
+    }
+}
+
+async fn reread(owner: &Arc<Owner>, age: Duration) {
+    let sent = clock::now();
+    let prefix = rows::shard_prefix(&owner.service);
+    let result = owner.node.store.read_partitions(rows::JOBS, &prefix, READ_TIMEOUT).await;
+    owner.node.record_store_result(&result);
+    let outcome = match result {
+        Ok(page) => {
+            let (sink, count) = (JobSink(owner.clone()), page.rows.len());
+            sink.replace(page.rows, page.version);
+            sink.read_applied(sent, page.version);
+            format!("{count} rows")
+        }
+        Err(error) => error.to_string(),
+    };
+    let fields: [(&'static str, &dyn std::fmt::Display); 3] =
+        [("service", &owner.service), ("jobs_age_ms", &age.as_millis()), ("outcome", &outcome)];
+    owner.node.journal.warn("jobs_reread", &fields);
+}
--- a/tests/all/site/cancellations.rs
+++ b/tests/all/site/cancellations.rs
@@ -6,6 +6,9 @@
 /// Time after an acknowledged cancellation from which no task of the job may be started.
 const CANCEL_BOUND: Duration = Duration::from_secs(3);
 
+/// Longest time that a worker takes to stop a run, by the default settings.
+const STOP_TIMEOUT: Duration = Duration::from_millis(900);
+
 async fn cancel(deployment: &Deployment, entry: usize, id: &str) -> Instant {
     let callers = deployment.entries[entry].callers;
     let (status, _) = call(callers, Method::Delete, &format!("/q/{id}"), None).await.unwrap();
@@ -50,6 +53,30 @@
     deployment.wait_for_state(other, &job, "cancelled").await;
 }
 
+/// Guards against tasks of a cancelled job that run on, under an owner that gets no changes of the
+/// table of jobs and missed the message.
+#[async_std::test]
+async fn an_owner_without_the_changes_of_the_jobs_stops_a_cancelled_job() {
+    let deployment = Deployment::start("cancel-running", 3, 3).await;
+    let owner = deployment.owner().unwrap();
+    let other = (owner + 1) % 3;
+    let job = id(2);
+    assert_eq!(deployment.submit(other, &job, 3, "ms=60000").await, 200);
+    deployment.wait_for_state(other, &job, "running").await;
+    deployment.site.store.hold_feed(Some("jobs"));
+    deployment.entries[owner].signal("-STOP");
+    assert_eq!(deployment.submit(other, &id(3), 1, "ms=50").await, 200);
+    task::sleep(Duration::from_millis(450)).await;
+    deployment.entries[owner].signal("-CONT");
+    let cancelled_at = cancel(&deployment, other, &job).await;
+    task::sleep(CANCEL_BOUND + STOP_TIMEOUT).await;
+    let history = deployment.site.history();
+    let runs = history.iter().filter(|run| run.task.starts_with(&job) && run.ended.is_none());
+    let running: Vec<&str> = runs.map(|run| run.task.as_str()).collect();
+    assert!(running.is_empty(), "{running:?} {:?} after it", cancelled_at.elapsed());
+    assert_eq!(deployment.owner(), Some(owner), "the cell has kept its owner");
+}
+
 /// Guards against sending starts of a cancelled job that were ordered before the cancellation and
 /// waited behind calls that the minion didn't answer.
 #[async_std::test]
