--- a/tests/all/faults.rs
+++ b/tests/all/faults.rs
@@ -1,6 +1,7 @@
 //! The list of faults and the tests that cover them, from which `docs/FAULTS.md` is printed.
 
 mod fleet;
+mod jobs;
 mod platform;
 
 use std::collections::BTreeSet;
@@ -335,7 +336,8 @@
 
 /// The guarantees of the product's own interface, then those on the users' platform.
 fn guarantees() -> impl Iterator<Item = &'static Guarantee> {
-    GUARANTEES.iter().chain(platform::GUARANTEES).chain(fleet::GUARANTEES)
+    let on_platform = platform::GUARANTEES.iter().chain(jobs::GUARANTEES);
+    GUARANTEES.iter().chain(on_platform).chain(fleet::GUARANTEES)
 }
 
 /// The names of all tests in the list.
--- a/tests/all/pages.rs
+++ b/tests/all/pages.rs
@@ -71,6 +71,7 @@
         ("{{bounds.status_s}}", "120"),
         ("{{#bounds.contactMs}}contact = {{.}}ms{{/bounds.contactMs}}", "contact = 6000ms"),
         ("{{bounds.stopTimeoutMs}}", "900"),
+        ("{{#bounds.cancel_ms}}cancel_within = {{.}}ms{{/bounds.cancel_ms}}", "cancel_within = 4s"),
         ("{{#bounds.holdMaxMs}}lease_limit = {{.}}ms{{/bounds.holdMaxMs}}", "lease_limit = 6000ms"),
         (
             "{{#bounds.quotaWindowS}}workspace_shares = true{{/bounds.quotaWindowS}}",
@@ -103,6 +104,7 @@
     assert_eq!(settings.orders_per_s, 590.0);
     assert_eq!(settings.order_alone.0.as_millis(), 10_000);
     assert_eq!(settings.contact.0.as_millis(), 6000);
+    assert_eq!(settings.cancel_within.0.as_millis(), 4000);
     assert_eq!(settings.lease_limit.0.as_millis(), 6000);
     assert_eq!(settings.trust_keys_for.0.as_millis(), 4500);
     assert!(settings.strict_keys && settings.workspace_shares);
