--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -11,8 +11,9 @@
 //! the minions that the platform lists; [`in_force`] asks peers for the configuration when the
 //! store doesn't provide it; [`peers`] sends questions to other entries and [`serve`] answers theirs; [`fleet`] carries out
 //! maintenance waves and moves machines between pools.  [`confirm`] tells slow transactions from
-//! lost ones; [`terms`] translates the configuration's policies; [`probe`] notices the begin and the end of an outage of the store.  [`node`] is the state that all of them share, with the lock order; [`rows`] defines
-//! the stored rows.
+//! lost ones; [`probe`] notices the begin and the end of an outage of the store; [`terms`] translates
+//! the configuration's policies.  [`node`] is the state that all of them share, with the lock order;
+//! [`rows`] defines the stored rows.
 //!
 //! [`settings`] is the validated INI file; [`daemon`] starts everything and shuts it down
 //! gracefully; [`journal`] and [`metrics`] are the output for monitoring; [`status`] reads the
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -3,7 +3,7 @@
 //! # Lock order
 //!
 //! An owner's `delegation` → `in_force` → `view` → `directory` → `minions` → `waves` → `owners` →
-//! an owner's `cell` → `links`.  A lock may only be taken while holding locks that precede it in
+//! an owner's `cell` → an owner's `jobs_recency` → `links`.  A lock may only be taken while holding locks that precede it in
 //! this list, and no lock is held across an await.
 
 mod view;
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -1,11 +1,13 @@
 //! The owner of a cell: takes it over, carries out its plans, and persists its progress.
 //!
-//! [`load`] reads the stored rows and [`reread`] the jobs again, [`cancellation`] logs cancellations, [`supervisor`] polls and commands one minion, [`persist`] writes
-//! progress, [`advice`] asks for tickets, [`quota`] enforces workspaces' limits, [`events`] logs the
-//! cell's events, [`activity`] the owner's load and [`capacity`] what its cell could still run.  [`calls`] are made to minions with the leases of
-//! [`grant`], at peak load through the entries of [`delegation`]; [`starts`] limits how many starts
-//! are unanswered, and [`release`] answers requests to empty minions.  This file holds what they share,
-//! the planning loop, and the answers to other entries' questions.
+//! [`load`] reads the stored rows, and [`reread`] the jobs again while their feed lags;
+//! [`cancellation`] applies cancellations, [`supervisor`] polls and commands one minion, [`persist`]
+//! writes progress, [`advice`] asks for tickets, [`quota`] enforces workspaces' limits, [`events`] logs
+//! the cell's events, [`activity`] the owner's load and [`capacity`] what its cell could still run.
+//! [`calls`] are made to minions with the leases of [`grant`], at peak load through the entries of
+//! [`delegation`]; [`starts`] limits how many starts are unanswered, and [`release`] answers requests to
+//! empty minions.  This file holds what they share, the planning loop, and the answers to other
+//! entries' questions.
 
 mod activity;
 mod advice;
--- a/crates/scheduler/src/owner/cancellation.rs
+++ b/crates/scheduler/src/owner/cancellation.rs
@@ -37,8 +37,8 @@
     }
 }
 
-/// Logs that an owner learned of a cancellation.  The age is the time since its row
-/// was written, by the clocks of both entries; 0 if that is unknown.
+/// Logs that an owner learned of a cancellation.  The age is the time since its row was written, by the
+/// clocks of both entries; 0 if that is unknown.
 pub(crate) fn log(owner: &Owner, id: &Id, source: Source, row: Option<&Row>, is_job_known: bool) {
     let written = row.and_then(|row| rows::Cancellation::decode(&row.value).ok());
     let at_ms = written.map_or(0, |cancellation| cancellation.at_ms);
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -15,7 +15,8 @@
 //!
 //! Table `jobs`: accepted jobs (`job/ID`) and cancellations (`cancel/ID`), in partitions
 //! `SERVICE/SHARD`; the owner's ledger (`ledger`), the minions that it uses (`roster`) and the
-//! policies that changed since jobs were accepted (`policies`) in the partition `SERVICE`.  Table `progress`, partition `SERVICE`: each job's progress (`ID`).
+//! policies that changed since jobs were accepted (`policies`) in the partition `SERVICE`.  Table
+//! `progress`, partition `SERVICE`: each job's progress (`ID`).
 //!
 //! Table `splits`: how each workspace's limit is split between the cells (`WORKSPACE`), in the
 //! empty partition.
