Pause between reads of the jobs beside their feed

What callers can see: an overloaded owner gets slower, since it reads all jobs of its cell again as soon as the last read has ended.

Cause: an owner on a thin link or with little processor time has an old view of the jobs for as long as it is overloaded, and reread_forever paused for 0.2 s only.

The owner now pauses for four times as long as the read took, and at least a second. The tests of site::cancellations pass.

--- a/crates/scheduler/src/owner/reread.rs
+++ b/crates/scheduler/src/owner/reread.rs
@@ -18,12 +18,26 @@
 /// Longest wait for one call of a read.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Shortest pause after a read.
+const MIN_PAUSE: Duration = Duration::from_millis(1000);
+
+/// Pause after a read, as a multiple of its duration.  An owner on a thin link or with little
+/// processor time has an old view for as long as it is overloaded, and must not spend all of both on
+/// reads of a thousand jobs.
+const PAUSE_FACTOR: u32 = 4;
+
 /// Reads the cell's jobs whenever the view of them is too old to start tasks, until the cell is lost.
 pub(crate) async fn reread_forever(owner: Arc<Owner>) {
     while owner.pause(CHECK_INTERVAL).await {
         let age = owner.jobs_age();
-        if age > owner.node.settings.max_jobs_age() && !owner.node.is_outage_suspected() {
-            reread(&owner, age).await;
+        if age <= owner.node.settings.max_jobs_age() || owner.node.is_outage_suspected() {
+            continue;
+        }
+        let began = clock::now();
+        reread(&owner, age).await;
+        let took = clock::now().since(began);
+        if !owner.pause(MIN_PAUSE.max(took * PAUSE_FACTOR)).await {
+            return;
         }
     }
 }
