--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -1,5 +1,6 @@
 //! The HTTP interface to callers.
 
+mod cancel;
 mod context;
 
 use crate::clock;
@@ -13,10 +14,10 @@
 use async_trait::async_trait;
 use celerythread_adapter::configuration::{Queue, Refusal};
 use celerythread_adapter::credential;
-use celerythread_adapter::store::{Error, Transaction};
+use celerythread_adapter::store::Error;
 use celerythread_adapter::submission;
 use celerythread_engine::job::{Accepted, DefinitionError, Id, Origin, State, Terms, encode};
-use celerythread_engine::submission::{Attempt, retry_after_s};
+use celerythread_engine::submission::retry_after_s;
 use celerythread_http::Fault;
 use celerythread_http::server::{Handler, Request};
 use celerythread_wire::job::{Answer, Question};
@@ -269,12 +270,13 @@
     fn notify_owner(&self, question: Question) {
         let node = self.node.clone();
         if let Some(owner) = node.owner(question.service()) {
-            owner.answer(&question);
+            cancel::log_unheard(&node, &question, owner.answer(&question).as_ref());
             return;
         }
         async_std::task::spawn(async move {
             let service = question.service().to_owned();
-            peers::ask_owner(&node, &service, question).await;
+            let answer = peers::ask_owner(&node, &service, question.clone()).await;
+            cancel::log_unheard(&node, &question, answer.as_ref());
         });
     }
 
@@ -342,51 +344,6 @@
         Ok(Some(if progress.is_some() { State::Running } else { State::Queued }))
     }
 
-    async fn cancel(&self, context: &Context, queue: &Queue, id: Id) -> Response {
-        let node = &self.node;
-        let service = &queue.service;
-        let name = rows::job(service, &id);
-        let row = node.store.get(&name.table, &name.part, &name.key, READ_TIMEOUT).await;
-        node.record_store_result(&row);
-        match row {
-            Ok(Some(row)) if self.may_access(context, id, &row.value) => {}
-            Ok(_) => return status_response(StatusCode::Gone),
-            Err(_) => return unavailable_response(context.remaining()),
-        }
-        let cancellation = rows::Cancellation { layout: 1, at_ms: clock::wall_ms() };
-        let change = Transaction {
-            writes: vec![(rows::cancel(service, &id), encode(&cancellation))],
-            ..Transaction::default()
-        };
-        let began = clock::now();
-        let written = loop {
-            let attempt = Attempt {
-                elapsed: clock::now().since(began),
-                remaining: context.remaining(),
-                is_store_unresponsive: node.is_outage_ongoing(),
-                has_peers: false,
-                unanswered: true,
-            };
-            if attempt.should_give_up() {
-                break false;
-            }
-            if node.commit(&change, COMMIT_TIMEOUT.min(attempt.write_timeout())).await.is_ok() {
-                break true;
-            }
-            async_std::task::sleep(RETRY_DELAY.min(context.remaining())).await;
-        };
-        node.journal.info(
-            "job_cancelled",
-            &[("job", &id), ("request", &context.request_id), ("written", &written)],
-        );
-        if !written {
-            return status_response(StatusCode::GatewayTimeout);
-        }
-        node.metrics.count(Counter::JobsCancelled);
-        self.notify_owner(Question::Cancelled { service: service.clone(), id });
-        status_response(StatusCode::Ok)
-    }
-
     async fn pending(&self, queue: &Queue) -> Response {
         let question =
             Question::Pending { service: queue.service.clone(), queue: queue.name.clone() };
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -374,6 +374,7 @@
     async_std::task::spawn(persist::persist_forever(owner.clone()));
     async_std::task::spawn(quota::follow_splits(owner.clone()));
     async_std::task::spawn(activity::log_forever(owner.clone()));
+    events::log_first_plan(&owner);
     plan_forever(owner).await;
 }
 
--- a/crates/scheduler/src/owner/calls.rs
+++ b/crates/scheduler/src/owner/calls.rs
@@ -12,6 +12,7 @@
 use celerythread_engine::timeout::{Settings, Timeout};
 use celerythread_wire::minion::{Outcome, Request};
 use parking_lot::Mutex;
+use std::fmt::Display;
 use std::time::Duration;
 
 /// The wait for the answer to an order, which follows the latency of recent answers.  An order that
@@ -198,6 +199,21 @@
     let sent = clock::now();
     let result = owner.node.minion_client.stop(target, task, run, owner.token, timeout).await;
     owner.order_timeout.record(sent, timeout, result.is_ok());
+    let reason: Option<&dyn Display> = match &result {
+        Ok(Reply::Refused(refusal)) => Some(refusal),
+        Ok(_) => None,
+        Err(failure) => Some(failure),
+    };
+    if let Some(reason) = reason {
+        let fields: [(&'static str, &dyn Display); 5] = [
+            ("job", &task.job),
+            ("task", task),
+            ("run", &run),
+            ("minion", &target.id),
+            ("reason", reason),
+        ];
+        owner.node.journal.warn("stop_failed", &fields);
+    }
     result
 }
 
--- a/crates/scheduler/src/owner/events.rs
+++ b/crates/scheduler/src/owner/events.rs
@@ -4,6 +4,17 @@
 use crate::metrics::Counter;
 use crate::owner::Owner;
 use celerythread_engine::cell::Event;
+use std::fmt::Display;
+
+/// Logs with how old a view of the jobs an owner plans first.
+pub(super) fn log_first_plan(owner: &Owner) {
+    let fields: [(&'static str, &dyn Display); 3] = [
+        ("service", &owner.service),
+        ("token", &owner.token),
+        ("jobs_age_ms", &owner.jobs_age().as_millis()),
+    ];
+    owner.node.journal.info("first_plan", &fields);
+}
 
 /// Writes a line for each event that the cell has recorded since the last call, and counts the jobs
 /// that were passed over.
