Soak of cancellations with entries as real processes

Callers saw tasks of cancelled jobs started seconds after the cancellation. No test cancelled many jobs while entries, workers and the store failed together.

Clients submit jobs of one to three steps through any entry and cancel most of them: right after the answer, later, or while the submission isn't answered yet. Beside it run seeded, overlapping faults: workers that crash together while their rows stay, that are silent, ignore, delay or don't answer starts; entries that are frozen, stutter, are killed or terminated; a store that is slow, silent, refuses or loses answers; a held feed of the jobs and a forgotten history. The check goes over the workers' records: a start counts by the arrival of its order, so one that a worker delays itself isn't held against the entry, and by the entry whose fencing token it carries. A unit test feeds it histories that break the rule and ones that don't.

A record has the token and the arrival of the order, and a worker may crash without its row being deleted. Another daemon can be tested by its path (CELERYTHREAD_DAEMON).

--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -268,10 +268,17 @@
     /// Stops a worker without notice: its runs end, nothing answers at its address any more, and
     /// its row is deleted.  An unknown id is ignored.
     pub fn crash(&mut self, id: &str) {
+        if self.workers.contains_key(id) {
+            self.crash_registered(id);
+            self.store.delete_row("servers", "", id);
+        }
+    }
+
+    /// Same as [`Site::crash`], but its row stays, as it does until the heartbeats have been missed.
+    pub fn crash_registered(&mut self, id: &str) {
         if let Some(running) = self.workers.remove(id) {
             running.worker.crash();
             self.machines.crash(id);
-            self.store.delete_row("servers", "", id);
             self.machines.retain_worker(running.worker);
         }
     }
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -54,6 +54,10 @@
     pub task: String,
     /// Number of the run.
     pub run: u64,
+    /// Fencing token of the order that started it.
+    pub token: u64,
+    /// Arrival of that order.
+    pub ordered: Instant,
     /// Start of the run.
     pub began: Instant,
     /// End of the run; `None` while it runs.
@@ -139,9 +143,12 @@
     pub fn start_run(&self, task: &str, spec: &str) {
         const LEASE_MS: u64 = 60_000;
         let deadline = self.clock_ms() + LEASE_MS;
-        self.start(&json!({
-            "task": task, "run": 1, "spec": spec, "deadlineMs": deadline, "fencingToken": 1,
-        }));
+        self.start(
+            &json!({
+                "task": task, "run": 1, "spec": spec, "deadlineMs": deadline, "fencingToken": 1,
+            }),
+            Instant::now(),
+        );
     }
 
     /// Ends all runs, as a crash does.
@@ -204,7 +211,7 @@
         }
     }
 
-    fn start(&self, body: &Value) -> Response {
+    fn start(&self, body: &Value, ordered: Instant) -> Response {
         let mut state = self.state.lock();
         self.advance(&mut state);
         let deadline = body["deadlineMs"].as_u64().unwrap_or(0);
@@ -230,6 +237,8 @@
             worker,
             task: name,
             run,
+            token: body["fencingToken"].as_u64().unwrap_or(0),
+            ordered,
             began,
             ended: None,
             end_reason: None,
@@ -360,6 +369,7 @@
 #[async_trait]
 impl Handler for Worker {
     async fn handle(&self, request: Request) -> Response {
+        let ordered = Instant::now();
         let fault_mode = self.state.lock().fault_mode;
         if fault_mode == FaultMode::Silent {
             return hang().await;
@@ -376,15 +386,15 @@
         match (request.path(), fault_mode) {
             ("/-/run-start", FaultMode::IgnoresStarts) => hang().await,
             ("/-/run-start", FaultMode::LosesAnswers) => {
-                self.start(&body);
+                self.start(&body, ordered);
                 hang().await
             }
             ("/-/run-start", FaultMode::Late(delay)) => {
                 task::sleep(delay).await;
-                self.start(&body);
+                self.start(&body, ordered);
                 hang().await
             }
-            ("/-/run-start", _) => self.start(&body),
+            ("/-/run-start", _) => self.start(&body, ordered),
             ("/-/run-stop", _) => self.stop(&body),
             ("/-/hold", _) => self.hold(&body).await,
             _ => answer(404, json!({})),
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -12,6 +12,7 @@
 mod maintenance;
 mod moves;
 mod scale;
+mod soak;
 mod store;
 mod workspaces;
 
@@ -47,6 +48,15 @@
 bound = 3s
 ";
 
+/// Environment variable with the path of another daemon, such as one of an earlier version.
+const DAEMON_VARIABLE: &str = "CELERYTHREAD_DAEMON";
+
+/// The path of the tested daemon.
+fn daemon() -> PathBuf {
+    let given = std::env::var_os(DAEMON_VARIABLE);
+    given.map_or_else(|| env!("CARGO_BIN_EXE_celerythreadd").into(), PathBuf::from)
+}
+
 /// An address that nothing listens at.
 fn free_address() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
@@ -126,7 +136,7 @@
              [platform]\nstore = {store}\nmachines = {machines}\n{settings}\n{sections}"
         );
         fs::write(&path, text).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_celerythreadd"))
+        let mut child = Command::new(daemon())
             .arg("--settings")
             .arg(&path)
             .stdout(Stdio::piped())
--- a/tests/all/site/check.rs
+++ b/tests/all/site/check.rs
@@ -13,6 +13,8 @@
         worker: "i-0".into(),
         task: TASK.into(),
         run,
+        token: 1,
+        ordered: began,
         began,
         ended: Some(Instant::now()),
         end_reason: Some("done"),
