Stand-in: a crashed worker starts nothing

A start that was being handled when its worker crashed was recorded as a run of the crashed worker, which ended only when the history was read.

Order of the crash and of a start is now decided under the worker's lock. The test has no run after a crash; without the change it has one that nobody ends.

--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -94,7 +94,7 @@
     closed_runs: BTreeMap<String, u64>,
     records: Vec<Record>,
     fault_mode: FaultMode,
-    /// Time at which a started task makes the worker crash.
+    /// Time at which the worker crashes or has crashed.
     down_at: Option<Instant>,
 }
 
@@ -155,6 +155,7 @@
     pub fn crash(&self) {
         let mut state = self.state.lock();
         self.advance(&mut state);
+        state.down_at.get_or_insert_with(Instant::now);
         end_all(&mut state);
     }
 
@@ -214,6 +215,10 @@
     fn start(&self, body: &Value, ordered: Instant) -> Response {
         let mut state = self.state.lock();
         self.advance(&mut state);
+        // An order that is being handled when the worker crashes is lost.
+        if state.down_at.is_some_and(|at| at <= Instant::now()) {
+            return answer(421, json!({}));
+        }
         let deadline = body["deadlineMs"].as_u64().unwrap_or(0);
         let task = body["task"].as_str().unwrap_or_default().to_owned();
         let run = body["run"].as_u64().unwrap_or(0);
--- a/tests/all/site/check.rs
+++ b/tests/all/site/check.rs
@@ -54,3 +54,13 @@
     let run = history.iter().find(|record| record.task == TASK).unwrap();
     assert_eq!(run.end_reason, Some("gone"), "{run:?}");
 }
+
+/// Guards against a history in which a crashed worker starts a run, which then never ends.
+#[async_std::test]
+async fn a_crashed_worker_starts_nothing() {
+    let mut site = Site::start(1).await.unwrap();
+    let worker = site.workers["i-0"].worker.clone();
+    site.crash("i-0");
+    worker.start_run(TASK, "ms=60");
+    assert_eq!(site.history(), []);
+}
