Soak: sizes by seed, and longer faults of starts

By hand the soak had 7 entries and 16 workers with every seed. It has now 6 to 9 entries and 12 to 24 workers by seed. Starts that are executed without an answer lasted 3 s at most, which is too short for what waits behind them to be late; they last up to 6 s like other faults of workers, and are drawn more often.

Seed 1 of before has other faults than the one of now.

--- a/tests/all/site/soak.rs
+++ b/tests/all/site/soak.rs
@@ -45,14 +45,19 @@
 }
 
 impl Settings {
-    /// More processes and the duration of the environment if seeds are given there.
-    fn with_environment(self) -> (Self, Vec<u64>) {
-        let Ok(seeds) = std::env::var(SEEDS_VARIABLE) else { return (self, vec![1]) };
+    /// The seeds to run, with their settings: without seeds in the environment one, with few
+    /// processes.
+    fn with_environment(self) -> Vec<(u64, Self)> {
+        let Ok(seeds) = std::env::var(SEEDS_VARIABLE) else { return vec![(1, self)] };
         let (first, last) = seeds.split_once("..").unwrap_or((&seeds, &seeds));
         let seeds = first.parse().unwrap()..=last.parse().unwrap();
         let seconds = std::env::var(DURATION_VARIABLE).map_or(40, |text| text.parse().unwrap());
         let duration = Duration::from_secs(seconds);
-        (Self { entries: 7, workers: 16, clients: 8, duration, ..self }, seeds.collect())
+        let sized = |seed: u64| {
+            let variant = (seed % 4) as usize;
+            Self { entries: 6 + variant, workers: 12 + 4 * variant, clients: 8, duration, ..self }
+        };
+        seeds.map(|seed| (seed, sized(seed))).collect()
     }
 }
 
@@ -96,9 +101,8 @@
 }
 
 async fn run(settings: Settings) {
-    let (settings, seeds) = settings.with_environment();
     let mut failures = Vec::new();
-    for seed in seeds {
+    for (seed, settings) in settings.with_environment() {
         let began = Instant::now();
         let observations = observe(settings, seed).await;
         let violations = observations.violations(Instant::now());
--- a/tests/all/site/soak/fault.rs
+++ b/tests/all/site/soak/fault.rs
@@ -62,8 +62,8 @@
 ];
 
 /// Kinds that delay cancellations and orders without a fault of the store.
-const FREQUENT_KINDS: [Kind; 5] =
-    [CrashedWorkers, SilentWorkers, IgnoredStarts, FrozenEntry, HeldFeed];
+const FREQUENT_KINDS: [Kind; 6] =
+    [CrashedWorkers, SilentWorkers, IgnoredStarts, UnansweredStarts, FrozenEntry, HeldFeed];
 
 /// What a fault disturbs.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -131,8 +131,8 @@
 
 fn draw_duration(rng: &mut StdRng, kind: Kind) -> Duration {
     let ms = match kind {
-        CrashedWorkers | SilentWorkers | IgnoredStarts => 400..6000,
-        LateStarts | UnansweredStarts => 500..3000,
+        CrashedWorkers | SilentWorkers | IgnoredStarts | UnansweredStarts => 400..6000,
+        LateStarts => 500..3000,
         FrozenEntry => 300..2000,
         StutteringEntry => 1000..2500,
         KilledEntry | TerminatedEntry => 300..2500,
