Stop cancelled jobs whose outcome is not stored yet

What callers saw: nothing that is known. By reading, an owner ignored the cancellation of a job that had already failed or completed in its memory, also while the store had not accepted that outcome. Until it did, starts of the job that waited behind unanswered ones were still sent, its runs went on, and a run found on a minion was adopted. A cancellation that was acknowledged meanwhile had no effect for as long as the write failed, while a later owner would have ended the job by it.

Cause: a cancellation counted only if the job had no outcome, but the end of a job takes effect on its runs only with the outcome persisted. Between the two neither did.

The cancellation is persisted before the owner learns of it, so the job's end is certain whatever becomes of the outcome. It now counts until the end is persisted. The job keeps its outcome, which is reported once it is stored, as before.

--- a/crates/engine/src/cell/cancellation.rs
+++ b/crates/engine/src/cell/cancellation.rs
@@ -12,14 +12,17 @@
 impl Cell {
     /// Cancels a job.  The next plan stops its runs.  A job that isn't known is cancelled when it is
     /// added.
+    ///
+    /// A job whose outcome is not persisted yet keeps the outcome.  It ends even if the outcome is
+    /// lost, since the cancellation is persisted, so its runs are stopped, too.
     pub fn cancel(&mut self, id: &Id, now: Time) {
         let Some(job) = self.jobs.get_mut(id) else {
             self.early_cancellations.insert(*id, now);
             return;
         };
-        if !job.state().is_final() {
+        if !job.is_end_persisted() {
             job.cancelled = true;
-            job.ended_at = Some(now);
+            job.ended_at.get_or_insert(now);
             self.active_jobs.remove(id);
             self.last_sweep = None;
         }
