--- a/crates/scheduler/src/owner/supervisor.rs
+++ b/crates/scheduler/src/owner/supervisor.rs
@@ -1,22 +1,23 @@
 //! Supervision of one minion: polls it, extends its leases, and sends it orders.
+//!
+//! [`orders`] sends the orders.
+
+mod orders;
 
 use crate::clock;
-use crate::metrics::{Counter, Timing};
+use crate::metrics::Counter;
 use crate::owner::grant::Grants;
-use crate::owner::starts::{self, Unanswered};
+use crate::owner::starts::Unanswered;
 use crate::owner::{Owner, calls, dispatch, persist};
 use crate::rows;
 use async_std::channel;
-use celerythread_adapter::Failure;
 use celerythread_adapter::minion::{Hold, Reply, Session, Target};
 use celerythread_adapter::store::{Name, Transaction};
-use celerythread_engine::cell::crash::TRIAL_PERIOD;
-use celerythread_engine::cell::{
-    Incarnation, Minion, MinionId, Order, Permit, Refusal, Report, StartResult,
-};
+use celerythread_engine::cell::{Incarnation, Minion, MinionId, Order, Report};
 use celerythread_engine::job::encode;
 use celerythread_engine::time::Time;
 use celerythread_sync::Wake;
+use orders::QueuedOrder;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -44,20 +45,6 @@
 /// Longest wait for ended runs to be persisted before polling anyway.
 const MAX_PERSIST_WAIT: Duration = Duration::from_millis(500);
 
-/// Resolution of [`clock::now`].
-const CLOCK_RESOLUTION: Duration = Duration::from_millis(1);
-
-/// Orders sent to one minion at a time, so that an unanswered one doesn't block the others.
-const MAX_CONCURRENT_ORDERS: usize = 3;
-
-/// An order that waits to be sent.
-struct QueuedOrder {
-    queued_at: Time,
-    order: Order,
-    /// For a start, counts it as unanswered.
-    unanswered: Option<Unanswered>,
-}
-
 /// The owner's state of one supervised minion.
 pub(crate) struct Supervisor {
     target: Target,
@@ -161,9 +148,7 @@
     if let Some(former) = former {
         former.poll_wake.wake();
     }
-    for _ in 0..MAX_CONCURRENT_ORDERS {
-        async_std::task::spawn(send_orders(owner.clone(), supervisor.clone()));
-    }
+    orders::start_senders(owner, &supervisor);
     async_std::task::spawn(poll_forever(owner.clone(), supervisor));
 }
 
@@ -369,130 +354,3 @@
     owner.with(|cell| cell.remove_terminated_minion(id, clock::now()));
     owner.plan_wake.wake();
 }
-
-async fn send_orders(owner: Arc<Owner>, supervisor: Arc<Supervisor>) {
-    while let Ok(queued) = supervisor.queue.recv().await {
-        let QueuedOrder { queued_at, order, unanswered } = queued;
-        owner.activity.record_order(queued_at);
-        match order {
-            Order::Start { task, run, suspected, .. } => {
-                let began = clock::now();
-                let result = start_run(&owner, &supervisor, &order).await;
-                let took = clock::now().since(began);
-                owner.node.metrics.time(Timing::Start, took);
-                owner.activity.record_start(took);
-                if result != StartResult::Started {
-                    owner.node.journal.warn(
-                        "start_failed",
-                        &[
-                            ("job", &task.job),
-                            ("task", &task),
-                            ("run", &run),
-                            ("minion", &supervisor.target.id),
-                            ("result", &format_args!("{result:?}")),
-                        ],
-                    );
-                }
-                let id = &supervisor.target.id;
-                owner.with(|cell| cell.process_start_result(id, &task, run, result, clock::now()));
-                if owner.starts.record_answer(unanswered) {
-                    owner.plan_wake.wake();
-                }
-                if result == StartResult::Unknown {
-                    poll_now(&owner, &supervisor).await;
-                }
-                if result == StartResult::Started && suspected {
-                    // Tasks that may not run beside it wait for a poll which shows that it has
-                    // outlived its trial.
-                    async_std::task::sleep(TRIAL_PERIOD).await;
-                    poll_now(&owner, &supervisor).await;
-                }
-                if result != StartResult::Started {
-                    owner.plan_wake.wake();
-                }
-            }
-            Order::Pace { task, run, percent, .. } => {
-                let to = &supervisor.target;
-                let paced = calls::pace(&owner, to, &task, run, percent).await;
-                if !matches!(paced, Ok(Reply::Done(..))) {
-                    owner.with(|cell| cell.record_pace_failure(&to.id, &task, run));
-                }
-            }
-            Order::Stop { task, run, .. } => {
-                let to = &supervisor.target;
-                match calls::stop(&owner, to, &task, run).await {
-                    Ok(Reply::Done(..)) => {
-                        let now = clock::now();
-                        owner.with(|cell| cell.confirm_stop(&to.id, &task, run, now));
-                        poll_now(&owner, &supervisor).await;
-                    }
-                    Ok(Reply::OtherIncarnation) => mark_terminated(&owner, &supervisor),
-                    // Ordered again by a later plan.
-                    Ok(Reply::Refused(_)) | Err(_) => {}
-                }
-            }
-        }
-    }
-}
-
-/// Polls at once: after a start without an answer, to learn whether it runs, and after a confirmed
-/// stop, since only a report from after it shows that such a start never ran.  The poll under way
-/// may wait a second for a run to end.
-///
-/// A poll proves something only if it was sent after the start or stop in question.  Times have a
-/// resolution of 1 ms, so it is sent in the next millisecond.
-async fn poll_now(owner: &Arc<Owner>, supervisor: &Supervisor) {
-    async_std::task::sleep(CLOCK_RESOLUTION).await;
-    let next = Poll { acknowledged: 0, incarnation: None, wait: Duration::ZERO };
-    // Without an answer, the regular polls find out.
-    let _ = poll(owner, supervisor, None, next, false).await;
-}
-
-async fn start_run(owner: &Owner, supervisor: &Supervisor, order: &Order) -> StartResult {
-    // Checked again, because the order may have waited in the queue.  The plan has decided for
-    // which jobs it may start something.
-    let allowed = match owner.permit() {
-        Permit::All => true,
-        Permit::NeverStarted { .. } => matches!(order, Order::Start { first: true, .. }),
-        Permit::Nothing => false,
-    };
-    if !allowed {
-        return StartResult::Refused(Refusal::Unhealthy);
-    }
-    let to = &supervisor.target;
-    if !starts::is_wanted(owner, order) {
-        owner.node.metrics.count(Counter::StartsDropped);
-        return StartResult::Refused(Refusal::TooLate);
-    }
-    let Some(deadline_ms) = supervisor.grants.next_deadline(owner, &to.id) else {
-        return StartResult::Refused(Refusal::Unhealthy);
-    };
-    let sent = clock::now();
-    match calls::start(owner, to, order, deadline_ms).await {
-        Ok(Reply::Done(StartResult::Unknown, _)) => {
-            owner.node.metrics.count(Counter::StartsUnknown);
-            StartResult::Unknown
-        }
-        Ok(Reply::Done(result, clock_ms)) => {
-            if !supervisor.grants.update_clock(owner, &to.id, clock_ms, sent) {
-                supervisor.poll_wake.wake();
-            }
-            result
-        }
-        Ok(Reply::Refused(reason)) => {
-            owner.node.metrics.count(Counter::StartsRefused);
-            StartResult::Refused(reason)
-        }
-        Ok(Reply::OtherIncarnation) => {
-            mark_terminated(owner, supervisor);
-            StartResult::Refused(Refusal::Unhealthy)
-        }
-        Err(Failure::NotSent { .. } | Failure::Unanswered { .. }) => {
-            // Silence at an address that the minion has left says nothing about the minion.
-            if supervisor.is_current(owner) {
-                owner.with(|cell| cell.record_missed_answer(&to.id, clock::now()));
-            }
-            StartResult::Refused(Refusal::Unhealthy)
-        }
-    }
-}
