Don't queue stops behind starts that a minion doesn't answer

What callers saw: nothing that is known.

Cause: all orders to a minion waited in one queue, of which three are sent at a time. A start that isn't answered takes up to 0.7 s and then a poll; one of a suspected task is followed by its trial. Starts of the cancelled job itself are dropped when their turn comes, those of other jobs aren't.

Stops have a queue and senders of their own now. That a stop passes the start of its own run is no new order of events: three orders were sent at a time before, a run that is being stopped isn't started any more, and a minion refuses a start of a run that was stopped there.

--- a/crates/scheduler/src/owner/supervisor.rs
+++ b/crates/scheduler/src/owner/supervisor.rs
@@ -10,14 +10,12 @@
 use crate::owner::starts::Unanswered;
 use crate::owner::{Owner, calls, dispatch, persist};
 use crate::rows;
-use async_std::channel;
 use celerythread_adapter::minion::{Hold, Reply, Session, Target};
 use celerythread_adapter::store::{Name, Transaction};
 use celerythread_engine::cell::{Incarnation, Minion, MinionId, Order, Report};
 use celerythread_engine::job::encode;
 use celerythread_engine::time::Time;
 use celerythread_sync::Wake;
-use orders::QueuedOrder;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -48,8 +46,7 @@
 /// The owner's state of one supervised minion.
 pub(crate) struct Supervisor {
     target: Target,
-    orders: channel::Sender<QueuedOrder>,
-    queue: channel::Receiver<QueuedOrder>,
+    orders: orders::Queues,
     /// Wakes the polling task.
     pub(crate) poll_wake: Wake,
     grants: Grants,
@@ -64,8 +61,7 @@
 
     /// Queues an order, and polls soon for its effect; false if nobody carries it out any more.
     pub(crate) fn order(&self, order: Order, unanswered: Option<Unanswered>) -> bool {
-        let queued = QueuedOrder { queued_at: clock::now(), order, unanswered };
-        let queued = self.orders.try_send(queued).is_ok();
+        let queued = self.orders.push(order, unanswered);
         self.poll_wake.wake();
         queued
     }
@@ -136,11 +132,9 @@
 }
 
 fn supervise(owner: &Arc<Owner>, id: MinionId, address: SocketAddr) {
-    let (orders, queue) = channel::unbounded();
     let supervisor = Arc::new(Supervisor {
         target: Target { address, id: id.clone() },
-        orders,
-        queue,
+        orders: orders::Queues::default(),
         poll_wake: Wake::default(),
         grants: Grants::default(),
     });
@@ -167,8 +161,7 @@
         }
     };
     let _ = polling.timeout_at(stopped).await;
-    // Closing the queue ends the tasks that send orders.
-    supervisor.queue.close();
+    supervisor.orders.close();
     let mut supervisors = owner.supervisors.lock();
     if supervisors.get(&supervisor.target.id).is_some_and(|now| Arc::ptr_eq(now, &supervisor)) {
         supervisors.remove(&supervisor.target.id);
--- a/crates/scheduler/src/owner/supervisor/orders.rs
+++ b/crates/scheduler/src/owner/supervisor/orders.rs
@@ -5,6 +5,7 @@
 use crate::owner::starts::{self, Unanswered};
 use crate::owner::supervisor::{Poll, Supervisor, mark_terminated, poll};
 use crate::owner::{Owner, calls};
+use async_std::channel;
 use celerythread_adapter::Failure;
 use celerythread_adapter::minion::Reply;
 use celerythread_engine::cell::crash::TRIAL_PERIOD;
@@ -16,26 +17,71 @@
 /// Resolution of [`clock::now`].
 const CLOCK_RESOLUTION: Duration = Duration::from_millis(1);
 
-/// Orders sent to one minion at a time, so that an unanswered one doesn't block the others.
+/// Orders of one queue that are sent to one minion at a time, so that an unanswered one doesn't
+/// block the others.
 const MAX_CONCURRENT_ORDERS: usize = 3;
 
 /// An order that waits to be sent.
-pub(super) struct QueuedOrder {
-    pub(super) queued_at: Time,
-    pub(super) order: Order,
+struct QueuedOrder {
+    queued_at: Time,
+    order: Order,
     /// For a start, counts it as unanswered.
-    pub(super) unanswered: Option<Unanswered>,
+    unanswered: Option<Unanswered>,
 }
 
-/// Starts the tasks that send a supervisor's orders until its queue is closed.
+/// Orders that are sent in turn.
+struct Queue {
+    sender: channel::Sender<QueuedOrder>,
+    receiver: channel::Receiver<QueuedOrder>,
+}
+
+impl Default for Queue {
+    fn default() -> Self {
+        let (sender, receiver) = channel::unbounded();
+        Self { sender, receiver }
+    }
+}
+
+/// Orders that wait to be sent to one minion.
+#[derive(Default)]
+pub(super) struct Queues {
+    /// Stops, which would otherwise wait behind starts that the minion doesn't answer.
+    stops: Queue,
+    /// All other orders.
+    others: Queue,
+}
+
+impl Queues {
+    /// Adds an order; false if the queues are closed.
+    pub(super) fn push(&self, order: Order, unanswered: Option<Unanswered>) -> bool {
+        let queue = if matches!(order, Order::Stop { .. }) { &self.stops } else { &self.others };
+        let queued = QueuedOrder { queued_at: clock::now(), order, unanswered };
+        queue.sender.try_send(queued).is_ok()
+    }
+
+    /// Ends the tasks that send orders, once the queues are empty.
+    pub(super) fn close(&self) {
+        self.stops.receiver.close();
+        self.others.receiver.close();
+    }
+}
+
+/// Starts the tasks that send a supervisor's orders until its queues are closed.
 pub(super) fn start_senders(owner: &Arc<Owner>, supervisor: &Arc<Supervisor>) {
-    for _ in 0..MAX_CONCURRENT_ORDERS {
-        async_std::task::spawn(send_orders(owner.clone(), supervisor.clone()));
+    for queue in [&supervisor.orders.stops, &supervisor.orders.others] {
+        for _ in 0..MAX_CONCURRENT_ORDERS {
+            let queue = queue.receiver.clone();
+            async_std::task::spawn(send_orders(owner.clone(), supervisor.clone(), queue));
+        }
     }
 }
 
-async fn send_orders(owner: Arc<Owner>, supervisor: Arc<Supervisor>) {
-    while let Ok(queued) = supervisor.queue.recv().await {
+async fn send_orders(
+    owner: Arc<Owner>,
+    supervisor: Arc<Supervisor>,
+    queue: channel::Receiver<QueuedOrder>,
+) {
+    while let Ok(queued) = queue.recv().await {
         let QueuedOrder { queued_at, order, unanswered } = queued;
         owner.activity.record_order(queued_at);
         match order {
--- a/tests/all/site/cancellations.rs
+++ b/tests/all/site/cancellations.rs
@@ -101,3 +101,31 @@
     assert_eq!(late, Vec::<String>::new(), "{:?} after the cancellation", back_at - cancelled_at);
     deployment.wait_for_state(owner, &job, "cancelled").await;
 }
+
+/// Guards against a task of a cancelled job that runs on while its stop waits behind starts of other
+/// jobs that the worker doesn't answer.
+#[async_std::test]
+async fn a_stop_does_not_wait_behind_unanswered_starts() {
+    let deployment = Deployment::start("cancel-behind", 2, 1).await;
+    let owner = deployment.owner().unwrap();
+    let worker = deployment.site.workers.values().next().unwrap().worker.clone();
+    let (job, others) = (id(1), id(2));
+    assert_eq!(deployment.submit(owner, &job, 1, "ms=60000").await, 200);
+    eventually("the worker runs it", async || worker.running().first().map(drop)).await;
+    worker.set_fault_mode(FaultMode::IgnoresStarts);
+    let step = json!({ "count": 60, "cpu": 100, "memMb": 64, "estimateMs": 300 });
+    let body = json!({ "spec": "ms=300", "steps": [step] });
+    let callers = deployment.entries[owner].callers;
+    let accepted = call(callers, Method::Post, &format!("/q/{others}"), Some(body)).await;
+    assert_eq!(accepted.map(|(status, _)| status), Some(200));
+    eventually("the starts are ordered", async || {
+        (deployment.entries[owner].count_logged("start_ordered") > 30).then_some(())
+    })
+    .await;
+    let cancelled_at = cancel(&deployment, owner, &job).await;
+    task::sleep(CANCEL_BOUND + STOP_TIMEOUT).await;
+    let runs = deployment.site.history();
+    let run = runs.iter().find(|run| run.task.starts_with(&job)).unwrap();
+    let took = run.ended.map(|at| at - cancelled_at);
+    assert!(took.is_some(), "it runs on {:?} after it", cancelled_at.elapsed());
+}
