Send no orders of an owner that was stopped

What callers saw: nothing that is known. A worker that hasn't heard of the successor carries them out, and ends runs that the successor adopts.

Cause: stopping an owner closes its supervisors' queues, but a closed channel still hands out what is queued, and orders other than starts weren't checked again.

Now no order of a stopped owner is sent, of whatever kind, nor of a supervisor that was replaced because its minion has another address. A dropped start is given back at once, as if it had been refused, and a dropped stop is repeated by a later plan.

The stand-in's workers record the calls that they receive, also those that they ignore.

By reading: calls of delegates end with their owner, which resets the exchange and sends nothing that is past its timeout; the fleet's cell checks that its owner isn't stopped before each order for a machine. Questions to the advice service that wait for their turn are still sent by a stopped owner; they start nothing.

--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -29,7 +29,8 @@
     StartsRefused,
     /// Starts without an answer.
     StartsUnknown,
-    /// Starts that were not sent because their job had ended or their run was to stop.
+    /// Starts that were not sent because their job had ended, their run was to stop, or their owner or
+    /// its supervisor of the minion had been replaced.
     StartsDropped,
     /// Runs ordered to stop.
     Stops,
--- a/crates/scheduler/src/owner/supervisor.rs
+++ b/crates/scheduler/src/owner/supervisor.rs
@@ -59,6 +59,11 @@
         supervisors.get(&self.target.id).is_some_and(|now| std::ptr::eq(now.as_ref(), self))
     }
 
+    /// Whether orders to the minion may still be sent.
+    fn is_in_charge(&self, owner: &Owner) -> bool {
+        !owner.is_stopped() && self.is_current(owner)
+    }
+
     /// Queues an order, and polls soon for its effect; false if nobody carries it out any more.
     pub(crate) fn order(&self, order: Order, unanswered: Option<Unanswered>) -> bool {
         let queued = self.orders.push(order, unanswered);
--- a/crates/scheduler/src/owner/supervisor/orders.rs
+++ b/crates/scheduler/src/owner/supervisor/orders.rs
@@ -84,6 +84,10 @@
     while let Ok(queued) = queue.recv().await {
         let QueuedOrder { queued_at, order, unanswered } = queued;
         owner.activity.record_order(queued_at);
+        if !supervisor.is_in_charge(&owner) {
+            drop_order(&owner, &order);
+            continue;
+        }
         match order {
             Order::Start { task, run, suspected, .. } => {
                 let began = clock::now();
@@ -145,6 +149,25 @@
     }
 }
 
+/// Drops an order of an owner that was stopped, or of a supervisor that was replaced.
+///
+/// Another owner decides about the runs, or this one does again: it starts the task anew and repeats
+/// the stop.
+fn drop_order(owner: &Owner, order: &Order) {
+    match order {
+        Order::Start { minion, task, run, .. } => {
+            owner.node.metrics.count(Counter::StartsDropped);
+            let dropped = StartResult::Refused(Refusal::TooLate);
+            owner.with(|cell| cell.process_start_result(minion, task, *run, dropped, clock::now()));
+            owner.plan_wake.wake();
+        }
+        Order::Pace { minion, task, run, .. } => {
+            owner.with(|cell| cell.record_pace_failure(minion, task, *run));
+        }
+        Order::Stop { .. } => {}
+    }
+}
+
 /// Polls at once: after a start without an answer, to learn whether it runs, and after a confirmed
 /// stop, since only a report from after it shows that such a start never ran.  The poll under way
 /// may wait a second for a run to end.
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -76,6 +76,17 @@
     }
 }
 
+/// A call to a worker, whether or not it was handled.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReceivedCall {
+    /// Its path.
+    pub path: String,
+    /// Its fencing token.
+    pub token: u64,
+    /// When it was received.
+    pub at: Instant,
+}
+
 struct Active {
     record: usize,
     run: u64,
@@ -93,6 +104,7 @@
     /// Highest number of a run that was stopped or ended here, by task.
     closed_runs: BTreeMap<String, u64>,
     records: Vec<Record>,
+    calls: Vec<ReceivedCall>,
     fault_mode: FaultMode,
     /// Time at which the worker crashes or has crashed.
     down_at: Option<Instant>,
@@ -132,6 +144,11 @@
         state.records.clone()
     }
 
+    /// All calls that it has received, in their order.
+    pub fn calls(&self) -> Vec<ReceivedCall> {
+        self.state.lock().calls.clone()
+    }
+
     /// Names of the running tasks.
     pub fn running(&self) -> Vec<String> {
         let mut state = self.state.lock();
@@ -179,6 +196,14 @@
         .into_bytes()
     }
 
+    /// Records a call, and returns how it is to be handled.
+    fn record_call(&self, path: &str, body: &Value) -> FaultMode {
+        let mut state = self.state.lock();
+        let token = body["fencingToken"].as_u64().unwrap_or(0);
+        state.calls.push(ReceivedCall { path: path.into(), token, at: Instant::now() });
+        state.fault_mode
+    }
+
     fn clock_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64 + 1000
     }
@@ -375,7 +400,8 @@
 impl Handler for Worker {
     async fn handle(&self, request: Request) -> Response {
         let ordered = Instant::now();
-        let fault_mode = self.state.lock().fault_mode;
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let fault_mode = self.record_call(request.path(), &body);
         if fault_mode == FaultMode::Silent {
             return hang().await;
         }
@@ -387,7 +413,6 @@
         if request.header("x-celerythread-target-instance").is_some_and(is_other) {
             return answer(421, json!({}));
         }
-        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
         match (request.path(), fault_mode) {
             ("/-/run-start", FaultMode::IgnoresStarts) => hang().await,
             ("/-/run-start", FaultMode::LosesAnswers) => {
--- a/tests/all/site/cancellations.rs
+++ b/tests/all/site/cancellations.rs
@@ -102,6 +102,42 @@
     deployment.wait_for_state(owner, &job, "cancelled").await;
 }
 
+/// Guards against orders of an owner that was stopped, which its successor doesn't expect and which a
+/// worker that hasn't heard of the successor carries out: they wait behind calls that the worker
+/// didn't answer.
+#[async_std::test]
+async fn an_owner_that_was_replaced_sends_none_of_its_queued_orders() {
+    let deployment = Deployment::start("cancel-former", 2, 1).await;
+    let owner = deployment.owner().unwrap();
+    let worker = deployment.site.workers.values().next().unwrap().worker.clone();
+    worker.set_fault_mode(FaultMode::Silent);
+    assert_eq!(deployment.submit(owner, &id(1), 16, "ms=300").await, 200);
+    eventually("the job's stops wait, too", async || {
+        (deployment.entries[owner].count_logged("stop_ordered") >= 16).then_some(())
+    })
+    .await;
+    let former_token = worker.calls().last().unwrap().token;
+    deployment.entries[owner].signal("-STOP");
+    eventually("the other entry owns the cell", async || {
+        deployment.entries[1 - owner].has_logged("cell_loaded").then_some(())
+    })
+    .await;
+    deployment.entries[owner].signal("-CONT");
+    eventually("the owner knows", async || {
+        deployment.entries[owner].has_logged("cell_lost").then_some(())
+    })
+    .await;
+    // For what it was sending.
+    task::sleep(Duration::from_millis(100)).await;
+    let stopped_at = Instant::now();
+    task::sleep(Duration::from_secs(4)).await;
+    let calls = worker.calls();
+    let late = calls.iter().filter(|call| call.token == former_token && call.at > stopped_at);
+    let late: Vec<String> =
+        late.map(|call| format!("{} {:?}", call.path, call.at - stopped_at)).collect();
+    assert_eq!(late, Vec::<String>::new());
+}
+
 /// Guards against a task of a cancelled job that runs on while its stop waits behind starts of other
 /// jobs that the worker doesn't answer.
 #[async_std::test]
