--- a/tests/all/site/cancellations.rs
+++ b/tests/all/site/cancellations.rs
@@ -1,7 +1,7 @@
 //! Cancellations that an owner learns of late, and orders that it sends late.
 
 use super::*;
-use celerythread_standin::site::worker::FaultMode;
+use celerythread_standin::site::worker::{FaultMode, Record};
 
 /// Time after an acknowledged cancellation from which no task of the job may be started.
 const CANCEL_BOUND: Duration = Duration::from_secs(3);
@@ -16,6 +16,14 @@
     Instant::now()
 }
 
+impl Entry {
+    /// Whether it has taken the cell of the workers' service.
+    fn has_taken_desk(&self) -> bool {
+        let lines = self.lines.lock().unwrap();
+        lines.iter().any(|line| line.contains("\"cell_taken\"") && line.contains("\"desk\""))
+    }
+}
+
 /// The tasks of a job that were started after a time.
 fn started_after(deployment: &Deployment, id: &str, time: Instant) -> Vec<String> {
     let history = deployment.site.history();
@@ -110,6 +118,9 @@
     let deployment = Deployment::start("cancel-former", 2, 1).await;
     let owner = deployment.owner().unwrap();
     let worker = deployment.site.workers.values().next().unwrap().worker.clone();
+    // Nothing is started on a worker that has never answered.
+    assert_eq!(deployment.submit(owner, &id(9), 1, "ms=50").await, 200);
+    deployment.wait_for_state(owner, &id(9), "completed").await;
     worker.set_fault_mode(FaultMode::Silent);
     assert_eq!(deployment.submit(owner, &id(1), 16, "ms=300").await, 200);
     eventually("the job's stops wait, too", async || {
@@ -165,3 +176,75 @@
     let took = run.ended.map(|at| at - cancelled_at);
     assert!(took.is_some(), "it runs on {:?} after it", cancelled_at.elapsed());
 }
+
+/// Guards against starting tasks of a cancelled job again that were ordered on a worker which is gone
+/// and refuses connections, and were given to another worker.
+#[async_std::test]
+async fn starts_on_a_lost_worker_are_not_repeated_once_their_job_is_cancelled() {
+    let mut deployment = Deployment::start("cancel-gone", 2, 2).await;
+    let owner = deployment.owner().unwrap();
+    let (lost, other) = ("i-0", "i-1");
+    for id in [lost, other] {
+        deployment.site.workers[id].worker.set_fault_mode(FaultMode::IgnoresStarts);
+    }
+    let job = id(1);
+    assert_eq!(deployment.submit(owner, &job, 32, "ms=300").await, 200);
+    eventually("the starts are ordered", async || {
+        (deployment.entries[owner].count_logged("start_ordered") >= 20).then_some(())
+    })
+    .await;
+    deployment.site.crash(lost);
+    task::sleep(Duration::from_millis(300)).await;
+    let cancelled_at = cancel(&deployment, owner, &job).await;
+    task::sleep(Duration::from_millis(400)).await;
+    let back_at = Instant::now();
+    deployment.site.workers[other].worker.set_fault_mode(FaultMode::None);
+    task::sleep(Duration::from_secs(5)).await;
+    let late = started_after(&deployment, &job, back_at);
+    assert_eq!(late, Vec::<String>::new(), "{:?} after the cancellation", back_at - cancelled_at);
+    deployment.wait_for_state(owner, &job, "cancelled").await;
+}
+
+/// Guards against cancellations that get lost between two owners of a cell: the former one is sent
+/// them while it stands still, its successor while it loads the cell, and the former one goes on
+/// before it knows that it was replaced.
+#[async_std::test]
+async fn jobs_cancelled_while_their_cell_changes_owner_are_neither_started_nor_left_running() {
+    const JOBS: u32 = 40;
+    const PAUSE: Duration = Duration::from_millis(60);
+    let deployment = Deployment::start("cancel-takeover", 3, 3).await;
+    let owner = deployment.owner().unwrap();
+    let others = [(owner + 1) % 3, (owner + 2) % 3];
+    let step = |after: Value| json!({ "count": 1, "cpu": 500, "memMb": 64, "estimateMs": 5000, "after": after });
+    let body = json!({ "spec": "ms=5000", "steps": [step(json!([])), step(json!([0]))] });
+    for number in 1..=JOBS {
+        let callers = deployment.entries[others[0]].callers;
+        let path = format!("/q/{}", id(number));
+        let accepted = call(callers, Method::Post, &path, Some(body.clone())).await;
+        assert_eq!(accepted.map(|(status, _)| status), Some(200));
+    }
+    deployment.entries[owner].signal("-STOP");
+    let (mut cancelled, mut is_resumed) = (Vec::new(), false);
+    for number in 1..=JOBS {
+        let job = id(number);
+        let by = others[number as usize % 2];
+        cancelled.push((job.clone(), cancel(&deployment, by, &job).await));
+        if !is_resumed && others.iter().any(|entry| deployment.entries[*entry].has_taken_desk()) {
+            is_resumed = true;
+            deployment.entries[owner].signal("-CONT");
+        }
+        task::sleep(PAUSE).await;
+    }
+    assert!(is_resumed, "another entry has taken the cell meanwhile");
+    task::sleep(Duration::from_secs(7)).await;
+    let history = deployment.site.history();
+    for (job, cancelled_at) in cancelled {
+        let late = started_after(&deployment, &job, cancelled_at + CANCEL_BOUND);
+        assert_eq!(late, Vec::<String>::new());
+        let end = cancelled_at + CANCEL_BOUND + STOP_TIMEOUT;
+        let runs_on =
+            |run: &&Record| run.task.starts_with(&job) && run.ended.is_none_or(|ended| ended > end);
+        let running: Vec<&Record> = history.iter().filter(runs_on).collect();
+        assert!(running.is_empty(), "{running:?}");
+    }
+}
