Test a cancellation during a slow takeover with the stand-ins

A new owner reads the jobs, then their progress, then waits for the list of minions and reads the list of machines. Until all of it is read, its cell isn't published, and messages about cancellations are dropped; the feed of the jobs is read only after that. A job that is cancelled in between is known as cancelled only by the first answer of the feed, 0.4 s after the first plan.

The stand-in's list of machines can now be split into pages, each with a delay. The test kills the owner, submits a job, cancels it right after the new owner has read the jobs, and lets the list take 5 pages of 850 ms.

--- a/crates/standin/src/site/machine.rs
+++ b/crates/standin/src/site/machine.rs
@@ -39,6 +39,7 @@
     due_by_wave: BTreeMap<u64, Vec<String>>,
     /// Upkeeps that were started.
     upkeeps: Vec<Upkeep>,
+    list_mode: ListMode,
     move_mode: MoveMode,
     moves: Vec<Move>,
     workers: Vec<Arc<Worker>>,
@@ -89,6 +90,21 @@
     pub token: u64,
 }
 
+/// How the list of machines is served.
+#[derive(Clone, Copy, Debug)]
+pub struct ListMode {
+    /// Number of pages that it is split into.
+    pub pages: usize,
+    /// Time until a page is returned.
+    pub delay: Duration,
+}
+
+impl Default for ListMode {
+    fn default() -> Self {
+        Self { pages: 1, delay: Duration::ZERO }
+    }
+}
+
 /// The interface to all machines.
 pub struct Machines {
     store: Arc<Store>,
@@ -156,6 +172,11 @@
         self.state.lock().upkeeps.clone()
     }
 
+    /// Sets how the list of machines is served.
+    pub fn set_list_mode(&self, list_mode: ListMode) {
+        self.state.lock().list_mode = list_mode;
+    }
+
     /// Sets how orders for moves are answered.
     pub fn set_move_mode(&self, mode: MoveMode) {
         self.state.lock().move_mode = mode;
@@ -166,7 +187,14 @@
         self.state.lock().moves.clone()
     }
 
-    fn list(&self) -> Response {
+    /// Returns a page of the list.
+    async fn list(&self, request: &Request) -> Response {
+        let ListMode { pages, delay } = self.state.lock().list_mode;
+        task::sleep(delay).await;
+        let page: usize =
+            request.query("pageToken").and_then(|token| token.parse().ok()).unwrap_or(0);
+        let next = page + 1;
+        let next_token = (next < pages).then(|| next.to_string());
         let state = self.state.lock();
         let to_json = |(name, machine): (&String, &Machine)| {
             let id = machine.worker.as_ref().map_or("", |worker| worker.id());
@@ -178,8 +206,9 @@
             };
             json!({ "machine": name, "pool": machine.pool, "state": state_name, "zone": "zone", "id": id })
         };
-        let machines: Vec<Value> = state.machines.iter().map(to_json).collect();
-        answer(200, json!({ "machines": machines, "nextToken": null }))
+        let of_page = state.machines.iter().skip(page).step_by(pages);
+        let machines: Vec<Value> = of_page.map(to_json).collect();
+        answer(200, json!({ "machines": machines, "nextToken": next_token }))
     }
 
     fn upkeep(&self, body: &Value, holder: &str) -> Response {
@@ -267,7 +296,7 @@
         let holder = request.header("x-celerythread-lease-holder").unwrap_or_default().to_owned();
         let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
         match request.path() {
-            "/-/machines" => self.list(),
+            "/-/machines" => self.list(&request).await,
             "/-/machine-upkeep" => self.upkeep(&body, &holder),
             "/-/machine-move" => {
                 let token = request.header("x-celerythread-fencing-token").unwrap_or_default();
--- a/tests/all/site/cancellations.rs
+++ b/tests/all/site/cancellations.rs
@@ -1,7 +1,8 @@
 //! Cancellations that an owner learns of late, and orders that it sends late.
 
 use super::*;
-use celerythread_standin::site::worker::FaultMode;
+use celerythread_standin::site::machine::ListMode;
+use celerythread_standin::site::worker::{FaultMode, Record};
 
 /// Time after an acknowledged cancellation from which no task of the job may be started.
 const CANCEL_BOUND: Duration = Duration::from_secs(3);
@@ -20,7 +21,10 @@
 fn started_after(deployment: &Deployment, id: &str, time: Instant) -> Vec<String> {
     let history = deployment.site.history();
     let runs = history.iter().filter(|run| run.task.starts_with(id) && run.began > time);
-    runs.map(|run| format!("{} {:?} after it", run.task, run.began - time)).collect()
+    let describe = |run: &Record| {
+        format!("{} {:?} after it, ended {:?}", run.task, run.began - time, run.end_reason)
+    };
+    runs.map(describe).collect()
 }
 
 /// Guards against starting tasks of a job that was cancelled some seconds ago, by an owner that gets
@@ -101,3 +105,28 @@
     assert_eq!(late, Vec::<String>::new(), "{:?} after the cancellation", back_at - cancelled_at);
     deployment.wait_for_state(owner, &job, "cancelled").await;
 }
+
+/// Guards against starting tasks of a job that was cancelled while a new owner loaded its cell.  The
+/// owner has read the jobs, waits for the list of machines, and drops messages meanwhile.
+#[async_std::test]
+async fn an_owner_with_a_slow_load_starts_no_job_that_was_cancelled_meanwhile() {
+    let deployment = Deployment::start("cancel-load", 3, 2).await;
+    let owner = deployment.owner().unwrap();
+    let other = (owner + 1) % 3;
+    let list_mode = ListMode { pages: 5, delay: Duration::from_millis(850) };
+    deployment.site.machines.set_list_mode(list_mode);
+    let progress_reads = || deployment.site.store.traffic("progress").calls;
+    let before = progress_reads();
+    deployment.entries[owner].signal("-KILL");
+    let job = id(2);
+    assert_eq!(deployment.submit(other, &job, 4, "ms=50").await, 200);
+    eventually("the jobs are read", async || (progress_reads() > before).then_some(())).await;
+    let cancelled_at = cancel(&deployment, other, &job).await;
+    let has_loaded = async || (deployment.owner() != Some(owner)).then_some(());
+    eventually("the cell is loaded", has_loaded).await;
+    assert!(cancelled_at.elapsed() > CANCEL_BOUND, "loaded {:?} after it", cancelled_at.elapsed());
+    task::sleep(Duration::from_secs(3)).await;
+    let late = started_after(&deployment, &job, cancelled_at + CANCEL_BOUND);
+    assert_eq!(late, Vec::<String>::new());
+    deployment.wait_for_state(other, &job, "cancelled").await;
+}
