Don't send a call once its timeout has passed

What callers could see: a task of a cancelled job is started late, by an entry that had permission to start it for a short time only.

Cause: an owner checks right before a call whether its view of the jobs is recent enough, and an order's timeout (0.3 s at most) is meant to bound the time from there to its sending. But a call whose timeout had passed by the time it had a connection was written all the same, with 1 ms left for its answer. A process that is suspended or gets no processor time in between finds the connection ready afterwards, since a timer is looked at last.

Evidence: a call with a timeout of zero on an idle connection was sent and answered (the test, before the change). No run of a whole entry shows it: on the loopback interface a connection is there at once.

--- a/crates/scheduler/src/delegate.rs
+++ b/crates/scheduler/src/delegate.rs
@@ -8,7 +8,7 @@
 use async_std::channel;
 use celerythread_adapter::Failure;
 use celerythread_adapter::minion::{Hold, Reply, Session, Target};
-use celerythread_engine::cell::MinionId;
+use celerythread_engine::cell::{MinionId, Refusal};
 use celerythread_wire::channel::{Receiver, Sender};
 use celerythread_wire::minion::{Answer, BATCH_WINDOW, Call, Outcome, Request};
 use celerythread_wire::{Channel, Error, Frame};
@@ -157,6 +157,7 @@
 fn failure_outcome(failure: Failure) -> Outcome {
     match failure {
         Failure::NotSent { reason } => Outcome::NotSent { reason },
+        Failure::Overdue { .. } => Outcome::Refused(Refusal::TooLate),
         Failure::Unanswered { reason } => Outcome::Unanswered { reason },
     }
 }
--- a/crates/scheduler/src/owner/supervisor.rs
+++ b/crates/scheduler/src/owner/supervisor.rs
@@ -487,6 +487,8 @@
             mark_terminated(owner, supervisor);
             StartResult::Refused(Refusal::Unhealthy)
         }
+        // The delay was this entry's and says nothing about the minion.
+        Err(Failure::Overdue { .. }) => StartResult::Refused(Refusal::TooLate),
         Err(Failure::NotSent { .. } | Failure::Unanswered { .. }) => {
             // Silence at an address that the minion has left says nothing about the minion.
             if supervisor.is_current(owner) {
