Keep starts held when the store is lost to an owner with an old view

What callers could see: a task of a cancelled job is started seconds later than its cancellation allows, by an owner that held its starts until then.

Cause: an owner with an old view of the jobs starts nothing, except while the store is lost to it; then what was never started goes on, because no cancellation is acknowledged in an outage. But the exception ignored the age of the view altogether, so the loss of the store released starts that had been held for cancellations from before the loss.

Evidence: with the stand-ins on, an owner misses the message about a cancellation, has no changes of the jobs, and can't read them.

What was never started now goes on only if the view was recent enough when the last successful renewal was sent, at which time the store still served this owner. In an outage that finds its owners with a recent view, nothing changes for callers.

Not changed: an owner whose view is up to 2.25 s old at its last renewal goes on for 3 s after it.

--- a/crates/engine/src/recency.rs
+++ b/crates/engine/src/recency.rs
@@ -73,15 +73,20 @@
     /// What an owner may start with this view of the jobs' cancellations, of what it may start by its
     /// ownership.
     ///
-    /// While the store is lost, no cancellation is acknowledged, and what was never started goes on.
+    /// `store_lost_since` is when the last successful renewal was sent, if the store is lost now.
+    /// While it is lost, no cancellation is acknowledged, so what was never started goes on if the
+    /// view was recent enough at that time.
     pub fn restrict(
         &self,
         permit: Permit,
         max_age: Duration,
-        is_store_lost: bool,
+        store_lost_since: Option<Time>,
         now: Time,
     ) -> Permit {
-        let goes_on = is_store_lost && permit != Permit::All;
-        if goes_on || self.age(now) <= max_age { permit } else { Permit::Nothing }
+        let required_at = match permit {
+            Permit::NeverStarted { .. } => store_lost_since.unwrap_or(now),
+            Permit::All | Permit::Nothing => now,
+        };
+        if self.age(required_at) <= max_age { permit } else { Permit::Nothing }
     }
 }
--- a/crates/engine/tests/all/model/owner.rs
+++ b/crates/engine/tests/all/model/owner.rs
@@ -122,7 +122,7 @@
     }
 
     fn permit(&self, now: Time) -> Permit {
-        self.jobs_recency.restrict(self.ownership_permit(now), MAX_JOBS_AGE, false, now)
+        self.jobs_recency.restrict(self.ownership_permit(now), MAX_JOBS_AGE, None, now)
     }
 
     fn ownership_permit(&self, now: Time) -> Permit {
--- a/crates/engine/tests/all/recency.rs
+++ b/crates/engine/tests/all/recency.rs
@@ -62,11 +62,11 @@
 fn nothing_is_started_with_an_old_view_of_the_jobs() {
     let mut recency = Recency::default();
     recency.record_read(Time(1000), 10);
-    let restrict = |now| recency.restrict(Permit::All, MAX_AGE, false, Time(now));
+    let restrict = |now| recency.restrict(Permit::All, MAX_AGE, None, Time(now));
     assert_eq!(restrict(3000), Permit::All);
     assert_eq!(restrict(3001), Permit::Nothing);
     let never_started = Permit::NeverStarted { known_by: Time(900) };
-    assert_eq!(recency.restrict(never_started, MAX_AGE, false, Time(3001)), Permit::Nothing);
+    assert_eq!(recency.restrict(never_started, MAX_AGE, None, Time(3001)), Permit::Nothing);
 }
 
 /// Guards against callers that wait through an outage of the store, in which no cancellation is
@@ -76,6 +76,20 @@
     let mut recency = Recency::default();
     recency.record_read(Time(1000), 10);
     let permit = Permit::NeverStarted { known_by: Time(900) };
-    assert_eq!(recency.restrict(permit, MAX_AGE, true, Time(3500)), permit);
-    assert_eq!(recency.restrict(Permit::All, MAX_AGE, true, Time(3500)), Permit::Nothing);
+    let restrict = |permit| recency.restrict(permit, MAX_AGE, Some(Time(1300)), Time(3500));
+    assert_eq!(restrict(permit), permit);
+    assert_eq!(restrict(Permit::All), Permit::Nothing);
+}
+
+/// Guards against starting tasks of cancelled jobs, which an old view of the jobs had prevented, as
+/// soon as the store is lost to their owner.
+#[test]
+fn what_an_old_view_holds_stays_held_when_the_store_is_lost() {
+    let mut recency = Recency::default();
+    recency.record_read(Time(1000), 10);
+    let permit = Permit::NeverStarted { known_by: Time(5000) };
+    let restrict = |lost| recency.restrict(permit, MAX_AGE, Some(Time(lost)), Time(6000));
+    assert_eq!(restrict(3000), permit);
+    assert_eq!(restrict(3001), Permit::Nothing);
+    assert_eq!(restrict(4000), Permit::Nothing);
 }
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -321,9 +321,14 @@
         true
     }
 
+    /// When the last successful renewal was sent.
+    pub(crate) fn last_renewal_sent(&self) -> Time {
+        self.renewal.lock().sent
+    }
+
     /// Time since the last successful renewal was sent.
     pub(crate) fn since_renewal(&self) -> Duration {
-        clock::now().since(self.renewal.lock().sent)
+        clock::now().since(self.last_renewal_sent())
     }
 
     /// Whether leases of running tasks may be extended.
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -272,8 +272,9 @@
         let (now, permit) = (clock::now(), self.node.permit());
         let max_age = self.node.settings.max_jobs_age();
         let is_store_lost = self.node.is_outage_suspected();
+        let store_lost_since = is_store_lost.then(|| self.node.last_renewal_sent());
         let recency = self.jobs_recency.lock();
-        let restricted = recency.restrict(permit, max_age, is_store_lost, now);
+        let restricted = recency.restrict(permit, max_age, store_lost_since, now);
         let age = recency.age(now);
         drop(recency);
         let is_held = restricted != permit;
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -16,6 +16,7 @@
 use celerythread_http::server::{Handler, Request};
 use http_types::Response;
 use machine::Machines;
+use parking_lot::Mutex;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io;
@@ -78,10 +79,12 @@
     }
 }
 
-/// A proxy of the store that answers 503 while it is set unavailable.
+/// A proxy of the store that answers 503 while it is set unavailable, or to some of the calls.
 pub struct StoreProxy {
     store: Arc<Store>,
     is_unavailable: AtomicBool,
+    /// The table whose reads are refused, other than its feed.
+    unreadable_table: Mutex<Option<String>>,
 }
 
 impl StoreProxy {
@@ -89,12 +92,26 @@
     pub fn set_unavailable(&self, unavailable: bool) {
         self.is_unavailable.store(unavailable, Ordering::SeqCst);
     }
+
+    /// Refuses the reads of a table, other than its feed, until this is called with another table or
+    /// `None`.
+    pub fn refuse_reads(&self, table: Option<&str>) {
+        *self.unreadable_table.lock() = table.map(Into::into);
+    }
+
+    fn is_refused(&self, request: &Request) -> bool {
+        let is_read = matches!(request.path(), "/-/rows-get" | "/-/rows-parts");
+        let unreadable = self.unreadable_table.lock();
+        let is_unreadable =
+            is_read && unreadable.is_some() && request.query("table") == *unreadable;
+        is_unreadable || self.is_unavailable.load(Ordering::SeqCst)
+    }
 }
 
 #[async_trait]
 impl Handler for StoreProxy {
     async fn handle(&self, request: Request) -> Response {
-        if self.is_unavailable.load(Ordering::SeqCst) {
+        if self.is_refused(&request) {
             return store::answer(503, json!({}));
         }
         self.store.handle(request).await
@@ -209,6 +226,7 @@
         let proxy = Arc::new(StoreProxy {
             store: self.store.clone(),
             is_unavailable: AtomicBool::new(false),
+            unreadable_table: Mutex::default(),
         });
         let server = Server::start(any_port(), proxy.clone()).await?;
         let address = server.address();
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -47,6 +47,16 @@
 bound = 3s
 ";
 
+/// The settings of all entries with additional lines of the section `run`, which replace those of
+/// the same keys.
+fn with_run_settings(run: &str) -> String {
+    let key = |line: &str| line.split_once('=').map(|(key, _)| key.trim().to_owned());
+    let replaced: Vec<Option<String>> = run.lines().map(key).collect();
+    let is_kept = |line: &&str| key(line).is_none() || !replaced.contains(&key(line));
+    let kept: Vec<&str> = SETTINGS.lines().filter(is_kept).collect();
+    kept.join("\n").replace("[run]\n", &format!("[run]\n{run}\n"))
+}
+
 /// An address that nothing listens at.
 fn free_address() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
@@ -61,7 +71,7 @@
     pub(crate) instance: &'a str,
     /// Lines of the section `caller`.
     pub(crate) caller: &'a str,
-    /// Lines of the section `run`.
+    /// Lines of the section `run`, which replace those of all entries with the same keys.
     pub(crate) run: &'a str,
     /// Whole sections.
     pub(crate) sections: &'a str,
@@ -118,7 +128,7 @@
         let path =
             std::env::temp_dir().join(format!("ct-{}-{test}-{name}.ini", std::process::id()));
         let AdditionalSettings { zone, instance, caller, run, sections } = additional;
-        let settings = SETTINGS.replace("[run]\n", &format!("[run]\n{run}\n"));
+        let settings = with_run_settings(run);
         let text = format!(
             "[instance]\nname = {name}\nzone = {zone}\n{instance}\n\n\
              [caller]\nlisten = 127.0.0.1:0\n{caller}\n\
--- a/tests/all/site/cancellations.rs
+++ b/tests/all/site/cancellations.rs
@@ -130,3 +130,47 @@
     assert_eq!(late, Vec::<String>::new());
     deployment.wait_for_state(other, &job, "cancelled").await;
 }
+
+/// Guards against starting tasks of a cancelled job, which an old view of the jobs had prevented, as
+/// soon as the store refuses all calls of their owner.
+#[async_std::test]
+async fn an_owner_with_an_old_view_starts_no_cancelled_job_when_it_loses_the_store() {
+    let site = Site::start(2).await.unwrap();
+    let mut deployment = Deployment { site, entries: Vec::new(), test: "cancel-refused" };
+    let (proxy, store) = deployment.site.add_store_proxy().await.unwrap();
+    let machines = deployment.site.machine_address();
+    let additional = AdditionalSettings {
+        run: "lease = 4500ms\nextend_alone = 3s",
+        ..AdditionalSettings::default()
+    };
+    let start = async |store, name| {
+        Entry::start_configured(store, machines, "cancel-refused", name, additional).await
+    };
+    deployment.add_started(start(store, "owner").await).await;
+    eventually("the service has an owner", async || deployment.owner()).await;
+    deployment.add_started(start(deployment.site.store_address(), "other").await).await;
+    let (owner, other) = (0, 1);
+    let job = id(2);
+    let step = |after: Value| json!({ "count": 1, "cpu": 1000, "memMb": 64, "estimateMs": 3500, "after": after });
+    let body = json!({ "spec": "ms=3500", "steps": [step(json!([])), step(json!([0]))] });
+    let callers = deployment.entries[other].callers;
+    let accepted = call(callers, Method::Post, &format!("/q/{job}"), Some(body)).await;
+    assert_eq!(accepted.map(|(status, _)| status), Some(200));
+    deployment.wait_for_state(other, &job, "running").await;
+    deployment.site.store.hold_feed(Some("jobs"));
+    proxy.refuse_reads(Some("jobs"));
+    // After a message that isn't answered, no others are sent for a while.
+    deployment.entries[owner].signal("-STOP");
+    assert_eq!(deployment.submit(other, &id(3), 1, "ms=50").await, 200);
+    task::sleep(Duration::from_millis(450)).await;
+    deployment.entries[owner].signal("-CONT");
+    let cancelled_at = cancel(&deployment, other, &job).await;
+    task::sleep(CANCEL_BOUND + Duration::from_millis(300)).await;
+    assert!(deployment.entries[owner].has_logged("starts_held"));
+    // Nobody takes the cell over.
+    deployment.entries[other].signal("-STOP");
+    proxy.set_unavailable(true);
+    task::sleep(Duration::from_secs(4)).await;
+    let late = started_after(&deployment, &job, cancelled_at + CANCEL_BOUND);
+    assert_eq!(late, Vec::<String>::new());
+}
