Bound the age of the jobs' view so that a start is sent in time

What callers could see, with a `run.cancel_within` below 1.5 s: tasks of a job are started later than that after its cancellation.

Cause: an owner starts nothing with a view of the jobs that is older than three quarters of `cancel_within`, but the age had a lower bound of 1.2 s. Nor was the time from the check to the sending part of the sum: an owner sends a start within its timeout (0.3 s at most), and a delegate, which gets the whole timeout again, within another one.

The age is now also at most `cancel_within` less both timeouts, without a lower bound, and a `cancel_within` that leaves nothing is refused as a contradiction. With the 3 s of the platform the age stays 2.25 s, and the last start is sent 2.85 s after the moment that the view shows, 2.55 s without a delegate.

Evidence: the test over all values from 0 to 9.9 s failed before at the first (1.8 s after the view's moment with `cancel_within = 0ms`).

--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of an entry: an INI file, checked as a whole.
 
+use celerythread_engine::timeout;
 use celerythread_model::ini::{Mistake, Reader};
 use celerythread_model::unit::Span;
 use std::net::SocketAddr;
@@ -82,8 +83,9 @@
 /// Part of the time to act on a cancellation in which an owner learns of it.
 const JOBS_AGE_PART: f64 = 0.75;
 
-/// Lower bound of this age.  An ordinary view is younger with the shortest wait of the feed.
-const MIN_JOBS_AGE: Duration = Duration::from_millis(1200);
+/// Longest time from the check of the view's age until a start is sent: that in which its owner sends
+/// it to a minion or to a delegate, and that in which a delegate sends it to the minion.
+const MAX_START_DELAY: Duration = timeout::Settings::ORDER.max.saturating_mul(2);
 
 /// Age that an ordinary view reaches beyond the wait of the feed.
 const MAX_JOBS_AGE_WITHOUT_WAIT: Duration = Duration::from_millis(1000);
@@ -161,8 +163,9 @@
 
     /// Age of an owner's view of the jobs from which on it starts nothing.  The rest of the time is for
     /// the order's way to the minion.
-    pub(crate) fn max_jobs_age(&self) -> Duration {
-        self.cancel_within.0.mul_f64(JOBS_AGE_PART).max(MIN_JOBS_AGE)
+    pub fn max_jobs_age(&self) -> Duration {
+        let cancel_within = self.cancel_within.0;
+        cancel_within.mul_f64(JOBS_AGE_PART).min(cancel_within.saturating_sub(MAX_START_DELAY))
     }
 
     /// Longest wait of one call of the jobs' feed.  With the pause before it, the time between two
@@ -255,6 +258,13 @@
                 format!("order_alone {} is out of range; valid are 0s to 60s", self.order_alone);
             reader.add_mistake(Code::Contradiction, "maintenance", "order_alone", text);
         }
+        if self.max_jobs_age().is_zero() {
+            let text = format!(
+                "cancel_within {} is not more than the {MAX_START_DELAY:?} that a start may take; nothing would be started",
+                self.cancel_within
+            );
+            reader.add_mistake(Code::Contradiction, "run", "cancel_within", text);
+        }
         if self.run_lease.0 < self.takeover_after.0 {
             let text = format!(
                 "lease {} is less than takeover_after {}; runs would end when their owner is lost",
--- a/tests/all/pages.rs
+++ b/tests/all/pages.rs
@@ -1,11 +1,13 @@
 //! The pages on the daemon for the users' platform match its settings, metrics and tests.
 
 use celerythread_engine::cell::capacity::{Capacity, Usability, WaitReason};
+use celerythread_engine::timeout::Settings as OrderTimeout;
 use celerythread_model::code::Code;
 use celerythread_model::ini::Mistake;
 use celerythread_scheduler::metrics::{Counter, Metrics, Timing};
 use celerythread_scheduler::{Daemon, Settings};
 use std::fs;
+use std::time::Duration;
 use strum::VariantArray;
 
 fn read_page(path: &str) -> String {
@@ -139,6 +141,33 @@
     assert!(text.contains("`true` or `false`"), "{text}");
 }
 
+/// Guards against a time to act on cancellations in which a start with the oldest permitted view of the
+/// jobs isn't sent: by its owner in an order's timeout, and by a delegate in another one.
+#[test]
+fn starts_with_the_oldest_view_are_sent_within_the_time_to_act_on_cancellations() {
+    let read = |cancel_within: u64| {
+        Settings::read(&format!(
+            "[instance]\nname = a\nzone = b\n[caller]\nlisten = 127.0.0.1:1\n\
+             [peer]\nlisten = 127.0.0.1:2\n[platform]\nstore = 127.0.0.1:3\n\
+             [run]\ncancel_within = {cancel_within}ms\n"
+        ))
+    };
+    let max_delay = OrderTimeout::ORDER.max * 2;
+    for cancel_within in (0..10_000).step_by(100) {
+        match read(cancel_within) {
+            Ok(settings) => {
+                let latest = settings.max_jobs_age() + max_delay;
+                assert!(latest <= settings.cancel_within.0, "{cancel_within} ms: {latest:?}");
+                assert!(!settings.max_jobs_age().is_zero(), "{cancel_within} ms");
+            }
+            Err(mistakes) => {
+                assert!(Duration::from_millis(cancel_within) <= max_delay, "{mistakes:?}");
+                assert!(mistakes.iter().all(|mistake| mistake.key == "cancel_within"));
+            }
+        }
+    }
+}
+
 /// Guards against orders without the store that nobody asked for, or that go on for as long as an
 /// outage lasts.
 #[test]
