Failing tests of jobs that are cancelled before they are stored

A DELETE that finds no row of the job is answered 410 and keeps nothing. By the protocol 410 acknowledges a cancellation. If the job's submission is still being written, the job is accepted after that and runs to its end.

The stand-in of the store can now execute transactions that write chosen rows late and without an answer, if their conditions hold then. Four tests cancel a job through one entry while its submission through another one is unanswered: the store executes the write seconds later, the entry repeats it, the owner has neither a message nor a feed, or another owner takes over. One test does the same with workspaces, for jobs submitted after the cancellation.

--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -39,6 +39,17 @@
     Slow,
 }
 
+/// Transactions that are executed late and not answered: those that write certain rows.
+#[derive(Clone, Debug)]
+pub struct Deferral {
+    /// The table of the rows.
+    pub table: String,
+    /// The beginning of their keys.
+    pub key_prefix: String,
+    /// Time until a transaction is executed, if its conditions hold then.
+    pub delay: Duration,
+}
+
 /// Duration of a call while the store is slow: a hundred times the usual.
 const SLOW_CALL_DURATION: Duration = Duration::from_millis(400);
 
@@ -83,6 +94,8 @@
     fault_mode: Mutex<FaultMode>,
     /// The table whose feed returns no changes for now.
     held_feed: Mutex<Option<String>>,
+    /// The transactions that are executed late.
+    deferral: Mutex<Option<Deferral>>,
 }
 
 impl Store {
@@ -91,6 +104,11 @@
         *self.fault_mode.lock() = fault_mode;
     }
 
+    /// Makes it execute some transactions late, without answering them, until this is called again.
+    pub fn defer_transactions(&self, deferral: Option<Deferral>) {
+        *self.deferral.lock() = deferral;
+    }
+
     /// Makes a table's feed return no changes until this is called with another table or `None`.
     pub fn hold_feed(&self, table: Option<&str>) {
         *self.held_feed.lock() = table.map(Into::into);
@@ -169,6 +187,27 @@
         .await
     }
 
+    /// How long the execution of a transaction is deferred; none if it isn't.
+    fn deferral_of(&self, body: &Value) -> Option<Duration> {
+        let deferral = self.deferral.lock().clone()?;
+        let is_deferred = |row: &Value| {
+            let (table, _, key) = key(row);
+            table == deferral.table && key.starts_with(&deferral.key_prefix)
+        };
+        let mut writes = body["writes"].as_array()?.iter();
+        writes.any(is_deferred).then_some(deferral.delay)
+    }
+
+    /// Executes a transaction after a delay, even when its client stops waiting, and never answers.
+    async fn transact_late(&self, body: Value, delay: Duration) -> Response {
+        let tables = self.tables.clone();
+        task::spawn(async move {
+            task::sleep(delay).await;
+            transact(&mut tables.lock(), &body);
+        });
+        hang().await
+    }
+
     fn range(&self, request: &Request) -> Response {
         let tables = self.tables.lock();
         let (table, part) = (parameter(request, "table"), parameter(request, "part"));
@@ -353,6 +392,9 @@
         match request.path() {
             "/-/rows-tx" => {
                 let body = serde_json::from_slice(&request.body).unwrap_or_default();
+                if let Some(delay) = self.deferral_of(&body) {
+                    return self.transact_late(body, delay).await;
+                }
                 if fault_mode == FaultMode::Slow {
                     return self.transact_slowly(body).await;
                 }
--- a/tests/all/site/cancellations.rs
+++ b/tests/all/site/cancellations.rs
@@ -1,6 +1,7 @@
 //! Cancellations that an owner learns of late, and orders that it sends late.
 
 use super::*;
+use celerythread_standin::site::store::Deferral;
 use celerythread_standin::site::worker::FaultMode;
 
 /// Time after an acknowledged cancellation from which no task of the job may be started.
@@ -101,3 +102,132 @@
     assert_eq!(late, Vec::<String>::new(), "{:?} after the cancellation", back_at - cancelled_at);
     deployment.wait_for_state(owner, &job, "cancelled").await;
 }
+
+/// A deployment with three entries and a job whose submission to one of them isn't answered.
+struct Unanswered {
+    deployment: Deployment,
+    owner: usize,
+    /// The entry that the job was submitted to.
+    submitted_to: usize,
+    /// The entry through which it is cancelled.
+    cancelled_by: usize,
+    job: String,
+}
+
+impl Unanswered {
+    /// Submits the job.  Its caller gives up after `deadline`, and the store executes each write of its
+    /// row only after `delay`.
+    async fn submit(test: &'static str, deadline: Duration, delay: Duration) -> Self {
+        let deployment = Deployment::start(test, 3, 3).await;
+        let owner = deployment.owner().unwrap();
+        let (submitted_to, cancelled_by, job) = ((owner + 1) % 3, (owner + 2) % 3, id(7));
+        let deferral = Deferral { table: "jobs".into(), key_prefix: format!("job/{job}"), delay };
+        deployment.site.store.defer_transactions(Some(deferral));
+        let callers = deployment.entries[submitted_to].callers;
+        let mut request = client::request(Method::Post, callers, &format!("/q/{job}")).unwrap();
+        request.insert_header("host", "jobs.example");
+        request.insert_header("x-celerythread-deadline-ms", deadline.as_millis().to_string());
+        request.set_body(celerythread_standin::site::job(3, "ms=60000").to_string());
+        // The entry doesn't learn that the caller stops waiting.
+        task::spawn(async move {
+            client::fetch(callers, request, Duration::from_secs(4), 1 << 20).await.ok();
+        });
+        Self { deployment, owner, submitted_to, cancelled_by, job }
+    }
+
+    /// Cancels the job; returns when that was acknowledged.
+    async fn cancel(&self) -> Instant {
+        assert!(!self.is_stored(), "cancelled before its row is written");
+        let callers = self.deployment.entries[self.cancelled_by].callers;
+        let path = format!("/q/{}", self.job);
+        let (status, _) = call(callers, Method::Delete, &path, None).await.unwrap();
+        assert!([200, 410].contains(&status), "{status}");
+        Instant::now()
+    }
+
+    fn is_stored(&self) -> bool {
+        self.deployment.site.store.count("jobs", &format!("job/{}", self.job)) == 1
+    }
+
+    /// Checks that the job is stored after its cancellation and cancelled all the same.
+    async fn check(&self, cancelled_at: Instant, checked_after: Duration) {
+        task::sleep(checked_after.saturating_sub(cancelled_at.elapsed())).await;
+        assert!(self.is_stored(), "the late write was executed");
+        let late = started_after(&self.deployment, &self.job, cancelled_at + CANCEL_BOUND);
+        assert_eq!(late, Vec::<String>::new());
+        let history = self.deployment.site.history();
+        let runs = history.iter().filter(|run| run.task.starts_with(&self.job));
+        let running: Vec<&str> =
+            runs.filter(|run| run.ended.is_none()).map(|run| run.task.as_str()).collect();
+        assert!(running.is_empty(), "{running:?} {:?} after it", cancelled_at.elapsed());
+        self.deployment.wait_for_state(self.cancelled_by, &self.job, "cancelled").await;
+    }
+}
+
+/// Guards against running a job whose cancellation was acknowledged before the store executed the
+/// write of its row, which its entry had given up on.
+#[async_std::test]
+async fn a_job_that_is_stored_seconds_after_its_cancellation_does_not_run() {
+    let delay = Duration::from_secs(4);
+    let submission =
+        Unanswered::submit("cancel-late-write", Duration::from_millis(600), delay).await;
+    task::sleep(Duration::from_millis(700)).await;
+    let cancelled_at = submission.cancel().await;
+    submission.check(cancelled_at, delay + STOP_TIMEOUT + Duration::from_secs(1)).await;
+}
+
+/// Guards against running a job whose cancellation was acknowledged while the entry that it was
+/// submitted to still repeated the write of its row.
+#[async_std::test]
+async fn a_job_that_its_entry_stores_after_its_cancellation_does_not_run() {
+    let never = Duration::from_secs(600);
+    let submission = Unanswered::submit("cancel-retry", Duration::from_secs(3), never).await;
+    task::sleep(Duration::from_millis(300)).await;
+    let cancelled_at = submission.cancel().await;
+    submission.deployment.site.store.defer_transactions(None);
+    submission.check(cancelled_at, CANCEL_BOUND + STOP_TIMEOUT).await;
+}
+
+/// Guards against running a job that was cancelled before its row was written, by an owner that missed
+/// the message and gets no changes of the table of jobs.
+#[async_std::test]
+async fn an_owner_that_reads_both_a_job_and_its_earlier_cancellation_does_not_run_it() {
+    let submission = Unanswered::submit(
+        "cancel-unheard",
+        Duration::from_millis(600),
+        Duration::from_millis(1_500),
+    )
+    .await;
+    let deployment = &submission.deployment;
+    deployment.site.store.hold_feed(Some("jobs"));
+    task::sleep(Duration::from_millis(700)).await;
+    deployment.entries[submission.owner].signal("-STOP");
+    let cancelled_at = submission.cancel().await;
+    task::sleep(Duration::from_millis(450)).await;
+    deployment.entries[submission.owner].signal("-CONT");
+    submission.check(cancelled_at, Duration::from_secs(7)).await;
+    assert_eq!(deployment.owner(), Some(submission.owner), "the cell has kept its owner");
+}
+
+/// Guards against running a job that was cancelled before its row was written, by an owner that takes
+/// over after both.
+#[async_std::test]
+async fn a_new_owner_does_not_run_a_job_that_was_cancelled_before_it_was_stored() {
+    let mut submission = Unanswered::submit(
+        "cancel-takeover",
+        Duration::from_millis(600),
+        Duration::from_millis(1_200),
+    )
+    .await;
+    task::sleep(Duration::from_millis(700)).await;
+    let cancelled_at = submission.cancel().await;
+    submission.deployment.entries[submission.owner].child.kill().unwrap();
+    let former = submission.owner;
+    eventually("another entry takes over", async || {
+        let owner = submission.deployment.owner();
+        owner.filter(|owner| *owner != former)
+    })
+    .await;
+    assert!(submission.is_stored(), "before the takeover");
+    submission.check(cancelled_at, Duration::from_secs(10)).await;
+}
--- a/tests/all/site/workspaces.rs
+++ b/tests/all/site/workspaces.rs
@@ -115,6 +115,35 @@
     assert_eq!(status_as(second, OTHER_KEY, Method::Get, &public).await, 200);
 }
 
+/// Guards against a workspace that cancels a job of another one before it is submitted, and against
+/// running a job that its own workspace has cancelled before.
+#[async_std::test]
+async fn an_early_cancellation_applies_to_jobs_of_its_own_workspace() {
+    let deployment = start("early", 2, 1).await;
+    let (first, second) = (deployment.entries[0].callers, deployment.entries[1].callers);
+    let paths = [1, 2, 3].map(|number| format!("/q/{}", id(number)));
+    for (path, keys) in
+        [(&paths[0], &[OTHER_KEY][..]), (&paths[1], &[SECOND_KEY]), (&paths[2], &[KEY, OTHER_KEY])]
+    {
+        for key in keys {
+            assert_eq!(status_as(first, key, Method::Delete, path).await, 410, "{path}");
+        }
+        assert_eq!(submit_as(second, KEY, path, 1, "ms=50").await, 200, "{path}");
+    }
+    wait_for_completion(second, KEY, &paths[0]).await;
+    for path in &paths[1..] {
+        eventually(&format!("{path} is cancelled"), async || {
+            let (_, body) = call_with(second, Method::Get, path, None, &[&token(KEY)]).await?;
+            let body: Value = serde_json::from_slice(&body).ok()?;
+            (body["state"] == "cancelled").then_some(())
+        })
+        .await;
+    }
+    let history = deployment.site.history();
+    let mut cancelled = history.iter().filter(|run| !run.task.starts_with(&id(1)));
+    assert!(cancelled.all(|run| run.ended.is_some()), "{history:?}");
+}
+
 /// Guards against a withdrawn key that is still accepted, also after a restart of an entry, and
 /// against a job that ends when its workspace's last key is withdrawn.
 #[async_std::test]
