Keep a cancellation that finds no job until the job is stored or can't be

What callers saw: a DELETE was answered 410, which acknowledges the cancellation, and the job ran to its end. Its submission was still under way: an entry repeats an unanswered write until its caller's deadline, and the store may execute an unanswered write seconds later. GET never showed the job as cancelled.

Cause: CallerHandler::cancel kept nothing if the job's row didn't exist, so no owner could know of the cancellation.

Change: such a DELETE stores the cancellation's row on condition that the job's row doesn't exist, and answers 410 only once that is certain (504 if not, 503 if the row can't be read). If the condition fails, the job has come and is cancelled like any other one, authorization included. The write of a found job's cancellation depends on the job's row, too, so it can't be left behind by a removed job or apply to another one.

A job's row that is written after that finds the cancellation's row in the store, so every way by which an owner learns of the job brings the cancellation, too: feed, full read, takeover, or the message to the owner. Cells kept early cancellations already. They now record who sent them and apply only to jobs that one of these callers may access; two workspaces that cancel the same unknown id are both recorded. Rows of older releases, which have no callers, count as cancellations of stored jobs, as before. Older releases ignore the callers: until they are replaced, their owners apply a kept cancellation to any workspace's job with this id. The new message to the owner is sent only for calls of workspaces; an older owner doesn't answer it and isn't asked for 1.5 s.

A POST under the id within the retention is accepted (200) with the state `cancelled`. A condition on the cancellation's row in the submission's transaction was weighed: the store would refuse the late write itself, but the answer to a repeated POST would be a refusal of a job that its caller may submit again forever, one workspace's DELETE would block another one's id, and entries of older releases would write without it.

Kept rows are deleted 30 s after `platform.retention` on condition that their version is still the known one and that no job came; the cell forgets one only once that is certain. The deletion needs no ledger, since its conditions hold whoever sends it. A read of the same row doesn't prolong the time, which a takeover starts again, as for ended jobs. The deletion of a removed job's rows can't delete a kept row: until it is executed the job's row exists, so a DELETE finds it.

A DELETE of an unknown id now costs a read, a write (two if the id was cancelled before), a message and a 33rd of a deletion, and a row and 152 bytes of the owner's memory (measured with 400,000 of them in a debug build) for two and a half minutes. An entry keeps 2,000 of them within the retention and refuses others with 503, so an owner has at most 0.3 MB of them for each entry.

`rows_of_early_cancellations_are_deleted_after_the_retention` takes 37 s: 40 rows, one of them in the layout of older releases, are deleted, and one that was repeated stays and applies. The engine's tests in `cancellation.rs` need the new functions and couldn't fail before. `a_cancellation_without_a_job_is_forgotten_after_the_retention` now also demands that it is kept until its row is deleted.

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -35,7 +35,7 @@
 //! - A run end is acknowledged only after it is persisted.
 
 pub mod advice;
-mod cancellation;
+pub mod cancellation;
 pub mod capacity;
 pub mod crash;
 mod evacuation;
@@ -98,8 +98,8 @@
     pub(crate) active_jobs: BTreeSet<Id>,
     /// Jobs with changes that are not persisted.
     pub(crate) changed_jobs: BTreeSet<Id>,
-    /// Cancellations of jobs that aren't known yet, with the time of their arrival.
-    pub(crate) early_cancellations: BTreeMap<Id, Time>,
+    /// Cancellations of jobs that aren't known yet.
+    pub(crate) early_cancellations: BTreeMap<Id, cancellation::Early>,
     /// Jobs that were removed after their retention, while their rows may still be read.
     pub(crate) removed_jobs: BTreeMap<Id, retention::Removed>,
     pub(crate) minions: BTreeMap<MinionId, Minion>,
--- a/crates/engine/src/cell/retention.rs
+++ b/crates/engine/src/cell/retention.rs
@@ -33,7 +33,6 @@
             self.changed_jobs.remove(id);
         }
         self.remove_ended_advice();
-        self.expire_early_cancellations(now);
         // A read that was sent before the deletion may still be answered.
         let is_needed = |job: &Removed| {
             job.rows_deleted_at.is_none_or(|deleted_at| now.since(deleted_at) <= retention)
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -1,8 +1,10 @@
 //! Jobs: their definition, their stored form and their progress.
 
+mod cancellation;
 mod format;
 mod terms;
 
+pub use cancellation::Cancellation;
 pub use format::{FormatError, decode, decode_extended, encode};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -13,8 +13,10 @@
 //! [`maintenance`] takes machines through maintenance waves, and [`pools`] moves them between pools
 //! as demand changes, and [`release`] decides who may order a machine while the store is
 //! unavailable; [`timeout`] adapts timeouts to the latency of answers, [`outage`] detects that a
-//! service is unavailable, and [`submission`] decides when to stop retrying a caller's submission.
+//! service is unavailable, [`submission`] decides when to stop retrying a caller's submission, and
+//! [`cancellation`] limits the cancellations of unknown jobs.
 
+pub mod cancellation;
 pub mod cell;
 pub mod delegation;
 pub mod job;
--- a/crates/engine/tests/all/jobs.rs
+++ b/crates/engine/tests/all/jobs.rs
@@ -157,6 +157,9 @@
     harness.cell.cancel(&id(1), harness.now);
     harness.now = harness.now + Settings::default().retention + Duration::from_millis(1);
     harness.cell.remove_expired_jobs(harness.now);
+    assert_eq!(harness.cell.expired_cancellations(harness.now), [(id(1), 0)]);
+    harness.cell.forget_cancellation(&id(1), 0);
+    assert_eq!(harness.cell.early_cancellations(), 0);
     harness.submit(1, definition(vec![step(1)]));
     assert_eq!(harness.start_all().len(), 1);
 }
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -16,7 +16,10 @@
 use celerythread_adapter::credential;
 use celerythread_adapter::store::Error;
 use celerythread_adapter::submission;
-use celerythread_engine::job::{Accepted, DefinitionError, Id, Origin, State, Terms, encode};
+use celerythread_engine::cancellation::Limiter;
+use celerythread_engine::job::{
+    Accepted, Cancellation, DefinitionError, Id, Origin, State, Terms, encode,
+};
 use celerythread_engine::submission::retry_after_s;
 use celerythread_http::Fault;
 use celerythread_http::server::{Handler, Request};
@@ -24,6 +27,7 @@
 use context::{Context, DEFAULT_DEADLINE, InFlight};
 use http_types::headers::HeaderValue;
 use http_types::{Method, Response, StatusCode};
+use parking_lot::Mutex;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,6 +44,8 @@
 /// Serves the requests of callers.
 pub(crate) struct CallerHandler {
     node: Arc<Node>,
+    /// Limits the cancellations of ids under which no job is stored.
+    early_cancellations: Mutex<Limiter>,
 }
 
 /// The queue that a request addresses, and on whose behalf.
@@ -54,7 +60,7 @@
 
 impl CallerHandler {
     pub(crate) fn new(node: Arc<Node>) -> Self {
-        Self { node }
+        Self { node, early_cancellations: Mutex::default() }
     }
 
     fn readiness(&self) -> Response {
@@ -336,7 +342,8 @@
         if let Some(outcome) = progress.as_ref().and_then(|progress| progress.outcome) {
             return Ok(Some(outcome));
         }
-        if get(rows::cancel(service, &id)).await?.is_some() {
+        let cancellation = get(rows::cancel(service, &id)).await?;
+        if cancellation.is_some_and(|row| self.is_cancelled(id, &job.value, &row.value)) {
             return Ok(Some(State::Cancelled));
         }
         let service = service.clone();
@@ -344,6 +351,20 @@
         Ok(Some(if progress.is_some() { State::Running } else { State::Queued }))
     }
 
+    /// Whether the stored cancellation applies to the stored job.  An unreadable one does.
+    fn is_cancelled(&self, id: Id, job: &[u8], cancellation: &[u8]) -> bool {
+        let owner = Accepted::decode(job).map(|accepted| accepted.origin).unwrap_or_default();
+        match Cancellation::decode(cancellation) {
+            Ok(cancellation) => cancellation.applies_to(&owner),
+            Err(error) => {
+                let fields: [(&'static str, &dyn std::fmt::Display); 2] =
+                    [("job", &id), ("reason", &error)];
+                self.node.journal.warn("cancellation_unreadable", &fields);
+                true
+            }
+        }
+    }
+
     async fn pending(&self, queue: &Queue) -> Response {
         let question =
             Question::Pending { service: queue.service.clone(), queue: queue.name.clone() };
--- a/crates/scheduler/src/front/cancel.rs
+++ b/crates/scheduler/src/front/cancel.rs
@@ -9,52 +9,93 @@
 use crate::node::Node;
 use crate::rows;
 use celerythread_adapter::configuration::Queue;
-use celerythread_adapter::store::Transaction;
-use celerythread_engine::job::{Id, encode};
+use celerythread_adapter::store::{Error, Name, Row, Transaction};
+use celerythread_engine::job::{Cancellation, Id, Origin, encode};
 use celerythread_engine::submission::Attempt;
 use celerythread_wire::job::{Answer, Question};
 use http_types::{Response, StatusCode};
+use std::fmt::Display;
+
+/// A DELETE request that is carried out.
+struct Request<'a> {
+    context: &'a Context,
+    queue: &'a Queue,
+    id: Id,
+    /// When it was accepted, in milliseconds since 1970.
+    at_ms: u64,
+}
+
+/// The rows on whose versions a cancellation depends, as far as they are known.
+#[derive(Debug, Default)]
+struct Basis {
+    job: Option<Row>,
+    /// The cancellation of an id under which no job is stored.
+    early: Option<Row>,
+}
+
+impl Basis {
+    fn job_version(&self) -> u64 {
+        self.job.as_ref().map_or(0, |row| row.version)
+    }
+}
+
+/// A stored cancellation.
+struct Stored {
+    row: Vec<u8>,
+    version: u64,
+}
 
 impl CallerHandler {
+    /// Cancels a job.  If none is stored under the id, its submission may still be under way, so the
+    /// cancellation is stored all the same before the response says that there is no such job.
     pub(super) async fn cancel(&self, context: &Context, queue: &Queue, id: Id) -> Response {
-        let node = &self.node;
-        let service = &queue.service;
-        let name = rows::job(service, &id);
-        let row = node.store.get(&name.table, &name.part, &name.key, READ_TIMEOUT).await;
-        node.record_store_result(&row);
-        let job_version = row.as_ref().ok().and_then(Option::as_ref).map_or(0, |row| row.version);
-        let finding = match &row {
-            Ok(Some(row)) if self.may_access(context, id, &row.value) => None,
-            Ok(Some(_)) => Some("inaccessible".to_owned()),
-            Ok(None) => Some("not_found".to_owned()),
-            Err(error) => Some(error.to_string()),
+        let request = Request { context, queue, id, at_ms: clock::wall_ms() };
+        let mut basis = match self.read(&rows::job(&queue.service, &id)).await {
+            Ok(job) => Basis { job, early: None },
+            Err(error) => {
+                let response = unavailable_response(context.remaining());
+                return self.not_cancelled(&request, response, &error, &Basis::default(), 0);
+            }
         };
-        if let Some(finding) = finding {
-            let response = match row {
-                Ok(_) => status_response(StatusCode::Gone),
-                Err(_) => unavailable_response(context.remaining()),
-            };
-            node.journal.info(
-                "job_not_cancelled",
-                &[
-                    ("job", &id),
-                    ("request", &context.request_id),
-                    ("queue", &queue.name),
-                    ("service", service),
-                    ("status", &response.status()),
-                    ("reason", &finding),
-                    ("job_version", &job_version),
-                ],
-            );
-            return response;
+        let gone = || status_response(StatusCode::Gone);
+        if !self.is_accessible(&request, &basis) {
+            return self.not_cancelled(&request, gone(), &"inaccessible", &basis, 0);
+        }
+        if basis.job.is_none() && !self.admit_early() {
+            let response = unavailable_response(context.remaining());
+            return self.not_cancelled(&request, response, &"too_many", &basis, 0);
         }
-        let cancellation = rows::Cancellation { layout: 1, at_ms: clock::wall_ms() };
-        let change = Transaction {
-            writes: vec![(rows::cancel(service, &id), encode(&cancellation))],
-            ..Transaction::default()
+        let stored = self.store_cancellation(&request, &mut basis).await;
+        // The job may have been stored meanwhile.
+        if !self.is_accessible(&request, &basis) {
+            return self.not_cancelled(&request, gone(), &"inaccessible", &basis, 0);
+        }
+        let Some(stored) = stored else {
+            let response = status_response(StatusCode::GatewayTimeout);
+            if basis.job.is_none() {
+                return self.not_cancelled(&request, response, &"not_found", &basis, 0);
+            }
+            self.log_cancelled(&request, &basis, None);
+            return response;
         };
+        if basis.job.is_none() {
+            let version = stored.version;
+            self.notify_owner(early_message(&request, stored));
+            return self.not_cancelled(&request, gone(), &"not_found", &basis, version);
+        }
+        self.log_cancelled(&request, &basis, Some(stored.version));
+        self.node.metrics.count(Counter::JobsCancelled);
+        self.notify_owner(Question::Cancelled { service: queue.service.clone(), id });
+        status_response(StatusCode::Ok)
+    }
+
+    /// Stores a cancellation on condition that its job's row is the known one; `None` if that isn't
+    /// certain at the deadline, or if the job turns out to be inaccessible.  Updates the basis after
+    /// conflicts.
+    async fn store_cancellation(&self, request: &Request<'_>, basis: &mut Basis) -> Option<Stored> {
+        let (node, context) = (&self.node, request.context);
         let began = clock::now();
-        let written = loop {
+        loop {
             let attempt = Attempt {
                 elapsed: clock::now().since(began),
                 remaining: context.remaining(),
@@ -62,39 +103,159 @@
                 has_peers: false,
                 unanswered: true,
             };
-            if attempt.should_give_up() {
-                break None;
+            if attempt.should_give_up() || !self.is_accessible(request, basis) {
+                return None;
+            }
+            if let Some(stored) = already_stored(request, basis) {
+                return Some(stored);
             }
+            let (change, row) = transaction(request, basis);
             let timeout = COMMIT_TIMEOUT.min(attempt.write_timeout());
-            if let Ok(version) = node.commit(&change, timeout).await {
-                break Some(version);
+            match node.commit(&change, timeout).await {
+                Ok(version) => return Some(Stored { row, version }),
+                Err(Error::Conflict { rows }) => {
+                    if self.update(request, basis, &rows).await.is_ok() {
+                        continue;
+                    }
+                }
+                Err(_) => {}
             }
             async_std::task::sleep(RETRY_DELAY.min(context.remaining())).await;
-        };
-        node.journal.info(
+        }
+    }
+
+    /// Whether the job is accessible, if one is stored.
+    fn is_accessible(&self, request: &Request<'_>, basis: &Basis) -> bool {
+        let job = basis.job.as_ref();
+        job.is_none_or(|row| self.may_access(request.context, request.id, &row.value))
+    }
+
+    fn admit_early(&self) -> bool {
+        let retention = self.node.settings.retention.0;
+        self.early_cancellations.lock().admit(retention, clock::now())
+    }
+
+    /// Updates the basis by the rows that a conflict returned.
+    async fn update(
+        &self,
+        request: &Request<'_>,
+        basis: &mut Basis,
+        rows: &[Row],
+    ) -> Result<(), Error> {
+        let service = &request.queue.service;
+        let job = rows::job(service, &request.id);
+        basis.job = self.current(&job, basis.job.take(), rows).await?;
+        let early = rows::cancel(service, &request.id);
+        basis.early = self.current(&early, basis.early.take(), rows).await?;
+        Ok(())
+    }
+
+    /// A row after a conflict, which need not return rows that don't exist or have the expected
+    /// version.
+    async fn current(
+        &self,
+        name: &Name,
+        expected: Option<Row>,
+        rows: &[Row],
+    ) -> Result<Option<Row>, Error> {
+        match rows.iter().find(|row| row.key == name.key) {
+            Some(row) => Ok((row.version > 0 && !row.deleted).then(|| row.clone())),
+            None if expected.is_none() => Ok(None),
+            None => self.read(name).await,
+        }
+    }
+
+    async fn read(&self, name: &Name) -> Result<Option<Row>, Error> {
+        let row = self.node.store.get(&name.table, &name.part, &name.key, READ_TIMEOUT).await;
+        self.node.record_store_result(&row);
+        row
+    }
+
+    /// Logs why no job was cancelled; returns the response.
+    fn not_cancelled(
+        &self,
+        request: &Request<'_>,
+        response: Response,
+        reason: &dyn Display,
+        basis: &Basis,
+        version: u64,
+    ) -> Response {
+        self.node.journal.info(
+            "job_not_cancelled",
+            &[
+                ("job", &request.id),
+                ("request", &request.context.request_id),
+                ("queue", &request.queue.name),
+                ("service", &request.queue.service),
+                ("status", &response.status()),
+                ("reason", reason),
+                ("job_version", &basis.job_version()),
+                ("version", &version),
+            ],
+        );
+        response
+    }
+
+    fn log_cancelled(&self, request: &Request<'_>, basis: &Basis, version: Option<u64>) {
+        self.node.journal.info(
             "job_cancelled",
             &[
-                ("job", &id),
-                ("request", &context.request_id),
-                ("service", service),
-                ("written", &written.is_some()),
-                ("job_version", &job_version),
-                ("version", &written.unwrap_or_default()),
+                ("job", &request.id),
+                ("request", &request.context.request_id),
+                ("service", &request.queue.service),
+                ("written", &version.is_some()),
+                ("job_version", &basis.job_version()),
+                ("version", &version.unwrap_or_default()),
             ],
         );
-        if written.is_none() {
-            return status_response(StatusCode::GatewayTimeout);
-        }
-        node.metrics.count(Counter::JobsCancelled);
-        self.notify_owner(Question::Cancelled { service: service.clone(), id });
-        status_response(StatusCode::Ok)
+    }
+}
+
+/// The cancellation that an earlier attempt of the same request has stored without an answer.
+fn already_stored(request: &Request<'_>, basis: &Basis) -> Option<Stored> {
+    let row = basis.early.as_ref().filter(|_| basis.job.is_none())?;
+    let stored = Cancellation::decode(&row.value).ok()?;
+    let is_same =
+        stored.at_ms == request.at_ms && stored.early_callers.contains(&request.context.origin);
+    is_same.then(|| Stored { row: row.value.clone(), version: row.version })
+}
+
+/// The transaction that stores a cancellation, and the row that it writes.
+fn transaction(request: &Request<'_>, basis: &Basis) -> (Transaction, Vec<u8>) {
+    let (service, id) = (&request.queue.service, &request.id);
+    let name = rows::cancel(service, id);
+    let mut conditions = vec![(rows::job(service, id), basis.job_version())];
+    let cancellation = if basis.job.is_some() {
+        Cancellation::of_stored_job(request.at_ms)
+    } else {
+        let early = basis.early.as_ref();
+        conditions.push((name.clone(), early.map_or(0, |row| row.version)));
+        let former = early.and_then(|row| Cancellation::decode(&row.value).ok());
+        Cancellation::early(&request.context.origin, request.at_ms, former.as_ref())
+    };
+    let row = encode(&cancellation);
+    let writes = vec![(name, row.clone())];
+    (Transaction { conditions, writes, ..Transaction::default() }, row)
+}
+
+/// The message about a cancellation of an id under which no job is stored.
+fn early_message(request: &Request<'_>, stored: Stored) -> Question {
+    let (service, id) = (request.queue.service.clone(), request.id);
+    match request.context.origin {
+        // It applies to any job, and owners of all releases understand this message.
+        Origin::Public => Question::Cancelled { service, id },
+        _ => Question::CancelledEarly { service, id, row: stored.row, version: stored.version },
     }
 }
 
 /// Logs that no owner has answered the message about a cancellation, so that it learns of it from the
 /// table of jobs.
 pub(super) fn log_unheard(node: &Node, question: &Question, answer: Option<&Answer>) {
-    if let (Question::Cancelled { service, id }, None) = (question, answer) {
+    if let (
+        Question::Cancelled { service, id } | Question::CancelledEarly { service, id, .. },
+        None,
+    ) = (question, answer)
+    {
         node.journal.info("cancellation_unheard", &[("job", id), ("service", service)]);
     }
 }
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -1,13 +1,13 @@
 //! The owner of a cell: takes it over, carries out its plans, and persists its progress.
 //!
 //! [`load`] reads the stored rows, and [`reread`] the jobs again while their feed lags;
-//! [`cancellation`] applies cancellations, [`supervisor`] polls and commands one minion, [`persist`]
-//! writes progress, [`advice`] asks for tickets, [`quota`] enforces workspaces' limits, [`events`] logs
-//! the cell's events, [`activity`] the owner's load and [`capacity`] what its cell could still run.
-//! [`calls`] are made to minions with the leases of [`grant`], at peak load through the entries of
-//! [`delegation`]; [`starts`] limits how many starts are unanswered, and [`release`] answers requests to
-//! empty minions.  This file holds what they share, the planning loop, and the answers to other
-//! entries' questions.
+//! [`cancellation`] applies cancellations and deletes expired ones, [`supervisor`] polls and commands
+//! one minion, [`persist`] writes progress, [`advice`] asks for tickets, [`quota`] enforces workspaces'
+//! limits, [`events`] logs the cell's events, [`activity`] the owner's load and [`capacity`] what its
+//! cell could still run.  [`calls`] are made to minions with the leases of [`grant`], at peak load
+//! through the entries of [`delegation`]; [`starts`] limits how many starts are unanswered, and
+//! [`release`] answers requests to empty minions.  This file holds what they share, the planning loop,
+//! and the answers to other entries' questions.
 
 mod activity;
 mod advice;
@@ -33,7 +33,7 @@
 use crate::terms;
 use activity::Activity;
 use calls::OrderTimeout;
-use cancellation::Source;
+use cancellation::{Notice, Source};
 use celerythread_adapter::configuration::Configuration;
 use celerythread_adapter::minion::Entry;
 use celerythread_engine::cell::{Cell, Incarnation, Order, Permit, Refusal, StartResult};
@@ -303,7 +303,12 @@
                 Some(Answer::Noted)
             }
             Question::Cancelled { id, .. } => {
-                self.cancel_job(*id, Source::Message, None);
+                self.cancel_job(*id, Source::Message, &Notice::of_stored_job());
+                Some(Answer::Noted)
+            }
+            Question::CancelledEarly { id, row, version, .. } => {
+                let notice = Notice::read(self, id, row, *version);
+                self.cancel_job(*id, Source::Message, &notice);
                 Some(Answer::Noted)
             }
             Question::State { id, origin, .. } => {
@@ -372,6 +377,7 @@
     async_std::task::spawn(reread::reread_forever(owner.clone()));
     async_std::task::spawn(load::mark_terminated_until_settled(owner.clone()));
     async_std::task::spawn(persist::persist_forever(owner.clone()));
+    async_std::task::spawn(cancellation::delete_expired_forever(owner.clone()));
     async_std::task::spawn(quota::follow_splits(owner.clone()));
     async_std::task::spawn(activity::log_forever(owner.clone()));
     events::log_first_plan(&owner);
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -5,13 +5,13 @@
 use crate::follow::{self, Need, Sink, Table};
 use crate::metrics::Counter;
 use crate::node::Node;
-use crate::owner::cancellation::{self, Source};
+use crate::owner::cancellation::{self, Notice, Source};
 use crate::owner::{FormerOwner, Owner};
 use crate::rows;
 use celerythread_adapter::store::{Error, Name, Page, Row, Transaction};
 use celerythread_engine::cell::policies::Stored;
 use celerythread_engine::cell::{Cell, Settings};
-use celerythread_engine::job::{Accepted, Id, Progress, decode, encode};
+use celerythread_engine::job::{Accepted, Progress, decode, encode};
 use celerythread_engine::maintenance::Machine;
 use celerythread_engine::ownership::former::{self, Bound, Terms};
 use celerythread_engine::termination;
@@ -292,7 +292,7 @@
     let (now, wall) = (clock::now(), clock::wall_ms());
     let (mut count, mut inherited_count) = (0, 0);
     for row in &jobs.rows {
-        let Some(id) = job_id(row, rows::JOB_PREFIX) else { continue };
+        let Some(id) = rows::job_id(row, rows::JOB_PREFIX) else { continue };
         let accepted = match Accepted::decode(&row.value) {
             Ok(accepted) => accepted,
             Err(error) => {
@@ -317,10 +317,10 @@
         cell.add_job(id, accepted, progress, inherited, age, now);
     }
     for row in &jobs.rows {
-        if let Some(id) = job_id(row, rows::CANCEL_PREFIX) {
-            cell.cancel(&id, now);
-            let is_known = cell.job(&id).is_some();
-            cancellation::log(owner, &id, Source::Takeover, Some(row), is_known);
+        if let Some(id) = rows::job_id(row, rows::CANCEL_PREFIX) {
+            let notice = Notice::read(owner, &id, &row.value, row.version);
+            let effect = cell.apply_cancellation(&id, &notice.cancellation, notice.version, now);
+            cancellation::log(owner, &id, Source::Takeover, &notice, effect);
         }
     }
     (count, inherited_count)
@@ -335,10 +335,6 @@
         .ok()
 }
 
-fn job_id(row: &Row, prefix: &str) -> Option<Id> {
-    row.key.strip_prefix(prefix)?.parse().ok()
-}
-
 /// Sink for the rows of this cell's jobs.
 pub(crate) struct JobSink(pub(crate) Arc<Owner>);
 
@@ -364,10 +360,11 @@
         let owner = &self.0;
         let shards = rows::shard_prefix(&owner.service);
         for row in rows.iter().filter(|row| row.part.starts_with(&shards) && !row.deleted) {
-            if let Some(id) = job_id(row, rows::JOB_PREFIX) {
+            if let Some(id) = rows::job_id(row, rows::JOB_PREFIX) {
                 owner.add_job(id, &row.value);
-            } else if let Some(id) = job_id(row, rows::CANCEL_PREFIX) {
-                owner.cancel_job(id, source, Some(row));
+            } else if let Some(id) = rows::job_id(row, rows::CANCEL_PREFIX) {
+                let notice = Notice::read(owner, &id, &row.value, row.version);
+                owner.cancel_job(id, source, &notice);
             }
         }
     }
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -25,7 +25,7 @@
 //! quarter of a second each, that is four a second.  When renewals and submissions shared
 //! partitions, entries lost their cells and callers were refused for as long as the store was slow.
 
-use celerythread_adapter::store::Name;
+use celerythread_adapter::store::{Name, Row};
 use celerythread_engine::job::{FormatError, Id, decode_extended};
 use celerythread_engine::ownership::former::{EarlierOwners, Predecessors};
 use serde::{Deserialize, Serialize};
@@ -162,26 +162,6 @@
     pub(crate) token: u64,
 }
 
-/// The cancellation of a job.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub(crate) struct Cancellation {
-    /// The layout, always 1.
-    pub(crate) layout: u8,
-    /// When it was accepted, in milliseconds since 1970 by the accepting entry's clock; 0 in rows of
-    /// releases that didn't store it.
-    pub(crate) at_ms: u64,
-}
-
-impl Cancellation {
-    /// Decodes a row.  Rows of older releases end before `at_ms`.
-    ///
-    /// # Errors
-    /// Returns an error if the bytes are malformed.
-    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, FormatError> {
-        decode_extended(bytes)
-    }
-}
-
 /// The minions on which an owner may have started something.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Roster {
@@ -271,6 +251,11 @@
     Name::new(JOBS, &shard(service, id), format!("{CANCEL_PREFIX}{id}"))
 }
 
+/// The job of a row with such a key; none for another key.
+pub(crate) fn job_id(row: &Row, prefix: &str) -> Option<Id> {
+    row.key.strip_prefix(prefix)?.parse().ok()
+}
+
 /// The row that holds the split of a workspace's limit.
 pub(crate) fn split(workspace: &str) -> Name {
     Name::new(SPLITS, "", workspace)
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -138,6 +138,13 @@
         STANDARD.decode(&row.value).ok()
     }
 
+    /// The partition of the row with this key; none if no partition of the table has one.
+    pub fn part_of(&self, table: &str, key: &str) -> Option<String> {
+        let tables = self.tables.lock();
+        let found = tables.rows.keys().find(|found| found.0 == table && found.2 == key);
+        found.map(|found| found.1.clone())
+    }
+
     /// Number of rows of a table whose keys begin with `prefix`.
     pub fn count(&self, table: &str, prefix: &str) -> usize {
         let tables = self.tables.lock();
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -70,6 +70,17 @@
         /// permission.  The answer is then [`Answer::Released`], else [`Answer::Load`].
         without_row: bool,
     },
+    /// An id under which no job is stored was cancelled, and the cancellation is stored.
+    CancelledEarly {
+        /// Its service.
+        service: String,
+        /// The id.
+        id: Id,
+        /// The cancellation's row.
+        row: Vec<u8>,
+        /// The version of the row.
+        version: u64,
+    },
 }
 
 impl Question {
@@ -79,6 +90,7 @@
             Question::Accepted { service, .. }
             | Question::Submit { service, .. }
             | Question::Cancelled { service, .. }
+            | Question::CancelledEarly { service, .. }
             | Question::State { service, .. }
             | Question::Pending { service, .. }
             | Question::Load { service }
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -63,13 +63,15 @@
     pub(crate) caller: &'a str,
     /// Lines of the section `run`.
     pub(crate) run: &'a str,
+    /// Lines of the section `platform`.
+    pub(crate) platform: &'a str,
     /// Whole sections.
     pub(crate) sections: &'a str,
 }
 
 impl Default for AdditionalSettings<'_> {
     fn default() -> Self {
-        Self { zone: "zone", instance: "", caller: "", run: "", sections: "" }
+        Self { zone: "zone", instance: "", caller: "", run: "", platform: "", sections: "" }
     }
 }
 
@@ -117,13 +119,13 @@
     ) -> Self {
         let path =
             std::env::temp_dir().join(format!("ct-{}-{test}-{name}.ini", std::process::id()));
-        let AdditionalSettings { zone, instance, caller, run, sections } = additional;
+        let AdditionalSettings { zone, instance, caller, run, platform, sections } = additional;
         let settings = SETTINGS.replace("[run]\n", &format!("[run]\n{run}\n"));
         let text = format!(
             "[instance]\nname = {name}\nzone = {zone}\n{instance}\n\n\
              [caller]\nlisten = 127.0.0.1:0\n{caller}\n\
              [peer]\nlisten = 127.0.0.1:0\nrenew = 100ms\ntakeover_after = 800ms\n\n\
-             [platform]\nstore = {store}\nmachines = {machines}\n{settings}\n{sections}"
+             [platform]\nstore = {store}\nmachines = {machines}\n{platform}\n{settings}\n{sections}"
         );
         fs::write(&path, text).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_celerythreadd"))
--- a/tests/all/site/cancellations.rs
+++ b/tests/all/site/cancellations.rs
@@ -107,8 +107,8 @@
 struct Unanswered {
     deployment: Deployment,
     owner: usize,
-    /// The entry that the job was submitted to.
-    submitted_to: usize,
+    /// The status of the answer to the submission, if any.
+    answer: task::JoinHandle<Option<u16>>,
     /// The entry through which it is cancelled.
     cancelled_by: usize,
     job: String,
@@ -129,10 +129,12 @@
         request.insert_header("x-celerythread-deadline-ms", deadline.as_millis().to_string());
         request.set_body(celerythread_standin::site::job(3, "ms=60000").to_string());
         // The entry doesn't learn that the caller stops waiting.
-        task::spawn(async move {
-            client::fetch(callers, request, Duration::from_secs(4), 1 << 20).await.ok();
+        let answer = task::spawn(async move {
+            let timeout = Duration::from_secs(4);
+            let answer = client::fetch(callers, request, timeout, 1 << 20).await.ok()?;
+            Some(answer.0.status().into())
         });
-        Self { deployment, owner, submitted_to, cancelled_by, job }
+        Self { deployment, owner, answer, cancelled_by, job }
     }
 
     /// Cancels the job; returns when that was acknowledged.
@@ -150,7 +152,13 @@
     }
 
     /// Checks that the job is stored after its cancellation and cancelled all the same.
-    async fn check(&self, cancelled_at: Instant, checked_after: Duration) {
+    ///
+    /// Returns the deployment, and the status of the answer to the submission.
+    async fn check(
+        self,
+        cancelled_at: Instant,
+        checked_after: Duration,
+    ) -> (Deployment, Option<u16>) {
         task::sleep(checked_after.saturating_sub(cancelled_at.elapsed())).await;
         assert!(self.is_stored(), "the late write was executed");
         let late = started_after(&self.deployment, &self.job, cancelled_at + CANCEL_BOUND);
@@ -161,6 +169,7 @@
             runs.filter(|run| run.ended.is_none()).map(|run| run.task.as_str()).collect();
         assert!(running.is_empty(), "{running:?} {:?} after it", cancelled_at.elapsed());
         self.deployment.wait_for_state(self.cancelled_by, &self.job, "cancelled").await;
+        (self.deployment, self.answer.await)
     }
 }
 
@@ -173,7 +182,9 @@
         Unanswered::submit("cancel-late-write", Duration::from_millis(600), delay).await;
     task::sleep(Duration::from_millis(700)).await;
     let cancelled_at = submission.cancel().await;
-    submission.check(cancelled_at, delay + STOP_TIMEOUT + Duration::from_secs(1)).await;
+    let checked_after = delay + STOP_TIMEOUT + Duration::from_secs(1);
+    let (_, answer) = submission.check(cancelled_at, checked_after).await;
+    assert!([None, Some(504)].contains(&answer), "{answer:?} isn't known to be true");
 }
 
 /// Guards against running a job whose cancellation was acknowledged while the entry that it was
@@ -185,7 +196,8 @@
     task::sleep(Duration::from_millis(300)).await;
     let cancelled_at = submission.cancel().await;
     submission.deployment.site.store.defer_transactions(None);
-    submission.check(cancelled_at, CANCEL_BOUND + STOP_TIMEOUT).await;
+    let (_, answer) = submission.check(cancelled_at, CANCEL_BOUND + STOP_TIMEOUT).await;
+    assert_eq!(answer, Some(200));
 }
 
 /// Guards against running a job that was cancelled before its row was written, by an owner that missed
@@ -205,8 +217,9 @@
     let cancelled_at = submission.cancel().await;
     task::sleep(Duration::from_millis(450)).await;
     deployment.entries[submission.owner].signal("-CONT");
-    submission.check(cancelled_at, Duration::from_secs(7)).await;
-    assert_eq!(deployment.owner(), Some(submission.owner), "the cell has kept its owner");
+    let owner = submission.owner;
+    let (deployment, _) = submission.check(cancelled_at, Duration::from_secs(7)).await;
+    assert_eq!(deployment.owner(), Some(owner), "the cell has kept its owner");
 }
 
 /// Guards against running a job that was cancelled before its row was written, by an owner that takes
@@ -231,3 +244,44 @@
     assert!(submission.is_stored(), "before the takeover");
     submission.check(cancelled_at, Duration::from_secs(10)).await;
 }
+
+/// Guards against rows of cancellations that stay in the store for good because no job came, also
+/// those of older releases, and against deleting one that a job or a repeated request still needs.
+#[async_std::test]
+async fn rows_of_early_cancellations_are_deleted_after_the_retention() {
+    let site = Site::start(1).await.unwrap();
+    // Owners keep rows for half a minute longer than that.
+    let additional =
+        AdditionalSettings { platform: "retention = 0s", ..AdditionalSettings::default() };
+    let (store, machines) = (site.store_address(), site.machine_address());
+    let test = "cancel-rows";
+    let entry = Entry::start_configured(store, machines, test, "entry-0", additional).await;
+    let mut deployment = Deployment { site, entries: Vec::new(), test };
+    deployment.add_started(entry).await;
+    eventually("the service has an owner", async || deployment.owner()).await;
+    let callers = deployment.entries[0].callers;
+    let delete = async |number: u32| {
+        let path = format!("/q/{}", id(number));
+        let (status, _) = call(callers, Method::Delete, &path, None).await.unwrap();
+        assert_eq!(status, 410);
+    };
+    let rows = || deployment.site.store.count("jobs", "cancel/");
+    for number in 1..=40 {
+        delete(number).await;
+    }
+    // As a release without the callers of early cancellations writes it.
+    let key = format!("cancel/{}", id(40));
+    let part = deployment.site.store.part_of("jobs", &key).unwrap();
+    deployment.site.store.put("jobs", &part, &key, &[1, 5]);
+    task::sleep(Duration::from_secs(20)).await;
+    assert_eq!(rows(), 40);
+    delete(1).await;
+    eventually("the rows are deleted", async || (rows() <= 1).then_some(())).await;
+    let repeated = format!("cancel/{}", id(1));
+    assert_eq!(deployment.site.store.count("jobs", &repeated), 1, "it was repeated");
+    assert_eq!(deployment.submit(0, &id(1), 1, "ms=50").await, 200);
+    deployment.wait_for_state(0, &id(1), "cancelled").await;
+    assert_eq!(deployment.submit(0, &id(2), 1, "ms=50").await, 200);
+    deployment.wait_for_state(0, &id(2), "completed").await;
+    assert!(!deployment.entries[0].has_logged("rows_left"));
+}
