Model: owners read a cancellation before its job is stored

The model's withdrawn job came in the same step as its cancellation, which owners were told again and again. Now each owner reads the cancellation once, by its feed or at its takeover, and the job is stored four submissions later.

--- a/crates/engine/tests/all/model/owner.rs
+++ b/crates/engine/tests/all/model/owner.rs
@@ -87,6 +87,8 @@
     pub(crate) is_stopped: bool,
     /// How recent its view of the jobs is.
     pub(crate) jobs_recency: Recency,
+    /// Whether it has read the cancellation of the withdrawn job.
+    pub(crate) has_read_withdrawal: bool,
 }
 
 impl Call {
@@ -118,6 +120,7 @@
             isolation: None,
             is_stopped: false,
             jobs_recency,
+            has_read_withdrawal: false,
         }
     }
 
--- a/crates/engine/tests/all/model/simulation.rs
+++ b/crates/engine/tests/all/model/simulation.rs
@@ -42,9 +42,11 @@
 const CANCELLED_JOB: u8 = 3;
 /// The job whose only task crashes each minion that starts it.
 const CRASHING_JOB: u8 = 4;
-/// A job that its caller cancels at once, in a simulation with late jobs.  Owners learn of the
-/// cancellation first.
+/// A job that its caller cancels while its submission is unanswered, in a simulation with late jobs.
+/// Owners read the cancellation once, and the job after [`JOBS_BEFORE_WITHDRAWN`] others.
 const WITHDRAWN_JOB: u8 = 19;
+/// Late jobs that are stored before the withdrawn one.
+const JOBS_BEFORE_WITHDRAWN: u8 = 4;
 /// Number of the first job that is submitted during a simulation with late jobs.
 const FIRST_LATE_JOB: u8 = 20;
 /// Jobs submitted during a simulation with late jobs.
--- a/crates/engine/tests/all/model/simulation/takeover.rs
+++ b/crates/engine/tests/all/model/simulation/takeover.rs
@@ -2,8 +2,8 @@
 //! meanwhile.
 
 use super::{
-    CANCELLED_JOB, EXTEND_ALONE_LIMIT, FAILING_JOB, FAILING_JOB_ATTEMPTS, LATE_JOBS,
-    LEASE_DURATION, Simulation, TAKEOVER_DELAY, WITHDRAWN_JOB, base_jobs, late_job,
+    CANCELLED_JOB, EXTEND_ALONE_LIMIT, FAILING_JOB, FAILING_JOB_ATTEMPTS, JOBS_BEFORE_WITHDRAWN,
+    LATE_JOBS, LEASE_DURATION, Simulation, TAKEOVER_DELAY, WITHDRAWN_JOB, base_jobs, late_job,
 };
 use crate::fixture::id;
 use crate::model::owner::Owner;
@@ -176,11 +176,13 @@
                 continue;
             }
             let late = (0..submitted).map(late_job);
-            let is_unknown = owner.cell.job(&id(WITHDRAWN_JOB)).is_none();
-            let withdrawn = (submitted > 0 && is_unknown).then_some(WITHDRAWN_JOB);
-            if withdrawn.is_some() {
+            if submitted > 0 && !owner.has_read_withdrawal {
+                owner.has_read_withdrawal = true;
                 owner.cell.cancel(&id(WITHDRAWN_JOB), now);
             }
+            let is_stored = submitted >= JOBS_BEFORE_WITHDRAWN;
+            let is_unknown = owner.cell.job(&id(WITHDRAWN_JOB)).is_none();
+            let withdrawn = (is_stored && is_unknown).then_some(WITHDRAWN_JOB);
             let failing = self.candidate.has_failing_job.then_some(FAILING_JOB);
             for (job, definition) in late.chain(withdrawn).chain(failing).map(definition_of) {
                 let accepted = accepted(job, definition);
@@ -265,11 +267,14 @@
         if self.cancelled {
             cell.cancel(&id(CANCELLED_JOB), now);
         }
-        // Read with the jobs, but not in the order of their arrival.
-        if !self.candidate.submitted.is_empty() {
+        // Its job may not be stored yet.
+        let is_withdrawn = !self.candidate.submitted.is_empty();
+        if is_withdrawn {
             cell.cancel(&id(WITHDRAWN_JOB), now);
         }
-        self.owners.push(Owner::new(cell, token, now));
+        let mut owner = Owner::new(cell, token, now);
+        owner.has_read_withdrawal = is_withdrawn;
+        self.owners.push(owner);
         self.observed_renewals = (self.table.renewals, now);
         self.candidate.version += 1;
         self.candidate.watch.record_holder(CELL, &owner_name(token), token, now);
