Test a job that is stored between the two calls of its cancellation

The cancelling entry reads the job's row and writes the cancellation in two calls. A stand-in store that defers the second one lets the job be stored in between: the cancellation then applies only if its caller may access the job, and leaves no row otherwise.

--- a/tests/all/site/workspaces.rs
+++ b/tests/all/site/workspaces.rs
@@ -1,6 +1,7 @@
 //! Workspaces: keys, access to jobs, and limits.
 
 use super::*;
+use celerythread_standin::site::store::Deferral;
 use celerythread_standin::site::{SECOND_SERVICE, Workspace, check};
 
 const KEY: &str = "pqk8bdk9eevyxq2yyaza";
@@ -144,6 +145,40 @@
     assert!(cancelled.all(|run| run.ended.is_some()), "{history:?}");
 }
 
+/// Guards against a cancellation that applies to another workspace's job, or doesn't apply to its own
+/// one, because the job is stored between the two calls of the cancelling entry.
+#[async_std::test]
+async fn a_job_that_is_stored_during_its_cancellation_is_checked_for_access() {
+    let deployment = start("race", 2, 1).await;
+    let (first, second) = (deployment.entries[0].callers, deployment.entries[1].callers);
+    let store = &deployment.site.store;
+    for (number, key, expected) in [(1, OTHER_KEY, 410), (2, SECOND_KEY, 200)] {
+        let (path, cancellation) = (format!("/q/{}", id(number)), format!("cancel/{}", id(number)));
+        let delay = Duration::from_secs(1);
+        let deferral = Deferral { table: "jobs".into(), key_prefix: cancellation.clone(), delay };
+        store.defer_transactions(Some(deferral));
+        let cancelled_path = path.clone();
+        let cancelling =
+            task::spawn(
+                async move { status_as(first, key, Method::Delete, &cancelled_path).await },
+            );
+        task::sleep(Duration::from_millis(300)).await;
+        assert_eq!(submit_as(second, KEY, &path, 1, "ms=2500").await, 200);
+        store.defer_transactions(None);
+        assert_eq!(cancelling.await, expected);
+        task::sleep(delay).await;
+        let is_cancelled = expected == 200;
+        assert_eq!(store.count("jobs", &cancellation) == 1, is_cancelled, "{path}");
+        let wanted = if is_cancelled { "cancelled" } else { "completed" };
+        eventually(&format!("{path} is {wanted}"), async || {
+            let (_, body) = call_with(second, Method::Get, &path, None, &[&token(KEY)]).await?;
+            let body: Value = serde_json::from_slice(&body).ok()?;
+            (body["state"] == wanted).then_some(())
+        })
+        .await;
+    }
+}
+
 /// Guards against a withdrawn key that is still accepted, also after a restart of an entry, and
 /// against a job that ends when its workspace's last key is withdrawn.
 #[async_std::test]
