Failing test of a queue that is moved to another service

An entry looks a job up under the service that its queue has now.

A fix has to find a job whichever service it was accepted for, also when it is submitted again; it isn't part of keeping early cancellations.

--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -177,6 +177,19 @@
         self.store.put("op", "", "config", body.to_string().as_bytes());
     }
 
+    /// Writes a configuration with the queue at `jobs.example/q/` on the second service.
+    pub fn move_queue(&self, version: u64) {
+        let queue = json!({
+            "name": "queue", "host": "jobs.example", "pathPrefix": "/q/", "service": SECOND_SERVICE,
+            "kind": "non_idempotent", "priority": 0, "attempts": 2, "stretch": 1.6,
+            "targetLatencyMs": 600, "timeoutMs": 3000,
+        });
+        let services = [DEFAULT_SERVICE, SECOND_SERVICE]
+            .map(|name| json!({ "name": name, "admissionCheck": true, "spare": false }));
+        let body = json!({ "version": version, "routes": [queue], "services": services });
+        self.store.put("op", "", "config", body.to_string().as_bytes());
+    }
+
     /// Writes a configuration with workspaces and three queues at `jobs.example`: `/q/` for `desk`
     /// and `/h/` for `hall`, which need an API key, and a public one at `/p/` for `desk`.
     pub fn configure_workspaces(&self, version: u64, workspaces: &[Workspace]) {
--- a/tests/all/site/cancellations.rs
+++ b/tests/all/site/cancellations.rs
@@ -285,3 +285,24 @@
     deployment.wait_for_state(0, &id(2), "completed").await;
     assert!(!deployment.entries[0].has_logged("rows_left"));
 }
+
+/// Guards against tasks of a cancelled job that run on because its queue was moved to another service
+/// after the job was accepted.
+#[async_std::test]
+async fn a_job_of_a_queue_that_was_moved_to_another_service_is_cancelled() {
+    let deployment = Deployment::start("cancel-moved", 2, 2).await;
+    let owner = deployment.owner().unwrap();
+    let job = id(1);
+    assert_eq!(deployment.submit(owner, &job, 2, "ms=60000").await, 200);
+    deployment.wait_for_state(owner, &job, "running").await;
+    deployment.site.move_queue(2);
+    // A configuration is in force everywhere two seconds after it was written.
+    task::sleep(Duration::from_secs(2)).await;
+    let callers = deployment.entries[1 - owner].callers;
+    let (status, _) = call(callers, Method::Delete, &format!("/q/{job}"), None).await.unwrap();
+    assert!([200, 410].contains(&status), "{status}");
+    task::sleep(CANCEL_BOUND + STOP_TIMEOUT).await;
+    let history = deployment.site.history();
+    let running = history.iter().filter(|run| run.ended.is_none()).count();
+    assert_eq!(running, 0, "answered {status}");
+}
