--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod crashes;
 mod delegation;
+mod early_cancellations;
 mod fixture;
 mod former;
 mod jobs;
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod check;
 mod delegation;
+mod early_cancellations;
 mod explain;
 mod fleet;
 mod idle;
@@ -83,13 +84,15 @@
     pub(crate) caller: &'a str,
     /// Lines of the section `run`, which replace those of all entries with the same keys.
     pub(crate) run: &'a str,
+    /// Lines of the section `platform`.
+    pub(crate) platform: &'a str,
     /// Whole sections.
     pub(crate) sections: &'a str,
 }
 
 impl Default for AdditionalSettings<'_> {
     fn default() -> Self {
-        Self { zone: "zone", instance: "", caller: "", run: "", sections: "" }
+        Self { zone: "zone", instance: "", caller: "", run: "", platform: "", sections: "" }
     }
 }
 
@@ -137,13 +140,13 @@
     ) -> Self {
         let path =
             std::env::temp_dir().join(format!("ct-{}-{test}-{name}.ini", std::process::id()));
-        let AdditionalSettings { zone, instance, caller, run, sections } = additional;
+        let AdditionalSettings { zone, instance, caller, run, platform, sections } = additional;
         let settings = with_run_settings(run);
         let text = format!(
             "[instance]\nname = {name}\nzone = {zone}\n{instance}\n\n\
              [caller]\nlisten = 127.0.0.1:0\n{caller}\n\
              [peer]\nlisten = 127.0.0.1:0\nrenew = 100ms\ntakeover_after = 800ms\n\n\
-             [platform]\nstore = {store}\nmachines = {machines}\n{settings}\n{sections}"
+             [platform]\nstore = {store}\nmachines = {machines}\n{platform}\n{settings}\n{sections}"
         );
         fs::write(&path, text).unwrap();
         let mut child = Command::new(daemon())
--- a/tests/all/site/cancellations.rs
+++ b/tests/all/site/cancellations.rs
@@ -5,10 +5,10 @@
 use celerythread_standin::site::worker::{FaultMode, Record};
 
 /// Time after an acknowledged cancellation from which no task of the job may be started.
-const CANCEL_BOUND: Duration = Duration::from_secs(3);
+pub(super) const CANCEL_BOUND: Duration = Duration::from_secs(3);
 
 /// Longest time that a worker takes to stop a run, by the default settings.
-const STOP_TIMEOUT: Duration = Duration::from_millis(900);
+pub(super) const STOP_TIMEOUT: Duration = Duration::from_millis(900);
 
 async fn cancel(deployment: &Deployment, entry: usize, id: &str) -> Instant {
     let callers = deployment.entries[entry].callers;
@@ -26,7 +26,7 @@
 }
 
 /// The tasks of a job that were started after a time.
-fn started_after(deployment: &Deployment, id: &str, time: Instant) -> Vec<String> {
+pub(super) fn started_after(deployment: &Deployment, id: &str, time: Instant) -> Vec<String> {
     let history = deployment.site.history();
     let runs = history.iter().filter(|run| run.task.starts_with(id) && run.began > time);
     let describe = |run: &Record| {
@@ -321,3 +321,24 @@
     let late = started_after(&deployment, &job, cancelled_at + CANCEL_BOUND);
     assert_eq!(late, Vec::<String>::new());
 }
+
+/// Guards against tasks of a cancelled job that run on because its queue was moved to another service
+/// after the job was accepted.
+#[async_std::test]
+async fn a_job_of_a_queue_that_was_moved_to_another_service_is_cancelled() {
+    let deployment = Deployment::start("cancel-moved", 2, 2).await;
+    let owner = deployment.owner().unwrap();
+    let job = id(1);
+    assert_eq!(deployment.submit(owner, &job, 2, "ms=60000").await, 200);
+    deployment.wait_for_state(owner, &job, "running").await;
+    deployment.site.move_queue(2);
+    // A configuration is in force everywhere two seconds after it was written.
+    task::sleep(Duration::from_secs(2)).await;
+    let callers = deployment.entries[1 - owner].callers;
+    let (status, _) = call(callers, Method::Delete, &format!("/q/{job}"), None).await.unwrap();
+    assert!([200, 410].contains(&status), "{status}");
+    task::sleep(CANCEL_BOUND + STOP_TIMEOUT).await;
+    let history = deployment.site.history();
+    let running = history.iter().filter(|run| run.ended.is_none()).count();
+    assert_eq!(running, 0, "answered {status}");
+}
