Test the limit of cancellations of unknown ids at an entry

Sixteen callers cancel 2,016 ids that no job has: 2,000 are stored and answered 410, the others are answered 503, and a job that is accepted after that is still cancelled with 200.

--- a/tests/all/site/cancellations.rs
+++ b/tests/all/site/cancellations.rs
@@ -10,7 +10,7 @@
 /// Longest time that a worker takes to stop a run, by the default settings.
 pub(super) const STOP_TIMEOUT: Duration = Duration::from_millis(900);
 
-async fn cancel(deployment: &Deployment, entry: usize, id: &str) -> Instant {
+pub(super) async fn cancel(deployment: &Deployment, entry: usize, id: &str) -> Instant {
     let callers = deployment.entries[entry].callers;
     let (status, _) = call(callers, Method::Delete, &format!("/q/{id}"), None).await.unwrap();
     assert_eq!(status, 200);
--- a/tests/all/site/early_cancellations.rs
+++ b/tests/all/site/early_cancellations.rs
@@ -1,7 +1,8 @@
 //! Cancellations that are acknowledged before their job is stored.
 
-use super::cancellations::{CANCEL_BOUND, STOP_TIMEOUT, started_after};
+use super::cancellations::{CANCEL_BOUND, STOP_TIMEOUT, cancel, started_after};
 use super::*;
+use celerythread_engine::cancellation::MAX_EARLY_CANCELLATIONS;
 use celerythread_standin::site::store::Deferral;
 
 /// A deployment with three entries and a job whose submission to one of them isn't answered.
@@ -186,3 +187,35 @@
     deployment.wait_for_state(0, &id(2), "completed").await;
     assert!(!deployment.entries[0].has_logged("rows_left"));
 }
+
+/// Guards against rows and memory that grow without limit with the cancellations of unknown ids, and
+/// against refusing those of accepted jobs once the limit is reached.
+#[async_std::test]
+async fn an_entry_keeps_a_limited_number_of_early_cancellations() {
+    const CALLERS: u32 = 16;
+    const CALLS_PER_CALLER: u32 = 126;
+    let deployment = Deployment::start("cancel-many", 1, 1).await;
+    let entry = deployment.entries[0].callers;
+    let calls = (0..CALLERS).map(|caller| {
+        task::spawn(async move {
+            let mut statuses = Vec::new();
+            for number in 0..CALLS_PER_CALLER {
+                let path = format!("/q/{}", id(1_000 + caller * CALLS_PER_CALLER + number));
+                let answer = call(entry, Method::Delete, &path, None).await;
+                statuses.push(answer.map_or(0, |(status, _)| status));
+            }
+            statuses
+        })
+    });
+    let mut statuses = Vec::new();
+    for caller in calls.collect::<Vec<_>>() {
+        statuses.extend(caller.await);
+    }
+    let count = |wanted: u16| statuses.iter().filter(|status| **status == wanted).count();
+    let rows = deployment.site.store.count("jobs", "cancel/");
+    assert_eq!((count(410), count(503)), (rows, statuses.len() - rows));
+    assert_eq!(rows, MAX_EARLY_CANCELLATIONS);
+    assert_eq!(deployment.submit(0, &id(1), 1, "ms=60000").await, 200);
+    cancel(&deployment, 0, &id(1)).await;
+    deployment.wait_for_state(0, &id(1), "cancelled").await;
+}
