--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -43,6 +43,8 @@
     LosesAnswers,
     /// It executes starts after this delay without answering them.
     Late(Duration),
+    /// It executes starts and answers them after this delay.
+    Slow(Duration),
 }
 
 /// A run of a task on a worker.
@@ -424,6 +426,11 @@
                 self.start(&body, ordered);
                 hang().await
             }
+            ("/-/run-start", FaultMode::Slow(delay)) => {
+                let response = self.start(&body, ordered);
+                task::sleep(delay).await;
+                response
+            }
             ("/-/run-start", _) => self.start(&body, ordered),
             ("/-/run-stop", _) => self.stop(&body),
             ("/-/hold", _) => self.hold(&body).await,
--- a/tests/all/site/cancellations.rs
+++ b/tests/all/site/cancellations.rs
@@ -342,3 +342,27 @@
     let running = history.iter().filter(|run| run.ended.is_none()).count();
     assert_eq!(running, 0, "answered {status}");
 }
+
+/// Guards against starting tasks of a cancelled job that wait behind starts which the worker executes at
+/// once and answers slowly.
+#[async_std::test]
+async fn starts_on_a_slow_worker_are_dropped_when_their_job_is_cancelled() {
+    const ANSWER_DELAY: Duration = Duration::from_millis(250);
+    let deployment = Deployment::start("cancel-slow", 2, 1).await;
+    let owner = deployment.owner().unwrap();
+    let worker = deployment.site.workers.values().next().unwrap().worker.clone();
+    worker.set_fault_mode(FaultMode::Slow(ANSWER_DELAY));
+    let job = id(1);
+    let step = json!({ "count": 80, "cpu": 100, "memMb": 64, "estimateMs": 100 });
+    let body = json!({ "spec": "ms=100", "steps": [step] });
+    let callers = deployment.entries[owner].callers;
+    let accepted = call(callers, Method::Post, &format!("/q/{job}"), Some(body)).await;
+    assert_eq!(accepted.map(|(status, _)| status), Some(200));
+    eventually("a task runs", async || worker.running().first().map(drop)).await;
+    let cancelled_at = cancel(&deployment, 1 - owner, &job).await;
+    task::sleep(CANCEL_BOUND * 2).await;
+    let history = deployment.site.history();
+    let late = |run: &&Record| run.began > cancelled_at + CANCEL_BOUND;
+    let late: Vec<&Record> = history.iter().filter(late).collect();
+    assert!(late.is_empty(), "{late:?}");
+}
