Log a cancellation as unheard unless its owner noted it

An entry that isn't the owner any more, or whose cell isn't loaded, answers that it isn't the owner. That counted as heard, so the log missed the case of a takeover. Found by review.

--- a/crates/scheduler/src/front/cancel.rs
+++ b/crates/scheduler/src/front/cancel.rs
@@ -248,14 +248,14 @@
     }
 }
 
-/// Logs that no owner has answered the message about a cancellation, so that it learns of it from the
-/// table of jobs.
+/// Logs that no owner has noted a cancellation, so that it learns of it from the table of jobs.
 pub(super) fn log_unheard(node: &Node, question: &Question, answer: Option<&Answer>) {
-    if let (
-        Question::Cancelled { service, id } | Question::CancelledEarly { service, id, .. },
-        None,
-    ) = (question, answer)
-    {
+    let (Question::Cancelled { service, id } | Question::CancelledEarly { service, id, .. }) =
+        question
+    else {
+        return;
+    };
+    if !matches!(answer, Some(Answer::Noted)) {
         node.journal.info("cancellation_unheard", &[("job", id), ("service", service)]);
     }
 }
