Keep the oldest sample of the store's versions

What callers could see: a task of a cancelled job is started with an old view of the jobs.

Cause: a read with an outdated version is told by a version that an earlier call showed, and only the newest 32 of these were kept. An entry that makes more calls than that while the view lags took an outdated answer for the present state. Found by review; a linearizable feed doesn't answer so.

The oldest samples stay now, and the newest one is replaced. The engine's test an_outdated_answer_covers_nothing_after_many_newer_versions failed before.

--- a/crates/engine/src/recency.rs
+++ b/crates/engine/src/recency.rs
@@ -42,8 +42,9 @@
             self.as_of = self.as_of.max(sent);
             return;
         }
+        // The oldest one shows longest that a read is out of date.
         if self.samples.len() == MAX_SAMPLES {
-            self.samples.pop_front();
+            self.samples.pop_back();
         }
         self.samples.push_back(Sample { sent, version });
     }
--- a/crates/engine/tests/all/recency.rs
+++ b/crates/engine/tests/all/recency.rs
@@ -93,3 +93,14 @@
     assert_eq!(restrict(3001), Permit::Nothing);
     assert_eq!(restrict(4000), Permit::Nothing);
 }
+
+/// Guards against taking an outdated answer for the present state after many calls have shown newer
+/// versions.
+#[test]
+fn an_outdated_answer_covers_nothing_after_many_newer_versions() {
+    let mut recency = Recency::default();
+    recency.record_read(Time(1000), 10);
+    (0..100).for_each(|call| recency.record_version(Time(1100 + 20 * call), 11 + call));
+    recency.record_read(Time(1500), 10);
+    assert_eq!(recency.age(Time(3500)), Duration::from_millis(2500));
+}
