Don't send starts that waited to a draining minion

What callers could see: a task is started on a minion seconds after it announced that it shuts down, and is lost with it.

Cause: starts that wait behind unanswered ones were checked for their job and their run before they were sent, but not for their minion, on which nothing is planned any more once it drains. The same class as starts of cancelled jobs: the premise of an order lapses while it waits. Found by review.

The check covers the minion's state. a_start_that_was_not_sent_is_dropped_when_its_minion_drains failed before; no run of processes shows it.

--- a/crates/engine/src/cell/cancellation.rs
+++ b/crates/engine/src/cell/cancellation.rs
@@ -93,10 +93,11 @@
     /// Whether a start that was ordered is still to be sent.
     ///
     /// Orders to a minion that doesn't answer wait for each other.  When one is sent, its job may have
-    /// ended, or its run may be stopped.
+    /// ended, its run may be stopped, or the minion may be draining.
     pub fn is_start_wanted(&self, minion: &str, task: &TaskName, run: u32) -> bool {
         let is_ended = self.jobs.get(&task.job).is_none_or(Job::is_end_persisted);
-        let known = self.minions.get(minion).and_then(|minion| minion.run(task, run));
+        let minion = self.minions.get(minion).filter(|minion| !minion.listing.draining);
+        let known = minion.and_then(|minion| minion.run(task, run));
         !is_ended && known.is_some_and(|run| run.phase == RunPhase::Ordered)
     }
 
--- a/crates/engine/tests/all/cancellations.rs
+++ b/crates/engine/tests/all/cancellations.rs
@@ -1,7 +1,9 @@
 //! Tests of what an owner starts, stops and leaves running of a cancelled job.
 
 use crate::fixture::*;
-use celerythread_engine::cell::{End, EndReason, Incarnation, Refusal, Report, StartResult};
+use celerythread_engine::cell::{
+    End, EndReason, Incarnation, Listing, Refusal, Report, StartResult,
+};
 use celerythread_engine::job::{Definition, Schedule, State, Step, TaskName};
 use std::time::Duration;
 
@@ -234,3 +236,17 @@
     assert!(harness.cell.minion(&minion).unwrap().is_empty());
     assert!(harness.plan().is_empty());
 }
+
+/// Guards against starting a task on a minion that is about to shut down, by a start that was ordered
+/// before and waited for others.
+#[test]
+fn a_start_that_was_not_sent_is_dropped_when_its_minion_drains() {
+    let mut harness = Harness::new(1);
+    harness.submit(1, definition(vec![step(1)]));
+    let ordered = starts(&harness.plan());
+    let (minion, task, run) = &ordered[0];
+    assert!(harness.cell.is_start_wanted(minion, task, *run));
+    let listing = harness.cell.minion(minion).unwrap().listing.clone();
+    harness.cell.update_listing(minion, Listing { draining: true, ..listing });
+    assert!(!harness.cell.is_start_wanted(minion, task, *run));
+}
