Forget a kept cancellation when its row is deleted

What callers could see: a job is shown as cancelled that the cell's next owner runs.

Cause: an owner keeps a cancellation without a job in memory and applied it although its row had been deleted, by a deletion whose answer was lost or by a former owner. Nothing else records that a job is cancelled. Found by review.

Deleted rows of the feed now end what is kept, up to the version of the deletion. The test over the stand-ins, a_cancellation_whose_row_was_deleted_does_not_apply_to_a_later_job, failed before.

--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -359,10 +359,14 @@
     fn apply(&self, rows: &[Row], source: Source) {
         let owner = &self.0;
         let shards = rows::shard_prefix(&owner.service);
-        for row in rows.iter().filter(|row| row.part.starts_with(&shards) && !row.deleted) {
-            if let Some(id) = rows::job_id(row, rows::JOB_PREFIX) {
+        for row in rows.iter().filter(|row| row.part.starts_with(&shards)) {
+            let cancelled = rows::job_id(row, rows::CANCEL_PREFIX);
+            if row.deleted {
+                // A later owner doesn't read it, so it must not apply to a job any more.
+                owner.with(|cell| cancelled.map(|id| cell.forget_cancellation(&id, row.version)));
+            } else if let Some(id) = rows::job_id(row, rows::JOB_PREFIX) {
                 owner.add_job(id, &row.value);
-            } else if let Some(id) = rows::job_id(row, rows::CANCEL_PREFIX) {
+            } else if let Some(id) = cancelled {
                 let notice = Notice::read(owner, &id, &row.value, row.version);
                 owner.cancel_job(id, source, &notice);
             }
--- a/tests/all/site/early_cancellations.rs
+++ b/tests/all/site/early_cancellations.rs
@@ -219,3 +219,22 @@
     cancel(&deployment, 0, &id(1)).await;
     deployment.wait_for_state(0, &id(1), "cancelled").await;
 }
+
+/// Guards against an owner that applies a cancellation whose row is deleted, which a later owner
+/// wouldn't know.
+#[async_std::test]
+async fn a_cancellation_whose_row_was_deleted_does_not_apply_to_a_later_job() {
+    let deployment = Deployment::start("cancel-deleted", 1, 1).await;
+    let callers = deployment.entries[0].callers;
+    let job = id(1);
+    let (status, _) = call(callers, Method::Delete, &format!("/q/{job}"), None).await.unwrap();
+    assert_eq!(status, 410);
+    let (store, key) = (&deployment.site.store, format!("cancel/{job}"));
+    let part = store.part_of("jobs", &key).unwrap();
+    // Until the owner has read the row.
+    task::sleep(Duration::from_secs(2)).await;
+    store.delete_row("jobs", &part, &key);
+    task::sleep(Duration::from_secs(2)).await;
+    assert_eq!(deployment.submit(0, &job, 1, "ms=50").await, 200);
+    deployment.wait_for_state(0, &job, "completed").await;
+}
