--- a/tests/all/site/cancellations.rs
+++ b/tests/all/site/cancellations.rs
@@ -3,6 +3,8 @@
 use super::*;
 use celerythread_standin::site::machine::ListMode;
 use celerythread_standin::site::worker::{FaultMode, Record};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
 
 /// Time after an acknowledged cancellation from which no task of the job may be started.
 pub(super) const CANCEL_BOUND: Duration = Duration::from_secs(3);
@@ -366,3 +368,42 @@
     let late: Vec<&Record> = history.iter().filter(late).collect();
     assert!(late.is_empty(), "{late:?}");
 }
+
+/// Lets a process run for 3 ms in each tenth of a second, until the returned flag is cleared.
+fn starve(entry: &Entry) -> (Arc<AtomicBool>, JoinHandle<()>) {
+    const RUNNING: Duration = Duration::from_millis(3);
+    const STOPPED: Duration = Duration::from_millis(97);
+    let (process, is_starved) = (entry.child.id().to_string(), Arc::new(AtomicBool::new(true)));
+    let flag = is_starved.clone();
+    let starving = std::thread::spawn(move || {
+        while flag.load(Ordering::SeqCst) {
+            for (signal, time) in [("-STOP", STOPPED), ("-CONT", RUNNING)] {
+                assert!(Command::new("kill").args([signal, &process]).status().unwrap().success());
+                std::thread::sleep(time);
+            }
+        }
+    });
+    (is_starved, starving)
+}
+
+/// Guards against starting tasks of a cancelled job that wait for an owner with too little processor
+/// time to send them.
+#[async_std::test]
+async fn an_owner_short_of_processor_time_starts_no_cancelled_job() {
+    let deployment = Deployment::start("cancel-starved", 2, 3).await;
+    let owner = deployment.owner().unwrap();
+    let (is_starved, starving) = starve(&deployment.entries[owner]);
+    let job = id(1);
+    let step = json!({ "count": 400, "cpu": 100, "memMb": 64, "estimateMs": 100 });
+    let body = json!({ "spec": "ms=100", "steps": [step] });
+    let callers = deployment.entries[1 - owner].callers;
+    let accepted = call(callers, Method::Post, &format!("/q/{job}"), Some(body)).await;
+    assert_eq!(accepted.map(|(status, _)| status), Some(200));
+    eventually("a task runs", async || deployment.site.history().first().map(drop)).await;
+    let cancelled_at = cancel(&deployment, 1 - owner, &job).await;
+    task::sleep(CANCEL_BOUND * 2).await;
+    is_starved.store(false, Ordering::SeqCst);
+    starving.join().unwrap();
+    let late = started_after(&deployment, &job, cancelled_at + CANCEL_BOUND);
+    assert_eq!(late, Vec::<String>::new());
+}
