--- a/tests/all/site/soak.rs
+++ b/tests/all/site/soak.rs
@@ -12,6 +12,7 @@
 use fault::{CALM_DURATION, Fault, Injector, Target};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use std::collections::BTreeSet;
 
 /// Environment variable with the seeds to run, such as `1..50` or `7`.
 const SEEDS_VARIABLE: &str = "CELERYTHREAD_SOAK_SEEDS";
@@ -111,8 +112,12 @@
         let seconds = began.elapsed().as_secs();
         let summary = observations.summary();
         println!("seed {seed}: {seconds} s, {} violations, {summary}", violations.len());
+        let mut described = BTreeSet::new();
         for violation in &violations {
             println!("seed {seed}: {}", observations.describe(violation));
+            if described.insert(&violation.job) {
+                println!("{}", observations.describe_job(violation));
+            }
         }
         let kinds: Vec<Kind> = violations.iter().map(|violation| violation.kind).collect();
         failures.extend((!kinds.is_empty()).then(|| format!("seed {seed}: {kinds:?}")));
--- a/tests/all/site/soak/check.rs
+++ b/tests/all/site/soak/check.rs
@@ -100,27 +100,33 @@
         ended > calm_since + bound
     }
 
-    /// Describes a violation with all that concerns its job.
+    /// Describes a violation in a line.
     pub(super) fn describe(&self, violation: &Violation) -> String {
         let Violation { kind, job, record } = violation;
-        let mut text = format!("{kind:?} {} run {} on {}", record.task, record.run, record.worker);
         let (acknowledging, status, at) = self.jobs[job].acknowledgement().unwrap();
         let owner = self.owners.get(&record.token).map_or("unknown", String::as_str);
-        let offset = |time: Instant| match time.checked_duration_since(at) {
-            Some(after) => format!("{:+.3} s", after.as_secs_f64()),
-            None => format!("{:+.3} s", -(at - time).as_secs_f64()),
-        };
-        let end = record.ended.map_or("no end".into(), offset);
-        let reason = record.end_reason.unwrap_or("running");
-        let _ = writeln!(
-            text,
-            ": acknowledged {} with {status} by {}, ordered {} by {owner} (token {}), began {}, {end} {reason}",
+        let end = record.ended.map_or("no end".into(), |ended| offset(at, ended));
+        format!(
+            "{kind:?} {} run {} on {}: acknowledged {} with {status} by {}, ordered {} by {owner} \
+             (token {}), began {}, {end} {}",
+            record.task,
+            record.run,
+            record.worker,
             wall(at),
             acknowledging.entry,
-            offset(record.ordered),
+            offset(at, record.ordered),
             record.token,
-            offset(record.began),
-        );
+            offset(at, record.began),
+            record.end_reason.unwrap_or("running"),
+        )
+    }
+
+    /// Describes all that concerns the job of a violation, a line each.
+    pub(super) fn describe_job(&self, violation: &Violation) -> String {
+        let Violation { job, record, .. } = violation;
+        let (_, _, at) = self.jobs[job].acknowledgement().unwrap();
+        let offset = |time| offset(at, time);
+        let mut text = String::new();
         for (method, calls) in
             [("POST", &self.jobs[job].submissions), ("DELETE", &self.jobs[job].cancellations)]
         {
@@ -193,6 +199,14 @@
     jobs.lock().unwrap().clone()
 }
 
+/// A time in seconds after another one.
+fn offset(from: Instant, time: Instant) -> String {
+    match time.checked_duration_since(from) {
+        Some(after) => format!("{:+.3} s", after.as_secs_f64()),
+        None => format!("{:+.3} s", -(from - time).as_secs_f64()),
+    }
+}
+
 /// Time of day (UTC), as the log lines have it.
 fn wall(time: Instant) -> String {
     let at = std::time::SystemTime::now() - time.elapsed();
