--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -99,7 +99,7 @@
     /// Jobs with changes that are not persisted.
     pub(crate) changed_jobs: BTreeSet<Id>,
     /// Cancellations of jobs that aren't known yet.
-    pub(crate) early_cancellations: BTreeMap<Id, cancellation::Early>,
+    pub(crate) early_cancellations: BTreeMap<Id, cancellation::EarlyCancellation>,
     /// Jobs that were removed after their retention, while their rows may still be read.
     pub(crate) removed_jobs: BTreeMap<Id, retention::Removed>,
     pub(crate) minions: BTreeMap<MinionId, Minion>,
--- a/crates/engine/src/cell/cancellation.rs
+++ b/crates/engine/src/cell/cancellation.rs
@@ -13,7 +13,7 @@
 
 /// A cancellation of a job that isn't known.
 #[derive(Clone, Debug)]
-pub(crate) struct Early {
+pub(crate) struct EarlyCancellation {
     cancellation: Cancellation,
     /// The version of its row; 0 if the row wasn't read.
     version: u64,
@@ -85,7 +85,8 @@
             return Effect::Known;
         }
         let version = version.max(known_version);
-        let early = Early { cancellation: cancellation.clone(), version, arrived_at: now };
+        let early =
+            EarlyCancellation { cancellation: cancellation.clone(), version, arrived_at: now };
         self.early_cancellations.insert(*id, early);
         Effect::Kept
     }
@@ -119,7 +120,7 @@
     pub fn expired_cancellations(&mut self, now: Time) -> Vec<(Id, u64)> {
         let retention = self.settings.retention;
         let jobs = &self.jobs;
-        let is_expired = |early: &Early| now.since(early.arrived_at) > retention;
+        let is_expired = |early: &EarlyCancellation| now.since(early.arrived_at) > retention;
         self.early_cancellations.retain(|id, early| !is_expired(early) || !jobs.contains_key(id));
         let early = self.early_cancellations.iter();
         early
--- a/crates/engine/src/cell/report/answer.rs
+++ b/crates/engine/src/cell/report/answer.rs
@@ -73,7 +73,8 @@
     Fenced,
     /// A run with this number or a higher one was stopped or ended there.
     StaleRun,
-    /// The order arrived after its deadline.
+    /// The order arrived after its deadline, or it was not sent for a reason that says nothing about the
+    /// minion.
     TooLate,
     /// It has not enough free capacity.
     NoRoom,
--- a/crates/engine/src/recency.rs
+++ b/crates/engine/src/recency.rs
@@ -74,18 +74,18 @@
     /// What an owner may start with this view of the jobs' cancellations, of what it may start by its
     /// ownership.
     ///
-    /// `store_lost_since` is when the last successful renewal was sent, if the store is lost now.
-    /// While it is lost, no cancellation is acknowledged, so what was never started goes on if the
-    /// view was recent enough at that time.
+    /// `last_renewal_sent` is set while the store seems unavailable.  If it is unavailable to all
+    /// entries, no cancellation is acknowledged, so what was never started goes on if the view was
+    /// recent enough at the last successful renewal.
     pub fn restrict(
         &self,
         permit: Permit,
         max_age: Duration,
-        store_lost_since: Option<Time>,
+        last_renewal_sent: Option<Time>,
         now: Time,
     ) -> Permit {
         let required_at = match permit {
-            Permit::NeverStarted { .. } => store_lost_since.unwrap_or(now),
+            Permit::NeverStarted { .. } => last_renewal_sent.unwrap_or(now),
             Permit::All | Permit::Nothing => now,
         };
         if self.age(required_at) <= max_age { permit } else { Permit::Nothing }
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -29,8 +29,8 @@
     StartsRefused,
     /// Starts without an answer.
     StartsUnknown,
-    /// Starts that were not sent because their job had ended, their run was to stop, or their owner or
-    /// its supervisor of the minion had been replaced.
+    /// Starts that were not sent because their job had ended, their run was to stop, their minion was
+    /// draining or had another supervisor, or their owner had stopped.
     StartsDropped,
     /// Runs ordered to stop.
     Stops,
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -33,7 +33,7 @@
 use crate::terms;
 use activity::Activity;
 use calls::OrderTimeout;
-use cancellation::{Notice, Source};
+use cancellation::{ReceivedCancellation, Source};
 use celerythread_adapter::configuration::Configuration;
 use celerythread_adapter::minion::Entry;
 use celerythread_engine::cell::{Cell, Incarnation, Order, Permit, Refusal, StartResult};
@@ -272,11 +272,10 @@
         let (now, permit) = (clock::now(), self.node.permit());
         let max_age = self.node.settings.max_jobs_age();
         let is_store_lost = self.node.is_outage_suspected();
-        let store_lost_since = is_store_lost.then(|| self.node.last_renewal_sent());
-        let recency = self.jobs_recency.lock();
-        let restricted = recency.restrict(permit, max_age, store_lost_since, now);
+        let last_renewal_sent = is_store_lost.then(|| self.node.last_renewal_sent());
+        let recency = self.jobs_recency.lock().clone();
+        let restricted = recency.restrict(permit, max_age, last_renewal_sent, now);
         let age = recency.age(now);
-        drop(recency);
         let is_held = restricted != permit;
         if self.are_starts_held.swap(is_held, Ordering::SeqCst) != is_held {
             let event = if is_held { "starts_held" } else { "starts_resumed" };
@@ -304,11 +303,11 @@
                 Some(Answer::Noted)
             }
             Question::Cancelled { id, .. } => {
-                self.cancel_job(*id, Source::Message, &Notice::of_stored_job());
+                self.cancel_job(*id, Source::Message, &ReceivedCancellation::of_stored_job());
                 Some(Answer::Noted)
             }
             Question::CancelledEarly { id, row, version, .. } => {
-                let notice = Notice::read(self, id, row, *version);
+                let notice = ReceivedCancellation::read(self, id, row, *version);
                 self.cancel_job(*id, Source::Message, &notice);
                 Some(Answer::Noted)
             }
--- a/crates/scheduler/src/owner/cancellation.rs
+++ b/crates/scheduler/src/owner/cancellation.rs
@@ -9,7 +9,7 @@
 use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
-use strum::Display as Name;
+use strum::Display as DisplayName;
 
 /// Maximum number of rows that one transaction deletes.  Each takes two conditions and a deletion, and
 /// a transaction has at most a hundred of them.
@@ -22,7 +22,7 @@
 const DELETE_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// How an owner learned of a cancellation.
-#[derive(Clone, Copy, Debug, Eq, Name, PartialEq)]
+#[derive(Clone, Copy, Debug, DisplayName, Eq, PartialEq)]
 #[strum(serialize_all = "snake_case")]
 pub(crate) enum Source {
     /// From the entry that accepted it.
@@ -39,13 +39,13 @@
 
 /// What an owner learned of a cancellation.
 #[derive(Clone, Debug)]
-pub(crate) struct Notice {
+pub(crate) struct ReceivedCancellation {
     pub(crate) cancellation: Cancellation,
     /// The version of its row; 0 if that isn't known.
     pub(crate) version: u64,
 }
 
-impl Notice {
+impl ReceivedCancellation {
     /// A cancellation of a stored job whose row wasn't read.
     pub(crate) fn of_stored_job() -> Self {
         Self { cancellation: Cancellation::of_stored_job(0), version: 0 }
@@ -63,7 +63,7 @@
 
 impl Owner {
     /// Cancels a job, or keeps its cancellation.
-    pub(crate) fn cancel_job(&self, id: Id, source: Source, notice: &Notice) {
+    pub(crate) fn cancel_job(&self, id: Id, source: Source, notice: &ReceivedCancellation) {
         let apply = |cell: &mut celerythread_engine::cell::Cell| {
             cell.apply_cancellation(&id, &notice.cancellation, notice.version, clock::now())
         };
@@ -75,7 +75,13 @@
 
 /// Logs that an owner learned of a cancellation, unless it was known.  The age is the time since its
 /// row was written, by the clocks of both entries; 0 if that is unknown.
-pub(crate) fn log(owner: &Owner, id: &Id, source: Source, notice: &Notice, effect: Effect) {
+pub(crate) fn log(
+    owner: &Owner,
+    id: &Id,
+    source: Source,
+    notice: &ReceivedCancellation,
+    effect: Effect,
+) {
     if effect == Effect::Known {
         return;
     }
@@ -142,7 +148,7 @@
     for row in rows {
         let Some(id) = rows::job_id(row, rows::CANCEL_PREFIX) else { continue };
         if exists(row) {
-            let notice = Notice::read(owner, &id, &row.value, row.version);
+            let notice = ReceivedCancellation::read(owner, &id, &row.value, row.version);
             owner.cancel_job(id, Source::Conflict, &notice);
         } else {
             owner.with(|cell| cell.forget_cancellation(&id, u64::MAX));
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -5,7 +5,7 @@
 use crate::follow::{self, Need, Sink, Table};
 use crate::metrics::Counter;
 use crate::node::Node;
-use crate::owner::cancellation::{self, Notice, Source};
+use crate::owner::cancellation::{self, ReceivedCancellation, Source};
 use crate::owner::{FormerOwner, Owner};
 use crate::rows;
 use celerythread_adapter::store::{Error, Name, Page, Row, Transaction};
@@ -318,7 +318,7 @@
     }
     for row in &jobs.rows {
         if let Some(id) = rows::job_id(row, rows::CANCEL_PREFIX) {
-            let notice = Notice::read(owner, &id, &row.value, row.version);
+            let notice = ReceivedCancellation::read(owner, &id, &row.value, row.version);
             let effect = cell.apply_cancellation(&id, &notice.cancellation, notice.version, now);
             cancellation::log(owner, &id, Source::Takeover, &notice, effect);
         }
@@ -367,7 +367,7 @@
             } else if let Some(id) = rows::job_id(row, rows::JOB_PREFIX) {
                 owner.add_job(id, &row.value);
             } else if let Some(id) = cancelled {
-                let notice = Notice::read(owner, &id, &row.value, row.version);
+                let notice = ReceivedCancellation::read(owner, &id, &row.value, row.version);
                 owner.cancel_job(id, source, &notice);
             }
         }
--- a/crates/scheduler/src/owner/supervisor.rs
+++ b/crates/scheduler/src/owner/supervisor.rs
@@ -60,7 +60,7 @@
     }
 
     /// Whether orders to the minion may still be sent.
-    fn is_in_charge(&self, owner: &Owner) -> bool {
+    fn may_send_orders(&self, owner: &Owner) -> bool {
         !owner.is_stopped() && self.is_current(owner)
     }
 
--- a/crates/scheduler/src/owner/supervisor/orders.rs
+++ b/crates/scheduler/src/owner/supervisor/orders.rs
@@ -84,7 +84,7 @@
     while let Ok(queued) = queue.recv().await {
         let QueuedOrder { queued_at, order, unanswered } = queued;
         owner.activity.record_order(queued_at);
-        if !supervisor.is_in_charge(&owner) {
+        if !supervisor.may_send_orders(&owner) {
             drop_order(&owner, &order);
             continue;
         }
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -83,8 +83,8 @@
 /// Part of the time to act on a cancellation in which an owner learns of it.
 const JOBS_AGE_PART: f64 = 0.75;
 
-/// Longest time from the check of the view's age until a start is sent: that in which its owner sends
-/// it to a minion or to a delegate, and that in which a delegate sends it to the minion.
+/// Longest time from the check of the view's age until a start is sent: one order timeout at the owner,
+/// and another at a delegate.
 const MAX_START_DELAY: Duration = timeout::Settings::ORDER.max.saturating_mul(2);
 
 /// Age that an ordinary view reaches beyond the wait of the feed.
@@ -260,7 +260,7 @@
         }
         if self.max_jobs_age().is_zero() {
             let text = format!(
-                "cancel_within {} is not more than the {MAX_START_DELAY:?} that a start may take; nothing would be started",
+                "cancel_within {} must exceed {MAX_START_DELAY:?}, the longest time to send a start",
                 self.cancel_within
             );
             reader.add_mistake(Code::Contradiction, "run", "cancel_within", text);
