--- a/tests/all/faults/jobs.rs
+++ b/tests/all/faults/jobs.rs
@@ -9,6 +9,23 @@
             ("the same job submitted again", &["a_job_submitted_again_runs_once"]),
             ("bad requests", &["an_invalid_job_is_refused_with_the_matching_status"]),
             ("a cancelled job", &["a_cancelled_job_ends_and_stays_cancelled"]),
+            (
+                "a job that is stored after its cancellation: by a late write, a retry, unheard, before a takeover",
+                &[
+                    "a_job_that_is_stored_seconds_after_its_cancellation_does_not_run",
+                    "a_job_that_its_entry_stores_after_its_cancellation_does_not_run",
+                    "an_owner_that_reads_both_a_job_and_its_earlier_cancellation_does_not_run_it",
+                    "a_new_owner_does_not_run_a_job_that_was_cancelled_before_it_was_stored",
+                ],
+            ),
+            (
+                "a job cancelled while its owner is short of processor time, or is replaced",
+                &[
+                    "jobs_cancelled_while_their_cell_changes_owner_are_neither_started_nor_left_running",
+                    "an_owner_with_a_slow_load_starts_no_job_that_was_cancelled_meanwhile",
+                    "an_owner_short_of_processor_time_starts_no_cancelled_job",
+                ],
+            ),
             (
                 "the owner gets no changes of the jobs after a cancellation",
                 &[
@@ -64,6 +81,46 @@
                 "scheduler::owner::starts::is_wanted",
                 "starts_that_wait_behind_others_are_dropped_when_their_job_is_cancelled",
             ),
+            (
+                "a cancellation that finds no job is stored before it is answered",
+                "scheduler::front::cancel",
+                "a_job_that_is_stored_seconds_after_its_cancellation_does_not_run",
+            ),
+            (
+                "it applies only to jobs that its caller may access",
+                "engine::job::Cancellation",
+                "an_early_cancellation_applies_to_jobs_that_its_caller_may_access",
+            ),
+            (
+                "it is forgotten only once its row is certainly deleted",
+                "engine::cell::cancellation",
+                "an_early_cancellation_is_forgotten_once_its_row_is_deleted",
+            ),
+            (
+                "its row is deleted after the retention if no job came",
+                "scheduler::owner::cancellation",
+                "rows_of_early_cancellations_are_deleted_after_the_retention",
+            ),
+            (
+                "an entry stores a limited number of them",
+                "engine::cancellation",
+                "an_entry_keeps_a_limited_number_of_early_cancellations",
+            ),
+            (
+                "its row is written on condition that there is no job",
+                "scheduler::front::cancel",
+                "a_job_that_is_stored_during_its_cancellation_is_checked_for_access",
+            ),
+            (
+                "a stop does not wait behind starts",
+                "scheduler::owner::supervisor::orders",
+                "a_stop_does_not_wait_behind_unanswered_starts",
+            ),
+            (
+                "no order of a stopped owner is sent",
+                "scheduler::owner::supervisor::orders",
+                "an_owner_that_was_replaced_sends_none_of_its_queued_orders",
+            ),
             (
                 "an owner whose feed of the jobs lags reads them",
                 "scheduler::owner::reread",
