--- a/crates/engine/tests/all/model/owner.rs
+++ b/crates/engine/tests/all/model/owner.rs
@@ -87,7 +87,7 @@
     pub(crate) is_stopped: bool,
     /// How recent its view of the jobs is.
     pub(crate) jobs_recency: Recency,
-    /// Whether it has read the cancellation of the withdrawn job.
+    /// Whether it has read the cancellations of the withdrawn jobs.
     pub(crate) has_read_withdrawal: bool,
 }
 
--- a/crates/engine/tests/all/model/simulation.rs
+++ b/crates/engine/tests/all/model/simulation.rs
@@ -42,11 +42,10 @@
 const CANCELLED_JOB: u8 = 3;
 /// The job whose only task crashes each minion that starts it.
 const CRASHING_JOB: u8 = 4;
-/// A job that its caller cancels while its submission is unanswered, in a simulation with late jobs.
-/// Owners read the cancellation once, and the job after [`JOBS_BEFORE_WITHDRAWN`] others.
-const WITHDRAWN_JOB: u8 = 19;
-/// Late jobs that are stored before the withdrawn one.
-const JOBS_BEFORE_WITHDRAWN: u8 = 4;
+/// Jobs that their caller cancels while their submissions are unanswered, in a simulation with late
+/// jobs, each with the number of late jobs that are stored before it.  Owners read the cancellations
+/// once: the job of the first one in the same pass, that of the second one after further jobs.
+const WITHDRAWN_JOBS: [(u8, u8); 2] = [(19, 1), (18, 4)];
 /// Number of the first job that is submitted during a simulation with late jobs.
 const FIRST_LATE_JOB: u8 = 20;
 /// Jobs submitted during a simulation with late jobs.
@@ -358,7 +357,7 @@
             violations.push("after its end was acknowledged");
         }
         let is_cancelled = run.task.job == id(CANCELLED_JOB) && self.is_cancellation_due();
-        if is_cancelled || run.task.job == id(WITHDRAWN_JOB) {
+        if is_cancelled || WITHDRAWN_JOBS.iter().any(|(job, _)| run.task.job == id(*job)) {
             violations.push("after its job was cancelled");
         }
         if run.task.job == id(CRASHING_JOB) && self.crashing_starts() == TOO_MANY_STARTS {
@@ -435,7 +434,7 @@
 fn jobs() -> Vec<(Id, Definition)> {
     // Still running when another owner has taken over.
     let long = Step { estimate_ms: 2500, ..step(1) };
-    let late = (0..LATE_JOBS).map(late_job).chain([WITHDRAWN_JOB]);
+    let late = (0..LATE_JOBS).map(late_job).chain(WITHDRAWN_JOBS.map(|(job, _)| job));
     let late = late.map(|number| (id(number), definition(vec![long.clone()])));
     let failing = (id(FAILING_JOB), definition(vec![step(1)]));
     base_jobs().into_iter().chain(late).chain([failing]).collect()
--- a/crates/engine/tests/all/model/simulation/takeover.rs
+++ b/crates/engine/tests/all/model/simulation/takeover.rs
@@ -2,8 +2,8 @@
 //! meanwhile.
 
 use super::{
-    CANCELLED_JOB, EXTEND_ALONE_LIMIT, FAILING_JOB, FAILING_JOB_ATTEMPTS, JOBS_BEFORE_WITHDRAWN,
-    LATE_JOBS, LEASE_DURATION, Simulation, TAKEOVER_DELAY, WITHDRAWN_JOB, base_jobs, late_job,
+    CANCELLED_JOB, EXTEND_ALONE_LIMIT, FAILING_JOB, FAILING_JOB_ATTEMPTS, LATE_JOBS,
+    LEASE_DURATION, Simulation, TAKEOVER_DELAY, WITHDRAWN_JOBS, base_jobs, late_job,
 };
 use crate::fixture::id;
 use crate::model::owner::Owner;
@@ -178,11 +178,13 @@
             let late = (0..submitted).map(late_job);
             if submitted > 0 && !owner.has_read_withdrawal {
                 owner.has_read_withdrawal = true;
-                owner.cell.cancel(&id(WITHDRAWN_JOB), now);
+                for (job, _) in WITHDRAWN_JOBS {
+                    owner.cell.cancel(&id(job), now);
+                }
             }
-            let is_stored = submitted >= JOBS_BEFORE_WITHDRAWN;
-            let is_unknown = owner.cell.job(&id(WITHDRAWN_JOB)).is_none();
-            let withdrawn = (is_stored && is_unknown).then_some(WITHDRAWN_JOB);
+            let stored = WITHDRAWN_JOBS.into_iter().filter(|(_, before)| submitted >= *before);
+            let unknown = stored.filter(|(job, _)| owner.cell.job(&id(*job)).is_none());
+            let withdrawn: Vec<u8> = unknown.map(|(job, _)| job).collect();
             let failing = self.candidate.has_failing_job.then_some(FAILING_JOB);
             for (job, definition) in late.chain(withdrawn).chain(failing).map(definition_of) {
                 let accepted = accepted(job, definition);
@@ -267,10 +269,12 @@
         if self.cancelled {
             cell.cancel(&id(CANCELLED_JOB), now);
         }
-        // Its job may not be stored yet.
+        // Their jobs may not be stored yet.
         let is_withdrawn = !self.candidate.submitted.is_empty();
         if is_withdrawn {
-            cell.cancel(&id(WITHDRAWN_JOB), now);
+            for (job, _) in WITHDRAWN_JOBS {
+                cell.cancel(&id(job), now);
+            }
         }
         let mut owner = Owner::new(cell, token, now);
         owner.has_read_withdrawal = is_withdrawn;
