Log why a long-running task is stopped, and what of its step is away

An operator could not tell from the lines of a planned stop whether it was an evacuation, a run of an unknown job, a duplicate, an unanswered start or the end of a job, nor how many other tasks of the step were away. Each stop of a long-running task now has a line with its reason, the number of the others that are not known to be at work, the allowance, and the age of the oldest report that the count rests on. No decision changes: the count of the evacuation moves to engine::cell::availability.

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -16,6 +16,7 @@
 //! - [`persist`]: tracks what must be persisted before a run end may be acknowledged
 //! - [`policies`]: holds the policies of queues and workspaces
 //! - [`advice`]: holds tickets
+//! - [`availability`]: counts the tasks of long-running steps that are at work
 //! - [`pace`]: throttles tasks that disturb serving tasks
 //! - [`straggler`]: finds slow minions
 //! - [`takeover`]: tracks what a former owner may have started
@@ -35,6 +36,7 @@
 //! - A run end is acknowledged only after it is persisted.
 
 pub mod advice;
+pub mod availability;
 pub mod cancellation;
 pub mod capacity;
 pub mod crash;
@@ -67,6 +69,7 @@
 use crate::quota::Summary;
 use crate::time::Time;
 pub use advice::Query;
+pub use availability::{Availability, StopReason};
 pub use idle::Blocker;
 pub use load::Counts;
 pub use minion::{Incarnation, Listing, Minion, MinionId};
@@ -236,12 +239,18 @@
         /// Its progress in percent.
         percent: u8,
     },
-    /// A long-running task is moved off a leaving minion.
-    Evacuated {
+    /// A run of a long-running task is stopped.
+    LongRunningStopped {
         /// The minion.
         minion: MinionId,
         /// The task.
         task: TaskName,
+        /// The run's number.
+        run: u32,
+        /// Why it is stopped.
+        reason: StopReason,
+        /// What is known of the other tasks of its step.
+        availability: Availability,
     },
     /// No task of a job runs although some minion has capacity for one.
     Idle {
--- a/crates/engine/src/cell/evacuation.rs
+++ b/crates/engine/src/cell/evacuation.rs
@@ -1,10 +1,10 @@
 //! Moves long-running tasks off minions that are to be emptied.
 
+use crate::cell::availability::StopReason;
 use crate::cell::minion::{Minion, MinionId, RunPhase};
 use crate::cell::plan::stop_run;
-use crate::cell::work::Phase;
-use crate::cell::{Cell, Event, Job, Order};
-use crate::job::{Step, TaskName};
+use crate::cell::{Cell, Order};
+use crate::job::TaskName;
 use crate::time::Time;
 
 /// With less time than this left, a draining minion's long-running tasks are moved whatever their
@@ -31,7 +31,7 @@
                 let remaining_ms = minion.listing.remaining_ms.unwrap_or(u64::MAX);
                 minion.listing.draining && remaining_ms < FORCED_EVACUATION_MS
             });
-            if !step.long_running || !(is_forced || self.can_evacuate(job, &task, step)) {
+            if !step.long_running || !(is_forced || self.availability(&task, now).permits_stop()) {
                 continue;
             }
             // Only if another minion has capacity; otherwise the stop gains nothing.
@@ -43,27 +43,10 @@
             }
             let Some(minion) = self.minions.get_mut(&id) else { continue };
             if let Some(run) = minion.runs.get_mut(&task) {
+                let number = run.number;
                 orders.push(stop_run(&id, &task, run, now));
-                self.record_event(Event::Evacuated { minion: id, task });
+                self.record_long_running_stop(&id, task, number, StopReason::Evacuated, now);
             }
         }
     }
-
-    /// Whether one more task of a long-running step may be stopped on purpose: fewer of its other
-    /// tasks than its allowance may be inactive.
-    fn can_evacuate(&self, job: &Job, name: &TaskName, step: &Step) -> bool {
-        let allowance = step.max_unavailable.unwrap_or(0);
-        let is_active = |index: u32| {
-            let other = TaskName { index, ..*name };
-            let Some(task) = job.task(&other) else { return false };
-            let Phase::Placed { minion, run } = &task.phase else { return false };
-            let Some(minion) = self.minions.get(minion) else { return false };
-            let run = minion.run(&other, *run);
-            minion.is_reachable()
-                && run.is_some_and(|run| run.phase == RunPhase::Active && run.percent >= 100)
-        };
-        let inactive =
-            (0..step.count).filter(|index| *index != name.index && !is_active(*index)).count();
-        (inactive as u32) < allowance
-    }
 }
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -1,5 +1,6 @@
 //! Decides which runs to start and stop.
 
+use crate::cell::availability::StopReason;
 use crate::cell::crash::Certainty;
 use crate::cell::minion::{Minion, MinionId, Run, RunPhase};
 use crate::cell::share::GroupId;
@@ -148,6 +149,7 @@
     /// that had no effect.
     fn stop_unwanted(&mut self, now: Time, orders: &mut Vec<Order>) {
         let jobs = &self.jobs;
+        let mut stopped: Vec<(MinionId, TaskName, u32, StopReason)> = Vec::new();
         for minion in self.minions.values_mut() {
             for (task, run) in &mut minion.runs {
                 let ended = jobs.get(&task.job).is_none_or(Job::is_end_persisted);
@@ -164,11 +166,20 @@
                         now.since(ordered) >= retry_after.max(STOP_RETRY_INTERVAL)
                     }
                 };
-                if due {
-                    orders.push(stop_run(&minion.id, task, run, now));
+                if !due {
+                    continue;
+                }
+                if run.long_running && !matches!(run.phase, RunPhase::Stopping { .. }) {
+                    let reason =
+                        if ended { StopReason::JobEnded } else { StopReason::UnansweredStart };
+                    stopped.push((minion.id.clone(), *task, run.number, reason));
                 }
+                orders.push(stop_run(&minion.id, task, run, now));
             }
         }
+        for (minion, task, run, reason) in stopped {
+            self.record_long_running_stop(&minion, task, run, reason, now);
+        }
     }
 
     /// Stops the members of gangs that have other members without a run.
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 
+use crate::cell::availability::StopReason;
 use crate::cell::crash::Certainty;
 use crate::cell::minion::{Listing, Minion, MinionId, Run, RunPhase};
 use crate::cell::work::{Phase, Task};
@@ -227,7 +228,12 @@
         let Some(minion) = self.minions.get_mut(id) else { return };
         if let Some(run) = minion.runs.get_mut(&running.task) {
             if run.number != running.run {
+                let long_running = run.long_running;
                 orders.push(stop);
+                if long_running {
+                    let reason = StopReason::OtherRun;
+                    self.record_long_running_stop(id, running.task, running.run, reason, now);
+                }
                 return;
             }
             if matches!(run.phase, RunPhase::Ordered | RunPhase::Unanswered { .. }) {
@@ -263,6 +269,9 @@
             let run = Run { need, ..Run::new(running.run, phase, None, now) };
             minion.insert_run(running.task, run);
             orders.push(stop);
+            // Whether the task is a long-running one is unknown.
+            let reason = StopReason::UnknownJob;
+            self.record_long_running_stop(id, running.task, running.run, reason, now);
             return;
         };
         let steps = &job.accepted.definition.steps;
@@ -278,8 +287,14 @@
             // Unwanted, but it uses capacity until its end is listed.
             let phase = RunPhase::Stopping { ordered: now, confirmed: None };
             let run = Run { charge, ..Run::new(number, phase, step.as_ref(), now) };
+            let long_running = run.long_running;
             minion.insert_run(running.task, run);
             orders.push(stop);
+            if long_running {
+                let reason =
+                    if is_wanted { StopReason::DuplicateRun } else { StopReason::JobEnded };
+                self.record_long_running_stop(id, running.task, number, reason, now);
+            }
             return;
         }
         task.phase = Phase::Placed { minion: id.clone(), run: number };
--- a/crates/scheduler/src/owner/events.rs
+++ b/crates/scheduler/src/owner/events.rs
@@ -3,7 +3,7 @@
 use crate::clock;
 use crate::metrics::Counter;
 use crate::owner::Owner;
-use celerythread_engine::cell::Event;
+use celerythread_engine::cell::{Event, StopReason};
 use std::fmt::Display;
 
 /// Logs with how old a view of the jobs an owner plans first.
@@ -102,8 +102,25 @@
                 "run_stalled",
                 &[("job", &task.job), ("task", task), ("percent", percent), ("minion", minion)],
             ),
-            Event::Evacuated { minion, task } => journal
-                .info("run_evacuated", &[("job", &task.job), ("task", task), ("minion", minion)]),
+            Event::LongRunningStopped { minion, task, run, reason, availability } => {
+                let event = match reason {
+                    StopReason::Evacuated => "run_evacuated",
+                    _ => "long_running_stopped",
+                };
+                journal.info(
+                    event,
+                    &[
+                        ("job", &task.job),
+                        ("task", task),
+                        ("run", run),
+                        ("minion", minion),
+                        ("reason", reason),
+                        ("others_inactive", &availability.inactive),
+                        ("allowance", &availability.allowance),
+                        ("report_age_ms", &availability.report_age.as_millis()),
+                    ],
+                );
+            }
             Event::Idle { task, placed, blockers } => {
                 let blocker_texts: Vec<String> = blockers
                     .iter()
