Count a found run as at work only once a former owner's stop would have ended it

Users saw tasks of a lasting step away beyond its allowance (AVAIL): a planned order ended one while another was away.

Cause: the allowance that an owner has spent dies with it. A planned stop takes up to stopTimeoutMs (0.9 s on these deployments), and a minion lists the run until it has ended. A new owner that takes the cell over in this time, as after a SIGTERM of its predecessor, adopts the run as one that is at work, and evacuates another task of the step.

Why this works: a minion that has answered a poll with the new owner's token refuses the former owner's orders. So a stop that a found run may have was received before that answer, and a run that is still listed by a poll sent stopTimeoutMs after it has none. Until then it doesn't count as at work for the allowance, so a new owner waits up to about two seconds before its first evacuation of a step. Nothing else depends on it.

--- a/crates/engine/src/cell/availability.rs
+++ b/crates/engine/src/cell/availability.rs
@@ -1,7 +1,7 @@
 //! Availability of long-running steps: how many of a step's tasks are at work, and whether one more
 //! may be stopped.
 
-use crate::cell::minion::{MinionId, RunPhase};
+use crate::cell::minion::{Minion, MinionId, Run, RunPhase};
 use crate::cell::work::Phase;
 use crate::cell::{Cell, Event};
 use crate::job::TaskName;
@@ -69,11 +69,22 @@
         let Phase::Placed { minion, run } = &task.phase else { return None };
         let minion = self.minions.get(minion)?;
         let run = minion.run(name, *run)?;
-        let is_active =
-            minion.is_reachable() && run.phase == RunPhase::Active && run.percent >= 100;
+        let is_active = minion.is_reachable()
+            && run.phase == RunPhase::Active
+            && run.percent >= 100
+            && !self.may_be_ending(minion, run);
         is_active.then(|| now.since(minion.polled_at))
     }
 
+    /// Whether a former owner may have stopped a run that this owner found.
+    ///
+    /// A minion lists a run that is being stopped like any other until the run has ended.  It refuses
+    /// a former owner's orders once it has answered this one, so a run that it still lists a stop's
+    /// longest duration later was not stopped.
+    fn may_be_ending(&self, minion: &Minion, run: &Run) -> bool {
+        run.adopted && minion.polled_at < run.began_at + self.settings.stop_timeout
+    }
+
     /// Records why a run of a long-running task is stopped, and what is known of the step's others.
     pub(crate) fn record_long_running_stop(
         &mut self,
--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -90,6 +90,8 @@
     pub charge: Option<Charge>,
     /// Whether its task is a long-running one.
     pub long_running: bool,
+    /// Whether a former owner started it, and this one found it.
+    pub(crate) adopted: bool,
     /// When it was ordered.
     pub ordered_at: Time,
     /// When it was first known to run; until then, when it was ordered.
@@ -128,6 +130,7 @@
             charge: None,
             long_running: step.is_some_and(|step| step.long_running),
             best_effort: step.is_some_and(|step| step.best_effort),
+            adopted: false,
             ordered_at: now,
             began_at: now,
             load: None,
--- a/crates/engine/src/cell/report.rs
+++ b/crates/engine/src/cell/report.rs
@@ -309,6 +309,7 @@
             load: running.load,
             listed_for: Some(listed_for),
             charge,
+            adopted: true,
             ..Run::new(number, RunPhase::Active, step.as_ref(), now)
         };
         minion.insert_run(running.task, run);
