Stop unanswered starts of long-running tasks unseen only within their step's allowance

Cause: a start whose answer is lost is stopped after 0.9 s if no poll has shown its run.

Evidence: the test of the engine that failed before this commit (unanswered_starts_of_a_step_are_stopped_unseen_only_within_its_allowance).

Why this works: the stop now asks for the allowance as an evacuation does, and all other tasks that aren't known to be at work count as away. One that may not be stopped waits for the next answered poll, which either shows it at work or stops it, or for the end of its lease, for which a stopped start on a minion that answers nothing waits as well. Other tasks are stopped as before.

--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -10,6 +10,7 @@
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
 use smallvec::{SmallVec, smallvec};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -148,6 +149,7 @@
     /// Stops runs of jobs that have ended and of starts that stayed unanswered, and repeats stops
     /// that had no effect.
     fn stop_unwanted(&mut self, now: Time, orders: &mut Vec<Order>) {
+        let contested = self.contested_starts(now);
         let jobs = &self.jobs;
         let mut stopped: Vec<(MinionId, TaskName, u32, StopReason)> = Vec::new();
         for minion in self.minions.values_mut() {
@@ -156,7 +158,8 @@
                 let due = match run.phase {
                     RunPhase::Ordered | RunPhase::Active => ended,
                     RunPhase::Unanswered { since } => {
-                        ended || now.since(since) >= UNANSWERED_START_TIMEOUT
+                        let is_overdue = now.since(since) >= UNANSWERED_START_TIMEOUT;
+                        ended || (is_overdue && !contested.contains(task))
                     }
                     RunPhase::Stopping { ordered, confirmed } => {
                         // A confirmed stop is repeated if the minion still lists the run long
@@ -182,6 +185,16 @@
         }
     }
 
+    /// Long-running tasks whose start was not answered, and whose stop would exceed the allowance of
+    /// their step if they are at work.  A poll or the end of the lease shows whether they are.
+    fn contested_starts(&self, now: Time) -> BTreeSet<TaskName> {
+        let runs = self.minions.values().flat_map(|minion| &minion.runs);
+        let is_unanswered =
+            |run: &Run| run.long_running && matches!(run.phase, RunPhase::Unanswered { .. });
+        let unanswered = runs.filter(|(_, run)| is_unanswered(run)).map(|(task, _)| *task);
+        unanswered.filter(|task| !self.availability(task, now).permits_stop()).collect()
+    }
+
     /// Stops the members of gangs that have other members without a run.
     ///
     /// If a member's start was refused or not answered, the others would wait for it and occupy
