Evacuate no task by a report of the step's others that is seconds old

Cause: a task counted as at work by its minion's last report, whatever its age. An owner short of processor time reads answers seconds late, and no miss is recorded meanwhile, so it may evacuate a task while another one of the step has been away for longer than users accept.

Why this works: a report whose poll was sent over 3 s ago no longer counts. Two polls in a row, with the wait for ended runs to be stored between them, take less, so an owner that keeps up isn't held back.

--- a/crates/engine/src/cell/availability.rs
+++ b/crates/engine/src/cell/availability.rs
@@ -9,6 +9,12 @@
 use std::time::Duration;
 use strum::Display;
 
+/// Greatest age of a report that shows that a task is at work.
+///
+/// A minion with runs answers a poll after a second at most, and its ended runs may take half a
+/// second to be stored before the next poll, which is under way for as long again.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(3000);
+
 /// Why a run of a long-running task is stopped.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -73,7 +79,8 @@
             && run.phase == RunPhase::Active
             && run.percent >= 100
             && !self.may_be_ending(minion, run);
-        is_active.then(|| now.since(minion.polled_at))
+        let report_age = now.since(minion.polled_at);
+        (is_active && report_age <= MAX_REPORT_AGE).then_some(report_age)
     }
 
     /// Whether a former owner may have stopped a run that this owner found.
