--- a/tests/all/faults/fleet.rs
+++ b/tests/all/faults/fleet.rs
@@ -16,9 +16,24 @@
         guards: &[
             (
                 "long-running tasks are evacuated within the number that may be unavailable",
-                "engine::cell::plan::can_evacuate",
+                "engine::cell::availability::Availability::permits_stop",
                 "long_running_tasks_are_evacuated_within_max_unavailable",
             ),
+            (
+                "a run that a former owner may have stopped doesn't count as at work",
+                "engine::cell::availability::may_be_ending",
+                "a_new_owner_evacuates_nothing_while_a_stop_of_the_former_owner_may_be_under_way",
+            ),
+            (
+                "an old report doesn't show that a task is at work",
+                "engine::cell::availability::active_report_age",
+                "a_task_is_not_evacuated_by_an_old_report_of_another_one",
+            ),
+            (
+                "unanswered starts of long-running tasks are stopped unseen within that number",
+                "engine::cell::plan::contested_starts",
+                "unanswered_starts_of_a_step_are_stopped_unseen_only_within_its_allowance",
+            ),
             (
                 "no more machines down than allowed",
                 "engine::maintenance::Planner::plan_wave",
