Test evacuations while owners change, with real processes

Three entries, eight workers of which a stop takes 0.6 s, four lasting jobs, and a wave over all machines: in each of five rounds the owner is stopped as soon as it has ordered an evacuation. A check over the workers' history reports each task that was stopped at work while as many others of its step as its allowance were away.

The stand-in's worker takes a stop's duration from the task's specification and lists the run until then, as the users' minions do.

--- a/crates/standin/src/site/check.rs
+++ b/crates/standin/src/site/check.rs
@@ -1,7 +1,7 @@
 //! Checks of the guarantees over the history of all workers.
 
-use crate::site::worker::Record;
-use std::collections::BTreeMap;
+use crate::site::worker::{Record, STARTUP_DURATION};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
 /// A description of a violated guarantee.
@@ -51,6 +51,37 @@
     violations
 }
 
+/// Checks that no order stopped a long-running task at work while `allowance` others of its step
+/// were away: ended by such an order, or about to be, and not at work again.
+pub fn within_allowance(history: &[Record], allowance: usize) -> Vec<Violation> {
+    let is_at_work = |record: &Record, at: Instant| {
+        record.began + STARTUP_DURATION <= at && record.ended.is_none_or(|ended| ended > at)
+    };
+    let is_back = |stopped: &Record, at: Instant| {
+        let later = history.iter().filter(|record| record.task == stopped.task);
+        later.filter(|record| record.run > stopped.run).any(|record| is_at_work(record, at))
+    };
+    let stops = || history.iter().filter_map(|record| Some((record, record.stop_ordered?)));
+    let mut violations = Vec::new();
+    for (record, at) in stops().filter(|(record, at)| is_at_work(record, *at)) {
+        let is_away = |(other, stopped): &(&Record, Instant)| {
+            let of_step = step(&other.task) == step(&record.task) && other.task != record.task;
+            of_step && *stopped < at && !is_back(other, at)
+        };
+        let away: BTreeSet<&str> =
+            stops().filter(is_away).map(|(other, _)| other.task.as_str()).collect();
+        if away.len() >= allowance {
+            violations.push(format!("{} run {}: {away:?} are away", record.task, record.run));
+        }
+    }
+    violations
+}
+
+/// The name of a task's step.
+fn step(task: &str) -> &str {
+    task.rsplit_once('.').map_or(task, |(step, _)| step)
+}
+
 /// Highest number of runs at the same time.
 pub fn max_concurrent(history: &[Record]) -> usize {
     let at = |moment: Instant| {
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -1,8 +1,8 @@
 //! A minion that runs tasks under leases and records its runs.
 //!
 //! A task's `spec` is a list of words: `ms=300` sets its duration to 300 ms, `fail` makes it fail
-//! after that, `hang` makes it stall at half of its progress, `crash` makes its worker crash, and
-//! with `lasts` it runs until it is stopped.
+//! after that, `hang` makes it stall at half of its progress, `crash` makes its worker crash, with
+//! `lasts` it runs until it is stopped, and with `stop=600` a stop takes 600 ms.
 
 use crate::site::store::{answer, hang};
 use async_std::task;
@@ -20,7 +20,7 @@
 const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(3);
 
 /// Time until a long-running task reports full progress.
-const STARTUP_DURATION: Duration = Duration::from_millis(100);
+pub(crate) const STARTUP_DURATION: Duration = Duration::from_millis(100);
 
 /// Time from the start of a crashing task to the crash of its worker.
 const CRASH_DELAY: Duration = Duration::from_millis(10);
@@ -62,6 +62,8 @@
     pub ordered: Instant,
     /// Start of the run.
     pub began: Instant,
+    /// Arrival of the first order to stop it.
+    pub stop_ordered: Option<Instant>,
     /// End of the run; `None` while it runs.
     pub ended: Option<Instant>,
     /// How it ended: `done`, `failed`, `stopped`, `lapsed` (the lease expired) or `gone` (the
@@ -224,7 +226,10 @@
                 let spent = ends_at <= down_at.unwrap_or_else(Instant::now);
                 let end_reason = if active.spec.contains("fail") { "failed" } else { "done" };
                 let ends = spent && !active.spec.contains("hang") && !active.spec.contains("lasts");
-                if ends {
+                let stop_ordered = state.records[active.record].stop_ordered;
+                if stop_ordered.is_some_and(|at| at.elapsed() >= stop_duration(&active.spec)) {
+                    Some((task.clone(), "stopped"))
+                } else if ends {
                     Some((task.clone(), end_reason))
                 } else {
                     lease_expired.then(|| (task.clone(), "lapsed"))
@@ -272,6 +277,7 @@
             token: body["fencingToken"].as_u64().unwrap_or(0),
             ordered,
             began,
+            stop_ordered: None,
             ended: None,
             end_reason: None,
             is_end_lost: false,
@@ -292,8 +298,11 @@
         }
         let task = body["task"].as_str().unwrap_or_default().to_owned();
         let run = body["run"].as_u64().unwrap_or(0);
-        if state.active.get(&task).is_some_and(|active| active.run == run) {
-            end(&mut state, &task, "stopped");
+        if let Some(record) =
+            state.active.get(&task).filter(|active| active.run == run).map(|active| active.record)
+        {
+            state.records[record].stop_ordered.get_or_insert_with(Instant::now);
+            self.advance(&mut state);
         }
         let closed = state.closed_runs.entry(task).or_default();
         *closed = (*closed).max(run);
@@ -372,8 +381,16 @@
 }
 
 fn duration(spec: &str) -> Duration {
-    let ms = spec.split_whitespace().find_map(|word| word.strip_prefix("ms="));
-    Duration::from_millis(ms.and_then(|ms| ms.parse().ok()).unwrap_or(100))
+    milliseconds(spec, "ms=").unwrap_or(Duration::from_millis(100))
+}
+
+fn stop_duration(spec: &str) -> Duration {
+    milliseconds(spec, "stop=").unwrap_or_default()
+}
+
+fn milliseconds(spec: &str, prefix: &str) -> Option<Duration> {
+    let ms = spec.split_whitespace().find_map(|word| word.strip_prefix(prefix))?;
+    ms.parse().ok().map(Duration::from_millis)
 }
 
 /// Ends all runs and loses the ends that are not acknowledged.
--- a/tests/all/site/check.rs
+++ b/tests/all/site/check.rs
@@ -16,6 +16,7 @@
         token: 1,
         ordered: began,
         began,
+        stop_ordered: None,
         ended: Some(Instant::now()),
         end_reason: Some("done"),
         is_end_lost,
@@ -64,3 +65,24 @@
     worker.start_run(TASK, "ms=60");
     assert_eq!(site.history(), []);
 }
+
+/// Guards against a check that finds no task stopped beyond the allowance of its step, or one that
+/// finds too many.
+#[test]
+fn a_task_that_is_stopped_while_another_is_away_is_reported() {
+    let began = Instant::now() - Duration::from_secs(10);
+    let second = Duration::from_secs(1);
+    let run = |index: u32, run: u64, began: Instant, stopped: Option<Instant>| Record {
+        task: format!("{}.0.0.{index}", id(1)),
+        stop_ordered: stopped,
+        ended: stopped.map(|at| at + second),
+        ..Record { began, ..done(run, false) }
+    };
+    let first = run(0, 1, began, Some(began + second));
+    let restarted = run(0, 2, began + 3 * second, None);
+    let stopped_at = |seconds: u32| run(1, 1, began, Some(began + seconds * second));
+    let violations = |history: &[Record]| check::within_allowance(history, 1).len();
+    assert_eq!(violations(&[first.clone(), stopped_at(2)]), 1, "the other one is ending");
+    assert_eq!(violations(&[first.clone(), restarted.clone(), stopped_at(3)]), 1, "it starts");
+    assert_eq!(violations(&[first, restarted, stopped_at(4)]), 0, "it is back");
+}
--- a/tests/all/site/maintenance.rs
+++ b/tests/all/site/maintenance.rs
@@ -1,6 +1,7 @@
 //! Maintenance waves with real processes.
 
 use super::*;
+use celerythread_standin::site::check;
 
 /// A wave covers all machines while a long-running job runs that may have one task unavailable.
 /// Guards against maintenance that ends running tasks, or takes more machines down at once than the
@@ -62,3 +63,38 @@
     let maintenances = deployment.site.machines.upkeeps();
     assert_eq!(maintenances.len(), 4, "{maintenances:?}");
 }
+
+/// Entries are stopped and replaced one after the other while a wave empties all machines.  Guards
+/// against a new owner that evacuates a task of a step while a stop that its predecessor ordered is
+/// under way.
+#[async_std::test]
+async fn evacuations_stay_within_the_allowance_while_owners_change() {
+    let mut deployment = Deployment::start("wave-handover", 3, 8).await;
+    for number in 1..=4 {
+        assert_eq!(deployment.submit(0, &id(number), 4, "lasts stop=600").await, 200);
+        deployment.wait_for_state(0, &id(number), "running").await;
+    }
+    task::sleep(Duration::from_secs(1)).await;
+    let machines: Vec<String> = (0..8).map(|number| format!("m-{number}")).collect();
+    let machines: Vec<&str> = machines.iter().map(String::as_str).collect();
+    for number in 1..=5 {
+        let orders = |deployment: &Deployment| {
+            let history = deployment.site.history();
+            history.iter().filter(|record| record.stop_ordered.is_some()).count()
+        };
+        let ordered = orders(&deployment);
+        deployment.site.request_upkeep(number, &machines, 4);
+        eventually("a task is evacuated", async || (orders(&deployment) > ordered).then_some(()))
+            .await;
+        let owner = deployment.owner().unwrap();
+        deployment.entries[owner].signal("-TERM");
+        eventually("another entry owns the cell", async || {
+            deployment.owner().filter(|now| *now != owner)
+        })
+        .await;
+        deployment.entries.remove(owner);
+        deployment.add_entry(&format!("entry-{}", number + 2)).await;
+    }
+    task::sleep(Duration::from_secs(2)).await;
+    assert_eq!(check::within_allowance(&deployment.site.history(), 1), Vec::<String>::new());
+}
--- a/tests/all/site/soak.rs
+++ b/tests/all/site/soak.rs
@@ -157,6 +157,7 @@
             token: 7,
             ordered: began,
             began,
+            stop_ordered: None,
             ended: Some(began + length),
             end_reason: Some("done"),
             is_end_lost: false,
