Revert "Poll minions with found lasting tasks as soon as a stop would have ended"

This reverts with its test of the time of that poll, since nothing else calls it.

Without it, a new owner's first evacuations of a step wait for up to two seconds instead of 0.9.

--- a/crates/engine/src/cell/availability.rs
+++ b/crates/engine/src/cell/availability.rs
@@ -89,21 +89,7 @@
     /// a former owner's orders once it has answered this one, so a run that it still lists a stop's
     /// longest duration later was not stopped.
     fn may_be_ending(&self, minion: &Minion, run: &Run) -> bool {
-        self.settled_at(run).is_some_and(|settled_at| minion.polled_at < settled_at)
-    }
-
-    /// When a stop that a former owner ordered has ended a run that this owner found.
-    fn settled_at(&self, run: &Run) -> Option<Time> {
-        run.adopted.then(|| run.began_at + self.settings.stop_timeout)
-    }
-
-    /// Time until a poll of a minion can show that the long-running tasks found there are not being
-    /// stopped; `None` if one has, or if none were found.
-    pub fn time_to_settle(&self, id: &str, now: Time) -> Option<Duration> {
-        let minion = self.minions.get(id)?;
-        let runs = minion.runs.values().filter(|run| run.long_running);
-        let settled_at = runs.filter_map(|run| self.settled_at(run)).max()?;
-        (minion.polled_at < settled_at).then(|| settled_at.since(now))
+        run.adopted && minion.polled_at < run.began_at + self.settings.stop_timeout
     }
 
     /// Records why a run of a long-running task is stopped, and what is known of the step's others.
--- a/crates/engine/tests/all/availability.rs
+++ b/crates/engine/tests/all/availability.rs
@@ -93,22 +93,6 @@
     assert_eq!(stopped, [(Harness::minion(0), task(1, 0, 0), 1)]);
 }
 
-/// Guards against evacuations that wait longer than needed at a change of owner.  The polls that show
-/// whether found tasks are at work would be a second apart.
-#[test]
-fn minions_with_found_long_running_tasks_are_polled_once_a_stop_would_have_ended() {
-    let mut harness = successor();
-    report_all(&mut harness);
-    let (first, idle) = (Harness::minion(0), Harness::minion(2));
-    let found_at = harness.now - Duration::from_millis(2);
-    assert_eq!(harness.cell.time_to_settle(&first, found_at), Some(STOP_TIMEOUT));
-    assert_eq!(harness.cell.time_to_settle(&idle, found_at), None);
-    harness.now = found_at + STOP_TIMEOUT + Duration::from_millis(20);
-    assert_eq!(harness.cell.time_to_settle(&first, harness.now), Some(Duration::ZERO));
-    report_all(&mut harness);
-    assert_eq!(harness.cell.time_to_settle(&first, harness.now), None);
-}
-
 /// Guards against evacuating a task because of an old report.  An owner that is short of processor
 /// time polls late, and the other tasks of the step may have ended since it last heard of them.
 #[test]
--- a/crates/scheduler/src/owner/supervisor.rs
+++ b/crates/scheduler/src/owner/supervisor.rs
@@ -217,13 +217,7 @@
         return None;
     }
     let (_, busy, fresh, unpersisted, _) = state()??;
-    let wait = if busy && !fresh && !unpersisted {
-        // Evacuations wait for the poll that shows which of the found tasks are at work.
-        let settle = owner.with(|cell| cell.time_to_settle(id, clock::now())).flatten();
-        settle.map_or(MAX_POLL_WAIT, |left| left.min(MAX_POLL_WAIT))
-    } else {
-        Duration::ZERO
-    };
+    let wait = if busy && !fresh && !unpersisted { MAX_POLL_WAIT } else { Duration::ZERO };
     let (incarnation, acknowledged) = acknowledgement(owner, supervisor)?;
     Some(Poll { acknowledged, incarnation, wait })
 }
