--- a/review/kit-2/cases.rs
+++ b/review/kit-2/cases.rs
@@ -14,6 +14,7 @@
         "new-machines" => new_machines(case),
         "whole-pool" => whole_pool(case),
         "lasting-failures" => lasting_failures(case),
+        "moved-queue" => moved_queue(case),
         "large-job" => large_job(case),
         _ => Err(format!("there is no case {name}")),
     }
@@ -270,3 +271,43 @@
     case.record.log(format!("check: longest time without a run {:.1} s, {task}", away.as_secs_f64()));
     Ok((away >= MAX_AWAY).then(|| format!("{task} had no run for {:.1} s with two sound minions", away.as_secs_f64())))
 }
+
+/// A queue is moved to another service while a job of it runs.
+fn moved_queue(case: &Case) -> Outcome {
+    let site = Site::new(case.record.clone(), false);
+    for number in 0..8 {
+        site.add_machine(&format!("m-{number}"), if number < 4 { "desk" } else { "hall" });
+    }
+    site.configure(1, &[("quick", "/q/", "desk"), ("other", "/o/", "hall")]);
+    let entries: Vec<Entry> =
+        (0..3).map(|number| start_entry(&site, &case.root, &case.temp, number)).collect();
+    if !entries.iter().all(|entry| entry.wait_ready("/q/")) {
+        return Err("an entry doesn't serve".into());
+    }
+    pause(3000);
+    let id = "00000000000000a1";
+    let body = job(2, "ms=30000", 1000, 30_000);
+    if submit(case, &entries[0], id, &body) != 200 || !eventually(15, || state(&entries[1], id) == "running") {
+        return Err("a plain job doesn't run".into());
+    }
+    if case.trouble {
+        site.configure(3, &[("quick", "/q/", "hall"), ("other", "/o/", "hall")]);
+    }
+    pause(3500);
+    let shown: Vec<String> = entries.iter().map(|entry| state(entry, id)).collect();
+    case.record.log(format!("client: GET /q/{id} at the three entries: {shown:?}"));
+    submit(case, &entries[1], id, &body);
+    pause(2000);
+    let runs: Vec<(String, Vec<String>)> =
+        site.minions().iter().map(|minion| (minion.service.clone(), minion.running())).collect();
+    let of_job = |task: &String| task.starts_with(id);
+    let both: Vec<&(String, Vec<String>)> = runs.iter().filter(|(_, tasks)| tasks.iter().any(of_job)).collect();
+    case.record.log(format!("check: minions with tasks of the job: {both:?}"));
+    let mut tasks: Vec<&String> = runs.iter().flat_map(|(_, tasks)| tasks).filter(|task| of_job(task)).collect();
+    tasks.sort();
+    let count = tasks.len();
+    tasks.dedup();
+    let is_twice = count > tasks.len();
+    Ok((is_twice || shown.iter().any(|shown| shown == "410"))
+        .then(|| format!("GET is answered {shown:?}; two runs of one task at a time: {is_twice}")))
+}
