Keep half of each pool in service during maintenance

Cause: a wave chose machines by their occupation and bounded only its own number of machines out of service. Both minions of the service were asked to empty in one step, their long-running tasks had nowhere to move, finite tasks are refused by a minion that is to empty, and no request to empty was ever cancelled. The pool planner counted both as present.

Change: half of each pool stays in service, over all waves and together with machines that are down, silent, quarantined, draining or about to move, which owners now report. Where no machine of a pool accepts tasks, one that is being emptied returns to service. A machine that does not become empty occupies no slot for good, and its pool may get another. Pools give machines away only as far as enough remain in service.

Why this works: the service always has a minion that accepts tasks, so its long-running tasks can move there within their allowance, and the machine becomes empty; the next one is asked when the first is back.

Tests: reserve::* (11) and two of pools. Related paths: several waves, losses, quarantine, moves, each with a test; an outage of the store is read only.

--- a/crates/engine/src/cell/load.rs
+++ b/crates/engine/src/cell/load.rs
@@ -88,6 +88,9 @@
             load.working += working;
             load.minions += 1;
             let id = || minion.id.to_string();
+            if !minion.is_able(now) {
+                load.unavailable.push(id());
+            }
             if minion.leaving {
                 if minion.answered && minion.is_empty() {
                     load.empty.push(id());
--- a/crates/engine/src/maintenance.rs
+++ b/crates/engine/src/maintenance.rs
@@ -3,13 +3,17 @@
 //! A machine's maintenance ends everything that runs on it at once, so it is emptied first: the
 //! owner of its cell moves its long-running tasks, within the number that may be unavailable, and
 //! lets the others finish.  Machines that are off or idle go first; [`concurrency`] limits how many of
-//! the others are out of service at a time.
+//! the others are out of service at a time, and [`reserve`] how many of each pool.
 
 mod concurrency;
+mod reserve;
+mod slots;
 
 use crate::time::Time;
 use concurrency::{Concurrency, Window};
+use reserve::Reserve;
 use serde::{Deserialize, Serialize};
+use slots::{Candidate, Slots};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -22,6 +26,9 @@
     pub list_lag: Duration,
     /// Machines emptied in advance, beyond those that may be down at once.
     pub extra_emptying: usize,
+    /// Time after which a machine that is not empty yet no longer keeps others from being emptied,
+    /// and its pool may get another one.  Longer than tasks usually take to end or to move.
+    pub emptying_timeout: Duration,
 }
 
 impl Default for Settings {
@@ -30,6 +37,7 @@
             duration: Duration::from_secs(2),
             list_lag: Duration::from_millis(1500),
             extra_emptying: 2,
+            emptying_timeout: Duration::from_secs(6),
         }
     }
 }
@@ -57,6 +65,12 @@
     pub in_maintenance: bool,
     /// What it does, by the cost of taking it out of service.
     pub occupation: Occupation,
+    /// The pool that it is in.
+    pub pool: String,
+    /// Whether it accepts no tasks, although it wasn't asked to empty for maintenance.
+    pub out_of_service: bool,
+    /// Time until its tasks should have ended; `None` if unknown, or if it has long-running ones.
+    pub time_to_empty: Option<Duration>,
 }
 
 /// A requested wave and its progress.
@@ -95,6 +109,13 @@
         /// Its minion.
         minion: String,
     },
+    /// Cancel the request to empty a machine, which its service needs.
+    Keep {
+        /// The machine.
+        machine: String,
+        /// Its minion.
+        minion: String,
+    },
     /// Begin a machine's maintenance.
     Begin {
         /// The machine.
@@ -119,6 +140,8 @@
     /// Machines that this planner asked to be emptied, with the time of the request.
     emptying_since: BTreeMap<String, Time>,
     concurrency: Concurrency,
+    /// Machines of each wave that wait because their pools can't do without them.
+    held_back: BTreeMap<u64, usize>,
 }
 
 /// The input of one round of planning.
@@ -140,6 +163,8 @@
     pub emptying: usize,
     /// Machines that are down or may be.
     pub down: usize,
+    /// Machines that wait because their pools can't do without them.
+    pub held_back: usize,
 }
 
 impl Planner {
@@ -205,6 +230,12 @@
         self.emptying_since.contains_key(machine)
     }
 
+    /// Whether a machine was asked to empty so long ago that its tasks may have nowhere to move.
+    pub fn is_overdue(&self, machine: &str, now: Time) -> bool {
+        let asked = self.emptying_since.get(machine);
+        asked.is_some_and(|asked| now.since(*asked) > self.settings.emptying_timeout)
+    }
+
     /// Records that a machine could not be asked to empty, so that it can be chosen again.
     pub fn cancel_emptying(&mut self, machine: &str) {
         self.emptying_since.remove(machine);
@@ -225,7 +256,8 @@
             left += 1;
             emptying += usize::from(self.is_emptying(name));
         }
-        Progress { left, emptying, down: self.down_count(wave, machines, now) }
+        let held_back = self.held_back.get(&number).copied().unwrap_or(0);
+        Progress { left, emptying, down: self.down_count(wave, machines, now), held_back }
     }
 
     /// Decides the next actions of all open waves.
@@ -242,13 +274,60 @@
         wall_ms: u64,
     ) -> Vec<Action> {
         let snapshot = Snapshot { machines, emptying, empty, now };
-        let mut actions = Vec::new();
-        for (number, wave) in self.waves.iter().filter(|(_, wave)| !wave.completed) {
-            self.plan_wave(*number, wave, &snapshot, wall_ms, &mut actions);
+        let mut reserve = Reserve::new(&snapshot, |machine| self.is_order_recent(machine, now));
+        let open = || self.waves.iter().filter(|(_, wave)| !wave.completed);
+        for machine in open().flat_map(|(_, wave)| self.due_machines(wave, &snapshot)) {
+            reserve.add_due(machine.1);
+        }
+        let mut actions = self.requests_to_cancel(&snapshot, &mut reserve);
+        let mut held_back = BTreeMap::new();
+        for (number, wave) in open() {
+            self.plan_wave(*number, wave, &snapshot, wall_ms, &mut reserve, &mut actions);
+            held_back.insert(*number, reserve.take_refused());
         }
+        self.held_back = held_back;
         for action in &actions {
-            if let Action::Empty { machine, .. } | Action::Begin { machine, .. } = action {
-                self.emptying_since.entry(machine.clone()).or_insert(now);
+            match action {
+                Action::Empty { machine, .. } | Action::Begin { machine, .. } => {
+                    self.emptying_since.entry(machine.clone()).or_insert(now);
+                }
+                Action::Keep { machine, .. } => drop(self.emptying_since.remove(machine)),
+                Action::Complete { .. } => {}
+            }
+        }
+        actions
+    }
+
+    /// The listed machines of a wave whose maintenance has not begun.
+    ///
+    /// A machine that the platform no longer lists won't come back and needs no maintenance.
+    fn due_machines<'a>(
+        &self,
+        wave: &'a Wave,
+        snapshot: &Snapshot<'a>,
+    ) -> impl Iterator<Item = (&'a String, &'a Machine)> + use<'a> {
+        let machines = snapshot.machines;
+        let open = wave.machines.iter().filter(|name| !wave.begun.contains(*name));
+        open.filter_map(|name| Some((name, machines.get(name)?)))
+    }
+
+    /// Cancels the emptying of a machine in each pool of which no machine accepts tasks, for example
+    /// because the others were lost since.  Its tasks could not move either.
+    fn requests_to_cancel(
+        &self,
+        snapshot: &Snapshot<'_>,
+        reserve: &mut Reserve<'_>,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for (name, asked) in &self.emptying_since {
+            let Some(machine) = snapshot.machines.get(name) else { continue };
+            let Some(minion) = &machine.minion else { continue };
+            let is_pending = machine.up
+                && snapshot.emptying.contains(minion)
+                && !snapshot.empty.contains(minion);
+            let asked_for = snapshot.now.since(*asked);
+            if is_pending && reserve.restore(machine, asked_for) {
+                actions.push(Action::Keep { machine: name.clone(), minion: minion.clone() });
             }
         }
         actions
@@ -260,12 +339,10 @@
         wave: &Wave,
         snapshot: &Snapshot<'_>,
         wall_ms: u64,
+        reserve: &mut Reserve<'_>,
         actions: &mut Vec<Action>,
     ) {
-        // A machine that the platform no longer lists won't come back and needs no maintenance.
-        let open = wave.machines.iter().filter(|name| !wave.begun.contains(*name));
-        let open = open.filter_map(|name| Some((name, snapshot.machines.get(name)?)));
-        let open: Vec<(&String, &Machine)> = open.collect();
+        let open: Vec<(&String, &Machine)> = self.due_machines(wave, snapshot).collect();
         if open.is_empty() && !snapshot.machines.is_empty() {
             actions.push(Action::Complete { wave: number });
         }
@@ -285,9 +362,10 @@
                 actions.push(Action::Begin { machine: (*name).clone(), wave: number });
             } else if let Some(minion) = minion {
                 if snapshot.emptying.contains(minion) {
-                    in_use += 1;
+                    in_use += usize::from(!self.is_overdue(name, snapshot.now));
                 } else {
-                    candidates.push((machine.occupation, *name, minion));
+                    let batches = reserve.batches(machine);
+                    candidates.push(Candidate { name, minion, machine, batches });
                 }
             }
         }
@@ -295,10 +373,11 @@
         let down_time = self.settings.duration + self.settings.list_lag;
         let target =
             self.concurrency.out_of_service_target(open.len(), wave.window(wall_ms), down_time);
-        candidates.sort();
+        candidates.sort_by(|a, b| a.sort_key().cmp(&b.sort_key()));
         let slots = Slots { max, non_idle_max: target.unwrap_or(max).min(max), in_use };
-        for (machine, minion) in slots.choose(&candidates) {
-            actions.push(Action::Empty { machine: machine.into(), minion: minion.into() });
+        for chosen in slots.choose(&candidates, reserve) {
+            let (machine, minion) = (chosen.name.into(), chosen.minion.into());
+            actions.push(Action::Empty { machine, minion });
         }
     }
 
@@ -317,51 +396,3 @@
         wave.machines.iter().filter(down).count()
     }
 }
-
-/// Slots for machines that are being emptied or down.
-struct Slots {
-    /// The number of slots.
-    max: usize,
-    /// The number of slots that machines which aren't idle may use.
-    non_idle_max: usize,
-    in_use: usize,
-}
-
-impl Slots {
-    /// Chooses candidates, cheapest first.
-    ///
-    /// Idle machines may use all slots.  The rest alternate between machines with and without
-    /// long-running tasks: long-running tasks move only as far as their steps may have tasks
-    /// unavailable, so these machines take long to empty and must begin early, but if they had all
-    /// slots, the wave would make no progress meanwhile.
-    fn choose<'a>(
-        mut self,
-        candidates: &[(Occupation, &'a String, &'a String)],
-    ) -> Vec<(&'a str, &'a str)> {
-        let with_occupation = |wanted: fn(Occupation) -> bool| {
-            candidates
-                .iter()
-                .filter(move |(occupation, ..)| wanted(*occupation))
-                .map(|(_, machine, minion)| (machine.as_str(), minion.as_str()))
-        };
-        let free = self.max.saturating_sub(self.in_use);
-        let mut chosen: Vec<_> =
-            with_occupation(|one| one == Occupation::Idle).take(free).collect();
-        self.in_use += chosen.len();
-        let mut long_running = with_occupation(|one| one == Occupation::LongRunning);
-        let mut working = with_occupation(|one| matches!(one, Occupation::Working(_)));
-        let mut is_long_running_next = false;
-        while self.in_use < self.non_idle_max {
-            is_long_running_next = !is_long_running_next;
-            let next = if is_long_running_next {
-                long_running.next().or_else(|| working.next())
-            } else {
-                working.next().or_else(|| long_running.next())
-            };
-            let Some(next) = next else { break };
-            chosen.push(next);
-            self.in_use += 1;
-        }
-        chosen
-    }
-}
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -79,6 +79,10 @@
     pub up: bool,
     /// Whether it must stay in its pool, for example because it is due for maintenance.
     pub pinned: bool,
+    /// Whether it accepts no tasks: it is silent, quarantined, or being emptied for maintenance.
+    pub out_of_service: bool,
+    /// Whether it has been emptying for so long that its pool needs another machine in its place.
+    pub overdue: bool,
 }
 
 /// Why a machine moves.
@@ -257,12 +261,16 @@
         let mut shortfalls = Vec::new();
         for (pool, load, entitlement) in self.entitlements(machines, loads, spare) {
             let present = self.machine_count(pool, machines);
+            let overdue = machines.values().filter(|one| one.pool == pool && one.overdue).count();
+            let present = present.saturating_sub(overdue);
             let needed = entitlement.min(self.machines_usable(load));
             let tolerance = self.tolerance(load, entitlement);
             if needed > present + tolerance {
                 shortfalls.push(Shortfall { pool, present, needed });
             } else if present > entitlement + tolerance {
-                surplus.insert(pool, present - entitlement);
+                let in_service = self.in_service_count(pool, machines);
+                let spared = in_service.saturating_sub(self.claim(load).min);
+                surplus.insert(pool, spared.min(present - entitlement));
             }
         }
         let mut round = Round { machines, loads, spare, now, surplus, moves: Vec::new() };
@@ -444,6 +452,15 @@
         here + arriving + pending
     }
 
+    /// The number of machines in a pool that accept tasks and stay.
+    fn in_service_count(&self, pool: &str, machines: &BTreeMap<String, Machine>) -> usize {
+        let is_in_service = |(name, machine): &(&String, &Machine)| {
+            let is_usable = machine.up && !machine.out_of_service && machine.minion.is_some();
+            machine.pool == pool && is_usable && !self.pending.contains_key(*name)
+        };
+        machines.iter().filter(is_in_service).count()
+    }
+
     /// What a pool asks for, including demand that can't be worked on yet: machines that were given
     /// away would have to be moved back.
     fn claim(&self, load: &Load) -> Claim {
--- a/crates/engine/src/pools/load.rs
+++ b/crates/engine/src/pools/load.rs
@@ -45,6 +45,8 @@
     /// The minions of `free` that have runs, with the milliseconds until the last of these should
     /// have ended.
     pub busy: Vec<(String, u64)>,
+    /// Minions that accept no tasks for other reasons than that they were asked to empty.
+    pub unavailable: Vec<String>,
 }
 
 impl Load {
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -28,6 +28,7 @@
 mod quota;
 mod recency;
 mod release;
+mod reserve;
 mod restarts;
 mod runs;
 mod share;
--- a/crates/engine/tests/all/maintenance.rs
+++ b/crates/engine/tests/all/maintenance.rs
@@ -68,6 +68,7 @@
                     );
                     down.insert(machine, now);
                 }
+                Action::Keep { machine, .. } => panic!("{machine} is needed"),
                 Action::Complete { wave } => {
                     planner.record_completion(wave);
                     completed = true;
@@ -184,6 +185,7 @@
                     self.machines.insert(machine.clone(), under);
                     self.down.insert(machine, now);
                 }
+                Action::Keep { machine, .. } => panic!("{machine} is needed"),
                 Action::Complete { wave } => self.planner.record_completion(wave),
             }
         }
--- a/crates/engine/tests/all/pools.rs
+++ b/crates/engine/tests/all/pools.rs
@@ -14,7 +14,7 @@
         for number in 0..count {
             let name = format!("{pool}-{number}");
             let minion = (pool != "spare").then(|| format!("minion-{name}"));
-            let machine = Machine { pool: pool.into(), minion, up: true, pinned: false };
+            let machine = Machine { pool: pool.into(), minion, up: true, ..Machine::default() };
             machines.insert(name, machine);
         }
     }
@@ -131,7 +131,7 @@
     for number in 0..14 {
         let name = format!("c-{number}");
         let minion = Some(format!("minion-{name}"));
-        machines.insert(name, Machine { pool: "c".into(), minion, up: true, pinned: false });
+        machines.insert(name, Machine { pool: "c".into(), minion, up: true, ..Machine::default() });
     }
     let mut loads = loads(1300, 160);
     loads.insert("c".into(), load("c", 0));
@@ -140,3 +140,32 @@
     assert!(to("b") >= 1, "one of ten before nine of eighty-two: {moves:?}");
     assert!(to("a") >= 5, "the larger shortfall gets its part: {moves:?}");
 }
+
+/// A wave empties machines that count as present.  If others moved away meanwhile, the service had
+/// none left that accept tasks.
+#[test]
+fn a_pool_gives_only_machines_that_it_can_do_without_in_service() {
+    let mut machines = machines();
+    let emptied = machines.iter_mut().filter(|(name, _)| name.starts_with("b-")).take(6);
+    for (_, machine) in emptied {
+        (machine.pinned, machine.out_of_service) = (true, true);
+    }
+    let moves = Planner::new(Settings::default()).plan(&machines, &loads(400, 0), None, Time(0));
+    assert_eq!(moves.len(), 1, "three in service less two: {moves:?}");
+}
+
+/// The tasks of a machine that doesn't become empty have nowhere to move.
+#[test]
+fn a_pool_whose_machine_does_not_empty_gets_another() {
+    let mut machines = machines();
+    machines.retain(|name, _| !name.starts_with("b-") || name == "b-0" || name == "b-1");
+    let plan = |machines: &BTreeMap<String, Machine>| {
+        Planner::new(Settings::default()).plan(machines, &loads(0, 0), None, Time(0))
+    };
+    assert_eq!(plan(&machines), []);
+    let emptied = machines.get_mut("b-0").unwrap();
+    (emptied.pinned, emptied.out_of_service, emptied.overdue) = (true, true, true);
+    let moves = plan(&machines);
+    assert_eq!(moves.len(), 1);
+    assert_eq!(moves[0].to, "b");
+}
--- a/crates/engine/tests/all/turns.rs
+++ b/crates/engine/tests/all/turns.rs
@@ -22,7 +22,7 @@
         let machine = |pool: &str, number| {
             let name = format!("{pool}-{number}");
             let minion = Some(format!("minion-{name}"));
-            (name, Machine { pool: pool.into(), minion, up: true, pinned: false })
+            (name, Machine { pool: pool.into(), minion, up: true, ..Machine::default() })
         };
         let machines =
             POOLS.iter().flat_map(|pool| (0..9).map(|number| machine(pool, number))).collect();
--- a/crates/engine/tests/all/urgency.rs
+++ b/crates/engine/tests/all/urgency.rs
@@ -42,7 +42,7 @@
 fn machines(pools: &[Pool]) -> BTreeMap<String, Machine> {
     let machine = |pool: &str, number: usize| {
         let minion = Some(format!("minion-{pool}-{number}"));
-        let machine = Machine { pool: pool.into(), minion, up: true, pinned: false };
+        let machine = Machine { pool: pool.into(), minion, up: true, ..Machine::default() };
         (format!("{pool}-{number}"), machine)
     };
     pools.iter().flat_map(|pool| (0..pool.machines).map(|n| machine(pool.name, n))).collect()
@@ -245,7 +245,7 @@
             .map(|name| {
                 let minion = Some(format!("minion-{name}"));
                 let pool = name[..1].to_owned();
-                (name.clone(), Machine { pool, minion, up: true, pinned: false })
+                (name.clone(), Machine { pool, minion, up: true, ..Machine::default() })
             })
             .collect();
         let load = |pool: &str, cores: u64| {
@@ -286,7 +286,7 @@
         .map(|name| {
             let pool = name.split('-').next().expect("a pool").to_owned();
             let minion = (pool != "spare").then(|| format!("minion-{name}"));
-            (name, Machine { pool, minion, up: true, pinned: false })
+            (name, Machine { pool, minion, up: true, ..Machine::default() })
         })
         .collect();
     let mut planner = Planner::new(settings);
--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -33,7 +33,7 @@
 use futures::StreamExt;
 use list::MachineList;
 use parking_lot::Mutex;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -143,6 +143,11 @@
         empty
     }
 
+    /// Minions that accept no tasks, as their owners reported.
+    pub(crate) fn unavailable_minions(&self) -> HashSet<&str> {
+        self.loads.values().flat_map(|load| &load.unavailable).map(String::as_str).collect()
+    }
+
     /// Removes demand that is older than [`MAX_LOAD_AGE`].
     pub(crate) fn expire_loads(&mut self) {
         let now = clock::now();
--- a/crates/scheduler/src/fleet/maintenance.rs
+++ b/crates/scheduler/src/fleet/maintenance.rs
@@ -12,7 +12,7 @@
 use celerythread_adapter::wave;
 use celerythread_engine::job::{decode, encode};
 use celerythread_engine::maintenance::{Action, Machine, Occupation, Progress, Wave};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 /// Interval between two steps of the waves, short against the two seconds that a machine is down.
@@ -88,13 +88,20 @@
     let node = controller.node();
     let emptying_minions: BTreeSet<String> = node.view.read().emptying.values().cloned().collect();
     let (mut targets, mut starts, mut complete) = (Vec::new(), Vec::new(), Vec::new());
+    let mut kept = Vec::new();
     for step in plan_steps(&mut controller.state.lock(), &emptying_minions) {
         match step {
             Action::Empty { machine, minion } => targets.push((machine, minion)),
+            Action::Keep { machine, minion } => {
+                node.journal
+                    .info("emptying_cancelled", &[("machine", &machine), ("minion", &minion)]);
+                kept.push(machine);
+            }
             Action::Begin { machine, wave } => starts.push((machine, wave)),
             Action::Complete { wave } => complete.push(wave),
         }
     }
+    emptying::delete_rows(controller, &kept).await;
     // A machine that is off need not be emptied, but a later holder must know of its order too.
     let without_row: Vec<(String, String)> = {
         let view = node.view.read();
@@ -135,8 +142,13 @@
     let view_of = |machine: &machine::Machine| {
         let (name, mut machine_view) = machine_view(machine);
         machine_view.occupation = workload.occupation(machine);
-        let waits = state.has_recent_order(&name) || state.deleting_rows.contains(&name);
-        machine_view.up &= !waits && !state.pools.is_moving(&name);
+        machine_view.time_to_empty = workload.time_to_empty(machine);
+        let is_moving = state.pools.is_moving(&name);
+        let is_recent = state.has_recent_order(&name);
+        let waits = is_recent || state.deleting_rows.contains(&name);
+        machine_view.up &= !waits && !is_moving;
+        // A minion that has just come up may not have been contacted by its owner yet.
+        machine_view.out_of_service = is_moving || is_recent || workload.is_unavailable(machine);
         (name, machine_view)
     };
     state.list.machines.iter().map(view_of).collect()
@@ -146,6 +158,7 @@
 pub(crate) fn machine_view(machine: &machine::Machine) -> (String, Machine) {
     let machine_view = Machine {
         minion: machine.minion.clone(),
+        pool: machine.pool.clone(),
         up: machine.state == machine::State::Up,
         in_maintenance: machine.state == machine::State::Upkeep,
         ..Machine::default()
@@ -157,6 +170,10 @@
 struct Workload<'a> {
     /// Millicores in use, by minion, for minions without long-running tasks.
     cpu_in_use: HashMap<&'a str, u64>,
+    /// Milliseconds until the runs of such minions should have ended, unless nothing runs there.
+    busy_ms: HashMap<&'a str, u64>,
+    /// Minions that accept no tasks.
+    unavailable: HashSet<&'a str>,
     /// Number of machines that each pool can spare.
     surplus: BTreeMap<String, usize>,
 }
@@ -164,13 +181,27 @@
 impl<'a> Workload<'a> {
     fn new(state: &'a State) -> Self {
         let free = state.loads.values().flat_map(|load| &load.free);
+        let busy = state.loads.values().flat_map(|load| &load.busy);
         let balances = state.pools.balances(&super::pools::machine_views(state), &state.loads);
         Self {
+            busy_ms: busy.map(|(minion, ms)| (minion.as_str(), *ms)).collect(),
+            unavailable: state.unavailable_minions(),
             cpu_in_use: free.map(|(minion, cpu)| (minion.as_str(), *cpu)).collect(),
             surplus: balances.into_iter().map(|(pool, one)| (pool, one.surplus())).collect(),
         }
     }
 
+    /// Time until a machine's tasks should have ended; `None` if unknown, or if it has long-running
+    /// ones.
+    fn time_to_empty(&self, machine: &machine::Machine) -> Option<Duration> {
+        let minion = machine.minion.as_deref().filter(|id| self.cpu_in_use.contains_key(id))?;
+        Some(Duration::from_millis(self.busy_ms.get(minion).copied().unwrap_or(0)))
+    }
+
+    fn is_unavailable(&self, machine: &machine::Machine) -> bool {
+        machine.minion.as_deref().is_some_and(|id| self.unavailable.contains(id))
+    }
+
     fn occupation(&mut self, machine: &machine::Machine) -> Occupation {
         let Some(minion) = machine.minion.as_deref() else {
             return Occupation::Idle;
@@ -314,6 +345,7 @@
                 ("left", &progress.left),
                 ("emptying", &progress.emptying),
                 ("down", &progress.down),
+                ("held_back", &progress.held_back),
                 ("left_ms", &left_ms),
             ],
         );
--- a/crates/scheduler/src/fleet/pools.rs
+++ b/crates/scheduler/src/fleet/pools.rs
@@ -15,7 +15,7 @@
 use celerythread_engine::pools::{Balance, History, Machine, Move};
 use celerythread_engine::release::{Basis, PERMISSION_TERM, Standing};
 use celerythread_wire::job::{Answer, Question};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -182,18 +182,26 @@
 
 /// All machines as the engine sees them.
 pub(crate) fn machine_views(state: &State) -> BTreeMap<String, Machine> {
-    state.list.machines.iter().map(|machine| machine_view(machine, state)).collect()
+    let unavailable = state.unavailable_minions();
+    let view = |machine| machine_view(machine, state, &unavailable);
+    state.list.machines.iter().map(view).collect()
 }
 
-fn machine_view(machine: &machine::Machine, state: &State) -> (String, Machine) {
+fn machine_view(
+    machine: &machine::Machine,
+    state: &State,
+    unavailable: &HashSet<&str>,
+) -> (String, Machine) {
     let name = machine.name.clone();
+    let is_emptying = state.waves.is_emptying(&name);
+    let is_unavailable = machine.minion.as_deref().is_some_and(|id| unavailable.contains(id));
     let machine_view = Machine {
         pool: machine.pool.clone(),
         minion: machine.minion.clone(),
         up: machine.state == machine::State::Up,
-        pinned: state.waves.is_emptying(&name)
-            || state.has_recent_order(&name)
-            || state.deleting_rows.contains(&name),
+        pinned: is_emptying || state.has_recent_order(&name) || state.deleting_rows.contains(&name),
+        out_of_service: is_emptying || is_unavailable,
+        overdue: state.waves.is_overdue(&name, clock::now()),
     };
     (name, machine_view)
 }
