Complete a wave only by lists requested after it was known

Cause: a machine that the last list lacked counted as gone.

Change: engine::absence decides what absence shows. A reading counts only if it was requested after the controller knew of the wave and all its elements could be read, and two in a row are needed if the list came in several pages. The test of unlisted machines now records the reading that shows the absence, as completion without one was the fault.

Related paths: minions of a former owner that a list in several pages lacks are waited for until a second reading; machines that a former controller may have ordered count as down; the state of a wave is written only while its writer holds the fleet's cell. The first two have tests, the third is by reading.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -10,12 +10,14 @@
 //! a workspace's limit between the cells; [`lease`] computes when a minion's leases have expired, and
 //! [`store_clock`] bounds the time on the store's clock, and [`recency`] the age of an owner's view of
 //! the jobs;
+//! [`absence`] decides when an element that a list lacks is gone;
 //! [`maintenance`] takes machines through maintenance waves, and [`pools`] moves them between pools
 //! as demand changes, and [`release`] decides who may order a machine while the store is
 //! unavailable; [`timeout`] adapts timeouts to the latency of answers, [`outage`] detects that a
 //! service is unavailable, [`submission`] decides when to stop retrying a caller's submission, and
 //! [`cancellation`] limits the cancellations of unknown jobs.
 
+pub mod absence;
 pub mod cancellation;
 pub mod cell;
 pub mod delegation;
--- a/crates/engine/src/maintenance.rs
+++ b/crates/engine/src/maintenance.rs
@@ -9,6 +9,7 @@
 mod reserve;
 mod slots;
 
+use crate::absence::{Absence, Reading};
 use crate::time::Time;
 use concurrency::{Concurrency, Window};
 use reserve::Reserve;
@@ -63,6 +64,9 @@
     pub up: bool,
     /// Whether it is down for its maintenance.
     pub in_maintenance: bool,
+    /// Whether it may be down for its maintenance although it is listed as up: an earlier controller
+    /// may have ordered it.
+    pub may_be_down: bool,
     /// What it does, by the cost of taking it out of service.
     pub occupation: Occupation,
     /// The pool that it is in.
@@ -140,10 +144,20 @@
     /// Machines that this planner asked to be emptied, with the time of the request.
     emptying_since: BTreeMap<String, Time>,
     concurrency: Concurrency,
+    /// What is known of machines that the list lacks, for each open wave.
+    listings: BTreeMap<u64, Listing>,
     /// Machines of each wave that wait because their pools can't do without them.
     held_back: BTreeMap<u64, usize>,
 }
 
+/// Which machines of a wave the platform's list lacks.
+#[derive(Debug)]
+struct Listing {
+    /// When this planner learned of the wave.
+    known_since: Time,
+    absence: Absence,
+}
+
 /// The input of one round of planning.
 struct Snapshot<'a> {
     machines: &'a BTreeMap<String, Machine>,
@@ -174,8 +188,32 @@
     }
 
     /// Adds a wave; one that is already known is left unchanged.
-    pub fn add_wave(&mut self, number: u64, wave: Wave) {
+    pub fn add_wave(&mut self, number: u64, wave: Wave, now: Time) {
         self.waves.entry(number).or_insert(wave);
+        let listing = Listing { known_since: now, absence: Absence::default() };
+        self.listings.entry(number).or_insert(listing);
+    }
+
+    /// Records a reading of the platform's list.
+    ///
+    /// One that was requested before this planner knew a wave shows nothing about its machines, which
+    /// may have been added meanwhile.
+    pub fn record_list(&mut self, is_listed: impl Fn(&str) -> bool, reading: Reading) {
+        for (number, wave) in self.waves.iter().filter(|(_, wave)| !wave.completed) {
+            let listing = self.listings.get_mut(number);
+            let Some(listing) = listing.filter(|one| reading.sent > one.known_since) else {
+                continue;
+            };
+            let open = wave.machines.iter().filter(|name| !wave.begun.contains(*name));
+            listing.absence.record(open.map(String::as_str), &is_listed, reading);
+        }
+    }
+
+    /// Whether the maintenance of each machine of a wave has begun, or the machine is gone.
+    fn is_finished(&self, number: u64, wave: &Wave) -> bool {
+        let Some(listing) = self.listings.get(&number) else { return false };
+        let mut open = wave.machines.iter().filter(|name| !wave.begun.contains(*name));
+        open.all(|name| listing.absence.is_gone(name))
     }
 
     /// The wave with this number.
@@ -299,8 +337,6 @@
     }
 
     /// The listed machines of a wave whose maintenance has not begun.
-    ///
-    /// A machine that the platform no longer lists won't come back and needs no maintenance.
     fn due_machines<'a>(
         &self,
         wave: &'a Wave,
@@ -343,7 +379,7 @@
         actions: &mut Vec<Action>,
     ) {
         let open: Vec<(&String, &Machine)> = self.due_machines(wave, snapshot).collect();
-        if open.is_empty() && !snapshot.machines.is_empty() {
+        if open.is_empty() && self.is_finished(number, wave) {
             actions.push(Action::Complete { wave: number });
         }
         let down = self.down_count(wave, snapshot.machines, snapshot.now);
@@ -390,7 +426,8 @@
     /// The number of a wave's machines that are, or may be, down.
     fn down_count(&self, wave: &Wave, machines: &BTreeMap<String, Machine>, now: Time) -> usize {
         let down = |name: &&String| {
-            let listed = machines.get(*name).is_some_and(|machine| machine.in_maintenance);
+            let machine = machines.get(*name);
+            let listed = machine.is_some_and(|one| one.in_maintenance || one.may_be_down);
             listed || self.is_order_recent(name, now)
         };
         wave.machines.iter().filter(down).count()
--- a/crates/engine/tests/all/maintenance.rs
+++ b/crates/engine/tests/all/maintenance.rs
@@ -1,5 +1,6 @@
 //! Maintenance waves.
 
+use celerythread_engine::absence::Reading;
 use celerythread_engine::maintenance::{Action, Machine, Occupation, Planner, Settings, Wave};
 use celerythread_engine::time::Time;
 use std::collections::{BTreeMap, BTreeSet};
@@ -20,7 +21,7 @@
 fn planner(count: usize, at_once: usize) -> Planner {
     let mut planner = Planner::new(Settings::default());
     let machines = (0..count).map(|number| format!("machine-{number}")).collect();
-    planner.add_wave(1, Wave { machines, at_once, ..Wave::default() });
+    planner.add_wave(1, Wave { machines, at_once, ..Wave::default() }, Time(0));
     planner
 }
 
@@ -104,15 +105,80 @@
     assert!(begins(&planner.plan(&machines, &emptying, &BTreeSet::new(), Time(0), 0)).is_empty());
 }
 
+/// Plans a wave of `machine-0` after a reading of a list that lacks it.
+fn plan_without_machine(planner: &mut Planner, reading: Reading) -> Vec<Action> {
+    let mut other = machines(2);
+    other.remove("machine-0");
+    planner.record_list(|name| other.contains_key(name), reading);
+    planner.plan(&other, &BTreeSet::new(), &BTreeSet::new(), reading.sent, 0)
+}
+
+fn reading(sent_ms: u64) -> Reading {
+    Reading { sent: Time(sent_ms), pages: 1, is_complete: true }
+}
+
 #[test]
 fn an_unlisted_machine_does_not_block_its_wave() {
     let mut planner = planner(1, 1);
     let steps = planner.plan(&machines(0), &BTreeSet::new(), &BTreeSet::new(), Time(0), 0);
     assert!(steps.is_empty(), "an empty list of machines proves nothing");
+    let steps = plan_without_machine(&mut planner, reading(100));
+    assert_eq!(steps, [Action::Complete { wave: 1 }]);
+}
+
+/// A machine that was added after the list was requested is not gone: its wave must not be reported
+/// as completed without its maintenance.
+#[test]
+fn a_list_from_before_the_wave_does_not_show_that_a_machine_is_gone() {
+    let mut planner = Planner::new(Settings::default());
+    let wave = Wave { machines: vec!["machine-0".into()], at_once: 1, ..Wave::default() };
+    planner.add_wave(1, wave, Time(1000));
+    assert_eq!(plan_without_machine(&mut planner, reading(900)), []);
+    assert_eq!(plan_without_machine(&mut planner, reading(1000)), []);
+    planner.record_list(|_| true, reading(1100));
+    let steps = planner.plan(&machines(2), &BTreeSet::new(), &BTreeSet::new(), Time(1100), 0);
+    assert!(matches!(&steps[..], [Action::Empty { .. }]), "{steps:?}");
+}
+
+/// One of the machines that can't be read may be the one that seems to be gone.
+#[test]
+fn a_list_with_unreadable_machines_does_not_show_that_one_is_gone() {
+    let mut planner = planner(1, 1);
+    let incomplete = Reading { is_complete: false, ..reading(100) };
+    assert_eq!(plan_without_machine(&mut planner, incomplete), []);
+    assert_eq!(plan_without_machine(&mut planner, incomplete), []);
+}
+
+/// A machine may change its place in the list between the readings of two pages.
+#[test]
+fn a_machine_that_one_reading_in_pages_lacks_is_not_gone() {
+    let mut planner = planner(1, 1);
+    let paged = |sent| Reading { pages: 2, ..reading(sent) };
+    assert_eq!(plan_without_machine(&mut planner, paged(100)), []);
+    planner.record_list(|_| true, paged(200));
+    assert_eq!(plan_without_machine(&mut planner, paged(300)), []);
+    assert_eq!(plan_without_machine(&mut planner, paged(400)), [Action::Complete { wave: 1 }]);
+}
+
+/// A new controller has seen no list of its own yet.
+#[test]
+fn a_new_controller_reads_the_list_before_it_completes_a_wave() {
+    let mut planner = planner(1, 1);
     let mut other = machines(2);
     other.remove("machine-0");
-    let steps = planner.plan(&other, &BTreeSet::new(), &BTreeSet::new(), Time(0), 0);
-    assert_eq!(steps, [Action::Complete { wave: 1 }]);
+    assert_eq!(planner.plan(&other, &BTreeSet::new(), &BTreeSet::new(), Time(0), 0), []);
+}
+
+/// An order of the former controller may be carried out after the new one has read the list.
+#[test]
+fn a_machine_that_a_former_controller_may_have_ordered_counts_as_down() {
+    let mut planner = planner(2, 1);
+    let mut machines = machines(2);
+    machines.get_mut("machine-0").unwrap().may_be_down = true;
+    let all: BTreeSet<String> = ["minion-0".to_string(), "minion-1".to_string()].into();
+    assert!(begins(&planner.plan(&machines, &all, &all, Time(0), 0)).is_empty());
+    machines.get_mut("machine-0").unwrap().may_be_down = false;
+    assert_eq!(begins(&planner.plan(&machines, &all, &all, Time(100), 0)).len(), 1);
 }
 
 /// A simulated wave in steps of 100 ms: a machine empties in the time that its tasks take, is down
@@ -132,7 +198,11 @@
     fn new(count: usize, at_once: usize, window_ms: u64) -> Self {
         let mut planner = Planner::new(Settings::default());
         let names = (0..count).map(|number| format!("machine-{number}")).collect();
-        planner.add_wave(1, Wave { machines: names, at_once, window_ms, ..Wave::default() });
+        planner.add_wave(
+            1,
+            Wave { machines: names, at_once, window_ms, ..Wave::default() },
+            Time(0),
+        );
         Self {
             planner,
             machines: machines(count),
--- a/crates/engine/tests/all/reserve.rs
+++ b/crates/engine/tests/all/reserve.rs
@@ -46,7 +46,7 @@
     fn add_wave(&mut self, number: u64, machines: &[&str], at_once: usize) {
         let machines = machines.iter().map(|name| (*name).into()).collect();
         let wave = Wave { machines, at_once, window_ms: 24_000, ..Wave::default() };
-        self.planner.add_wave(number, wave);
+        self.planner.add_wave(number, wave, self.now);
     }
 
     fn machine(&mut self, name: &str) -> &mut Machine {
--- a/crates/engine/tests/all/termination.rs
+++ b/crates/engine/tests/all/termination.rs
@@ -1,7 +1,9 @@
 //! Tests of which minions of a former owner a new owner waits for.
 
+use celerythread_engine::absence::{Absence, Reading};
 use celerythread_engine::maintenance::Machine;
-use celerythread_engine::termination::has_terminated;
+use celerythread_engine::termination;
+use celerythread_engine::time::Time;
 use std::collections::BTreeMap;
 
 fn machines(minions: &[(&str, Option<&str>)]) -> BTreeMap<String, Machine> {
@@ -15,6 +17,36 @@
     minions.iter().map(machine).collect()
 }
 
+/// Whether a minion has terminated after one reading of this list in one page.
+fn has_terminated(
+    minion: &str,
+    machines: &BTreeMap<String, Machine>,
+    listed: bool,
+    drained_machine: Option<&str>,
+) -> bool {
+    let mut absence = Absence::default();
+    record(&mut absence, minion, machines, 1);
+    termination::has_terminated(minion, machines, &absence, listed, drained_machine)
+}
+
+fn record(absence: &mut Absence, minion: &str, machines: &BTreeMap<String, Machine>, pages: usize) {
+    let is_on = |id: &str| machines.values().any(|machine| machine.minion.as_deref() == Some(id));
+    let reading = Reading { sent: Time(0), pages, is_complete: true };
+    absence.record([minion].into_iter(), is_on, reading);
+}
+
+/// A machine that changes its place in the list between the readings of two pages is on neither.  If
+/// its minion counted as terminated, the tasks that it runs would be started elsewhere.
+#[test]
+fn a_minion_that_one_reading_in_pages_lacks_is_waited_for() {
+    let machines = machines(&[("m1", Some("new"))]);
+    let mut absence = Absence::default();
+    record(&mut absence, "old", &machines, 3);
+    assert!(!termination::has_terminated("old", &machines, &absence, false, None));
+    record(&mut absence, "old", &machines, 3);
+    assert!(termination::has_terminated("old", &machines, &absence, false, None));
+}
+
 /// Guards against a new owner that waits for a minion which was shut down for maintenance.  If its
 /// machine goes down just before the cell changes owner, the minion stays listed for some seconds;
 /// nothing of the inherited jobs was started for six seconds, with thirty machines in the pool.
--- a/crates/scheduler/src/fleet/list.rs
+++ b/crates/scheduler/src/fleet/list.rs
@@ -4,7 +4,9 @@
 use crate::clock;
 use crate::node::Node;
 use celerythread_adapter::machine;
+use celerythread_engine::absence::Reading;
 use celerythread_engine::time::Time;
+use std::collections::HashSet;
 use std::time::Duration;
 
 /// Age at which the list is read again while machines are being emptied, moved or maintained.
@@ -46,13 +48,25 @@
 
 /// Reads the list; true on success.
 async fn read(controller: &Controller) -> bool {
+    let sent = clock::now();
     let Some(list) = fetch(controller.node(), &controller.client).await else { return false };
-    let read_at = Some(clock::now());
-    controller.state.lock().list = MachineList { machines: list.machines, read_at };
+    let reading = reading(&list, sent);
+    let names: HashSet<&str> = list.machines.iter().map(|machine| machine.name.as_str()).collect();
+    let mut state = controller.state.lock();
+    state.waves.record_list(|name| names.contains(name), reading);
+    state.list = MachineList { machines: list.machines, read_at: Some(clock::now()) };
+    drop(state);
     controller.record_foreign_moves();
     true
 }
 
+/// What a list requested at `sent` shows about machines that it lacks.
+pub(crate) fn reading(list: &machine::List, sent: Time) -> Reading {
+    // A list without machines is taken for an incomplete one.
+    let is_complete = list.unreadable == 0 && !list.machines.is_empty();
+    Reading { sent, pages: list.pages, is_complete }
+}
+
 /// Fetches the platform's list; none if that fails.  Logs the number of unreadable machines in it.
 pub(crate) async fn fetch(node: &Node, client: &machine::Client) -> Option<machine::List> {
     match client.list(CALL_TIMEOUT).await {
--- a/crates/scheduler/src/fleet/maintenance.rs
+++ b/crates/scheduler/src/fleet/maintenance.rs
@@ -5,7 +5,6 @@
 use super::{CALL_TIMEOUT, Controller, OrderOutcome, State, order_all};
 use crate::clock;
 use crate::metrics::Counter;
-use crate::node::Node;
 use crate::rows;
 use celerythread_adapter::machine;
 use celerythread_adapter::store::{self, MAX_TRANSACTION_ENTRIES, Name, Transaction};
@@ -30,7 +29,7 @@
     for row in &waves.rows {
         let number = row.key.strip_prefix(rows::WAVE_PREFIX).and_then(|key| key.parse().ok());
         if let (Some(number), Ok(wave)) = (number, decode::<Wave>(&row.value)) {
-            state.waves.add_wave(number, wave);
+            state.waves.add_wave(number, wave, clock::now());
         }
     }
     for (number, machine) in begun.rows.iter().filter_map(|row| rows::begun_machine(&row.key)) {
@@ -70,9 +69,9 @@
             seen_ms: clock::wall_ms(),
             ..Wave::default()
         };
-        controller.state.lock().waves.add_wave(wave.number, fresh);
+        controller.state.lock().waves.add_wave(wave.number, fresh, clock::now());
         save_wave(controller, wave.number).await;
-        report_wave(node, wave.number, wave::State::Running).await;
+        report_wave(controller, wave.number, wave::State::Running).await;
     }
 }
 
@@ -119,7 +118,7 @@
         .map(|(machine, wave)| async move { order_maintenance(controller, &machine, wave).await });
     futures::join!(order_all(orders), request_emptying(controller, targets));
     for wave in complete {
-        if report_wave(node, wave, wave::State::Completed).await {
+        if report_wave(controller, wave, wave::State::Completed).await {
             controller.state.lock().waves.record_completion(wave);
             save_wave(controller, wave).await;
         }
@@ -147,6 +146,7 @@
         let is_recent = state.has_recent_order(&name);
         let waits = is_recent || state.deleting_rows.contains(&name);
         machine_view.up &= !waits && !is_moving;
+        machine_view.may_be_down = is_recent && !is_moving;
         // A minion that has just come up may not have been contacted by its owner yet.
         machine_view.out_of_service = is_moving || is_recent || workload.is_unavailable(machine);
         (name, machine_view)
@@ -300,18 +300,25 @@
     let Some(wave) = wave else { return };
     let wave = Wave { begun: BTreeSet::new(), ..wave };
     let name = Name::new(rows::FLEET, "", format!("{}{number}", rows::WAVE_PREFIX));
-    let change = Transaction { writes: vec![(name, encode(&wave))], ..Transaction::default() };
+    let change = as_holder(controller, vec![(name, encode(&wave))]);
     if let Err(error) = controller.node().commit(&change, CALL_TIMEOUT).await {
         // A later holder reads the operators' request again, and the window restarts.
         controller.node().journal.warn("wave_unkept", &[("wave", &number), ("reason", &error)]);
     }
 }
 
+/// Writes that are carried out only while this entry holds the fleet's cell.  A former holder that
+/// was paused would otherwise put the state of a completed wave back to running.
+fn as_holder(controller: &Controller, writes: Vec<(Name, Vec<u8>)>) -> Transaction {
+    let conditions = vec![(rows::cell(rows::FLEET_CELL), controller.owner.token)];
+    Transaction { across_parts: true, conditions, writes, ..Transaction::default() }
+}
+
 /// Writes a wave's state for operators; true on success.
-async fn report_wave(node: &Node, number: u64, state: wave::State) -> bool {
+async fn report_wave(controller: &Controller, number: u64, state: wave::State) -> bool {
+    let node = controller.node();
     let name = Name::new(store::STATUS_TABLE, "", format!("{}{number}", wave::KEY_PREFIX));
-    let change =
-        Transaction { writes: vec![(name, wave::status(number, state))], ..Transaction::default() };
+    let change = as_holder(controller, vec![(name, wave::status(number, state))]);
     let written = node.commit(&change, CALL_TIMEOUT).await.is_ok();
     if written {
         node.journal
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -6,7 +6,8 @@
 //! limits, [`events`] logs the cell's events, [`activity`] the owner's load and [`capacity`] what its
 //! cell could still run.  [`calls`] are made to minions with the leases of [`grant`], at peak load
 //! through the entries of [`delegation`]; [`starts`] limits how many starts are unanswered, and
-//! [`release`] answers requests to empty minions.  This file holds what they share, the planning loop,
+//! [`release`] answers requests to empty minions; [`terminated`] records which minions have
+//! terminated.  This file holds what they share, the planning loop,
 //! and the answers to other entries' questions.
 
 mod activity;
@@ -24,6 +25,7 @@
 mod reread;
 mod starts;
 pub(crate) mod supervisor;
+mod terminated;
 
 use crate::clock;
 use crate::fleet;
@@ -36,7 +38,8 @@
 use cancellation::{ReceivedCancellation, Source};
 use celerythread_adapter::configuration::Configuration;
 use celerythread_adapter::minion::Entry;
-use celerythread_engine::cell::{Cell, Incarnation, Order, Permit, Refusal, StartResult};
+use celerythread_engine::absence::Absence;
+use celerythread_engine::cell::{Cell, Order, Permit, Refusal, StartResult};
 use celerythread_engine::job::{Accepted, Id, TaskName};
 use celerythread_engine::ownership::former::EarlierOwners;
 use celerythread_engine::recency::Recency;
@@ -54,6 +57,7 @@
 use stop_token::future::FutureExt;
 use stop_token::{StopSource, StopToken};
 use supervisor::Supervisor;
+use terminated::TerminatedMinions;
 
 /// Longest time between two plans, for changes that only time causes, such as leases that expire.
 const MAX_PLAN_WAIT: Duration = Duration::from_millis(100);
@@ -111,23 +115,6 @@
     }
 }
 
-/// Minions that have terminated, with the incarnation that ended, if known.
-#[derive(Default)]
-pub(crate) struct TerminatedMinions(BTreeMap<Arc<str>, Option<Incarnation>>);
-
-impl TerminatedMinions {
-    /// Adds a minion; false if it was already present with this incarnation.
-    pub(crate) fn insert(&mut self, id: Arc<str>, incarnation: Option<Incarnation>) -> bool {
-        self.0.insert(id, incarnation) != Some(incarnation)
-    }
-
-    /// Whether the listed incarnation has terminated.  A listing without an incarnation is assumed
-    /// to be the terminated one's.
-    fn contains(&self, id: &str, listed: Option<Incarnation>) -> bool {
-        self.0.get(id).is_some_and(|ended| listed.is_none() || *ended == listed)
-    }
-}
-
 /// A cell that this entry owns.
 pub(crate) struct Owner {
     pub(crate) node: Arc<Node>,
@@ -140,6 +127,8 @@
     pub(crate) cell: Mutex<Option<Cell>>,
     /// Version of the ledger's row; the lock keeps the owner's transactions in order.
     pub(crate) ledger: async_std::sync::Mutex<u64>,
+    /// Inherited minions that the platform's list of machines lacks.
+    pub(crate) absence: Mutex<Absence>,
     /// Minions that the stored roster lists.
     pub(crate) roster: Mutex<BTreeSet<Arc<str>>>,
     pub(crate) supervisors: Mutex<BTreeMap<Arc<str>, Arc<Supervisor>>>,
@@ -185,6 +174,7 @@
             former,
             cell: Mutex::new(None),
             ledger: async_std::sync::Mutex::new(0),
+            absence: Mutex::default(),
             roster: Mutex::default(),
             supervisors: Mutex::default(),
             terminated_minions: Mutex::default(),
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -16,7 +16,7 @@
 use celerythread_engine::ownership::former::{self, Bound, Terms};
 use celerythread_engine::termination;
 use celerythread_engine::time::Time;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -262,18 +262,24 @@
 async fn find_terminated_minions(owner: &Owner) -> (Vec<Arc<str>>, usize) {
     let node = &owner.node;
     let Some(client) = &node.machines else { return (Vec::new(), 0) };
+    let sent = clock::now();
     // A machine that can't be read may be the one with a minion that no other machine has.
     let list = fleet::list::fetch(node, client).await.filter(|list| list.unreadable == 0);
     let Some(list) = list else { return (Vec::new(), 0) };
+    let reading = fleet::list::reading(&list, sent);
     let machines: BTreeMap<String, Machine> =
         list.machines.iter().map(fleet::maintenance::machine_view).collect();
     let inherited: Vec<Arc<str>> = owner.roster.lock().iter().cloned().collect();
+    let mut absence = owner.absence.lock();
+    let on_machines: HashSet<&str> =
+        machines.values().filter_map(|machine| machine.minion.as_deref()).collect();
+    absence.record(inherited.iter().map(|id| &**id), |id| on_machines.contains(id), reading);
     let view = node.view.read();
     let minions = node.minions.read();
     let has_terminated = |id: &Arc<str>| {
         let mut emptied = view.emptying.iter();
         let machine = emptied.find(|(_, minion)| **minion == **id).map(|(name, _)| name.as_str());
-        termination::has_terminated(id, &machines, minions.contains_key(id), machine)
+        termination::has_terminated(id, &machines, &absence, minions.contains_key(id), machine)
     };
     let terminated: Vec<Arc<str>> = inherited.into_iter().filter(has_terminated).collect();
     for id in &terminated {
