Store jobs where their queue's first job was stored

Cause: jobs were stored, found, cancelled, counted and owned by the service of their queue in the newest configuration, which is not a property of the job.

Change: each queue has a home, stored once in the directory: the partitions of its jobs, which never change, and the services that its jobs may have been accepted for. A stored job names its service. A submission is written at the queue's home on condition that no job has its id, so it meets the stored job whatever configuration the entry has. States, cancellations, counts, messages and deletions follow the stored job. Owners read the homes that include their service.

Why this works: uniqueness is checked in one partition that doesn't depend on the configuration; entries that learn it late write to the same row. A submission takes no further call once the home is known.

--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -2,10 +2,12 @@
 
 mod cancellation;
 mod format;
+mod home;
 mod terms;
 
 pub use cancellation::Cancellation;
 pub use format::{FormatError, decode, decode_extended, encode};
+pub use home::Home;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use snafu::Snafu;
@@ -384,11 +386,13 @@
     pub origin: Origin,
     /// The policies in force at its acceptance; `None` if the accepting release didn't store them.
     pub terms: Option<Terms>,
+    /// The service that it was accepted for; `None` if the accepting release didn't store it.
+    pub service: Option<Box<str>>,
 }
 
 impl Accepted {
-    /// Decodes a stored job.  Rows of releases that stored no origin or no terms end before that
-    /// field.
+    /// Decodes a stored job.  Rows of releases that stored no origin, no terms or no service end
+    /// before that field.
     ///
     /// # Errors
     /// Returns an error if the bytes are malformed.
--- a/crates/engine/tests/all/attempts.rs
+++ b/crates/engine/tests/all/attempts.rs
@@ -65,6 +65,7 @@
             definition: self.definition.clone(),
             origin: Origin::Public,
             terms: None,
+            service: None,
         };
         harness.cell.add_job(id(1), accepted, Some(&self.stored), true, Duration::ZERO, now);
         self.harness = harness;
@@ -254,6 +255,7 @@
         definition: definition(vec![step(1)]),
         origin: Origin::Public,
         terms: Some(Terms { configuration, workspace: None, queue: queue(attempts) }),
+        service: None,
     };
     let configure = |fixture: &mut Fixture, attempts, configuration| {
         fixture.harness.cell.configure([("moved".into(), queue(attempts))], configuration);
--- a/crates/engine/tests/all/attempts/model.rs
+++ b/crates/engine/tests/all/attempts/model.rs
@@ -97,6 +97,7 @@
         definition: of(number),
         origin: Origin::Public,
         terms: None,
+        service: None,
     };
     (0..JOBS).map(|number| (id(number), accepted(number))).collect()
 }
--- a/crates/engine/tests/all/capacity.rs
+++ b/crates/engine/tests/all/capacity.rs
@@ -220,7 +220,14 @@
 }
 
 fn submit_for(harness: &mut Harness, job: u8, origin: Origin, definition: Definition) {
-    let accepted = Accepted { queue: "queue".into(), at_ms: 0, definition, origin, terms: None };
+    let accepted = Accepted {
+        queue: "queue".into(),
+        at_ms: 0,
+        definition,
+        origin,
+        terms: None,
+        service: None,
+    };
     harness.cell.add_job(id(job), accepted, None, false, Duration::ZERO, harness.now);
 }
 
@@ -361,6 +368,7 @@
             definition: definition(steps),
             origin: Origin::Public,
             terms: None,
+            service: None,
         };
         let now = harness.now;
         harness.cell.add_job(wide_id(number), accepted, None, false, Duration::ZERO, now);
--- a/crates/engine/tests/all/early_cancellations.rs
+++ b/crates/engine/tests/all/early_cancellations.rs
@@ -28,8 +28,14 @@
 
     fn submit_for(&mut self, job: u8, origin: Origin) {
         let definition = definition(vec![step(1)]);
-        let accepted =
-            Accepted { queue: "queue".into(), at_ms: 5, definition, origin, terms: None };
+        let accepted = Accepted {
+            queue: "queue".into(),
+            at_ms: 5,
+            definition,
+            origin,
+            terms: None,
+            service: None,
+        };
         self.cell.add_job(id(job), accepted, None, false, Duration::ZERO, self.now);
     }
 
--- a/crates/engine/tests/all/events.rs
+++ b/crates/engine/tests/all/events.rs
@@ -44,6 +44,7 @@
         definition: definition(vec![step(1)]),
         origin: Origin::Public,
         terms: None,
+        service: None,
     };
     let now = harness.now;
     harness.cell.add_job(id(1), accepted, Some(&progress), true, Duration::ZERO, now);
--- a/crates/engine/tests/all/fixture.rs
+++ b/crates/engine/tests/all/fixture.rs
@@ -117,6 +117,7 @@
             definition,
             origin: Origin::Public,
             terms: None,
+            service: None,
         };
         self.cell.add_job(id(job), accepted, None, inherited, Duration::ZERO, self.now);
     }
@@ -129,6 +130,7 @@
             definition,
             origin: Origin::Public,
             terms: None,
+            service: None,
         };
         self.cell.add_job(id(job), accepted, None, false, Duration::ZERO, self.now);
     }
@@ -146,6 +148,7 @@
             definition,
             origin: Origin::Public,
             terms: None,
+            service: None,
         };
         let now = self.now;
         self.cell.add_job(id(job), accepted, Some(progress), false, Duration::ZERO, now);
--- a/crates/engine/tests/all/innocent.rs
+++ b/crates/engine/tests/all/innocent.rs
@@ -71,6 +71,7 @@
             definition: definition(vec![step(1)]),
             origin: Origin::Public,
             terms: None,
+            service: None,
         };
         harness.cell.add_job(id(1), accepted, Some(&self.stored), true, Duration::ZERO, now);
         self.harness = harness;
--- a/crates/engine/tests/all/innocent/series/world.rs
+++ b/crates/engine/tests/all/innocent/series/world.rs
@@ -217,6 +217,7 @@
                 definition: definition(vec![whole_minion.clone()]),
                 origin: Origin::Public,
                 terms: None,
+                service: None,
             };
             let progress = self.stored.get(&id(job));
             cell.add_job(id(job), accepted, progress, has_former, Duration::ZERO, now);
--- a/crates/engine/tests/all/model/simulation/takeover.rs
+++ b/crates/engine/tests/all/model/simulation/takeover.rs
@@ -330,5 +330,12 @@
     };
     let policy = Queue { attempts, ..Queue::default() };
     let terms = Some(job::Terms { configuration: 1, workspace: None, queue: policy });
-    Accepted { queue: queue.into(), at_ms: 0, definition, origin: Origin::Public, terms }
+    Accepted {
+        queue: queue.into(),
+        at_ms: 0,
+        definition,
+        origin: Origin::Public,
+        terms,
+        service: None,
+    }
 }
--- a/crates/engine/tests/all/placement.rs
+++ b/crates/engine/tests/all/placement.rs
@@ -31,6 +31,7 @@
             definition: definition(vec![Step { need, ..step(TASKS) }]),
             origin: Origin::Public,
             terms: None,
+            service: None,
         };
         cell.add_job(job, accepted, None, false, Duration::ZERO, NOW);
     }
--- a/crates/engine/tests/all/policies.rs
+++ b/crates/engine/tests/all/policies.rs
@@ -28,6 +28,7 @@
         definition: definition(vec![step(1)]),
         origin: Origin::Public,
         terms,
+        service: None,
     }
 }
 
--- a/crates/engine/tests/all/quota.rs
+++ b/crates/engine/tests/all/quota.rs
@@ -181,7 +181,14 @@
 
 fn submit(harness: &mut Harness, number: u8, origin: Origin, steps: Vec<Step>) -> Id {
     let definition = Definition { spec: "work".into(), steps, schedule: None };
-    let accepted = Accepted { queue: "queue".into(), at_ms: 0, definition, origin, terms: None };
+    let accepted = Accepted {
+        queue: "queue".into(),
+        at_ms: 0,
+        definition,
+        origin,
+        terms: None,
+        service: None,
+    };
     let now = harness.now;
     harness.cell.add_job(id(number), accepted, None, false, Duration::ZERO, now);
     id(number)
@@ -274,6 +281,7 @@
         definition: Definition { spec: "work".into(), steps: vec![step(1)], schedule: None },
         origin: Origin::Unknown,
         terms: None,
+        service: None,
     };
     let mut bytes = celerythread_engine::job::encode(&accepted);
     assert_eq!([bytes.pop(), bytes.pop()], [Some(0); 2], "no terms and no origin");
--- a/crates/engine/tests/all/share.rs
+++ b/crates/engine/tests/all/share.rs
@@ -60,6 +60,7 @@
         definition: definition(steps),
         origin: origin(workspace),
         terms: None,
+        service: None,
     };
     harness.cell.add_job(id, accepted, None, false, age, harness.now);
 }
@@ -305,6 +306,7 @@
         definition: definition(vec![step(40)]),
         origin: origin("a"),
         terms: None,
+        service: None,
     };
     harness.cell.add_job(id(1), accepted, None, true, Duration::ZERO, harness.now);
     submit(&mut harness, 2, "b", vec![step(40)]);
--- a/crates/engine/tests/all/takeover.rs
+++ b/crates/engine/tests/all/takeover.rs
@@ -69,6 +69,7 @@
         definition: definition(vec![step(3)]),
         origin: celerythread_engine::job::Origin::Public,
         terms: None,
+        service: None,
     };
     let now = harness.now;
     harness.cell.add_job(id(1), accepted, Some(&progress), true, Duration::ZERO, now);
@@ -105,6 +106,7 @@
             definition: definition(vec![step(1)]),
             origin: celerythread_engine::job::Origin::Public,
             terms: None,
+            service: None,
         };
         let progress = Progress {
             suspicions: vec![(0, 8)],
--- a/crates/engine/tests/all/trials.rs
+++ b/crates/engine/tests/all/trials.rs
@@ -136,6 +136,7 @@
         definition: definition(vec![step(1)]),
         origin: Origin::Public,
         terms: None,
+        service: None,
     };
     let now = harness.now;
     harness.cell.add_job(id(1), accepted, Some(&progress), true, Duration::ZERO, now);
--- a/crates/scheduler/src/directory.rs
+++ b/crates/scheduler/src/directory.rs
@@ -1,4 +1,5 @@
-//! The directory: where the holders of cells are reached, and which entries stand by.
+//! The directory: where the holders of cells are reached, which entries stand by, and where jobs are
+//! stored.
 //!
 //! Every entry follows it ([`crate::membership`]).  It changes only with the members, so following it
 //! costs the same in a fleet of any size.  It is a hint: who may own a cell is decided by the control
@@ -7,7 +8,7 @@
 use crate::clock;
 use crate::rows;
 use celerythread_adapter::store::Row;
-use celerythread_engine::job::decode;
+use celerythread_engine::job::{Home, decode};
 use celerythread_engine::ownership::standby::{Listing, SLOTS_PER_ZONE};
 use celerythread_engine::time::Time;
 use std::collections::{BTreeMap, BTreeSet};
@@ -32,6 +33,8 @@
     pub(crate) routes: BTreeMap<String, Listed<rows::Route>>,
     /// Standbys by zone and slot.
     pub(crate) standbys: BTreeMap<(String, usize), Listed<rows::Standby>>,
+    /// Homes by queue.
+    pub(crate) homes: BTreeMap<String, Listed<Home>>,
     /// Versions of the rows that can't be read, by key, so that they can be replaced.
     unreadable: BTreeMap<String, u64>,
 }
@@ -58,6 +61,8 @@
             apply_to(&mut self.routes, cell.into(), row)
         } else if let Some((zone, slot)) = rows::standby_slot(&row.key) {
             apply_to(&mut self.standbys, (zone.into(), slot), row)
+        } else if let Some(queue) = row.key.strip_prefix(rows::HOME_PREFIX) {
+            apply_to(&mut self.homes, queue.into(), row)
         } else {
             true
         }
@@ -68,6 +73,13 @@
         self.unreadable.get(key).copied().unwrap_or(0)
     }
 
+    /// The partitions of other services in which jobs of a service may be stored.
+    pub(crate) fn foreign_partitions(&self, service: &str) -> BTreeSet<String> {
+        let homes = self.homes.values().map(|home| &home.value);
+        let foreign = homes.filter(|home| home.is_foreign_to(service));
+        foreign.map(|home| home.partition.clone()).collect()
+    }
+
     /// The slots of a zone, as the entry `entry_id` sees them.
     pub(crate) fn slots(&self, zone: &str, entry_id: &str) -> [Option<Listing>; SLOTS_PER_ZONE] {
         std::array::from_fn(|slot| {
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -4,6 +4,7 @@
 mod context;
 
 use crate::clock;
+use crate::home;
 use crate::metrics::{Counter, Timing};
 use crate::node::Node;
 use crate::owner::load::decode_progress;
@@ -188,10 +189,19 @@
             definition,
             origin: context.origin.clone(),
             terms: Some(target.terms.clone()),
+            service: Some(queue.service.as_str().into()),
         };
         let row = encode(&accepted);
-        let job = Job { service: &queue.service, id, row: &row, deadline: context.deadline };
-        let written = submit::write(node, &job).await;
+        let (partition, written) = match home::ensure(node, queue, context.deadline).await {
+            Ok(home) => {
+                let partition = home.partition;
+                let job = Job { partition: &partition, id, row: &row, deadline: context.deadline };
+                let written = submit::write(node, &job).await;
+                (partition, written)
+            }
+            // Nothing was written for the job.
+            Err(error) => (queue.service.clone(), WriteOutcome::Refused(error)),
+        };
         if let WriteOutcome::Accepted(row) = &written
             && !self.may_access(context, id, row)
         {
@@ -233,7 +243,7 @@
             ],
         );
         if let WriteOutcome::Accepted(row) = written {
-            let service = queue.service.clone();
+            let service = service_of(&row, &partition);
             self.notify_owner(Question::Accepted { service, id, row });
         }
         response
@@ -286,12 +296,19 @@
         });
     }
 
+    /// Asks the owner of a service's jobs for the state of one; none if it doesn't know the job.
+    async fn ask_state(&self, context: &Context, service: &str, id: Id) -> Option<State> {
+        let origin = context.origin.clone();
+        let question = Question::State { service: service.into(), id, origin };
+        match peers::ask_owner(&self.node, service, question).await {
+            Some(Answer::State(state)) => state,
+            _ => None,
+        }
+    }
+
     async fn state(&self, context: &Context, queue: &Queue, id: Id) -> Response {
-        let service = queue.service.clone();
-        let question = Question::State { service, id, origin: context.origin.clone() };
-        let asked = peers::ask_owner(&self.node, &queue.service, question);
-        let state = match asked.await {
-            Some(Answer::State(Some(state))) => Ok(Some(state)),
+        let state = match self.ask_state(context, &queue.service, id).await {
+            Some(state) => Ok(Some(state)),
             // The state cannot be determined now; the caller asks again.
             _ if self.node.is_outage_ongoing() => return unavailable_response(context.remaining()),
             // A job that the owner does not know may just have been accepted.
@@ -327,26 +344,33 @@
         queue: &Queue,
         id: Id,
     ) -> Result<Option<State>, Error> {
-        let (node, service) = (&self.node, &queue.service);
+        let node = &self.node;
+        let partition = &home::find_or_default(node, queue).await?.partition;
         let get = async |name: celerythread_adapter::store::Name| {
             let row = node.store.get(&name.table, &name.part, &name.key, READ_TIMEOUT).await;
             node.record_store_result(&row);
             row
         };
-        let Some(job) = get(rows::job(service, &id)).await? else { return Ok(None) };
+        let Some(job) = get(rows::job(partition, &id)).await? else { return Ok(None) };
         if !self.may_access(context, id, &job.value) {
             return Ok(None);
         }
-        let progress = get(rows::progress(service, &id)).await?;
+        // The configuration may have sent the queue to another service since.
+        let service = service_of(&job.value, partition);
+        if service != queue.service
+            && let Some(state) = self.ask_state(context, &service, id).await
+        {
+            return Ok(Some(state));
+        }
+        let progress = get(rows::progress(&service, &id)).await?;
         let progress = progress.and_then(|row| decode_progress(node, &row));
         if let Some(outcome) = progress.as_ref().and_then(|progress| progress.outcome) {
             return Ok(Some(outcome));
         }
-        let cancellation = get(rows::cancel(service, &id)).await?;
+        let cancellation = get(rows::cancel(partition, &id)).await?;
         if cancellation.is_some_and(|row| self.is_cancelled(id, &job.value, &row.value)) {
             return Ok(Some(State::Cancelled));
         }
-        let service = service.clone();
         self.notify_owner(Question::Accepted { service, id, row: job.value });
         Ok(Some(if progress.is_some() { State::Running } else { State::Queued }))
     }
@@ -366,16 +390,28 @@
     }
 
     async fn pending(&self, queue: &Queue) -> Response {
-        let question =
-            Question::Pending { service: queue.service.clone(), queue: queue.name.clone() };
-        match peers::ask_owner(&self.node, &queue.service, question).await {
-            Some(Answer::Pending(pending)) => {
-                let mut response = status_response(StatusCode::Ok);
-                set_json(&mut response, submission::pending_body(pending as usize));
-                response
-            }
-            _ => unavailable_response(DEFAULT_DEADLINE),
+        let Ok(home) = home::find_or_default(&self.node, queue).await else {
+            return unavailable_response(DEFAULT_DEADLINE);
+        };
+        let services = home.with(&queue.service).services;
+        // The cell of a service that was removed has no holder once its jobs have ended.
+        let has_holder =
+            |service: &&String| **service == queue.service || self.node.holder(service).is_some();
+        let asks = services.iter().filter(has_holder).map(|service| {
+            let question =
+                Question::Pending { service: service.clone(), queue: queue.name.clone() };
+            peers::ask_owner(&self.node, service, question)
+        });
+        let mut pending = 0;
+        for answer in futures::future::join_all(asks).await {
+            let Some(Answer::Pending(jobs)) = answer else {
+                return unavailable_response(DEFAULT_DEADLINE);
+            };
+            pending += jobs as usize;
         }
+        let mut response = status_response(StatusCode::Ok);
+        set_json(&mut response, submission::pending_body(pending));
+        response
     }
 }
 
@@ -409,6 +445,12 @@
     head.header(name).map(|values| values.last().as_str())
 }
 
+/// The service that runs the job stored as `row`.  An unreadable job has that of its partition.
+fn service_of(row: &[u8], partition: &str) -> String {
+    Accepted::decode(row)
+        .map_or_else(|_| partition.into(), |accepted| accepted.service(partition).into())
+}
+
 fn status_response(status: StatusCode) -> Response {
     Response::new(status)
 }
--- a/crates/scheduler/src/front/cancel.rs
+++ b/crates/scheduler/src/front/cancel.rs
@@ -2,15 +2,17 @@
 
 use super::context::Context;
 use super::{
-    COMMIT_TIMEOUT, CallerHandler, READ_TIMEOUT, RETRY_DELAY, status_response, unavailable_response,
+    COMMIT_TIMEOUT, CallerHandler, READ_TIMEOUT, RETRY_DELAY, service_of, status_response,
+    unavailable_response,
 };
 use crate::clock;
+use crate::home;
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::rows;
 use celerythread_adapter::configuration::Queue;
 use celerythread_adapter::store::{Error, Name, Row, Transaction};
-use celerythread_engine::job::{Cancellation, Id, Origin, encode};
+use celerythread_engine::job::{Cancellation, Home, Id, Origin, encode};
 use celerythread_engine::submission::Attempt;
 use celerythread_wire::job::{Answer, Question};
 use http_types::{Response, StatusCode};
@@ -20,11 +22,24 @@
 struct Request<'a> {
     context: &'a Context,
     queue: &'a Queue,
+    /// Where the queue's jobs are stored.
+    home: Home,
     id: Id,
     /// When it was accepted, in milliseconds since 1970.
     at_ms: u64,
 }
 
+impl Request<'_> {
+    /// The service that runs the job; that of its queue if none is stored.
+    fn service_of(&self, basis: &Basis) -> String {
+        let job = basis.job.as_ref();
+        job.map_or_else(
+            || self.queue.service.clone(),
+            |row| service_of(&row.value, &self.home.partition),
+        )
+    }
+}
+
 /// The rows on whose versions a cancellation depends, as far as they are known.
 #[derive(Debug, Default)]
 struct Basis {
@@ -49,8 +64,15 @@
     /// Cancels a job.  If none is stored under the id, its submission may still be under way, so the
     /// cancellation is stored all the same before the response says that there is no such job.
     pub(super) async fn cancel(&self, context: &Context, queue: &Queue, id: Id) -> Response {
-        let request = Request { context, queue, id, at_ms: clock::wall_ms() };
-        let mut basis = match self.read(&rows::job(&queue.service, &id)).await {
+        let (home, found) = match home::find_or_default(&self.node, queue).await {
+            Ok(home) => {
+                let job = self.read(&rows::job(&home.partition, &id)).await;
+                (home, job)
+            }
+            Err(error) => (Home::new(&queue.service), Err(error)),
+        };
+        let request = Request { context, queue, home, id, at_ms: clock::wall_ms() };
+        let mut basis = match found {
             Ok(job) => Basis { job, early: None },
             Err(error) => {
                 let response = unavailable_response(context.remaining());
@@ -80,12 +102,15 @@
         };
         if basis.job.is_none() {
             let version = stored.version;
-            self.notify_owner(early_message(&request, stored));
+            for service in request.home.clone().with(&queue.service).services {
+                self.notify_owner(early_message(&request, service, &stored));
+            }
             return self.not_cancelled(&request, gone(), &"not_found", &basis, version);
         }
         self.log_cancelled(&request, &basis, Some(stored.version));
         self.node.metrics.count(Counter::JobsCancelled);
-        self.notify_owner(Question::Cancelled { service: queue.service.clone(), id });
+        let service = request.service_of(&basis);
+        self.notify_owner(Question::Cancelled { service, id });
         status_response(StatusCode::Ok)
     }
 
@@ -142,10 +167,10 @@
         basis: &mut Basis,
         rows: &[Row],
     ) -> Result<(), Error> {
-        let service = &request.queue.service;
-        let job = rows::job(service, &request.id);
+        let partition = &request.home.partition;
+        let job = rows::job(partition, &request.id);
         basis.job = self.current(&job, basis.job.take(), rows).await?;
-        let early = rows::cancel(service, &request.id);
+        let early = rows::cancel(partition, &request.id);
         basis.early = self.current(&early, basis.early.take(), rows).await?;
         Ok(())
     }
@@ -202,7 +227,7 @@
             &[
                 ("job", &request.id),
                 ("request", &request.context.request_id),
-                ("service", &request.queue.service),
+                ("service", &request.service_of(basis)),
                 ("written", &version.is_some()),
                 ("job_version", &basis.job_version()),
                 ("version", &version.unwrap_or_default()),
@@ -222,9 +247,9 @@
 
 /// The transaction that stores a cancellation, and the row that it writes.
 fn transaction(request: &Request<'_>, basis: &Basis) -> (Transaction, Vec<u8>) {
-    let (service, id) = (&request.queue.service, &request.id);
-    let name = rows::cancel(service, id);
-    let mut conditions = vec![(rows::job(service, id), basis.job_version())];
+    let (partition, id) = (&request.home.partition, &request.id);
+    let name = rows::cancel(partition, id);
+    let mut conditions = vec![(rows::job(partition, id), basis.job_version())];
     let cancellation = if basis.job.is_some() {
         Cancellation::of_stored_job(request.at_ms)
     } else {
@@ -239,12 +264,12 @@
 }
 
 /// The message about a cancellation of an id under which no job is stored.
-fn early_message(request: &Request<'_>, stored: Stored) -> Question {
-    let (service, id) = (request.queue.service.clone(), request.id);
+fn early_message(request: &Request<'_>, service: String, stored: &Stored) -> Question {
+    let (id, row) = (request.id, stored.row.clone());
     match request.context.origin {
         // It applies to any job, and owners of all releases understand this message.
         Origin::Public => Question::Cancelled { service, id },
-        _ => Question::CancelledEarly { service, id, row: stored.row, version: stored.version },
+        _ => Question::CancelledEarly { service, id, row, version: stored.version },
     }
 }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -27,6 +27,7 @@
 mod fleet;
 mod follow;
 mod front;
+mod home;
 mod in_force;
 pub mod journal;
 mod membership;
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -1,22 +1,25 @@
 //! The owner of a cell: takes it over, carries out its plans, and persists its progress.
 //!
-//! [`load`] reads the stored rows, and [`reread`] the jobs again while their feed lags;
+//! [`load`] reads the stored rows, and [`reread`] the jobs again while their feed lags,
+//! [`foreign`] those of queues that were sent to this service;
 //! [`cancellation`] applies cancellations and deletes expired ones, [`supervisor`] polls and commands
 //! one minion, [`persist`] writes progress, [`advice`] asks for tickets, [`quota`] enforces workspaces'
 //! limits, [`events`] logs the cell's events, [`activity`] the owner's load and [`capacity`] what its
 //! cell could still run.  [`calls`] are made to minions with the leases of [`grant`], at peak load
 //! through the entries of [`delegation`]; [`starts`] limits how many starts are unanswered, and
 //! [`release`] answers requests to empty minions; [`terminated`] records which minions have
-//! terminated.  This file holds what they share, the planning loop,
-//! and the answers to other entries' questions.
+//! terminated.  [`answer`] answers other entries' questions.  This file
+//! holds what they share and the planning loop.
 
 mod activity;
 mod advice;
+mod answer;
 mod calls;
 mod cancellation;
 mod capacity;
 pub(crate) mod delegation;
 mod events;
+pub(crate) mod foreign;
 mod grant;
 pub(crate) mod load;
 pub(crate) mod persist;
@@ -35,7 +38,6 @@
 use crate::terms;
 use activity::Activity;
 use calls::OrderTimeout;
-use cancellation::{ReceivedCancellation, Source};
 use celerythread_adapter::configuration::Configuration;
 use celerythread_adapter::minion::Entry;
 use celerythread_engine::absence::Absence;
@@ -44,8 +46,8 @@
 use celerythread_engine::ownership::former::EarlierOwners;
 use celerythread_engine::recency::Recency;
 use celerythread_sync::Wake;
-use celerythread_wire::job::{Answer, Question};
 use delegation::Delegation;
+use foreign::Foreign;
 use parking_lot::Mutex;
 use release::Releases;
 use starts::Starts;
@@ -127,6 +129,8 @@
     pub(crate) cell: Mutex<Option<Cell>>,
     /// Version of the ledger's row; the lock keeps the owner's transactions in order.
     pub(crate) ledger: async_std::sync::Mutex<u64>,
+    /// Where its jobs are stored that aren't in the partitions of its service.
+    pub(crate) foreign: Foreign,
     /// Inherited minions that the platform's list of machines lacks.
     pub(crate) absence: Mutex<Absence>,
     /// Minions that the stored roster lists.
@@ -174,6 +178,7 @@
             former,
             cell: Mutex::new(None),
             ledger: async_std::sync::Mutex::new(0),
+            foreign: Foreign::default(),
             absence: Mutex::default(),
             roster: Mutex::default(),
             supervisors: Mutex::default(),
@@ -229,7 +234,7 @@
     }
 
     /// Adds an accepted job to the cell.
-    pub(crate) fn add_job(&self, id: Id, row: &[u8]) {
+    pub(crate) fn add_job(&self, id: Id, row: &[u8], partition: Option<&str>) {
         let accepted = match Accepted::decode(row) {
             Ok(accepted) => accepted,
             Err(error) => {
@@ -237,6 +242,11 @@
                 return;
             }
         };
+        let partition = partition.map_or_else(|| self.home_partition(&accepted.queue), Into::into);
+        if accepted.service(&partition) != self.service {
+            return;
+        }
+        self.foreign.record_job(id, &partition, &self.service);
         let job_age = Duration::from_millis(clock::wall_ms().saturating_sub(accepted.at_ms));
         let now = clock::now();
         let added = self.with(|cell| {
@@ -257,6 +267,13 @@
         }
     }
 
+    /// The partition of a queue's jobs; that of this service if it isn't known.
+    fn home_partition(&self, queue: &str) -> String {
+        let directory = self.node.directory.read();
+        let home = directory.homes.get(queue);
+        home.map_or_else(|| self.service.clone(), |home| home.value.partition.clone())
+    }
+
     /// What may be started now.
     pub(crate) fn permit(&self) -> Permit {
         let (now, permit) = (clock::now(), self.node.permit());
@@ -281,42 +298,6 @@
         self.jobs_recency.lock().age(clock::now())
     }
 
-    /// Answers a question of another entry or of this entry's HTTP interface; none while the cell
-    /// is not loaded.
-    pub(crate) fn answer(&self, question: &Question) -> Option<Answer> {
-        if self.is_stopped() || self.cell.lock().is_none() {
-            return None;
-        }
-        match question {
-            Question::Accepted { id, row, .. } => {
-                self.add_job(*id, row);
-                Some(Answer::Noted)
-            }
-            Question::Cancelled { id, .. } => {
-                self.cancel_job(*id, Source::Message, &ReceivedCancellation::of_stored_job());
-                Some(Answer::Noted)
-            }
-            Question::CancelledEarly { id, row, version, .. } => {
-                let notice = ReceivedCancellation::read(self, id, row, *version);
-                self.cancel_job(*id, Source::Message, &notice);
-                Some(Answer::Noted)
-            }
-            Question::State { id, origin, .. } => {
-                self.with(|cell| Answer::State(cell.state_for(id, origin)))
-            }
-            // Any entry answers these, not only the owner.
-            Question::Submit { .. } | Question::Configuration { .. } => None,
-            Question::Load { .. } => release::load(self, None).map(Answer::Load),
-            Question::Release { machines, token, without_row, .. } => {
-                let minions: Vec<&str> = machines.iter().map(|(_, id)| id.as_str()).collect();
-                release::answer(self, &minions, *token, *without_row)
-            }
-            Question::Pending { queue, .. } => {
-                self.with(|cell| Answer::Pending(cell.queued_jobs(queue) as u32))
-            }
-        }
-    }
-
     /// Records that the listed minions, or which of them are to be emptied, may have changed.
     pub(crate) fn notify_minions_changed(&self) {
         self.minions_changed.store(true, Ordering::SeqCst);
@@ -368,6 +349,7 @@
     let Some(version) = load::take_over(&owner).await else { return };
     async_std::task::spawn(load::follow_jobs(owner.clone(), version));
     async_std::task::spawn(reread::reread_forever(owner.clone()));
+    async_std::task::spawn(foreign::follow_homes(owner.clone()));
     async_std::task::spawn(load::mark_terminated_until_settled(owner.clone()));
     async_std::task::spawn(persist::persist_forever(owner.clone()));
     async_std::task::spawn(cancellation::delete_expired_forever(owner.clone()));
--- a/crates/scheduler/src/owner/cancellation.rs
+++ b/crates/scheduler/src/owner/cancellation.rs
@@ -157,7 +157,7 @@
     for row in rows.iter().filter(|row| exists(row)) {
         let Some(id) = rows::job_id(row, rows::JOB_PREFIX) else { continue };
         // Cancels the job if the cancellation applies to it.  The row is deleted with the job's.
-        owner.add_job(id, &row.value);
+        owner.add_job(id, &row.value, rows::partition_of(row));
         owner.with(|cell| cell.forget_cancellation(&id, u64::MAX));
     }
 }
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -6,6 +6,7 @@
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::owner::cancellation::{self, ReceivedCancellation, Source};
+use crate::owner::foreign;
 use crate::owner::{FormerOwner, Owner};
 use crate::rows;
 use celerythread_adapter::store::{Error, Name, Page, Row, Transaction};
@@ -133,8 +134,7 @@
     let policies = store.get(rows::JOBS, service, rows::POLICIES_KEY, CALL_TIMEOUT).await?;
     let sent = clock::now();
     // Jobs are read first: those accepted later are in the feed, and have no progress yet.
-    let jobs =
-        store.read_partitions(rows::JOBS, &rows::shard_prefix(service), CALL_TIMEOUT).await?;
+    let jobs = foreign::read_jobs(owner).await?;
     let progress = store.read_partition(rows::PROGRESS, service, "", CALL_TIMEOUT).await?;
     let settings = Settings {
         name: service.into(),
@@ -310,6 +310,11 @@
                 continue;
             }
         };
+        let partition = rows::partition_of(row).unwrap_or(&owner.service);
+        if accepted.service(partition) != owner.service {
+            continue;
+        }
+        owner.foreign.record_job(id, partition, &owner.service);
         let age = Duration::from_millis(wall.saturating_sub(accepted.at_ms));
         let progress = progress.get(&id.to_string());
         let inherited = match owner.former {
@@ -368,14 +373,13 @@
 impl JobSink {
     fn apply(&self, rows: &[Row], source: Source) {
         let owner = &self.0;
-        let shards = rows::shard_prefix(&owner.service);
-        for row in rows.iter().filter(|row| row.part.starts_with(&shards)) {
+        for row in rows.iter().filter(|row| owner.foreign.concerns(row, &owner.service)) {
             let cancelled = rows::job_id(row, rows::CANCEL_PREFIX);
             if row.deleted {
                 // A later owner doesn't read it, so it must not apply to a job any more.
                 owner.with(|cell| cancelled.map(|id| cell.forget_cancellation(&id, row.version)));
             } else if let Some(id) = rows::job_id(row, rows::JOB_PREFIX) {
-                owner.add_job(id, &row.value);
+                owner.add_job(id, &row.value, rows::partition_of(row));
             } else if let Some(id) = cancelled {
                 let notice = ReceivedCancellation::read(owner, &id, &row.value, row.version);
                 owner.cancel_job(id, source, &notice);
--- a/crates/scheduler/src/owner/persist.rs
+++ b/crates/scheduler/src/owner/persist.rs
@@ -172,12 +172,14 @@
             .iter()
             .flat_map(|id| {
                 let service = &owner.service;
-                [rows::job(service, id), rows::cancel(service, id), rows::progress(service, id)]
+                let home = owner.foreign.partition(id, service);
+                [rows::job(&home, id), rows::cancel(&home, id), rows::progress(service, id)]
             })
             .collect();
         let change = Transaction { deletes, across_parts: true, ..Transaction::default() };
         if commit_fenced(owner, change).await {
             owner.with(|cell| cell.record_deleted_rows(chunk, clock::now()));
+            owner.foreign.forget_jobs(chunk);
         } else {
             // The rows stay until the next owner finds them expired.
             owner.node.journal.warn("rows_left", &[("jobs", &chunk.len())]);
--- a/crates/scheduler/src/owner/reread.rs
+++ b/crates/scheduler/src/owner/reread.rs
@@ -7,8 +7,8 @@
 use crate::clock;
 use crate::follow::Sink;
 use crate::owner::Owner;
+use crate::owner::foreign;
 use crate::owner::load::JobSink;
-use crate::rows;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -44,8 +44,7 @@
 
 async fn reread(owner: &Arc<Owner>, age: Duration) {
     let sent = clock::now();
-    let prefix = rows::shard_prefix(&owner.service);
-    let result = owner.node.store.read_partitions(rows::JOBS, &prefix, READ_TIMEOUT).await;
+    let result = foreign::read_known_partitions(owner, READ_TIMEOUT).await;
     owner.node.record_store_result(&result);
     let outcome = match result {
         Ok(page) => {
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -5,8 +5,8 @@
 //! (`authority`) in the empty one.  Members follow this table.
 //!
 //! Table `directory`, in the empty partition: where each cell's holder is reached (`cell/SERVICE`),
-//! and the entries that stand by (`standby/ZONE/SLOT`).  All entries follow this table.  Ownership
-//! is decided by the control table alone.
+//! the entries that stand by (`standby/ZONE/SLOT`), and where each queue's jobs are stored
+//! (`home/QUEUE`).  All entries follow this table.  Ownership is decided by the control table alone.
 //!
 //! Table `fleet`, which only the fleet controller reads: waves (`wave/N`), the machines whose
 //! maintenance has begun (`begun/N/MACHINE`), and the pools' turns (`turns`).  In the control
@@ -14,7 +14,8 @@
 //! names to all 147 entries.
 //!
 //! Table `jobs`: accepted jobs (`job/ID`) and cancellations (`cancel/ID`), in partitions
-//! `SERVICE/SHARD`; the owner's ledger (`ledger`), the minions that it uses (`roster`) and the
+//! `SERVICE/SHARD`, where `SERVICE` is the one that first ran jobs of the queue (its home); the owner's
+//! ledger (`ledger`), the minions that it uses (`roster`) and the
 //! policies that changed since jobs were accepted (`policies`) in the partition `SERVICE`.  Table
 //! `progress`, partition `SERVICE`: each job's progress (`ID`).
 //!
@@ -47,6 +48,7 @@
 pub(crate) const ENTRY_PREFIX: &str = "entry/";
 pub(crate) const CELL_PREFIX: &str = "cell/";
 pub(crate) const STANDBY_PREFIX: &str = "standby/";
+pub(crate) const HOME_PREFIX: &str = "home/";
 pub(crate) const EMPTYING_PREFIX: &str = "emptying/";
 pub(crate) const WAVE_PREFIX: &str = "wave/";
 pub(crate) const BEGUN_PREFIX: &str = "begun/";
@@ -215,6 +217,11 @@
     Name::new(DIRECTORY, "", format!("{STANDBY_PREFIX}{zone}/{slot}"))
 }
 
+/// The row that says where a queue's jobs are stored.
+pub(crate) fn home(queue: &str) -> Name {
+    Name::new(DIRECTORY, "", format!("{HOME_PREFIX}{queue}"))
+}
+
 /// The zone and the slot of such a row; none for another key.
 pub(crate) fn standby_slot(key: &str) -> Option<(&str, usize)> {
     let (zone, slot) = key.strip_prefix(STANDBY_PREFIX)?.rsplit_once('/')?;
@@ -230,25 +237,30 @@
 /// store's four transactions a second for each partition still suffice.
 const SHARDS_PER_SERVICE: u64 = 32;
 
-/// The partition of a job.
-fn shard(service: &str, id: &Id) -> String {
-    let shard = celerythread_engine::ownership::rank(service, &id.to_string()) % SHARDS_PER_SERVICE;
-    format!("{service}/{shard}")
+/// The shard of a job in the partitions of its home.
+fn shard(partition: &str, id: &Id) -> String {
+    let rank = celerythread_engine::ownership::rank(partition, &id.to_string());
+    format!("{partition}/{}", rank % SHARDS_PER_SERVICE)
+}
+
+/// Prefix of all shards of a home's partitions.
+pub(crate) fn shard_prefix(partition: &str) -> String {
+    format!("{partition}/")
 }
 
-/// Prefix of all partitions with jobs of a service.
-pub(crate) fn shard_prefix(service: &str) -> String {
-    format!("{service}/")
+/// The home's partition of a row of the table of jobs; none if it isn't in a shard.
+pub(crate) fn partition_of(row: &Row) -> Option<&str> {
+    row.part.rsplit_once('/').map(|(partition, _)| partition)
 }
 
-/// The row of a job.
-pub(crate) fn job(service: &str, id: &Id) -> Name {
-    Name::new(JOBS, &shard(service, id), format!("{JOB_PREFIX}{id}"))
+/// The row of a job, in the partitions of its home.
+pub(crate) fn job(partition: &str, id: &Id) -> Name {
+    Name::new(JOBS, &shard(partition, id), format!("{JOB_PREFIX}{id}"))
 }
 
-/// The row of a job's cancellation.
-pub(crate) fn cancel(service: &str, id: &Id) -> Name {
-    Name::new(JOBS, &shard(service, id), format!("{CANCEL_PREFIX}{id}"))
+/// The row of a job's cancellation, in the partitions of its home.
+pub(crate) fn cancel(partition: &str, id: &Id) -> Name {
+    Name::new(JOBS, &shard(partition, id), format!("{CANCEL_PREFIX}{id}"))
 }
 
 /// The job of a row with such a key; none for another key.
--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -15,12 +15,12 @@
 const SUBMIT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Writes a job on behalf of an entry whose requests the store refuses.
-async fn submit_for_peer(node: &Node, service: &str, id: Id, row: &[u8]) -> Answer {
+async fn submit_for_peer(node: &Node, partition: &str, id: Id, row: &[u8]) -> Answer {
     if node.is_outage_suspected() {
         return Answer::Submitted(Submission::Refused);
     }
     let deadline = clock::now() + SUBMIT_TIMEOUT;
-    let job = submit::Job { service, id, row, deadline };
+    let job = submit::Job { partition, id, row, deadline };
     Answer::Submitted(match submit::write_directly(node, &job, SUBMIT_TIMEOUT).await {
         WriteOutcome::Accepted(row) => Submission::Accepted { row },
         WriteOutcome::Refused(_) => Submission::Refused,
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -42,8 +42,8 @@
 
 /// A job to store.
 pub(crate) struct Job<'a> {
-    /// Its service.
-    pub(crate) service: &'a str,
+    /// The partition of its queue's home.
+    pub(crate) partition: &'a str,
     /// Its id.
     pub(crate) id: Id,
     /// Its encoded row.
@@ -109,7 +109,7 @@
 
 /// Tries once to write directly to the store.
 pub(crate) async fn write_directly(node: &Node, job: &Job<'_>, timeout: Duration) -> WriteOutcome {
-    let name = rows::job(job.service, &job.id);
+    let name = rows::job(job.partition, &job.id);
     let change = Transaction {
         conditions: vec![(name.clone(), 0)],
         writes: vec![(name.clone(), job.row.to_vec())],
@@ -130,7 +130,7 @@
 /// Tries once to write through a peer.
 async fn write_through_peer(node: &Node, peer: SocketAddr, job: &Job<'_>) -> WriteOutcome {
     let question =
-        Question::Submit { service: job.service.into(), id: job.id, row: job.row.to_vec() };
+        Question::Submit { service: job.partition.into(), id: job.id, row: job.row.to_vec() };
     let (outcome, written) = match node.peers.ask(peer, question).await {
         Ok(Answer::Submitted(Submission::Accepted { row })) => {
             ("accepted".to_owned(), WriteOutcome::Accepted(row))
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -204,8 +204,13 @@
 
     /// Writes a configuration with the queue at `jobs.example/q/` on the second service.
     pub fn move_queue(&self, version: u64) {
+        self.send_queue_to(SECOND_SERVICE, version);
+    }
+
+    /// Writes a configuration with the queue at `jobs.example/q/` on a service.
+    pub fn send_queue_to(&self, service: &str, version: u64) {
         let queue = json!({
-            "name": "queue", "host": "jobs.example", "pathPrefix": "/q/", "service": SECOND_SERVICE,
+            "name": "queue", "host": "jobs.example", "pathPrefix": "/q/", "service": service,
             "kind": "non_idempotent", "priority": 0, "attempts": 2, "stretch": 1.6,
             "targetLatencyMs": 600, "timeoutMs": 3000,
         });
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -41,7 +41,7 @@
     },
     /// Requests that an entry that can reach the store writes a job's row.
     Submit {
-        /// Its service.
+        /// The service in whose partitions its queue's jobs are stored.
         service: String,
         /// The job.
         id: Id,
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -12,6 +12,7 @@
 mod jobs;
 mod loss;
 mod maintenance;
+mod moved_queues;
 mod moves;
 mod scale;
 mod soak;
