Judge minions by comparison before a quarantine

Cause: each second failure of different jobs on a minion quarantined it, however long ago the first was, for 2 to 16 s. Only an end as done reset the count, which long-running tasks never report, and nothing compared minions or left any in service.

The log has minion_quarantined for both minions in turn, with doubled times.

Change: a failure counts against a minion for 30 s, and only if the job doesn't fail more often than it succeeds elsewhere; long work is evidence for the minion; a quarantine whose jobs turn out to fail elsewhere is lifted; failures and stalls never take more than half of the minions that could accept tasks; a long-running task without another place goes to a quarantined minion.

Tests: quarantine::* (9).

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -51,6 +51,7 @@
 pub mod place;
 pub mod plan;
 pub mod policies;
+mod quarantine;
 pub mod quota;
 pub mod ranking;
 pub mod report;
@@ -322,9 +323,23 @@
     Quarantined {
         /// The minion.
         minion: MinionId,
+        /// Number of jobs whose failures there are not explained otherwise.
+        jobs: usize,
         /// When the quarantine ends.
         until: Time,
     },
+    /// The same failures, but the minion gets tasks since too few others could.
+    NotQuarantined {
+        /// The minion.
+        minion: MinionId,
+        /// Number of jobs whose failures there are not explained otherwise.
+        jobs: usize,
+    },
+    /// A quarantine ended early, since what failed there fails elsewhere, too.
+    QuarantineLifted {
+        /// The minion.
+        minion: MinionId,
+    },
 }
 
 impl Cell {
--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -1,6 +1,7 @@
 //! A minion and the runs on it.
 
 use crate::cell::crash::Suspicion;
+use crate::cell::quarantine::Record;
 use crate::cell::quota::Charge;
 use crate::cell::restart;
 use crate::cell::zone::ZoneIndex;
@@ -211,12 +212,10 @@
     pub(crate) seen: u64,
     /// Number of the last run end that may be acknowledged.
     pub(crate) acknowledged: u64,
-    /// Jobs whose tasks failed here since the last success.
-    pub(crate) failing_jobs: BTreeSet<crate::job::Id>,
+    /// What the failures of its runs say about it.
+    pub(crate) record: Record,
     /// Jobs whose tasks were slow here since one was fast.
     pub(crate) slow_jobs: BTreeSet<crate::job::Id>,
-    /// Number of quarantines in a row.
-    pub(crate) quarantine_count: u32,
     /// No tasks are started before this time.
     pub(crate) quarantined_until: Time,
 }
@@ -247,9 +246,8 @@
             reserved: false,
             seen: 0,
             acknowledged: 0,
-            failing_jobs: BTreeSet::new(),
+            record: Record::default(),
             slow_jobs: BTreeSet::new(),
-            quarantine_count: 0,
             quarantined_until: Time(0),
         }
     }
@@ -297,12 +295,13 @@
     }
 
     /// Whether it can be given a long-running task that fits nowhere else, although it is to be
-    /// emptied.
+    /// emptied, or quarantined because runs failed there.
     ///
-    /// An empty one may be ordered to shut down at any moment, so it never gets tasks again.  One
+    /// An empty one that is to be emptied may be ordered to shut down at any moment, so it never gets tasks again.  One
     /// with runs is not shut down before this owner has reported it as empty.
     pub(crate) fn is_fallback(&self, now: Time) -> bool {
-        self.leaving && !self.is_empty() && self.is_usable(now)
+        let is_emptied = self.leaving && !self.is_empty() && self.is_usable(now);
+        is_emptied || !self.reserved && self.is_only_doubted(now)
     }
 
     fn is_usable(&self, now: Time) -> bool {
@@ -311,6 +310,11 @@
 
     /// Whether it can run further tasks, regardless of who may use its capacity.
     pub(crate) fn is_able(&self, now: Time) -> bool {
+        now >= self.quarantined_until && self.is_able_unless_quarantined()
+    }
+
+    /// Whether it can run further tasks once its quarantine ends.
+    pub(crate) fn is_able_unless_quarantined(&self) -> bool {
         self.listed
             && self.answered
             && self.is_reachable()
@@ -318,7 +322,6 @@
             && !self.listing.draining
             && !self.in_silent_zone
             && !self.runs_isolated_trial()
-            && now >= self.quarantined_until
     }
 
     pub(crate) fn insert_run(&mut self, task: TaskName, run: Run) {
--- a/crates/engine/src/cell/place.rs
+++ b/crates/engine/src/cell/place.rs
@@ -123,7 +123,7 @@
         minion.or_else(|| find(&may_run))
     }
 
-    /// A minion that is being emptied, for a long-running task that found no other.
+    /// A minion that is being emptied or quarantined, for a long-running task that found no other.
     ///
     /// While a wave empties most minions of a pool, the others may be full for a long time.  The
     /// task would stay stopped although its former minion has capacity, and until it runs again no
@@ -350,7 +350,7 @@
     if step.preferred_rack.is_some() && step.preferred_rack.as_deref() != minion.rack() {
         cost += penalty::REMOTE_DATA;
     }
-    if !minion.failing_jobs.is_empty() || minion.quarantine_count > 0 || minion.is_slow() {
+    if minion.record.is_doubtful() || minion.is_slow() {
         cost += penalty::UNRELIABLE_MINION;
     }
     cost
--- a/crates/engine/src/cell/report/end.rs
+++ b/crates/engine/src/cell/report/end.rs
@@ -8,13 +8,6 @@
 use crate::time::Time;
 use std::time::Duration;
 
-/// Failures of this many different jobs without a success between them quarantine a minion.  A
-/// single job may fail through its own fault.
-const MIN_FAILING_JOBS: usize = 2;
-
-/// Maximum number of times that the first quarantine is doubled.
-const MAX_QUARANTINE_DOUBLINGS: u32 = 3;
-
 /// Delay before a failed long-running task is restarted, so that one that fails at once does not
 /// take up all calls to its minion.
 const LONG_RUNNING_RESTART_DELAY: Duration = Duration::from_millis(100);
@@ -35,14 +28,14 @@
         if is_known_run && end.reason == EndReason::Done {
             self.record_speed(id, &end.task, 100, now);
         }
-        if let Some(minion) = self.minions.get_mut(id).filter(|_| is_known_run) {
-            minion.remove_run(&end.task);
-        }
+        let minion = self.minions.get_mut(id).filter(|_| is_known_run);
+        let run = minion.and_then(|minion| minion.remove_run(&end.task));
+        let worked = run.map(|run| now.since(run.began_at));
         self.record_event(Event::Ended { minion: id.clone(), end: end.clone() });
         if !self.task_exists(&end.task) {
             return;
         }
-        self.update_quarantine(id, end, now);
+        self.record_outcome(id, end, worked, now);
         let Some(job) = self.jobs.get_mut(&end.task.job) else { return };
         let attempts = self
             .policies
@@ -109,31 +102,4 @@
         failure.into_iter().for_each(|failure| self.record_event(failure));
         self.requeue_task(id, &end.task, end.run, now);
     }
-
-    /// Quarantines a minion that fails every run.
-    ///
-    /// Such a minion always has free capacity.  Without a quarantine it would be given task after
-    /// task and use up their attempts, and callers would see one job after the other fail.
-    fn update_quarantine(&mut self, id: &MinionId, end: &End, now: Time) {
-        let quarantine = self.settings.quarantine;
-        let Some(minion) = self.minions.get_mut(id) else { return };
-        match end.reason {
-            EndReason::Done => {
-                minion.failing_jobs.clear();
-                minion.quarantine_count = 0;
-            }
-            EndReason::Failed => {
-                minion.failing_jobs.insert(end.task.job);
-                if minion.failing_jobs.len() >= MIN_FAILING_JOBS {
-                    minion.failing_jobs.clear();
-                    minion.quarantined_until = now
-                        + quarantine * (1 << minion.quarantine_count.min(MAX_QUARANTINE_DOUBLINGS));
-                    minion.quarantine_count += 1;
-                    let until = minion.quarantined_until;
-                    self.record_event(Event::Quarantined { minion: id.clone(), until });
-                }
-            }
-            _ => {}
-        }
-    }
 }
--- a/crates/engine/src/cell/restart.rs
+++ b/crates/engine/src/cell/restart.rs
@@ -5,6 +5,7 @@
 
 use crate::cell::crash::Certainty;
 use crate::cell::minion::{Incarnation, Minion, MinionId, Run, RunPhase};
+use crate::cell::quarantine::Record;
 use crate::cell::{Cell, Event, Report};
 use crate::job::TaskName;
 use crate::time::Time;
@@ -68,9 +69,8 @@
         self.former_incarnations.push(former);
         self.seen = 0;
         self.acknowledged = 0;
-        self.failing_jobs.clear();
+        self.record = Record::default();
         self.slow_jobs.clear();
-        self.quarantine_count = 0;
         self.quarantined_until = Time(0);
         Some(restart)
     }
--- a/crates/engine/src/cell/stall.rs
+++ b/crates/engine/src/cell/stall.rs
@@ -34,12 +34,13 @@
     pub(crate) fn stop_stalled(&mut self, now: Time, orders: &mut Vec<Order>) {
         let quarantine = self.settings.quarantine;
         for Stall { minion: id, task, is_waiting } in self.find_stalls() {
+            let can_do_without = self.can_do_without(&id, now);
             let Some(minion) = self.minions.get_mut(&id) else { continue };
             let Some(run) = minion.runs.get_mut(&task) else { continue };
             let percent = run.percent;
             orders.push(stop_run(&id, &task, run, now));
             let job = self.jobs.get_mut(&task.job).filter(|_| !is_waiting);
-            if job.is_some_and(|job| job.record_stall(&task, id.clone())) {
+            if job.is_some_and(|job| job.record_stall(&task, id.clone())) && can_do_without {
                 minion.quarantined_until = minion.quarantined_until.max(now + quarantine * 2);
             }
             self.record_event(Event::Stalled { minion: id, task, percent });
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -2,6 +2,7 @@
 
 use crate::cell::crash::Suspicion;
 use crate::cell::minion::MinionId;
+use crate::cell::quarantine::Outcomes;
 use crate::cell::quota::{AccountId, Charge};
 use crate::job::{Accepted, Definition, Id, Progress, State, Step, TaskName, TrialPlace, Trials};
 use crate::time::Time;
@@ -100,6 +101,8 @@
     /// When this owner learned that a step's last task was done, by occurrence and step; 0 before
     /// that, and for steps restored as done.
     done_at: Vec<Time>,
+    /// How its runs ended on each minion.
+    pub(crate) outcomes: Outcomes,
     /// Estimate of all of its work.
     pub(crate) total: Estimate,
     /// Estimate of its remaining work.
@@ -170,6 +173,7 @@
             offsets,
             open_counts,
             done_at,
+            outcomes: Outcomes::default(),
             total,
             remaining,
         }
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -25,6 +25,7 @@
 mod placement;
 mod policies;
 mod pools;
+mod quarantine;
 mod quota;
 mod recency;
 mod release;
--- a/crates/scheduler/src/owner/events.rs
+++ b/crates/scheduler/src/owner/events.rs
@@ -213,10 +213,16 @@
                     ("jobs", jobs),
                 ],
             ),
-            Event::Quarantined { minion, until } => journal.warn(
+            Event::Quarantined { minion, jobs, until } => journal.warn(
                 "minion_quarantined",
-                &[("minion", minion), ("ms", &until.since(now).as_millis())],
+                &[("minion", minion), ("jobs", jobs), ("ms", &until.since(now).as_millis())],
             ),
+            Event::NotQuarantined { minion, jobs } => {
+                journal.warn("minion_not_quarantined", &[("minion", minion), ("jobs", jobs)]);
+            }
+            Event::QuarantineLifted { minion } => {
+                journal.info("quarantine_lifted", &[("minion", minion)]);
+            }
         }
     }
 }
