Reckon with leases by calls to a minion's former incarnation

Cause: such a minion executes calls to its former incarnation. Where their deadlines lie far ahead on its clock, it grants its longest lease, 10 s. The owner reckoned with that once, when the clock was seen to go back, which an answer to an earlier call or a higher clock hides; its successor reckoned with its own 4.5 s.

Whether the users' thirteen cases had the same cause is suspected, not shown.

Change: after a restart leases count as the longest ones until the minion has answered a call with a higher fencing token, the version of the owner's last renewal. From then on it refuses the former calls. A successor does the same on recent incarnations, and waits longer for one that never answers. Readings outlast supervisors.

Why this works: a renewal requires that the owner holds the cell, so its version is above the tokens of all calls before and below those of later owners; after the answer no call of before has an effect.

Tests: former_calls::* on a model of such minions, and lease::*. A late start on the next incarnation was not reproduced and is left.

--- a/benches/owner.rs
+++ b/benches/owner.rs
@@ -44,6 +44,7 @@
         definition: Definition { spec: "x".repeat(200).into(), steps, schedule: None },
         origin: celerythread_engine::job::Origin::Public,
         terms: None,
+        service: None,
     }
 }
 
--- a/benches/recovery.rs
+++ b/benches/recovery.rs
@@ -40,6 +40,7 @@
         definition: Definition { spec: "x".repeat(200).into(), steps, schedule: None },
         origin: celerythread_engine::job::Origin::Public,
         terms: None,
+        service: None,
     }
 }
 
--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -181,6 +181,9 @@
     pub leaving: bool,
     /// Whether a former owner may have started tasks there.
     pub inherited: bool,
+    /// Whether it may have restarted so recently that it executes calls of a former owner to its
+    /// former incarnation.
+    pub(crate) recently_restarted: bool,
     /// Whether it has answered this owner.
     pub answered: bool,
     /// Incarnation in the most recent answer that contained one.
@@ -230,6 +233,7 @@
             listed,
             leaving: false,
             inherited: false,
+            recently_restarted: false,
             answered: false,
             incarnation: None,
             answering_since: Time(0),
--- a/crates/engine/src/cell/plan.rs
+++ b/crates/engine/src/cell/plan.rs
@@ -123,7 +123,7 @@
         let is_expired = |minion: &&crate::cell::Minion| {
             let may_expire = minion.answered
                 || !minion.inherited
-                || self.former_lease_expiry.is_none_or(|expiry| now >= expiry);
+                || self.have_former_leases_expired(minion, now);
             may_expire && now >= minion.lease_expiry && !minion.is_reachable()
         };
         let is_removable = |minion: &&crate::cell::Minion| !minion.is_empty() || !minion.listed;
--- a/crates/engine/src/cell/settings.rs
+++ b/crates/engine/src/cell/settings.rs
@@ -13,6 +13,9 @@
     pub workspace_shares: bool,
     /// Longest time that a minion takes to stop a run.
     pub stop_timeout: Duration,
+    /// How much longer than the leases that owners ask for one may last that a restarted minion grants
+    /// to a call to its former incarnation.
+    pub lease_excess: Duration,
     /// How long an ended job is retained for queries by its caller.
     pub retention: Duration,
     /// A run without progress for this multiple of its estimate, and at least
@@ -33,6 +36,7 @@
             token: 1,
             workspace_shares: false,
             stop_timeout: Duration::from_millis(900),
+            lease_excess: Duration::ZERO,
             retention: Duration::from_secs(150),
             stall_factor: 1.0,
             min_stall: Duration::from_millis(1500),
--- a/crates/engine/src/cell/takeover.rs
+++ b/crates/engine/src/cell/takeover.rs
@@ -3,20 +3,33 @@
 //! A new owner finds them on the minions.  Until each minion of its predecessor has answered, or its
 //! leases must have expired, a task that was not found may still run.
 
-use crate::cell::{Cell, FailureReason};
+use crate::cell::{Cell, FailureReason, Minion};
 use crate::job::{Id, TaskName};
 use crate::time::Time;
+use std::time::Duration;
 
 impl Cell {
     /// Whether tasks of inherited jobs may be started, because no run of them can exist that this
     /// owner does not know.
     pub fn is_takeover_complete(&self, now: Time) -> bool {
-        match self.former_lease_expiry {
-            None => true,
-            Some(expiry) => {
-                let mut inherited = self.minions.values().filter(|minion| minion.inherited);
-                now >= expiry || inherited.all(|minion| minion.answered)
-            }
+        let mut inherited = self.minions.values().filter(|minion| minion.inherited);
+        inherited.all(|minion| minion.answered || self.have_former_leases_expired(minion, now))
+    }
+
+    /// Whether the leases of everything that former owners started on a minion which doesn't answer
+    /// must have expired.
+    pub(crate) fn have_former_leases_expired(&self, minion: &Minion, now: Time) -> bool {
+        let excess =
+            if minion.recently_restarted { self.settings.lease_excess } else { Duration::ZERO };
+        self.former_lease_expiry.is_none_or(|expiry| now >= expiry + excess)
+    }
+
+    /// Records that a minion may have restarted so recently that it executes calls to its former
+    /// incarnation.  Once it has answered this owner, it refuses those of former owners.
+    pub fn record_recent_restart(&mut self, id: &str) {
+        let minion = self.minions.get_mut(id);
+        if let Some(minion) = minion.filter(|minion| minion.inherited && !minion.answered) {
+            minion.recently_restarted = true;
         }
     }
 
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod evidence;
 mod fixture;
 mod former;
+mod former_calls;
 mod innocent;
 mod jobs;
 mod lease;
--- a/crates/engine/tests/all/model.rs
+++ b/crates/engine/tests/all/model.rs
@@ -45,6 +45,9 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) capacity: Resources,
     token: u64,
+    /// When its clock began, and the longest lease that it grants; none if its clock is that of the
+    /// simulation.
+    clock: Option<(Time, Duration)>,
     deadline: Time,
     running: BTreeMap<TaskName, Work>,
     /// The highest run number of each task that was stopped or ended here.
@@ -79,6 +82,7 @@
             incarnation,
             capacity,
             token: 0,
+            clock: None,
             deadline: Time(0),
             running: BTreeMap::new(),
             last_ended_runs: BTreeMap::new(),
@@ -87,6 +91,23 @@
         }
     }
 
+    /// The same with a clock of its own that begins now.
+    pub(crate) fn with_clock(self, now: Time, limit: Duration) -> Self {
+        Self { clock: Some((now, limit)), ..self }
+    }
+
+    /// The time on its clock.
+    pub(crate) fn clock_ms(&self, now: Time) -> u64 {
+        self.clock.map_or(now.0, |(began, _)| now.since(began).as_millis() as u64)
+    }
+
+    /// The end of a lease with a deadline on its clock.
+    fn lease_end(&self, deadline: Time, now: Time) -> Time {
+        let Some((_, limit)) = self.clock else { return deadline };
+        let left = deadline.0.saturating_sub(self.clock_ms(now));
+        now + Duration::from_millis(left).min(limit)
+    }
+
     pub(crate) fn used(&self) -> Resources {
         self.running.values().fold(Resources::default(), |sum, work| sum.plus(&work.need))
     }
@@ -98,10 +119,10 @@
         history: &mut Vec<RunRecord>,
     ) -> Result<(), Refusal> {
         self.fence(start.token)?;
-        if start.deadline <= now {
+        if start.deadline.0 <= self.clock_ms(now) {
             return Err(Refusal::TooLate);
         }
-        self.deadline = self.deadline.max(start.deadline);
+        self.deadline = self.deadline.max(self.lease_end(start.deadline, now));
         let running = self.running.get(&start.task).map(|work| work.run);
         if running == Some(start.run) {
             return Ok(());
@@ -157,7 +178,7 @@
     ) -> Result<Report, Refusal> {
         self.fence(token)?;
         if let Some(deadline) = deadline {
-            self.deadline = self.deadline.max(deadline);
+            self.deadline = self.deadline.max(self.lease_end(deadline, now));
         }
         let (acknowledged_ends, ends) =
             std::mem::take(&mut self.ends).into_iter().partition(|end| end.number <= acknowledged);
--- a/crates/engine/tests/all/model/owner.rs
+++ b/crates/engine/tests/all/model/owner.rs
@@ -6,6 +6,7 @@
     Batch, Cell, Incarnation, Listing, MinionId, Order, Permit, Refusal, Report, StartResult,
 };
 use celerythread_engine::job::{Resources, TaskName};
+use celerythread_engine::lease::{self, Grants, Terms};
 use celerythread_engine::recency::Recency;
 use celerythread_engine::time::Time;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -40,6 +41,7 @@
         connected_to: Option<Incarnation>,
         acknowledged: u64,
         deadline: Option<Time>,
+        token: u64,
     },
     Start {
         minion: MinionId,
@@ -49,6 +51,7 @@
         minion: MinionId,
         task: TaskName,
         run: u32,
+        token: u64,
     },
     /// Stores progress if the ledger still has the version that the owner knows, so that a delayed
     /// write can't overwrite a newer one.
@@ -89,8 +92,18 @@
     pub(crate) jobs_recency: Recency,
     /// Whether it has read the cancellations of the withdrawn jobs.
     pub(crate) has_read_withdrawal: bool,
+    /// The leases on its minions, if these have clocks of their own.
+    grants: Option<BTreeMap<MinionId, Grants>>,
+    /// The latest version of the table at which it held the cell.
+    held_version: u64,
 }
 
+/// Longest lease that a minion with a clock of its own grants.
+pub(crate) const LEASE_LIMIT: Duration = Duration::from_secs(10);
+
+/// Versions of the table between two takeovers.
+const VERSIONS_PER_OWNER: u64 = 1 << 32;
+
 impl Call {
     pub(crate) fn minion(&self) -> Option<MinionId> {
         match self {
@@ -102,6 +115,17 @@
     }
 }
 
+impl Call {
+    /// The fencing token of a call to a minion.
+    fn token(&self) -> Option<u64> {
+        match self {
+            Call::Renew { .. } | Call::Store { .. } => None,
+            Call::Hold { token, .. } | Call::Stop { token, .. } => Some(*token),
+            Call::Start { start, .. } => Some(start.token),
+        }
+    }
+}
+
 impl Owner {
     /// An owner whose takeover has just been stored.
     pub(crate) fn new(cell: Cell, token: u64, now: Time) -> Self {
@@ -121,6 +145,40 @@
             is_stopped: false,
             jobs_recency,
             has_read_withdrawal: false,
+            grants: None,
+            held_version: token * VERSIONS_PER_OWNER,
+        }
+    }
+
+    /// The same, of minions with clocks of their own.
+    pub(crate) fn with_minion_clocks(self) -> Self {
+        Self { grants: Some(BTreeMap::new()), ..self }
+    }
+
+    fn grants_of(&mut self, minion: &MinionId) -> Option<&mut Grants> {
+        let token = self.token * VERSIONS_PER_OWNER;
+        let terms = Terms { term: LEASE_DURATION, limit: LEASE_LIMIT };
+        let new = || Grants::new(terms, token, self.token > 1);
+        self.grants.as_mut().map(|grants| grants.entry(minion.clone()).or_insert_with(new))
+    }
+
+    /// The fencing token for a call to a minion.
+    fn token_for(&mut self, minion: &MinionId) -> u64 {
+        let token = self.token;
+        self.grants_of(minion).map_or(token, |grants| grants.token())
+    }
+
+    /// Records the time on a minion's clock in its answer to a call.
+    pub(crate) fn record_clock(&mut self, call: &Call, clock_ms: u64, age: Duration, now: Time) {
+        let (Some(minion), Some(token)) = (call.minion(), call.token()) else { return };
+        let held_version = self.held_version;
+        let Some(grants) = self.grants_of(&minion) else { return };
+        let (incarnation, age) = (None, Some(age));
+        let answer = lease::Answer { clock_ms, token, sent: now, received: now, incarnation, age };
+        let uncertain_until = grants.record_answer(&answer);
+        grants.raise_token(held_version);
+        if let Some(until) = uncertain_until {
+            self.cell.extend_lease_expiry(&minion, until);
         }
     }
 
@@ -184,7 +242,9 @@
             let connected_to = self.connections.get(&minion).copied();
             let is_current = connected_to.is_some() && connected_to == incarnation;
             let acknowledged = if is_current { acknowledged } else { 0 };
-            self.calls.push_back(Call::Hold { minion, connected_to, acknowledged, deadline });
+            let token = self.token_for(&minion);
+            let hold = Call::Hold { minion, connected_to, acknowledged, deadline, token };
+            self.calls.push_back(hold);
         }
         let orders = self.cell.plan(now, now.0, self.permit(now));
         self.queue_orders(orders, now);
@@ -197,6 +257,11 @@
         if now.since(self.last_renewal) > EXTEND_ALONE_LIMIT {
             return None;
         }
+        if let Some(grants) = self.grants_of(minion) {
+            let grant = grants.next(now)?;
+            self.cell.extend_lease_expiry(minion, grant.expiry);
+            return Some(Time(grant.deadline_ms));
+        }
         self.cell.extend_lease_expiry(minion, now + LEASE_DURATION + LEASE_MARGIN);
         Some(now + LEASE_DURATION)
     }
@@ -220,12 +285,13 @@
                         work: (!step.long_running).then_some(work),
                         fails: false,
                         deadline,
-                        token: self.token,
+                        token: self.token_for(&minion),
                     };
                     self.calls.push_back(Call::Start { minion, start });
                 }
                 Order::Stop { minion, task, run } => {
-                    self.calls.push_back(Call::Stop { minion, task, run });
+                    let token = self.token_for(&minion);
+                    self.calls.push_back(Call::Stop { minion, task, run, token });
                 }
                 Order::Pace { .. } => {}
             }
@@ -248,7 +314,14 @@
         }
         match (call, answer) {
             (_, Answer::Superseded) => self.is_stopped = true,
-            (Call::Renew { .. }, Answer::Done) => self.last_renewal = now,
+            (Call::Renew { .. }, Answer::Done) => {
+                self.last_renewal = now;
+                self.held_version += 1;
+                let version = self.held_version;
+                for grants in self.grants.iter_mut().flat_map(BTreeMap::values_mut) {
+                    grants.raise_token(version);
+                }
+            }
             (Call::Store { batch, .. }, Answer::Done) => self.cell.record_persisted(batch),
             (Call::Hold { minion, .. }, Answer::Report(report)) => {
                 if let Some(incarnation) = report.incarnation {
@@ -270,7 +343,7 @@
                 };
                 self.cell.process_start_result(minion, &start.task, start.run, result, now);
             }
-            (Call::Stop { minion, task, run }, Answer::Done) => {
+            (Call::Stop { minion, task, run, .. }, Answer::Done) => {
                 self.cell.confirm_stop(minion, task, *run, now);
             }
             _ => {}
--- a/crates/engine/tests/all/model/simulation.rs
+++ b/crates/engine/tests/all/model/simulation.rs
@@ -2,6 +2,7 @@
 
 mod fault;
 mod feed;
+mod former_calls;
 mod innocent;
 mod loss;
 mod takeover;
@@ -11,7 +12,9 @@
 pub(crate) use loss::Loss;
 pub(crate) use takeover::Rule;
 
-use super::owner::{Answer, CAPACITY, Call, EXTEND_ALONE_LIMIT, LEASE_DURATION, Owner};
+use super::owner::{
+    Answer, CAPACITY, Call, EXTEND_ALONE_LIMIT, LEASE_DURATION, LEASE_LIMIT, Owner,
+};
 use super::{Minion, RunRecord, Start, Table};
 use crate::fixture::{definition, id, step};
 use celerythread_engine::cell::{Batch, EndReason, Incarnation, MinionId, Refusal};
@@ -77,6 +80,9 @@
     pending_restarts: Vec<(Time, String)>,
     /// Whether crashed minions restart under their former ids.
     keeps_ids: bool,
+    /// Whether minions have clocks of their own and execute calls to their former incarnations.
+    executes_former_calls: bool,
+    partition_duration: Duration,
     /// Number of the last incarnation of any minion.
     last_incarnation: u64,
     /// Minions that have started the crashing task, and when they crash.
@@ -113,6 +119,8 @@
             roster: MINION_IDS.map(MinionId::from).into(),
             pending_restarts: Vec::new(),
             keeps_ids: false,
+            executes_former_calls: false,
+            partition_duration: PARTITION_DURATION,
             last_incarnation: 0,
             pending_crashes: Vec::new(),
             partitioned_until: BTreeMap::new(),
@@ -143,7 +151,12 @@
     fn start_minion(&mut self, name: &str) {
         self.record(|| format!("minion {name} starts"));
         self.last_incarnation += 1;
-        self.minions.push(Minion::new(name, Incarnation(self.last_incarnation), CAPACITY));
+        let minion = Minion::new(name, Incarnation(self.last_incarnation), CAPACITY);
+        let minion = match self.executes_former_calls {
+            true => minion.with_clock(self.now, LEASE_LIMIT),
+            false => minion,
+        };
+        self.minions.push(minion);
     }
 
     pub(crate) fn run(mut self) -> Self {
@@ -207,7 +220,7 @@
         self.delayed_calls = rest;
         for (_, token, call, receiver) in Vec::from_iter::<Vec<_>>(due) {
             // Delayed calls are lost when the minion that received them restarts.
-            if self.incarnation_of(call.minion()) == receiver {
+            if self.executes_former_calls || self.incarnation_of(call.minion()) == receiver {
                 self.execute(token, &call);
             }
         }
@@ -229,6 +242,8 @@
             return;
         }
         owner.paused_until = None;
+        self.report_recent_restarts(index);
+        let owner = &mut self.owners[index];
         owner.plan_calls(&listed, self.table.ledger_version, now);
         while let Some(call) = self.owners[index].calls.pop_front() {
             if !self.make_call(index, call) {
@@ -306,17 +321,17 @@
             return Answer::Unknown;
         }
         let result = match call {
-            Call::Hold { acknowledged, deadline, .. } => {
+            Call::Hold { acknowledged, deadline, token, .. } => {
                 let history = &mut self.history;
-                minion.hold(token, *acknowledged, *deadline, now, history).map(Answer::Report)
+                minion.hold(*token, *acknowledged, *deadline, now, history).map(Answer::Report)
             }
             Call::Start { start, .. } => {
                 let start =
                     Start { fails: fails_next(&self.history, &start.task), ..start.clone() };
                 minion.start(&start, now, &mut self.history).map(|()| Answer::Done)
             }
-            Call::Stop { task, run, .. } => {
-                minion.stop(*task, *run, token, now).map(|()| Answer::Done)
+            Call::Stop { task, run, token, .. } => {
+                minion.stop(*task, *run, *token, now).map(|()| Answer::Done)
             }
             _ => Ok(Answer::Done),
         };
--- a/crates/engine/tests/all/model/simulation/fault.rs
+++ b/crates/engine/tests/all/model/simulation/fault.rs
@@ -101,7 +101,7 @@
             }
             Some(Fault::Partitioned) => {
                 let minion = call.minion().unwrap_or(MINION_IDS[0].into());
-                self.partitioned_until.insert(minion, self.now + PARTITION_DURATION);
+                self.partitioned_until.insert(minion, self.now + self.partition_duration);
                 self.execute(token, &call)
             }
             Some(Fault::Isolated) => {
@@ -134,6 +134,9 @@
             None if !self.owners[index].can_reach(call.minion(), self.now) => Answer::Unknown,
             None => self.execute(token, &call),
         };
+        if !matches!(answer, Answer::Unknown | Answer::OtherIncarnation) {
+            self.record_clock(index, &call);
+        }
         let recorded_answer = self.timeline.as_ref().map(|_| answer.clone());
         self.owners[index].handle_answer(&call, answer, self.now);
         if let Some(answer) = recorded_answer {
--- a/crates/engine/tests/all/model/simulation/takeover.rs
+++ b/crates/engine/tests/all/model/simulation/takeover.rs
@@ -3,12 +3,13 @@
 
 use super::{
     CANCELLED_JOB, EXTEND_ALONE_LIMIT, FAILING_JOB, FAILING_JOB_ATTEMPTS, LATE_JOBS,
-    LEASE_DURATION, Simulation, TAKEOVER_DELAY, WITHDRAWN_JOBS, base_jobs, late_job,
+    LEASE_DURATION, LEASE_LIMIT, Simulation, TAKEOVER_DELAY, WITHDRAWN_JOBS, base_jobs, late_job,
 };
 use crate::fixture::id;
 use crate::model::owner::Owner;
 use celerythread_engine::cell::{Cell, Queue, Settings};
 use celerythread_engine::job::{self, Accepted, Definition, Id, Origin};
+use celerythread_engine::lease;
 use celerythread_engine::ownership::former::{
     EarlierOwners, Evidence, Predecessors, Renewal, Sending, Source, Terms, Watch, is_inherited,
     lease_expiry, lease_expiry_after_stop, renewed_by_ms,
@@ -250,7 +251,9 @@
         let token = self.table.token;
         self.record(|| format!("owner {token} takes over until {former_lease_expiry:?}"));
         let generation = token as u32 - 1;
-        let mut cell = Cell::new(Settings::default(), generation, former_lease_expiry);
+        let lease_excess = lease::max_duration(LEASE_LIMIT) - lease::max_duration(LEASE_DURATION);
+        let settings = Settings { lease_excess, ..Settings::default() };
+        let mut cell = Cell::new(settings, generation, former_lease_expiry);
         let queue = Queue { attempts: ATTEMPTS, ..Queue::default() };
         cell.configure([(QUEUE.into(), queue)], 1);
         let has_former = former_lease_expiry.is_some();
@@ -277,8 +280,12 @@
             }
         }
         let mut owner = Owner::new(cell, token, now);
+        if self.executes_former_calls {
+            owner = owner.with_minion_clocks();
+        }
         owner.has_read_withdrawal = is_withdrawn;
         self.owners.push(owner);
+        self.report_recent_restarts(self.owners.len() - 1);
         self.observed_renewals = (self.table.renewals, now);
         self.candidate.version += 1;
         self.candidate.watch.record_holder(CELL, &owner_name(token), token, now);
--- a/crates/scheduler/src/confirm.rs
+++ b/crates/scheduler/src/confirm.rs
@@ -21,12 +21,22 @@
 /// Evidence that a transaction was committed.
 #[derive(Debug)]
 pub(crate) enum Confirmed {
-    /// The store answered.
-    Answered,
+    /// The store answered, with the version of the transaction.
+    Answered(u64),
     /// A read found this row.
     Found(Row),
 }
 
+impl Confirmed {
+    /// The version of the transaction.
+    pub(crate) fn version(&self) -> u64 {
+        match self {
+            Self::Answered(version) => *version,
+            Self::Found(row) => row.version,
+        }
+    }
+}
+
 /// Commits a transaction that writes the row `name`.  `is_done` tells whether a row that was read
 /// shows that the transaction was committed.
 ///
@@ -47,7 +57,7 @@
         let overdue = pin!(async_std::task::sleep(wait));
         let error = match select(answer.as_mut(), overdue).await {
             Either::Left((Err(error @ Error::Unanswered { .. }), _)) => Some(error),
-            Either::Left((answer, _)) => return answer.map(|_| Confirmed::Answered),
+            Either::Left((answer, _)) => return answer.map(Confirmed::Answered),
             Either::Right(_) => None,
         };
         if let Some(error) = error {
@@ -59,7 +69,7 @@
         let asked = clock::now();
         let reading = pin!(read_row(node, name));
         match select(answer.as_mut(), reading).await {
-            Either::Left((answer, _)) => return answer.map(|_| Confirmed::Answered),
+            Either::Left((answer, _)) => return answer.map(Confirmed::Answered),
             // Neither the commit nor the read is answered; another path may work.
             Either::Right((Err(error), _)) => return Err(unanswered_error(error.to_string())),
             Either::Right((Ok(row), _)) => {
--- a/crates/scheduler/src/membership.rs
+++ b/crates/scheduler/src/membership.rs
@@ -139,7 +139,10 @@
     };
     let is_this_renewal = |found: &Row| found.value == encode(&row);
     match confirm::commit(node, &change, RENEWAL_TIMEOUT, &name, is_this_renewal).await {
-        Ok(_) => node.record_renewal(sent, term, &owned),
+        Ok(confirmed) => {
+            record_held(node, &owned, confirmed.version());
+            node.record_renewal(sent, term, &owned)
+        }
         Err(Error::Conflict { rows: found }) => {
             release_lost_cells(node, &found);
             false
@@ -148,6 +151,15 @@
     }
 }
 
+/// Records that owners still held their cells at a version of the store.
+fn record_held(node: &Node, owned: &[(String, u64)], version: u64) {
+    for (cell, token) in owned {
+        if let Some(owner) = node.owner(cell).filter(|owner| owner.token == *token) {
+            owner.grants.record_held(&owner, version);
+        }
+    }
+}
+
 /// Applies the rows of cells that a renewal found to be held by other entries, and stops owning
 /// these cells.
 fn release_lost_cells(node: &Arc<Node>, found: &[Row]) {
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -43,6 +43,7 @@
 use celerythread_engine::absence::Absence;
 use celerythread_engine::cell::{Cell, Order, Permit, Refusal, StartResult};
 use celerythread_engine::job::{Accepted, Id, TaskName};
+use celerythread_engine::lease;
 use celerythread_engine::ownership::former::EarlierOwners;
 use celerythread_engine::recency::Recency;
 use celerythread_sync::Wake;
@@ -129,6 +130,8 @@
     pub(crate) cell: Mutex<Option<Cell>>,
     /// Version of the ledger's row; the lock keeps the owner's transactions in order.
     pub(crate) ledger: async_std::sync::Mutex<u64>,
+    /// Leases and fencing tokens of its minions.
+    pub(crate) grants: grant::Ledger,
     /// Where its jobs are stored that aren't in the partitions of its service.
     pub(crate) foreign: Foreign,
     /// Inherited minions that the platform's list of machines lacks.
@@ -178,6 +181,7 @@
             former,
             cell: Mutex::new(None),
             ledger: async_std::sync::Mutex::new(0),
+            grants: grant::Ledger::default(),
             foreign: Foreign::default(),
             absence: Mutex::default(),
             roster: Mutex::default(),
@@ -322,6 +326,10 @@
         let known: Vec<Arc<str>> = cell.minions().map(|minion| minion.id.clone()).collect();
         for (id, entry) in mine {
             cell.update_listing(id, entry.listing.clone());
+            let age = entry.listing.incarnation.map(grant::age);
+            if age.is_some_and(|age| age < lease::MAX_FORMER_CALLS_AGE) {
+                cell.record_recent_restart(id);
+            }
         }
         for id in &known {
             if minions.get(id).is_none_or(|entry| entry.service != self.service) {
--- a/crates/scheduler/src/owner/calls.rs
+++ b/crates/scheduler/src/owner/calls.rs
@@ -101,7 +101,7 @@
         deadline_ms: hold.deadline_ms,
         wait_ms: hold.wait.as_millis() as u32,
     };
-    let outcome = delegate.call(target, owner.token, request, timeout).await?;
+    let outcome = delegate.call(target, hold.token, request, timeout).await?;
     owner.node.metrics.count(Counter::Holds);
     owner.node.metrics.count(Counter::DelegatedCalls);
     owner.activity.record_poll();
@@ -123,10 +123,11 @@
     target: &Target,
     order: &Order,
     deadline_ms: u64,
+    token: u64,
 ) -> Result<Reply<StartResult>, Failure> {
     let timeout = owner.order_timeout.current();
     let sent = clock::now();
-    let result = request_start(owner, target, order, deadline_ms, timeout).await;
+    let result = request_start(owner, target, order, deadline_ms, token, timeout).await;
     let is_answered = !matches!(result, Ok(Reply::Done(StartResult::Unknown, _)) | Err(_));
     owner.order_timeout.record(sent, timeout, is_answered);
     result
@@ -137,10 +138,11 @@
     target: &Target,
     order: &Order,
     deadline_ms: u64,
+    token: u64,
     timeout: Duration,
 ) -> Result<Reply<StartResult>, Failure> {
     if let Some(delegate) = owner.delegation.route(owner, &target.id) {
-        match start_through(owner, &delegate, target, order, deadline_ms, timeout).await {
+        match start_through(owner, &delegate, target, order, deadline_ms, token, timeout).await {
             Err(Lost::NotAsked) => {}
             Err(Lost::Unanswered) => {
                 owner.node.metrics.count(Counter::DelegatedCallsLost);
@@ -150,7 +152,7 @@
         }
     }
     owner.node.metrics.count(Counter::MinionCalls);
-    owner.node.minion_client.start(target, order, deadline_ms, owner.token, timeout).await
+    owner.node.minion_client.start(target, order, deadline_ms, token, timeout).await
 }
 
 async fn start_through(
@@ -159,10 +161,11 @@
     target: &Target,
     order: &Order,
     deadline_ms: u64,
+    token: u64,
     timeout: Duration,
 ) -> Result<Result<Reply<StartResult>, Failure>, Lost> {
     let request = Request::Start { order: order.clone(), deadline_ms };
-    let outcome = delegate.call(target, owner.token, request, timeout).await?;
+    let outcome = delegate.call(target, token, request, timeout).await?;
     owner.node.metrics.count(Counter::DelegatedCalls);
     Ok(match outcome {
         Outcome::Started { result, clock_ms } => Ok(Reply::Done(result, clock_ms)),
@@ -193,11 +196,12 @@
     target: &Target,
     task: &TaskName,
     run: u32,
+    token: u64,
 ) -> Result<Reply<()>, Failure> {
     owner.node.metrics.count(Counter::MinionCalls);
     let timeout = owner.order_timeout.current();
     let sent = clock::now();
-    let result = owner.node.minion_client.stop(target, task, run, owner.token, timeout).await;
+    let result = owner.node.minion_client.stop(target, task, run, token, timeout).await;
     owner.order_timeout.record(sent, timeout, result.is_ok());
     let reason: Option<&dyn Display> = match &result {
         Ok(Reply::Refused(refusal)) => Some(refusal),
@@ -227,12 +231,13 @@
     task: &TaskName,
     run: u32,
     percent: u8,
+    token: u64,
 ) -> Result<Reply<()>, Failure> {
     owner.node.metrics.count(Counter::MinionCalls);
     let timeout = owner.order_timeout.current();
     let sent = clock::now();
     let client = &owner.node.minion_client;
-    let result = client.pace(target, task, run, percent, owner.token, timeout).await;
+    let result = client.pace(target, task, run, percent, token, timeout).await;
     owner.order_timeout.record(sent, timeout, result.is_ok());
     result
 }
--- a/crates/scheduler/src/owner/load.rs
+++ b/crates/scheduler/src/owner/load.rs
@@ -13,6 +13,7 @@
 use celerythread_engine::cell::policies::Stored;
 use celerythread_engine::cell::{Cell, Settings};
 use celerythread_engine::job::{Accepted, Progress, decode, encode};
+use celerythread_engine::lease;
 use celerythread_engine::maintenance::Machine;
 use celerythread_engine::ownership::former::{self, Bound, Terms};
 use celerythread_engine::termination;
@@ -126,6 +127,13 @@
     }
 }
 
+/// How much longer the longest lease that a minion grants is than the ones that owners ask for.
+fn lease_excess(owner: &Owner) -> Duration {
+    let settings = &owner.node.settings;
+    let limit = lease::max_duration(settings.lease_limit.0);
+    limit.saturating_sub(lease::max_duration(settings.run_lease.0))
+}
+
 async fn read_cell(owner: &Arc<Owner>) -> Result<u64, Error> {
     let (store, service) = (&owner.node.store, owner.service.as_str());
     let lease_expiry = former_lease_expiry(owner);
@@ -141,6 +149,7 @@
         token: owner.token,
         stop_timeout: owner.node.settings.stop_timeout.0,
         workspace_shares: owner.node.settings.workspace_shares,
+        lease_excess: lease_excess(owner),
         retention: owner.node.settings.retention.0 + Duration::from_secs(30),
         ..Settings::default()
     };
--- a/crates/scheduler/src/owner/supervisor.rs
+++ b/crates/scheduler/src/owner/supervisor.rs
@@ -6,7 +6,7 @@
 
 use crate::clock;
 use crate::metrics::Counter;
-use crate::owner::grant::Grants;
+use crate::owner::grant::{Grants, Reading};
 use crate::owner::starts::Unanswered;
 use crate::owner::{Owner, calls, dispatch, persist};
 use crate::rows;
@@ -54,7 +54,7 @@
     orders: orders::Queues,
     /// Wakes the polling task.
     pub(crate) poll_wake: Wake,
-    grants: Grants,
+    pub(crate) grants: Arc<Grants>,
 }
 
 impl Supervisor {
@@ -146,7 +146,7 @@
         target: Target { address, id: id.clone() },
         orders: orders::Queues::default(),
         poll_wake: Wake::default(),
-        grants: Grants::default(),
+        grants: owner.grants.of(owner, &id),
     });
     let former = owner.supervisors.lock().insert(id, supervisor.clone());
     if let Some(former) = former {
@@ -293,10 +293,11 @@
     let id = &supervisor.target.id;
     // After a miss no lease is extended until the minion has answered: extending leases on a minion
     // that doesn't answer would postpone their expiry forever.
-    let deadline_ms = if missed { None } else { supervisor.grants.next_deadline(owner, id) };
+    let deadline_ms = if missed { None } else { supervisor.grants.next_deadline(owner) };
     let wait = if missed { Duration::ZERO } else { poll.wait };
     let Poll { acknowledged, incarnation, .. } = poll;
-    let hold = Hold { token: owner.token, acknowledged, incarnation, deadline_ms, wait };
+    let token = supervisor.grants.token();
+    let hold = Hold { token, acknowledged, incarnation, deadline_ms, wait };
     let sent = clock::now();
     let (target, timeout) = (&supervisor.target, wait + ANSWER_TIMEOUT);
     let answer = match session {
@@ -310,7 +311,9 @@
             if owner.with(|cell| cell.minion(id).is_some_and(is_outdated)) == Some(true) {
                 return Ok(());
             }
-            supervisor.grants.update_clock(owner, id, clock_ms, sent);
+            let incarnation = report.incarnation;
+            let reading = Reading { clock_ms, token, sent, incarnation };
+            supervisor.grants.record_answer(owner, reading);
             apply_report(owner, id, &report, sent);
             Ok(())
         }
--- a/crates/scheduler/src/owner/supervisor/orders.rs
+++ b/crates/scheduler/src/owner/supervisor/orders.rs
@@ -2,6 +2,7 @@
 
 use crate::clock;
 use crate::metrics::{Counter, Timing};
+use crate::owner::grant::Reading;
 use crate::owner::starts::{self, Unanswered};
 use crate::owner::supervisor::{Poll, Supervisor, mark_terminated, poll};
 use crate::owner::{Owner, calls};
@@ -132,15 +133,15 @@
                 }
             }
             Order::Pace { task, run, percent, .. } => {
-                let to = &supervisor.target;
-                let paced = calls::pace(&owner, to, &task, run, percent).await;
+                let (to, token) = (&supervisor.target, supervisor.grants.token());
+                let paced = calls::pace(&owner, to, &task, run, percent, token).await;
                 if !matches!(paced, Ok(Reply::Done(..))) {
                     owner.with(|cell| cell.record_pace_failure(&to.id, &task, run));
                 }
             }
             Order::Stop { task, run, .. } => {
-                let to = &supervisor.target;
-                match calls::stop(&owner, to, &task, run).await {
+                let (to, token) = (&supervisor.target, supervisor.grants.token());
+                match calls::stop(&owner, to, &task, run, token).await {
                     Ok(Reply::Done(..)) => {
                         let now = clock::now();
                         owner.with(|cell| cell.confirm_stop(&to.id, &task, run, now));
@@ -203,17 +204,18 @@
         owner.node.metrics.count(Counter::StartsDropped);
         return StartResult::Refused(Refusal::TooLate);
     }
-    let Some(deadline_ms) = supervisor.grants.next_deadline(owner, &to.id) else {
+    let Some(deadline_ms) = supervisor.grants.next_deadline(owner) else {
         return StartResult::Refused(Refusal::Unhealthy);
     };
-    let sent = clock::now();
-    match calls::start(owner, to, order, deadline_ms).await {
+    let (sent, token) = (clock::now(), supervisor.grants.token());
+    match calls::start(owner, to, order, deadline_ms, token).await {
         Ok(Reply::Done(StartResult::Unknown, _)) => {
             owner.node.metrics.count(Counter::StartsUnknown);
             StartResult::Unknown
         }
         Ok(Reply::Done(result, clock_ms)) => {
-            if !supervisor.grants.update_clock(owner, &to.id, clock_ms, sent) {
+            let reading = Reading { clock_ms, token, sent, incarnation: None };
+            if !supervisor.grants.record_answer(owner, reading) {
                 supervisor.poll_wake.wake();
             }
             result
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -116,7 +116,7 @@
         ..Transaction::default()
     };
     match confirm::commit(node, &change, timeout, &name, |_| true).await {
-        Ok(Confirmed::Answered) => WriteOutcome::Accepted(job.row.to_vec()),
+        Ok(Confirmed::Answered(_)) => WriteOutcome::Accepted(job.row.to_vec()),
         Ok(Confirmed::Found(stored)) => WriteOutcome::Accepted(stored.value),
         Err(Error::Conflict { rows }) => match rows.into_iter().find(|row| !row.value.is_empty()) {
             Some(stored) => WriteOutcome::Accepted(stored.value),
