Name the grants of a cell, and correct comments of quarantines

The reading of the diff found a registry of grants that had the name of the stored ledger, a comment on quarantines that said something else than the code, and two that were hard to read. No behaviour changes.

--- a/crates/engine/src/cell/minion.rs
+++ b/crates/engine/src/cell/minion.rs
@@ -301,8 +301,8 @@
     /// Whether it can be given a long-running task that fits nowhere else, although it is to be
     /// emptied, or quarantined because runs failed there.
     ///
-    /// An empty one that is to be emptied may be ordered to shut down at any moment, so it never gets tasks again.  One
-    /// with runs is not shut down before this owner has reported it as empty.
+    /// An empty one that is to be emptied may be ordered to shut down at any moment, so it never gets
+    /// tasks again.  One with runs is not shut down before this owner has reported it as empty.
     pub(crate) fn is_fallback(&self, now: Time) -> bool {
         let is_emptied = self.leaving && !self.is_empty() && self.is_usable(now);
         is_emptied || !self.reserved && self.is_only_doubted(now)
--- a/crates/engine/src/cell/quarantine.rs
+++ b/crates/engine/src/cell/quarantine.rs
@@ -2,8 +2,8 @@
 //!
 //! A minion is judged by comparison.  What fails elsewhere, too, is the fault of the task, and a
 //! run that worked for long is evidence for its minion however it ended.  Failures count for a limited
-//! time only, and no verdict takes more than half of the minions that could accept tasks: if all of
-//! them seem to be at fault, the judgement is wrong more likely than they are.
+//! time only.  At least half of the minions that could accept tasks are left: if most of them seem to be
+//! at fault, the tasks are the likelier cause.
 
 use crate::cell::minion::{Minion, MinionId, RunPhase};
 use crate::cell::report::{End, EndReason};
@@ -89,7 +89,7 @@
 }
 
 impl Minion {
-    /// Whether it could accept tasks if it were not quarantined.
+    /// Whether it is quarantined, and only because runs failed there.
     fn is_judged_by_failures(&self, now: Time) -> bool {
         self.record.quarantined_until(now).is_some_and(|until| self.quarantined_until <= until)
     }
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -131,7 +131,7 @@
     /// Version of the ledger's row; the lock keeps the owner's transactions in order.
     pub(crate) ledger: async_std::sync::Mutex<u64>,
     /// Leases and fencing tokens of its minions.
-    pub(crate) grants: grant::Ledger,
+    pub(crate) grants: grant::Registry,
     /// Where its jobs are stored that aren't in the partitions of its service.
     pub(crate) foreign: Foreign,
     /// Inherited minions that the platform's list of machines lacks.
@@ -181,7 +181,7 @@
             former,
             cell: Mutex::new(None),
             ledger: async_std::sync::Mutex::new(0),
-            grants: grant::Ledger::default(),
+            grants: grant::Registry::default(),
             foreign: Foreign::default(),
             absence: Mutex::default(),
             roster: Mutex::default(),
--- a/crates/scheduler/src/owner/grant.rs
+++ b/crates/scheduler/src/owner/grant.rs
@@ -14,7 +14,7 @@
 /// The grants on all minions of a cell.  They outlast their supervisors, because the minion remembers
 /// the token, and calls of a former supervisor may still be executed.
 #[derive(Debug, Default)]
-pub(crate) struct Ledger {
+pub(crate) struct Registry {
     minions: Mutex<BTreeMap<MinionId, Arc<Grants>>>,
     /// The latest version of the store at which the owner is known to have held its cell.
     held_version: AtomicU64,
@@ -40,7 +40,7 @@
     pub(crate) incarnation: Option<Incarnation>,
 }
 
-impl Ledger {
+impl Registry {
     /// The grants on a minion.
     pub(crate) fn of(&self, owner: &Owner, minion: &MinionId) -> Arc<Grants> {
         let mut grants = self.minions.lock();
