--- a/tests/all/faults/fleet.rs
+++ b/tests/all/faults/fleet.rs
@@ -34,6 +34,31 @@
                 "engine::cell::plan::contested_starts",
                 "unanswered_starts_of_a_step_are_stopped_unseen_only_within_its_allowance",
             ),
+            (
+                "half of a pool stays in service, whatever takes machines out",
+                "engine::maintenance::reserve::Reserve::take",
+                "a_wave_keeps_a_machine_of_a_small_pool_in_service",
+            ),
+            (
+                "several waves share what a pool can do without",
+                "engine::maintenance::reserve::Reserve",
+                "several_waves_share_what_a_pool_can_do_without",
+            ),
+            (
+                "a machine returns to service when the last other of its pool is lost",
+                "engine::maintenance::reserve::Reserve::restore",
+                "a_machine_that_is_emptied_returns_when_the_last_other_is_lost",
+            ),
+            (
+                "no pool gives machines that it needs in service",
+                "engine::pools::Planner::plan",
+                "a_pool_gives_only_machines_that_it_can_do_without_in_service",
+            ),
+            (
+                "a machine is gone only by a list requested after its wave was known",
+                "engine::absence::Absence",
+                "a_list_from_before_the_wave_does_not_show_that_a_machine_is_gone",
+            ),
             (
                 "no more machines down than allowed",
                 "engine::maintenance::Planner::plan_wave",
--- a/tests/all/faults/jobs.rs
+++ b/tests/all/faults/jobs.rs
@@ -9,6 +9,16 @@
             ("the same job submitted again", &["a_job_submitted_again_runs_once"]),
             ("bad requests", &["an_invalid_job_is_refused_with_the_matching_status"]),
             ("a cancelled job", &["a_cancelled_job_ends_and_stays_cancelled"]),
+            (
+                "its queue is sent to another service, also back and forth, with owners lost, while an entry has the former configuration",
+                &[
+                    "a_job_that_is_submitted_again_after_its_queue_was_moved_remains_one",
+                    "jobs_of_both_services_are_known_after_a_queue_was_moved_back",
+                    "jobs_of_a_moved_queue_are_known_after_their_owners_were_lost",
+                    "entries_with_different_configurations_accept_one_job",
+                    "a_cancellation_before_the_move_applies_to_a_job_submitted_after_it",
+                ],
+            ),
             (
                 "a job that is stored after its cancellation: by a late write, a retry, unheard, before a takeover",
                 &[
@@ -197,6 +207,41 @@
                 "engine::cell::report::update_quarantine",
                 "a_minion_that_fails_two_jobs_in_a_row_is_quarantined",
             ),
+            (
+                "leases on a restarted minion count as the longest until it refuses calls of before",
+                "engine::lease::Grants::record_answer",
+                "leases_are_uncertain_until_a_call_with_a_higher_token_is_answered",
+            ),
+            (
+                "a successor reckons with leases by calls to a former incarnation",
+                "engine::lease::Grants::record_answer",
+                "a_successor_waits_for_leases_by_calls_to_the_former_incarnation",
+            ),
+            (
+                "a successor waits longer for a recently restarted minion that never answers",
+                "engine::cell::takeover::have_former_leases_expired",
+                "a_successor_waits_for_a_restarted_minion_that_never_answers_it",
+            ),
+            (
+                "failures that occur elsewhere, too, don't quarantine a minion",
+                "engine::cell::quarantine::fails_elsewhere",
+                "jobs_that_fail_everywhere_keep_no_minion_from_others",
+            ),
+            (
+                "failures long ago don't quarantine a minion",
+                "engine::cell::quarantine::Record::remove_old",
+                "failures_count_for_a_limited_time",
+            ),
+            (
+                "half of the minions get tasks whatever fails",
+                "engine::cell::quarantine::can_do_without",
+                "half_of_the_minions_get_tasks_whatever_fails",
+            ),
+            (
+                "a minion that fails everything gets no tasks",
+                "engine::cell::quarantine::judge",
+                "a_minion_that_fails_everything_is_quarantined",
+            ),
             (
                 "a stalled run is stopped",
                 "engine::cell::plan::stop_stalled",
