--- a/tests/all/site/moved_queues.rs
+++ b/tests/all/site/moved_queues.rs
@@ -66,9 +66,14 @@
     // A new job runs on the new service.
     assert_eq!(deployment.submit(2, &id(2), 2, "ms=60000").await, 200);
     deployment.wait_for_state(0, &id(2), "running").await;
-    let hall = deployment.site.workers.iter().filter(|(id, _)| id.starts_with("hall"));
-    let running = hall.map(|(_, entry)| entry.worker.running().len()).sum::<usize>();
-    assert_eq!(running, 2);
+    // The job is running as soon as the first of its tasks is.
+    eventually("both of its tasks run there", async || {
+        let workers = deployment.site.workers.iter();
+        let hall = workers.filter(|(id, _)| id.starts_with("hall"));
+        let running = hall.map(|(_, entry)| entry.worker.running().len()).sum::<usize>();
+        (running == 2).then_some(())
+    })
+    .await;
     deployment.cancel_and_assert_stopped(1, &[&id(1), &id(2)]).await;
 }
 
