Tests of crowds that hold what they are given, and an instance's memory and descriptors as settings

tests/crowds/ starts entries as processes on loopback over the stand-in of the platform, with an instance of 48 MiB (or 300 and 700 descriptors) by its settings, one test at a time, in a test binary of its own. The bound is what the settings say; crowds are 150 to 370 connections or jobs. The stand-in's store refuses rows above 65,536 bytes, as the users' pages say.

--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -1,8 +1,10 @@
 //! The settings of an entry: an INI file, checked as a whole.
 
+mod machine;
+
 use celerythread_engine::timeout;
 use celerythread_model::ini::{Mistake, Reader};
-use celerythread_model::unit::Span;
+use celerythread_model::unit::{Bytes, Span};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,6 +17,10 @@
     pub zone: String,
     /// The processor cores that it may use.
     pub cores: f64,
+    /// The memory that it may use.
+    pub memory: Bytes,
+    /// The file descriptors that it may open.
+    pub descriptors: u64,
     /// The address at which callers reach it.
     pub caller_listen: SocketAddr,
     /// The address of its readiness check; may be the callers' address.
@@ -69,6 +75,10 @@
     pub stop_bound: Span,
     /// Largest body of a caller's request, in bytes.
     pub body_limit: u64,
+    /// Longest time for receiving a whole body, apart from the time for its size.
+    pub body_timeout: Span,
+    /// Largest value of a row that the store keeps, in bytes.
+    pub row_bytes: u64,
     /// Whether requests with a key are refused while this entry may have missed the key's
     /// withdrawal.
     pub strict_keys: bool,
@@ -105,6 +115,8 @@
             name: "entry".into(),
             zone: "zone".into(),
             cores: 1.0,
+            memory: Bytes::mebi(256),
+            descriptors: 4096,
             caller_listen: any_port,
             ready_listen: any_port,
             peer_listen: any_port,
@@ -139,6 +151,8 @@
             contact: Span::millis(3000),
             stop_bound: Span::millis(6000),
             body_limit: 262_144,
+            body_timeout: Span::secs(15),
+            row_bytes: 65_536,
             strict_keys: false,
             trust_keys_for: Span::millis(5000),
         }
@@ -194,9 +208,13 @@
             name: reader.required("instance", "name").unwrap_or(defaults.name),
             zone: reader.required("instance", "zone").unwrap_or(defaults.zone),
             cores: reader.value("instance", "cores", defaults.cores),
+            memory: reader.value("instance", "memory", defaults.memory),
+            descriptors: reader.value("instance", "descriptors", defaults.descriptors),
             caller_listen,
             ready_listen: reader.value("caller", "ready_listen", caller_listen),
             body_limit: reader.value("caller", "body_limit", defaults.body_limit),
+            body_timeout: reader.value("caller", "body_timeout", defaults.body_timeout),
+            row_bytes: reader.value("platform", "row_bytes", defaults.row_bytes),
             strict_keys: reader.value("caller", "strict_keys", defaults.strict_keys),
             trust_keys_for: reader.value("caller", "trust_keys_for", defaults.trust_keys_for),
             peer_listen: reader.required("peer", "listen").unwrap_or(defaults.peer_listen),
@@ -239,6 +257,7 @@
     /// Reports contradictions between keys, and values out of range.
     fn check(&self, reader: &mut Reader) {
         use celerythread_model::code::Code;
+        self.check_machine(reader);
         if self.takeover_after.0 < self.renew.0 * 3 {
             let text = format!(
                 "takeover_after {} is less than three renewals of {}; a healthy entry would lose its cells",
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -22,6 +22,9 @@
 /// Maximum number of entries in one transaction: conditions, writes and deletions.
 const MAX_TRANSACTION_ENTRIES: usize = 100;
 
+/// Largest value of a row, in bytes.
+const MAX_VALUE_LEN: usize = 65_536;
+
 /// How the store handles calls.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum FaultMode {
@@ -335,6 +338,13 @@
     {
         return answer(400, json!({}));
     }
+    let value_len = |row: &Value| {
+        let decoded = STANDARD.decode(row["value"].as_str().unwrap_or_default());
+        decoded.map_or(0, |value| value.len())
+    };
+    if list("writes").iter().any(|row| value_len(row) > MAX_VALUE_LEN) {
+        return answer(400, json!({}));
+    }
     let mismatched: Vec<Value> = list("expect")
         .iter()
         .filter(|row| {
--- a/tests/all/pages.rs
+++ b/tests/all/pages.rs
@@ -66,6 +66,9 @@
         ("{{listenAddrs.frontend}}", "10.1.0.9:8624"),
         ("{{listenAddrs.readiness}}", "10.1.0.9:8622"),
         ("{{limits.cpuShare}}", "0.25"),
+        ("{{#limits.memoryMb}}memory = {{.}}MiB{{/limits.memoryMb}}", "memory = 260MiB"),
+        ("{{#limits.maxFds}}descriptors = {{.}}{{/limits.maxFds}}", "descriptors = 4100"),
+        ("{{#platform.rowBytes}}row_bytes = {{.}}{{/platform.rowBytes}}", "row_bytes = 65536"),
         ("{{ip}}", "10.1.0.9"),
         ("{{internalPorts.0}}", "7060"),
         ("{{platform.address}}", "10.200.1.7:8621"),
@@ -106,6 +109,8 @@
     assert_eq!(settings.maintenance_duration.0.as_millis(), 2500);
     assert_eq!(settings.orders_per_s, 590.0);
     assert_eq!(settings.order_alone.0.as_millis(), 10_000);
+    assert_eq!(settings.memory.to_string(), "260MiB");
+    assert_eq!(settings.descriptors, 4100);
     assert_eq!(settings.contact.0.as_millis(), 6000);
     assert_eq!(settings.cancel_within.0.as_millis(), 4000);
     assert_eq!(settings.lease_limit.0.as_millis(), 6000);
@@ -206,9 +211,10 @@
 fn the_tests_that_incidents_name_exist() {
     let root = env!("CARGO_MANIFEST_DIR");
     let mut sources = String::new();
-    const FOLDERS: [&str; 5] = [
+    const FOLDERS: [&str; 6] = [
         "tests/all",
         "tests/all/site",
+        "tests/crowds",
         "crates/engine/tests/all",
         "crates/http/tests",
         "crates/policy/tests",
--- /dev/null
+++ b/tests/crowds/requests.rs
@@ -0,0 +1,128 @@
+//! Crowds of whole requests, and single requests that can't be served.
+
+use crate::client::{self, Crowd, submission};
+use crate::deployment::{Deployment, Machine};
+use celerythread_standin::site::store::FaultMode;
+use std::time::Duration;
+
+/// Connections of a crowd.
+const CROWD: usize = 200;
+
+/// Longest time for the answers to a crowd's requests.
+const ANSWER_TIME: Duration = Duration::from_secs(3);
+
+/// Most bytes of a job's `spec`, by the platform's protocol.
+const SPEC_LIMIT: usize = 4000;
+
+/// The default of the setting `caller.body_limit`.
+const BODY_LIMIT: usize = 262_144;
+
+/// Bytes that each connection sends in turn: all of them.
+const AT_ONCE: usize = usize::MAX / 2;
+
+/// Time until a task of a job that must not run is due, in milliseconds.
+const LATER_MS: u64 = 3_600_000;
+
+fn id(number: usize) -> String {
+    format!("{number:016x}")
+}
+
+/// A job that is due later, with this many steps of one task each.
+pub(crate) fn scheduled_job(steps: usize, spec: &str) -> Vec<u8> {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    let start = now.as_millis() as u64 + LATER_MS;
+    let steps = vec![r#"{"count":1}"#; steps].join(",");
+    format!(r#"{{"spec":"{spec}","steps":[{steps}],"repetitions":1,"startAtMs":{start}}}"#)
+        .into_bytes()
+}
+
+/// Sends whole requests with one body to the first of two entries; returns the statuses.
+fn play(deployment: &mut Deployment, body: &[u8], count: usize) -> Vec<u16> {
+    let messages = (0..count).map(|number| submission(&id(number), body));
+    let mut crowd = Crowd::connect(deployment.entries[0].callers, messages);
+    crowd.send(AT_ONCE);
+    crowd.receive_for(ANSWER_TIME);
+    crowd.statuses()
+}
+
+/// Guards against a process that runs out of memory because it encodes and stores jobs that the
+/// platform's protocol doesn't allow.
+#[test]
+fn jobs_with_a_spec_beyond_the_protocol_are_refused() {
+    let mut deployment = Deployment::start(2, Machine::default());
+    let body = format!(r#"{{"steps":[{{"count":1}}],"spec":"{}"}}"#, "x".repeat(262_000));
+    let statuses = play(&mut deployment, body.as_bytes(), CROWD);
+    assert!(!statuses.contains(&200), "a job with a longer spec was accepted");
+    deployment.check_ordinary_request();
+    deployment.check_machines();
+}
+
+/// Guards against the same with jobs whose row is larger than the store keeps.
+#[test]
+fn jobs_beyond_a_row_of_the_store_are_refused() {
+    let mut deployment = Deployment::start(2, Machine::default());
+    let body = scheduled_job(20_000, "");
+    let statuses = play(&mut deployment, &body, CROWD);
+    assert!(!statuses.contains(&200), "a job that the store doesn't keep was accepted");
+    deployment.check_ordinary_request();
+    deployment.check_machines();
+}
+
+/// Guards against a decoded form that is many times larger than its text.
+#[test]
+fn bodies_of_empty_steps_are_decoded_within_the_memory() {
+    let mut deployment = Deployment::start(2, Machine::default());
+    let count = (BODY_LIMIT - 20) / 3;
+    let body = format!(r#"{{"steps":[{}]}}"#, vec!["{}"; count].join(","));
+    let statuses = play(&mut deployment, body.as_bytes(), CROWD);
+    assert!(!statuses.contains(&200), "a job with empty steps was accepted");
+    deployment.check_ordinary_request();
+    deployment.check_machines();
+}
+
+/// Guards against requests that hold their jobs in several forms while the store doesn't answer.
+#[test]
+fn requests_that_wait_for_the_store_are_held_within_the_memory() {
+    let mut deployment = Deployment::start(2, Machine::default());
+    let body = scheduled_job(2500, &"x".repeat(SPEC_LIMIT));
+    deployment.site.store.set_fault_mode(FaultMode::Silent);
+    play(&mut deployment, &body, CROWD);
+    deployment.site.store.set_fault_mode(FaultMode::None);
+    deployment.check_ordinary_request();
+    deployment.check_machines();
+}
+
+/// Guards against a deadline that no clock can reach.
+#[test]
+fn a_request_with_the_longest_deadline_is_answered() {
+    let mut deployment = Deployment::start(2, Machine::default());
+    let head = format!(
+        "Content-Length: 23\r\nX-Celerythread-Deadline-Ms: {}\r\nConnection: close",
+        u64::MAX
+    );
+    let mut message = client::submission_head(&id(1), &head).into_bytes();
+    message.extend(br#"{"steps":[{"count":1}]}"#);
+    let mut crowd = Crowd::connect(deployment.entries[0].callers, std::iter::once(message));
+    crowd.send(AT_ONCE);
+    crowd.receive_for(ANSWER_TIME);
+    assert_eq!(crowd.statuses(), [200]);
+    deployment.check_ordinary_request();
+    deployment.check_machines();
+}
+
+/// Guards against a process that runs out of descriptors because each request that waits for the
+/// store has a connection to it.
+#[test]
+fn requests_that_read_the_store_leave_descriptors() {
+    let machine = Machine { descriptors: 700, ..Machine::default() };
+    let mut deployment = Deployment::start(2, machine);
+    let question = |number| format!("GET /q/{} HTTP/1.1\r\nHost: jobs.example\r\n\r\n", id(number));
+    let messages = (0..370).map(|number| question(number).into_bytes());
+    deployment.site.store.set_fault_mode(FaultMode::Silent);
+    let mut crowd = Crowd::connect(deployment.entries[0].callers, messages);
+    crowd.send(AT_ONCE);
+    crowd.receive_for(ANSWER_TIME);
+    deployment.site.store.set_fault_mode(FaultMode::None);
+    deployment.check_ordinary_request();
+    deployment.check_machines();
+}
