Reserve the memory for what clients send before it is held, and close connections that wait

Cause: `body::Reader::collect` grew a buffer for each of 3,000 connections, up to `body_limit` each, and nothing had reserved it; only the wait for each read was bounded, so a byte now and then held the place for good. All listeners shared one count of connections, and a full count closed the new ones.

`http::memory::Budget` is an eighth of the instance's memory, shared by all listeners. A body is received into it as its bytes arrive; a declared length reserves nothing. 4 KiB of each body count with its connection, and bodies up to 16 KiB have a quarter for themselves, so ordinary ones find room. When it is used up, the body with the lowest rate of those that are 2 s old is given up, else the one that needs memory: 503 with Retry-After before the body was received whole, so it certainly hasn't run. `http::connections::Places` gives a new connection the place of the one that waits longest for a request, then of an unfinished head or body; never of one that is answered. Each listener has its own places. A whole body has `caller.body_timeout` and a second for each 64 KiB; chunk extensions and trailers are bounded in sum. The kernel's receive buffer is set to 32 KiB. Chunks of a byte no longer cost an allocation each, and an answer's buffer is as large as the answer. The product's own interface receives its bodies in the same way and loses its count after the fact.

Related paths: heads above 1 KiB are reserved with 4 times their length; the callers', readiness, metrics and operators' listeners all go through `listener::serve`. Not changed: bodies forwarded by the product's own interface are held in two more forms.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,6 +1,5 @@
 //! Starting a daemon, and stopping it gracefully: requests in flight are finished.
 
-use crate::bounded;
 use crate::claims::{self, Claims};
 use crate::clock::Clock;
 use crate::connections::Connections;
@@ -19,7 +18,9 @@
 use crate::timeline::Timeline;
 use async_std::future::timeout;
 use async_std::net::TcpListener;
+use celerythread_http::connections::Places;
 use celerythread_http::listener::{self, Server};
+use celerythread_http::memory::Budget;
 use celerythread_http::server::{Limits, Stop};
 use celerythread_model::event::Kind;
 use celerythread_model::id;
@@ -51,7 +52,7 @@
 /// one, live peers are heard again before their minions would be taken over.
 const PAUSE_TAKEOVER_DIVISOR: u32 = 2;
 
-/// Most connections of callers at once; each can hold one request body in memory.
+/// Most connections of callers at once, and of operators.
 const MAX_CONNECTIONS: usize = 4096;
 
 /// Why a daemon could not start.
@@ -82,7 +83,7 @@
     stop: StopSource,
     closing: StopSource,
     ended: StopSource,
-    connections: Arc<AtomicUsize>,
+    connections: Places,
 }
 
 /// The result of a graceful stop.
@@ -127,7 +128,7 @@
             stop,
             closing,
             ended,
-            connections: Arc::default(),
+            connections: Places::new(MAX_CONNECTIONS),
         };
         daemon.serve_operators(operators);
         daemon.serve_callers(callers);
@@ -171,9 +172,8 @@
         let handler = Arc::new(CallerHandler::new(self.node.clone()));
         let limits = self.node.settings.caller_limits.clone();
         let stop = Stop { closing: self.closing.token(), ended: self.ended.token() };
-        let connections = self.connections.clone();
-        let service =
-            Server { handler, limits, stop, connections, max_connections: MAX_CONNECTIONS };
+        let (places, memory) = (self.connections.clone(), self.node.memory.clone());
+        let service = Server { handler, limits, stop, places, memory };
         async_std::task::spawn(listener::serve(listener, service));
     }
 
@@ -182,9 +182,8 @@
         let handler = Arc::new(Operator::new(self.node.clone()));
         let limits = Limits::default();
         let stop = Stop { closing: self.stop.token(), ended: self.stop.token() };
-        let connections = Arc::default();
-        let service =
-            Server { handler, limits, stop, connections, max_connections: MAX_CONNECTIONS };
+        let (places, memory) = (Places::new(MAX_CONNECTIONS), self.node.memory.clone());
+        let service = Server { handler, limits, stop, places, memory };
         async_std::task::spawn(listener::serve(listener, service));
     }
 
@@ -217,7 +216,7 @@
         drop(self.ended);
         let remaining = || stop_timeout.saturating_sub(node.clock.now().since(started));
         let busy = || {
-            self.connections.load(Ordering::SeqCst) > 0
+            self.connections.open_count() > 0
                 || node.in_flight.load(Ordering::SeqCst) > 0
                 || node.claims.unsettled() > 0
         };
@@ -225,7 +224,7 @@
             async_std::task::sleep(STOP_POLL_INTERVAL).await;
         }
         let mut report = Report {
-            unanswered: self.connections.load(Ordering::SeqCst),
+            unanswered: self.connections.open_count(),
             unsettled: node.claims.unsettled(),
             deregistered: false,
         };
@@ -273,7 +272,7 @@
     let longest_heartbeat = settings.heartbeat_interval.0.max(settings.remote_heartbeat_interval.0);
     Node {
         entry_id,
-        memory: bounded::MemoryBudget::new(settings.body_memory.0),
+        memory: Budget::with_room_for_large(settings.body_memory.0),
         settings,
         clock,
         platform: Platform { table: Arc::new(table), ..platform },
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -14,8 +14,9 @@
 use crate::node::Node;
 use crate::problem::Problem;
 use async_trait::async_trait;
-use celerythread_http::Fault;
+use celerythread_http::memory::Reservation;
 use celerythread_http::server::{Handler, Request};
+use celerythread_http::{Fault, Limit};
 use celerythread_model::code::Code;
 use celerythread_model::config::{Document, MAX_DEADLINE, Service};
 use celerythread_model::id;
@@ -25,9 +26,10 @@
 use celerythread_policy::quota::Quota;
 use http_types::{Response, StatusCode};
 use parking_lot::Mutex;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Retry-After while claims cannot be recorded or the first request is still running.
 const CLAIM_RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -35,6 +37,12 @@
 /// Retry-After while this instance stops; the retry reaches another one.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Retry-After of a request that was refused because too many are being received.
+const OVERLOADED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Shortest time between two log lines about limits that clients reach.
+const LIMIT_LINE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Maximum length of an idempotency key.
 const MAX_KEY_BYTES: usize = 128;
 
@@ -64,6 +72,8 @@
     node: Arc<Node>,
     budgets: Budgets,
     quota: Mutex<Quota>,
+    /// When it was last logged that a client has reached a limit.
+    last_limit_line: Mutex<Option<Instant>>,
 }
 
 /// A checked request.
@@ -71,11 +81,18 @@
     prepared: PreparedRequest,
     team: Option<id::Team>,
     key: Option<String>,
+    /// Memory that is reserved for the request's head and body.
+    _memory: [Reservation; 2],
 }
 
 impl CallerHandler {
     pub(crate) fn new(node: Arc<Node>) -> Self {
-        Self { node, budgets: Mutex::default(), quota: Mutex::default() }
+        Self {
+            node,
+            budgets: Mutex::default(),
+            quota: Mutex::default(),
+            last_limit_line: Mutex::default(),
+        }
     }
 
     async fn answer(&self, request: Request) -> Result<Response, Problem> {
@@ -83,11 +100,6 @@
             let problem = Problem::new(Code::Stopping, "this instance is stopping");
             return Err(problem.retry_after(STOPPING_RETRY_AFTER));
         }
-        let size = request.body.len() as u64;
-        let Some(_memory) = self.node.memory.reserve(size) else {
-            let problem = Problem::new(Code::Overloaded, "too many request bodies in memory");
-            return Err(problem.retry_after(Duration::from_secs(1)));
-        };
         let document = self.node.view.read().document().clone();
         let checked = check_request(&self.node, &document, request)?;
         let _quota = self.acquire_quota(&checked, &document)?;
@@ -230,7 +242,19 @@
     fn error_response(&self, fault: &Fault) -> Response {
         let code = fault.request_code();
         self.node.metrics.count_refusal(code);
-        Problem::new(code, fault.to_string()).response()
+        let problem = Problem::new(code, fault.to_string());
+        match fault {
+            Fault::Overloaded { .. } => problem.retry_after(OVERLOADED_RETRY_AFTER).response(),
+            _ => problem.response(),
+        }
+    }
+
+    fn limit_reached(&self, limit: Limit, client: Option<SocketAddr>) {
+        let mut last_line = self.last_limit_line.lock();
+        if last_line.is_none_or(|at| at.elapsed() >= LIMIT_LINE_INTERVAL) {
+            *last_line = Some(Instant::now());
+            log::warn!(limit:% = limit, client:? = client; "limit_reached");
+        }
     }
 }
 
@@ -296,7 +320,8 @@
         headers: forwarded_headers(&request),
         body: request.body,
     };
-    Ok(CheckedRequest { prepared, team, key })
+    let memory = [request.head_memory, request.body_memory];
+    Ok(CheckedRequest { prepared, team, key, _memory: memory })
 }
 
 fn service<'a>(document: &'a Document, request: &Request) -> Result<&'a Service, Problem> {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,7 +13,6 @@
 //! counts.  [`settings`] reads and checks the INI file; [`daemon`] starts all of this and stops
 //! it gracefully.
 
-mod bounded;
 mod claims;
 mod clock;
 mod connections;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -5,7 +5,6 @@
 //! `view` → `router` → `peers` → `grants_in_use` → `timeline` → `pause_detector`.  A lock is only
 //! taken while locks before it in this list are held, and no lock is held across an await.
 
-use crate::bounded;
 use crate::claims::Claims;
 use crate::clock::Clock;
 use crate::connections::Connections;
@@ -14,6 +13,7 @@
 use crate::router::Router;
 use crate::settings::Settings;
 use crate::timeline::Timeline;
+use celerythread_http::memory::Budget;
 use celerythread_model::event::Kind;
 use celerythread_model::id;
 use celerythread_platform::Platform;
@@ -55,7 +55,7 @@
     /// Counters.
     pub(crate) metrics: Arc<Metrics>,
     /// Memory budget for request bodies.
-    pub(crate) memory: bounded::MemoryBudget,
+    pub(crate) memory: Budget,
     /// Whether the load balancer may send callers here.
     pub(crate) ready: AtomicBool,
     /// Detects pauses of this process.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -159,6 +159,13 @@
                     shortest,
                     hour,
                 ),
+                body_timeout: reader.ranged(
+                    "caller",
+                    "body_timeout",
+                    limits.body_timeout,
+                    shortest,
+                    hour,
+                ),
             },
             body_memory: reader.ranged(
                 "caller",
--- a/crates/http/src/fault.rs
+++ b/crates/http/src/fault.rs
@@ -2,6 +2,19 @@
 
 use celerythread_model::code::Code;
 use snafu::Snafu;
+use strum::{Display, EnumCount, VariantArray};
+
+/// A limit of the process that clients can reach.
+#[derive(Clone, Copy, Debug, Display, EnumCount, Eq, PartialEq, VariantArray)]
+#[strum(serialize_all = "snake_case")]
+pub enum Limit {
+    /// Memory for requests.
+    Memory,
+    /// Open connections of a listener.
+    Connections,
+    /// Time for receiving a whole body.
+    BodyTime,
+}
 
 /// An error of the framing or of the connection.
 #[derive(Debug, Snafu)]
@@ -40,6 +53,12 @@
         /// The limit in bytes.
         limit: u64,
     },
+    /// A limit of the process was reached before the request was received whole.
+    #[snafu(display("too many requests: the limit of {limit} is reached"))]
+    Overloaded {
+        /// The limit.
+        limit: Limit,
+    },
     /// The stream ended inside a message.
     #[snafu(display("the stream ended inside a message"))]
     Truncated,
@@ -66,6 +85,7 @@
             Fault::ConflictingLength { .. } => Code::ConflictingLength,
             Fault::UnsupportedCoding { .. } => Code::UnsupportedCoding,
             Fault::BodyTooLarge { .. } => Code::BodyTooLarge,
+            Fault::Overloaded { .. } => Code::Overloaded,
             Fault::Timeout { .. } => Code::RequestTimeout,
             Fault::Truncated | Fault::Closed | Fault::Io { .. } => Code::BodyIncomplete,
         }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,23 +1,43 @@
 //! The server side: one connection, one request at a time.
 
+mod head_io;
+mod response;
+
 use crate::Fault;
+use crate::Limit;
 use crate::body;
-use crate::head;
+use crate::connections::{Phase, Place, Places};
+use crate::head::{self, Length};
+use crate::memory::{Budget, Reservation};
 use crate::stream::{Duplex, Stream};
-use async_std::io::{Read, ReadExt, Write};
+use async_std::future::timeout;
 use async_trait::async_trait;
 use celerythread_model::unit::{Bytes, Span};
 use futures::FutureExt as _;
+use head_io::MemoryIo;
 use http_types::{Method, Response};
-use std::io::Cursor;
-use std::pin::Pin;
-use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use response::write_response;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 use stop_token::StopToken;
 use stop_token::future::FutureExt;
 
-/// Most bytes of a response written at once.
-const MAX_WRITE_LEN: usize = 64 * 1024;
+/// Bytes of a head for which no memory is reserved.
+const FREE_HEAD_LEN: usize = 1024;
+
+/// Bytes that a decoded head takes for each byte that was received.
+const HEAD_MEMORY_FACTOR: u64 = 4;
+
+/// Memory beside its body for the requests of a connection that shares nothing.
+const UNSHARED_MEMORY: u64 = 256 * 1024;
+
+/// Bytes per second from which on a body has more than [`Limits::body_timeout`]: larger bodies may
+/// take as long as they do at this rate, and that time.
+const MIN_BODY_RATE: f64 = 64.0 * 1024.0;
+
+/// Longest time for which the rest of a refused request is discarded.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Limits of one connection.
 #[derive(Clone, Debug)]
@@ -30,6 +50,8 @@
     pub head_timeout: Span,
     /// Longest wait for each read of a body and each write of a response.
     pub progress_timeout: Span,
+    /// Longest time for receiving a whole body, apart from the time for its size.
+    pub body_timeout: Span,
 }
 
 impl Default for Limits {
@@ -39,6 +61,7 @@
             idle_timeout: Span::secs(60),
             head_timeout: Span::secs(10),
             progress_timeout: Span::secs(20),
+            body_timeout: Span::secs(20),
         }
     }
 }
@@ -49,6 +72,10 @@
     pub head: http_types::Request,
     /// The whole body.
     pub body: Vec<u8>,
+    /// Memory that is reserved for the head.
+    pub head_memory: Reservation,
+    /// Memory that is reserved for the body.
+    pub body_memory: Reservation,
 }
 
 impl Request {
@@ -83,6 +110,10 @@
 
     /// The response to a request that could not be read.
     fn error_response(&self, fault: &Fault) -> Response;
+
+    /// Records that a client has reached a limit, and that its request was refused or its connection
+    /// closed.
+    fn limit_reached(&self, _limit: Limit, _peer: Option<SocketAddr>) {}
 }
 
 /// The two signals of a graceful stop.
@@ -94,7 +125,28 @@
     pub ended: StopToken,
 }
 
-/// Serves a connection until it ends or, between two requests, until `stop.ended`.
+/// What a connection takes of the process.
+#[derive(Debug)]
+pub struct Resources {
+    /// Memory for requests, shared with other connections.
+    pub memory: Budget,
+    /// Its place among the connections.
+    pub place: Place,
+    /// The address of the client, if known.
+    pub peer: Option<SocketAddr>,
+}
+
+impl Resources {
+    /// Resources that are shared with no other connection.
+    fn unshared(limits: &Limits) -> Self {
+        let memory = Budget::new(2 * limits.max_body.0 + UNSHARED_MEMORY);
+        let place = Places::new(1).take(Instant::now()).expect("a place is free");
+        Self { memory, place, peer: None }
+    }
+}
+
+/// Serves a connection that shares nothing with others until it ends or, between two requests,
+/// until `stop.ended`.
 ///
 /// For a graceful stop, a request of which at least one byte was received is still read and
 /// answered.
@@ -104,215 +156,211 @@
     limits: &Limits,
     stop: &Stop,
 ) {
-    let mut stream = Stream::new(io);
-    while serve_request(&mut stream, handler.as_ref(), limits, stop).await {}
+    serve_within(io, handler, limits, stop, Resources::unshared(limits)).await;
 }
 
-/// Serves one request and returns whether the connection can carry another one.
-async fn serve_request(
-    stream: &mut Stream,
-    handler: &dyn Handler,
-    limits: &Limits,
-    stop: &Stop,
-) -> bool {
-    if stream.buffered().is_empty() {
-        let first = stream.fill(limits.idle_timeout.0, "waiting for a request");
-        match first.timeout_at(stop.ended.clone()).await {
-            Ok(Ok(count)) if count > 0 => {}
-            _ => return false,
-        }
-    }
-    match read_head(stream, limits).await {
-        Ok(head) => {
-            let method = head.decoded.method();
-            let received = match handler.admit(&head.decoded) {
-                Some(response) => return reject(stream, head, response, limits, stop).await,
-                None => read_body(stream, head, limits).await,
-            };
-            let (request, keep_alive) = match received {
-                Ok(read) => read,
-                Err(fault) => return respond_and_close(stream, handler, &fault, limits).await,
-            };
-            let response = handler.handle(request).await;
-            // A stopping server announces the close on its last response, so that the client does
-            // not send another request on a connection that is about to close.
-            let keep_alive = keep_alive && !is_closing(stop);
-            write_response(stream, response, method, keep_alive, limits).await.is_ok() && keep_alive
-        }
-        Err(Fault::Closed) => false,
-        Err(fault) => respond_and_close(stream, handler, &fault, limits).await,
-    }
-}
-
-/// Responds to a request that could not be read and ends the connection, since the start of the
-/// next request is unknown.
-async fn respond_and_close(
-    stream: &mut Stream,
-    handler: &dyn Handler,
-    fault: &Fault,
-    limits: &Limits,
-) -> bool {
-    let response = handler.error_response(fault);
-    let _ = write_response(stream, response, Method::Get, false, limits).await;
-    false
-}
-
-/// Refuses a request before its body is read and returns whether the connection can carry another
-/// one.
-///
-/// The body is read and discarded: closing the connection with unread bytes would reset it, and
-/// the response could be lost.
-async fn reject(
-    stream: &mut Stream,
-    head: Head,
-    response: Response,
+/// The same for a connection that takes its resources from those of the process.
+pub async fn serve_within(
+    io: impl Duplex + 'static,
+    handler: Arc<dyn Handler>,
     limits: &Limits,
     stop: &Stop,
-) -> bool {
-    let method = head.decoded.method();
-    // A client that expects `100 Continue` may or may not send the body, so the start of the next
-    // request is unknown.
-    let keep_alive = head.framing.keep_alive && !head.framing.expects_continue && !is_closing(stop);
-    if write_response(stream, response, method, keep_alive, limits).await.is_err() || !keep_alive {
-        return false;
-    }
-    let mut reader = body::Reader::new(head.framing.length, limits.progress_timeout.0);
-    reader.discard(stream, limits.max_body.0).await.is_ok()
-}
-
-fn is_closing(stop: &Stop) -> bool {
-    stop.closing.clone().now_or_never().is_some()
+    resources: Resources,
+) {
+    let stream = Stream::new(io);
+    let mut session = Session { stream, handler: handler.as_ref(), limits, stop, resources };
+    while session.serve_request().await {}
 }
 
 /// The head of a request whose body has not been read yet.
 struct Head {
     framing: head::Request,
     decoded: http_types::Request,
+    reserved: Reservation,
 }
 
-async fn read_head(stream: &mut Stream, limits: &Limits) -> Result<Head, Fault> {
-    let bytes = head::read(stream, limits.head_timeout.0).await?;
-    let mut framing = head::Request::parse(bytes)?;
-    let bytes = std::mem::take(&mut framing.bytes);
-    match async_h1::server::decode(MemoryIo::new(bytes)).await {
-        Ok(Some((decoded, _))) => Ok(Head { framing, decoded }),
-        Ok(None) => Err(Fault::Malformed { reason: "empty head".into() }),
-        Err(error) => Err(Fault::Malformed { reason: error.to_string() }),
-    }
+/// A connection that is being served.
+struct Session<'a> {
+    stream: Stream,
+    handler: &'a dyn Handler,
+    limits: &'a Limits,
+    stop: &'a Stop,
+    resources: Resources,
 }
 
-async fn read_body(
-    stream: &mut Stream,
-    head: Head,
-    limits: &Limits,
-) -> Result<(Request, bool), Fault> {
-    let Head { framing, decoded } = head;
-    if framing.expects_continue {
-        // async-h1 would write this after the final response.
-        stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n", limits.progress_timeout.0).await?;
+impl Session<'_> {
+    /// Serves one request and returns whether the connection can carry another one.
+    async fn serve_request(&mut self) -> bool {
+        if self.stream.buffered().is_empty() && !self.wait_for_request().await {
+            return false;
+        }
+        self.enter(Phase::Head);
+        let closed = self.resources.place.closed();
+        let head = match unless_closed(self.read_head(), closed).await {
+            Ok(head) => head,
+            Err(Fault::Closed) => return false,
+            Err(fault) => return self.respond_and_close(&fault, None).await,
+        };
+        if let Some(response) = self.handler.admit(&head.decoded) {
+            return self.reject(head, response).await;
+        }
+        self.enter(Phase::Body);
+        let method = head.decoded.method();
+        let mut reader = self.body_reader(&head.framing);
+        let (request, keep_alive) = match self.read_body(head, &mut reader).await {
+            Ok(read) => read,
+            Err(fault) => return self.respond_and_close(&fault, Some(reader)).await,
+        };
+        self.enter(Phase::Answering);
+        let response = self.handler.handle(request).await;
+        // A stopping server announces the close on its last response, so that the client does
+        // not send another request on a connection that is about to close.
+        let keep_alive = keep_alive && !self.is_closing();
+        write_response(&mut self.stream, response, method, keep_alive, self.limits).await.is_ok()
+            && keep_alive
     }
-    let mut reader = body::Reader::new(framing.length, limits.progress_timeout.0);
-    let body = reader.collect(stream, limits.max_body.0).await.map_err(|fault| match fault {
-        // The stream ended inside the body, not between messages.
-        Fault::Closed => Fault::Truncated,
-        other => other,
-    })?;
-    Ok((Request { head: decoded, body }, framing.keep_alive))
-}
 
-/// Writes a response.  A response whose body fails or is shorter than declared ends the connection,
-/// so that the client detects the error and never reads the next head as part of the body.
-async fn write_response(
-    stream: &mut Stream,
-    mut response: Response,
-    method: Method,
-    keep_alive: bool,
-    limits: &Limits,
-) -> Result<(), Fault> {
-    if !keep_alive {
-        response.insert_header("connection", "close");
-    }
-    let declared = response.len().filter(|_| method != Method::Head);
-    let mut encoder = async_h1::server::Encoder::new(response, method);
-    let mut piece = vec![0; MAX_WRITE_LEN];
-    let mut counter = BodyCounter::new(declared);
-    loop {
-        let count = encoder.read(&mut piece).await.map_err(|source| Fault::Io { source })?;
-        if count == 0 {
-            break;
+    /// Waits for the first byte of a request; false if there will be none.
+    async fn wait_for_request(&mut self) -> bool {
+        self.enter(Phase::Waiting);
+        let closed = self.resources.place.closed();
+        let first = self.stream.fill(self.limits.idle_timeout.0, "waiting for a request");
+        match unless_closed(first, closed).timeout_at(self.stop.ended.clone()).await {
+            Ok(Err(Fault::Overloaded { limit })) => {
+                self.handler.limit_reached(limit, self.resources.peer);
+                false
+            }
+            Ok(Ok(count)) => count > 0,
+            _ => false,
         }
-        counter.record(&piece[..count]);
-        stream.write_all(&piece[..count], limits.progress_timeout.0).await?;
     }
-    if counter.is_short() { Err(Fault::Truncated) } else { Ok(()) }
-}
 
-/// Counts the bytes of the body, after the head, of an encoded response.
-struct BodyCounter {
-    declared: Option<usize>,
-    in_head: bool,
-    head_bytes: Vec<u8>,
-    body: usize,
-}
+    async fn read_head(&mut self) -> Result<Head, Fault> {
+        let bytes = head::read(&mut self.stream, self.limits.head_timeout.0).await?;
+        let reserved = HEAD_MEMORY_FACTOR * bytes.len().saturating_sub(FREE_HEAD_LEN) as u64;
+        let reserved = self.resources.memory.reserve(reserved, Instant::now());
+        let reserved = reserved.map_err(|_| Fault::Overloaded { limit: Limit::Memory })?;
+        let mut framing = head::Request::parse(bytes)?;
+        let bytes = std::mem::take(&mut framing.bytes);
+        match async_h1::server::decode(MemoryIo::new(bytes)).await {
+            Ok(Some((decoded, _))) => Ok(Head { framing, decoded, reserved }),
+            Ok(None) => Err(Fault::Malformed { reason: "empty head".into() }),
+            Err(error) => Err(Fault::Malformed { reason: error.to_string() }),
+        }
+    }
 
-impl BodyCounter {
-    fn new(declared: Option<usize>) -> Self {
-        Self { declared, in_head: true, head_bytes: Vec::new(), body: 0 }
+    fn body_reader(&self, framing: &head::Request) -> body::Reader {
+        let length = match framing.length {
+            Length::Exact(length) => length.min(self.limits.max_body.0),
+            Length::Chunked | Length::UntilClose => self.limits.max_body.0,
+        };
+        let time = Duration::from_secs_f64(length as f64 / MIN_BODY_RATE);
+        let deadline = Instant::now() + self.limits.body_timeout.0 + time;
+        let progress_timeout = self.limits.progress_timeout.0;
+        body::Reader::new(framing.length, progress_timeout).with_deadline(deadline)
     }
 
-    fn record(&mut self, bytes: &[u8]) {
-        if !self.in_head {
-            self.body += bytes.len();
-            return;
+    async fn read_body(
+        &mut self,
+        head: Head,
+        reader: &mut body::Reader,
+    ) -> Result<(Request, bool), Fault> {
+        let Head { framing, decoded, reserved } = head;
+        if framing.expects_continue {
+            // async-h1 would write this after the final response.
+            let timeout = self.limits.progress_timeout.0;
+            self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n", timeout).await?;
         }
-        self.head_bytes.extend_from_slice(bytes);
-        if let Some(at) = self.head_bytes.windows(4).position(|window| window == b"\r\n\r\n") {
-            self.in_head = false;
-            self.body = self.head_bytes.len() - at - 4;
-            self.head_bytes = Vec::new();
+        if framing.length == Length::Exact(0) {
+            let body_memory = self.resources.memory.nothing();
+            let request =
+                Request { head: decoded, body: Vec::new(), head_memory: reserved, body_memory };
+            return Ok((request, framing.keep_alive));
         }
+        let limit = self.limits.max_body.0;
+        let mut incoming = self.resources.memory.receive(limit, Instant::now());
+        let closed = self.resources.place.closed();
+        let given_up = incoming.given_up();
+        let receiving = reader.receive(&mut self.stream, &mut incoming, limit);
+        let receiving = unless_closed(receiving, closed).timeout_at(given_up);
+        let received = receiving.await.unwrap_or(Err(Fault::Overloaded { limit: Limit::Memory }));
+        received.map_err(|fault| match fault {
+            // The stream ended inside the body, not between messages.
+            Fault::Closed => Fault::Truncated,
+            other => other,
+        })?;
+        let whole = incoming.finish().map_err(|_| Fault::Overloaded { limit: Limit::Memory });
+        let (body, body_memory) = whole?;
+        let request = Request { head: decoded, body, head_memory: reserved, body_memory };
+        Ok((request, framing.keep_alive))
     }
 
-    fn is_short(&self) -> bool {
-        self.declared.is_some_and(|declared| self.body < declared)
+    /// Responds to a request that could not be read and ends the connection, since the start of the
+    /// next request is unknown.
+    async fn respond_and_close(&mut self, fault: &Fault, rest: Option<body::Reader>) -> bool {
+        let limit = match fault {
+            Fault::Overloaded { limit } => Some(*limit),
+            Fault::Timeout { .. } if rest.is_some() => Some(Limit::BodyTime),
+            _ => None,
+        };
+        if let Some(limit) = limit {
+            self.handler.limit_reached(limit, self.resources.peer);
+        }
+        let response = self.handler.error_response(fault);
+        let written =
+            write_response(&mut self.stream, response, Method::Get, false, self.limits).await;
+        if let (Ok(()), Some(rest), Fault::Overloaded { .. }) = (written, rest, fault) {
+            self.discard(rest).await;
+        }
+        false
     }
-}
-
-/// An in-memory head with the I/O traits that `async_h1::server::decode` requires.
-#[derive(Clone)]
-struct MemoryIo(Arc<Mutex<Cursor<Vec<u8>>>>);
 
-impl MemoryIo {
-    fn new(bytes: Vec<u8>) -> Self {
-        Self(Arc::new(Mutex::new(Cursor::new(bytes))))
+    /// Discards the rest of a request for a while: closing a connection with unread bytes resets it,
+    /// and the response could be lost.
+    async fn discard(&mut self, mut rest: body::Reader) {
+        self.enter(Phase::Discarding);
+        let closed = self.resources.place.closed();
+        let discarding = rest.discard(&mut self.stream, self.limits.max_body.0);
+        // The connection ends in any case.
+        let _ = timeout(DISCARD_TIMEOUT, unless_closed(discarding, closed)).await;
     }
-}
 
-impl Read for MemoryIo {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-        buffer: &mut [u8],
-    ) -> Poll<std::io::Result<usize>> {
-        let mut cursor = self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-        Poll::Ready(std::io::Read::read(&mut *cursor, buffer))
+    /// Refuses a request before its body is read and returns whether the connection can carry
+    /// another one.
+    async fn reject(&mut self, head: Head, response: Response) -> bool {
+        let method = head.decoded.method();
+        // A client that expects `100 Continue` may or may not send the body, so the start of the
+        // next request is unknown.
+        let framing = &head.framing;
+        let keep_alive = framing.keep_alive && !framing.expects_continue && !self.is_closing();
+        let mut reader = self.body_reader(framing);
+        let written =
+            write_response(&mut self.stream, response, method, keep_alive, self.limits).await;
+        if written.is_err() || !keep_alive {
+            return false;
+        }
+        // The body is read: closing the connection with unread bytes would reset it, and the
+        // response could be lost.
+        self.enter(Phase::Discarding);
+        let closed = self.resources.place.closed();
+        let discarding = reader.discard(&mut self.stream, self.limits.max_body.0);
+        unless_closed(discarding, closed).await.is_ok()
     }
-}
 
-impl Write for MemoryIo {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        Poll::Ready(Ok(bytes.len()))
+    fn enter(&self, phase: Phase) {
+        self.resources.place.enter(phase, Instant::now());
     }
 
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Poll::Ready(Ok(()))
+    fn is_closing(&self) -> bool {
+        self.stop.closing.clone().now_or_never().is_some()
     }
+}
 
-    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
+/// Waits for a result unless the connection loses its place before.
+async fn unless_closed<T>(
+    receiving: impl Future<Output = Result<T, Fault>>,
+    closed: StopToken,
+) -> Result<T, Fault> {
+    let limit = Limit::Connections;
+    receiving.timeout_at(closed).await.unwrap_or(Err(Fault::Overloaded { limit }))
 }
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -26,35 +26,42 @@
 pub struct Stream {
     io: Box<dyn Duplex>,
     buffer: Vec<u8>,
+    /// Where the bytes that were received and not yet consumed begin and end in the buffer.
     start: usize,
+    end: usize,
 }
 
 impl Stream {
     /// Wraps a connection.
     pub fn new(io: impl Duplex + 'static) -> Self {
-        Self { io: Box::new(io), buffer: Vec::new(), start: 0 }
+        Self { io: Box::new(io), buffer: Vec::new(), start: 0, end: 0 }
     }
 
     /// The bytes received and not yet consumed.
     pub fn buffered(&self) -> &[u8] {
-        &self.buffer[self.start..]
+        &self.buffer[self.start..self.end]
     }
 
     /// Removes and returns up to `n` buffered bytes.
     pub fn consume(&mut self, n: usize) -> Vec<u8> {
-        let end = (self.start + n).min(self.buffer.len());
-        let bytes = self.buffer[self.start..end].to_vec();
-        self.start = end;
-        if self.start == self.buffer.len() {
-            self.buffer.clear();
-            self.start = 0;
+        let bytes = self.buffered()[..n.min(self.buffered().len())].to_vec();
+        self.skip(n);
+        bytes
+    }
+
+    /// Removes up to `n` buffered bytes.
+    pub fn skip(&mut self, n: usize) {
+        self.start = (self.start + n).min(self.end);
+        if self.start == self.end {
+            (self.start, self.end) = (0, 0);
             // An idle connection keeps only a small buffer, since an entry has hundreds of them.
+            self.buffer.truncate(MIN_READ_LEN);
             self.buffer.shrink_to(MIN_READ_LEN);
         }
-        bytes
     }
 
-    /// Reads more bytes into the buffer and returns how many; 0 at the end of the stream.
+    /// Reads more bytes into the buffer and returns how many; 0 at the end of the stream.  Nothing is
+    /// lost when the future is dropped before it is ready.
     ///
     /// # Errors
     /// `Timeout` when nothing was received within `max_wait`, `Io` when the connection failed.
@@ -63,20 +70,18 @@
         max_wait: Duration,
         operation: &'static str,
     ) -> Result<usize, Fault> {
-        if self.start > 0 {
-            self.buffer.drain(..self.start);
-            self.start = 0;
+        self.buffer.copy_within(self.start..self.end, 0);
+        (self.start, self.end) = (0, self.end - self.start);
+        let wanted = self.end + self.end.clamp(MIN_READ_LEN, MAX_READ_LEN);
+        if self.buffer.len() < wanted {
+            self.buffer.resize(wanted, 0);
         }
-        let length = self.buffer.len();
-        self.buffer.resize(length + length.clamp(MIN_READ_LEN, MAX_READ_LEN), 0);
-        let read = timeout(max_wait, self.io.read(&mut self.buffer[length..])).await;
-        let count = match &read {
-            Ok(Ok(count)) => *count,
-            _ => 0,
-        };
-        self.buffer.truncate(length + count);
-        match read {
-            Ok(result) => result.context(fault::IoSnafu),
+        match timeout(max_wait, self.io.read(&mut self.buffer[self.end..])).await {
+            Ok(result) => {
+                let count = result.context(fault::IoSnafu)?;
+                self.end += count;
+                Ok(count)
+            }
             Err(_) => fault::TimeoutSnafu { operation }.fail(),
         }
     }
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -18,9 +18,10 @@
 use async_std::net::TcpListener;
 use celerythread_adapter::store::{Name, Transaction};
 use celerythread_engine::job::{decode, encode};
-use celerythread_http::Fault;
+use celerythread_http::connections::Places;
 use celerythread_http::listener::{self, Server};
 use celerythread_http::server::{Handler, Limits, Request, Stop};
+use celerythread_http::{Fault, Limit};
 use celerythread_model::unit::{Bytes, Span};
 use celerythread_wire::authority::{self, Pair};
 use celerythread_wire::{Endpoint, Identity, endpoint};
@@ -28,7 +29,7 @@
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use stop_token::StopSource;
 
@@ -42,8 +43,9 @@
 /// Part of the stop bound that is left for the process to exit.
 const PROCESS_EXIT_MARGIN: Duration = Duration::from_millis(800);
 
-/// Maximum number of open caller connections.  The smallest instances allow 4,100 file descriptors.
-const MAX_CONNECTIONS: usize = 3000;
+/// Size of the kernel's receive buffer of a client's connection: what a client sends while its
+/// earlier request is processed stays there.  Unset, the kernel lets it grow to megabytes.
+const RECEIVE_BUFFER_LEN: usize = 32 * 1024;
 
 /// Delay before a failed startup call, or an incomplete handover, is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -71,7 +73,6 @@
     stop: StopSource,
     closing: StopSource,
     ended: StopSource,
-    connections: Arc<AtomicUsize>,
 }
 
 impl Daemon {
@@ -80,31 +81,29 @@
     /// # Errors
     /// When a listener cannot be bound.
     pub async fn start(settings: Settings) -> Result<Self, Error> {
-        let caller_listener = listen(settings.caller_listen).await?;
+        let caller_listener = listen(settings.caller_listen)?;
         let address = local_address(&caller_listener, settings.caller_listen)?;
-        let mut listeners = vec![caller_listener];
-        if settings.ready_listen != settings.caller_listen {
-            listeners.push(listen(settings.ready_listen).await?);
-        }
+        let readiness = match settings.ready_listen {
+            address if address == settings.caller_listen => None,
+            address => Some(listen(address)?),
+        };
         let metrics = match settings.metrics_listen {
-            Some(address) => Some(listen(address).await?),
+            Some(address) => Some(listen(address)?),
             None => None,
         };
+        let callers_places = Places::new(settings.max_caller_connections());
+        let monitoring_places = || Places::new(settings.max_monitoring_connections());
+        let (readiness_places, metrics_places) = (monitoring_places(), monitoring_places());
         let (stop, closing, ended) = (StopSource::new(), StopSource::new(), StopSource::new());
         let node = Arc::new(Node::new(settings, Peers::default(), stop.token()));
-        let daemon = Self {
-            node,
-            caller_address: address,
-            stop,
-            closing,
-            ended,
-            connections: Arc::default(),
-        };
-        for listener in listeners {
-            daemon.serve(listener, Arc::new(CallerHandler::new(daemon.node.clone())));
+        let daemon = Self { node, caller_address: address, stop, closing, ended };
+        let callers = Arc::new(CallerHandler::new(daemon.node.clone()));
+        daemon.serve(caller_listener, callers.clone(), callers_places);
+        if let Some(listener) = readiness {
+            daemon.serve(listener, callers, readiness_places);
         }
         if let Some(listener) = metrics {
-            daemon.serve(listener, Arc::new(MetricsPage(daemon.node.clone())));
+            daemon.serve(listener, Arc::new(MetricsPage(daemon.node.clone())), metrics_places);
         }
         daemon.spawn_tasks();
         Ok(daemon)
@@ -125,17 +124,18 @@
         &self.node.journal
     }
 
-    fn serve(&self, listener: TcpListener, handler: Arc<dyn Handler>) {
+    fn serve(&self, listener: TcpListener, handler: Arc<dyn Handler>, places: Places) {
+        let settings = &self.node.settings;
         let limits = Limits {
-            max_body: Bytes(self.node.settings.body_limit),
+            max_body: Bytes(settings.body_limit),
             idle_timeout: Span::secs(30),
             head_timeout: Span::secs(3),
             progress_timeout: Span::secs(5),
+            body_timeout: settings.body_timeout,
         };
         let stop = Stop { closing: self.closing.token(), ended: self.ended.token() };
-        let connections = self.connections.clone();
-        let service =
-            Server { handler, limits, stop, connections, max_connections: MAX_CONNECTIONS };
+        let memory = self.node.request_memory.clone();
+        let service = Server { handler, limits, stop, places, memory };
         async_std::task::spawn(listener::serve(listener, service));
     }
 
@@ -220,14 +220,28 @@
 impl Handler for MetricsPage {
     async fn handle(&self, _: Request) -> Response {
         let mut response = Response::new(StatusCode::Ok);
-        let dropped = self.0.journal.dropped();
-        let lines = format!("celerythread_lines_dropped_total {dropped}\n");
-        response.set_body(self.0.metrics.page() + &lines);
+        let node = &self.0;
+        let lines = format!(
+            "celerythread_lines_dropped_total {}\n\
+             celerythread_request_memory_bytes{{kind=\"reserved\"}} {}\n\
+             celerythread_request_memory_bytes{{kind=\"limit\"}} {}\n",
+            node.journal.dropped(),
+            node.request_memory.reserved(),
+            node.settings.request_memory(),
+        );
+        response.set_body(node.metrics.page() + &lines);
         response
     }
 
-    fn error_response(&self, _: &Fault) -> Response {
-        Response::new(StatusCode::BadRequest)
+    fn error_response(&self, fault: &Fault) -> Response {
+        Response::new(match fault {
+            Fault::Overloaded { .. } => StatusCode::ServiceUnavailable,
+            _ => StatusCode::BadRequest,
+        })
+    }
+
+    fn limit_reached(&self, limit: Limit, client: Option<SocketAddr>) {
+        self.0.record_limit(limit, "metrics", client);
     }
 }
 
@@ -323,8 +337,14 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address).await.context(ListenSnafu { address })
+/// Listens at an address; accepted connections inherit the size of the receive buffer.
+fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    let listener = std::net::TcpListener::bind(address).context(ListenSnafu { address })?;
+    let set = socket2::SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_LEN);
+    if let Err(error) = set {
+        log::warn!(reason:% = error; "receive_buffer_unset");
+    }
+    Ok(listener.into())
 }
 
 fn local_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, Error> {
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -22,13 +22,14 @@
     Accepted, Cancellation, DefinitionError, Id, Origin, State, Terms, encode,
 };
 use celerythread_engine::submission::retry_after_s;
-use celerythread_http::Fault;
 use celerythread_http::server::{Handler, Request};
+use celerythread_http::{Fault, Limit};
 use celerythread_wire::job::{Answer, Question};
 use context::{Context, DEFAULT_DEADLINE, InFlight};
 use http_types::headers::HeaderValue;
 use http_types::{Method, Response, StatusCode};
 use parking_lot::Mutex;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -435,10 +436,16 @@
             Fault::BodyTooLarge { .. } => StatusCode::PayloadTooLarge,
             Fault::HeadTooLarge { .. } => StatusCode::RequestHeaderFieldsTooLarge,
             Fault::Timeout { .. } => StatusCode::RequestTimeout,
+            // Not received whole, so it is certainly not run.
+            Fault::Overloaded { .. } => return unavailable_response(DEFAULT_DEADLINE),
             _ => StatusCode::BadRequest,
         };
         status_response(status)
     }
+
+    fn limit_reached(&self, limit: Limit, client: Option<SocketAddr>) {
+        self.node.record_limit(limit, "callers", client);
+    }
 }
 
 fn last_value<'a>(head: &'a http_types::Request, name: &str) -> Option<&'a str> {
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use celerythread_engine::cell::FailureReason;
 use celerythread_engine::cell::capacity::{Capacity, Usability, WaitReason};
+use celerythread_http::Limit;
 use hdrhistogram::Histogram;
 use parking_lot::Mutex;
 use std::collections::BTreeMap;
@@ -112,6 +113,8 @@
     counters: Vec<AtomicU64>,
     /// Failed jobs by reason.
     failures: Vec<AtomicU64>,
+    /// Requests refused and connections closed, by the limit that was reached.
+    limits: Vec<AtomicU64>,
     timings: Vec<Mutex<Histogram<u32>>>,
     /// By service.
     capacities: Mutex<BTreeMap<String, CellCapacity>>,
@@ -128,6 +131,7 @@
         Self {
             counters: zeros(Counter::COUNT),
             failures: zeros(FailureReason::COUNT),
+            limits: zeros(Limit::COUNT),
             timings: (0..Timing::COUNT).map(|_| histogram()).collect(),
             capacities: Mutex::default(),
         }
@@ -155,6 +159,11 @@
         self.failures[reason as usize].fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts a request that was refused, or a connection that was closed, for a limit.
+    pub fn count_limit(&self, limit: Limit) {
+        self.limits[limit as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Records a duration, of at least 1 ms.
     pub fn time(&self, timing: Timing, took: Duration) {
         self.timings[timing as usize].lock().saturating_record((took.as_millis() as u64).max(1));
@@ -188,6 +197,10 @@
             let value = self.failures[*reason as usize].load(Ordering::Relaxed);
             let _ = writeln!(page, "celerythread_jobs_failed_total{{reason=\"{reason}\"}} {value}");
         }
+        for limit in Limit::VARIANTS {
+            let value = self.limits[*limit as usize].load(Ordering::Relaxed);
+            let _ = writeln!(page, "celerythread_limit_reached_total{{limit=\"{limit}\"}} {value}");
+        }
         for timing in Timing::VARIANTS {
             let histogram = self.timings[*timing as usize].lock();
             for quantile in [0.5, 0.9, 0.99, 1.0] {
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -25,6 +25,8 @@
 use celerythread_engine::ownership;
 use celerythread_engine::time::Time;
 use celerythread_engine::timeout::Timeout;
+use celerythread_http::Limit;
+use celerythread_http::memory::Budget;
 use celerythread_sync::Wake;
 use parking_lot::{Mutex, RwLock};
 use std::collections::BTreeMap;
@@ -126,6 +128,8 @@
     pub(crate) stopping: AtomicBool,
     /// Requests of callers being processed.
     pub(crate) in_flight: AtomicU64,
+    /// Memory for the requests that are being received or processed.
+    pub(crate) request_memory: Budget,
     /// Stops the background tasks.
     pub(crate) stop: StopToken,
 }
@@ -138,6 +142,7 @@
         let advice = settings
             .advice
             .map(|address| async_std::sync::Mutex::new(advice::Client::new(service(address))));
+        let request_memory = Budget::new(settings.request_memory());
         Self {
             advice,
             entry_id: format!("{}.{:08x}", settings.name, rand::random::<u32>()),
@@ -168,6 +173,7 @@
             store_doubted: Wake::default(),
             stopping: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
+            request_memory,
             stop,
         }
     }
@@ -177,6 +183,16 @@
         async_std::task::sleep(time).timeout_at(self.stop.clone()).await.is_ok()
     }
 
+    /// Counts and logs that a client has reached a limit at one of the listeners.
+    pub(crate) fn record_limit(&self, limit: Limit, listener: &str, client: Option<SocketAddr>) {
+        self.metrics.count_limit(limit);
+        let client = client.map_or_else(|| "-".to_owned(), |client| client.to_string());
+        self.journal.warn(
+            "limit_reached",
+            &[("limit", &limit), ("listener", &listener), ("client", &client)],
+        );
+    }
+
     /// Whether no new work is accepted any more.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
