Refuse at once what is never servable, and keep only the row while the store answers

Requests with many small steps, empty ones too, did the same, and an entry that owned nothing held hundreds of MB. A request with the longest deadline got no answer.

Cause: nothing compared a job with what the store keeps. Decoding held each step twice, and the decoded job was held until the store had answered; that, and not its jobs, is what the entry held that owned nothing. The number of requests that are processed at the same time, each with a connection to the store, had no bound. A deadline was added to the clock as it came.

A body's JSON objects are counted before it is decoded: a job with more steps than fit into a row (`platform.row_bytes`), a `spec` above 4,000 bytes and a larger row are refused with 413, as a mistake of the client. The memory for decoding is reserved first. Steps are converted one by one, and only the row outlives `CallerHandler::prepare`; ten times its length is reserved while the store hasn't answered and the owner hasn't been notified. At most an eighth of the sockets' number of requests are processed at once, further ones get 503. Request ids and paths are cut to 128 characters in log lines, whose queue is bounded by lines.

--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -4,7 +4,9 @@
 use crate::cell::minion::MinionId;
 use crate::cell::quarantine::Outcomes;
 use crate::cell::quota::{AccountId, Charge};
-use crate::job::{Accepted, Definition, Id, Progress, State, Step, TaskName, TrialPlace, Trials};
+use crate::job::{
+    Accepted, Definition, Id, Progress, State, Step, TaskName, TrialPlace, Trials, core_ms,
+};
 use crate::time::Time;
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, BTreeSet};
@@ -125,12 +127,15 @@
         let steps = definition.steps.len();
         let count_open =
             |step: usize| -> u32 { open_counts.iter().skip(step).step_by(steps).sum() };
-        let step_core_ms = |(number, step): (usize, &Step)| {
-            u64::from(count_open(number)) * step.need.cpu * step.estimate_ms / 1000
-        };
+        let step_core_ms = |(number, step): (usize, &Step)| core_ms(count_open(number), step);
         Self {
             critical_path_ms: definition.critical_path_ms(|step| count_open(step) > 0),
-            core_ms: definition.steps.iter().enumerate().map(step_core_ms).sum(),
+            core_ms: definition
+                .steps
+                .iter()
+                .enumerate()
+                .map(step_core_ms)
+                .fold(0, u64::saturating_add),
         }
     }
 }
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -217,10 +217,16 @@
 
     /// Estimated work of the whole step in core-milliseconds.
     pub fn core_ms(&self) -> u64 {
-        u64::from(self.count) * self.need.cpu * self.estimate_ms / 1000
+        core_ms(self.count, self)
     }
 }
 
+/// Estimated work of some tasks of a step in core-milliseconds; the factors are as large as callers
+/// choose.
+pub(crate) fn core_ms(tasks: u32, step: &Step) -> u64 {
+    u64::from(tasks).saturating_mul(step.need.cpu).saturating_mul(step.estimate_ms) / 1000
+}
+
 /// When a job's occurrences are due.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Schedule {
@@ -232,6 +238,11 @@
     pub interval_ms: u64,
 }
 
+/// Number of steps above which a job's row is certainly longer than `row_bytes`.
+pub fn max_steps(row_bytes: usize) -> usize {
+    row_bytes / encode(&Step::default()).len()
+}
+
 /// The definition of a job, as its caller submits it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Definition {
@@ -313,8 +324,9 @@
 
     /// Due time of an occurrence in milliseconds since 1970; none for immediately.
     pub fn due_ms(&self, occurrence: u32) -> Option<u64> {
-        self.schedule
-            .map(|schedule| schedule.start_at_ms + u64::from(occurrence) * schedule.interval_ms)
+        let schedule = self.schedule?;
+        let interval = u64::from(occurrence).saturating_mul(schedule.interval_ms);
+        Some(schedule.start_at_ms.saturating_add(interval))
     }
 
     /// Whether any step runs until the job is cancelled.
@@ -324,7 +336,7 @@
 
     /// Estimated work of one occurrence in core-milliseconds.
     pub fn core_ms(&self) -> u64 {
-        self.steps.iter().map(Step::core_ms).sum()
+        self.steps.iter().map(Step::core_ms).fold(0, u64::saturating_add)
     }
 
     /// Estimated duration in milliseconds of the critical path; steps for which `open` returns
@@ -334,7 +346,7 @@
         for (number, step) in self.steps.iter().enumerate() {
             let begin = step.after.iter().filter_map(|after| ends.get(*after as usize)).max();
             let own = if open(number) { step.estimate_ms } else { 0 };
-            ends.push(begin.copied().unwrap_or(0) + own);
+            ends.push(begin.copied().unwrap_or(0).saturating_add(own));
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/crates/engine/src/submission.rs
+++ b/crates/engine/src/submission.rs
@@ -29,6 +29,9 @@
 /// response this late.
 const MAX_RESPONSE_MARGIN: Duration = Duration::from_millis(150);
 
+/// Longest time that a request is given, however long its caller waits.
+const MAX_DEADLINE: Duration = Duration::from_secs(60);
+
 /// Minimum remaining time of a caller that is asked to wait before its retry.  The wait is at least
 /// one second, the unit of `retry-after`; a caller with less time than this should ask another
 /// entry immediately.
@@ -80,6 +83,7 @@
 /// fixed margin refused callers that retried with less time than the margin, although a write takes
 /// only some 10 ms.
 pub fn usable_time(deadline: Duration) -> Duration {
+    let deadline = deadline.min(MAX_DEADLINE);
     deadline - (deadline / RESPONSE_MARGIN_DIVISOR).min(MAX_RESPONSE_MARGIN)
 }
 
--- a/crates/http/src/fault.rs
+++ b/crates/http/src/fault.rs
@@ -14,6 +14,8 @@
     Connections,
     /// Time for receiving a whole body.
     BodyTime,
+    /// Requests that are being processed.
+    Requests,
 }
 
 /// An error of the framing or of the connection.
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -1,16 +1,15 @@
 //! The HTTP interface to callers.
 
+mod accept;
 mod cancel;
 mod context;
 
-use crate::clock;
 use crate::home;
-use crate::metrics::{Counter, Timing};
+use crate::metrics::Counter;
 use crate::node::Node;
 use crate::owner::load::decode_progress;
 use crate::peers;
 use crate::rows;
-use crate::submit::{self, Job, WriteOutcome};
 use crate::terms;
 use async_trait::async_trait;
 use celerythread_adapter::configuration::{Queue, Refusal};
@@ -18,14 +17,13 @@
 use celerythread_adapter::store::Error;
 use celerythread_adapter::submission;
 use celerythread_engine::cancellation::Limiter;
-use celerythread_engine::job::{
-    Accepted, Cancellation, DefinitionError, Id, Origin, State, Terms, encode,
-};
+use celerythread_engine::job::{Accepted, Cancellation, Id, Origin, State, Terms};
 use celerythread_engine::submission::retry_after_s;
+use celerythread_http::memory::Reservation;
 use celerythread_http::server::{Handler, Request};
 use celerythread_http::{Fault, Limit};
 use celerythread_wire::job::{Answer, Question};
-use context::{Context, DEFAULT_DEADLINE, InFlight};
+use context::{Context, DEFAULT_DEADLINE, InFlight, shorten};
 use http_types::headers::HeaderValue;
 use http_types::{Method, Response, StatusCode};
 use parking_lot::Mutex;
@@ -72,7 +70,7 @@
         status_response(if ready { StatusCode::Ok } else { StatusCode::ServiceUnavailable })
     }
 
-    async fn route(&self, request: &Request) -> Response {
+    async fn route(&self, request: Request) -> Response {
         if request.path() == submission::READY_PATH {
             return self.readiness();
         }
@@ -88,7 +86,7 @@
             Ok(target) => target,
             Err(response) => return *response,
         };
-        let context = Context::new(request, target.origin.clone());
+        let context = Context::new(&request, target.origin.clone());
         let queue = &target.queue;
         if target.subpath.is_empty() && request.head.method() == Method::Get {
             return self.pending(queue).await;
@@ -97,7 +95,13 @@
             return status_response(StatusCode::NotFound);
         };
         match request.head.method() {
-            Method::Post => self.submit(&context, &target, id, &request.body).await,
+            Method::Post => {
+                let Request { body, body_memory, .. } = request;
+                match self.prepare(&context, &target, id, (body, body_memory)) {
+                    Ok(prepared) => self.submit(&context, queue, id, prepared).await,
+                    Err(response) => *response,
+                }
+            }
             Method::Get => self.state(&context, queue, id).await,
             Method::Delete => self.cancel(&context, queue, id).await,
             _ => status_response(StatusCode::MethodNotAllowed),
@@ -140,9 +144,9 @@
         refusal: &Refusal,
     ) -> Response {
         self.node.metrics.count(Counter::KeysRefused);
-        let request = last_value(head, submission::REQUEST_ID_HEADER).unwrap_or("-");
+        let request = shorten(last_value(head, submission::REQUEST_ID_HEADER).unwrap_or("-"));
         let age_ms = self.node.in_force.age().as_millis();
-        let job = head.url().path()[queue.path_prefix.len()..].to_owned();
+        let job = shorten(&head.url().path()[queue.path_prefix.len()..]);
         self.node.journal.info(
             "key_refused",
             &[
@@ -162,7 +166,7 @@
     /// Refuses a request whose key may have been withdrawn since the configuration was last
     /// confirmed.
     fn refuse_unconfirmed(&self, head: &http_types::Request, queue: &Queue) -> Response {
-        let request = last_value(head, submission::REQUEST_ID_HEADER).unwrap_or("-");
+        let request = shorten(last_value(head, submission::REQUEST_ID_HEADER).unwrap_or("-"));
         let age_ms = self.node.in_force.age().as_millis();
         self.node.journal.info(
             "keys_unconfirmed",
@@ -171,85 +175,6 @@
         unavailable_response(DEFAULT_DEADLINE)
     }
 
-    async fn submit(&self, context: &Context, target: &Target, id: Id, body: &[u8]) -> Response {
-        let (node, queue) = (&self.node, &target.queue);
-        let definition = match submission::decode(body) {
-            Ok(definition) => definition,
-            Err(error) => return self.reject(context, id, StatusCode::BadRequest, &error),
-        };
-        if let Err(problem) = definition.check() {
-            let status = match problem {
-                DefinitionError::TooLarge { .. } => StatusCode::PayloadTooLarge,
-                _ => StatusCode::BadRequest,
-            };
-            return self.reject(context, id, status, &problem);
-        }
-        let accepted = Accepted {
-            queue: queue.name.as_str().into(),
-            at_ms: clock::wall_ms(),
-            definition,
-            origin: context.origin.clone(),
-            terms: Some(target.terms.clone()),
-            service: Some(queue.service.as_str().into()),
-        };
-        let row = encode(&accepted);
-        let (partition, written) = match home::ensure(node, queue, context.deadline).await {
-            Ok(home) => {
-                let partition = home.partition;
-                let job = Job { partition: &partition, id, row: &row, deadline: context.deadline };
-                let written = submit::write(node, &job).await;
-                (partition, written)
-            }
-            // Nothing was written for the job.
-            Err(error) => (queue.service.clone(), WriteOutcome::Refused(error)),
-        };
-        if let WriteOutcome::Accepted(row) = &written
-            && !self.may_access(context, id, row)
-        {
-            return self.reject(
-                context,
-                id,
-                StatusCode::Conflict,
-                &"the id belongs to another workspace's job",
-            );
-        }
-        let took = clock::now().since(context.began);
-        node.metrics.time(Timing::Accept, took);
-        let (event, counter, response) = match &written {
-            WriteOutcome::Accepted(_) => {
-                ("job_accepted", Counter::JobsAccepted, accepted_response())
-            }
-            WriteOutcome::Refused(_) => {
-                ("job_refused", Counter::JobsRefused, unavailable_response(context.remaining()))
-            }
-            WriteOutcome::Unknown => {
-                ("job_unknown", Counter::JobsUnknown, status_response(StatusCode::GatewayTimeout))
-            }
-        };
-        node.metrics.count(counter);
-        let reason = match &written {
-            WriteOutcome::Refused(error) => error.to_string(),
-            _ => String::new(),
-        };
-        node.journal.info(
-            event,
-            &[
-                ("job", &id),
-                ("request", &context.request_id),
-                ("queue", &queue.name),
-                ("service", &queue.service),
-                ("workspace", &context.origin),
-                ("ms", &took.as_millis()),
-                ("reason", &reason),
-            ],
-        );
-        if let WriteOutcome::Accepted(row) = written {
-            let service = service_of(&row, &partition);
-            self.notify_owner(Question::Accepted { service, id, row });
-        }
-        response
-    }
-
     /// Whether the caller may access the job stored as `row`.  An unreadable job is inaccessible to
     /// all workspaces.
     fn may_access(&self, context: &Context, id: Id, row: &[u8]) -> bool {
@@ -283,8 +208,8 @@
     }
 
     /// Notifies the owner without waiting for an answer; the owner's feed brings the same a little
-    /// later.
-    fn notify_owner(&self, question: Question) {
+    /// later.  The question's memory stays reserved meanwhile.
+    fn notify_owner(&self, question: Question, memory: Option<Reservation>) {
         let node = self.node.clone();
         if let Some(owner) = node.owner(question.service()) {
             cancel::log_unheard(&node, &question, owner.answer(&question).as_ref());
@@ -294,6 +219,7 @@
             let service = question.service().to_owned();
             let answer = peers::ask_owner(&node, &service, question.clone()).await;
             cancel::log_unheard(&node, &question, answer.as_ref());
+            drop(memory);
         });
     }
 
@@ -372,7 +298,7 @@
         if cancellation.is_some_and(|row| self.is_cancelled(id, &job.value, &row.value)) {
             return Ok(Some(State::Cancelled));
         }
-        self.notify_owner(Question::Accepted { service, id, row: job.value });
+        self.notify_owner(Question::Accepted { service, id, row: job.value }, None);
         Ok(Some(if progress.is_some() { State::Running } else { State::Queued }))
     }
 
@@ -426,8 +352,13 @@
     }
 
     async fn handle(&self, request: Request) -> Response {
-        let _in_flight = InFlight::new(&self.node);
-        self.route(&request).await
+        let in_flight = InFlight::new(&self.node);
+        let is_readiness_check = request.path() == submission::READY_PATH;
+        if in_flight.position() > self.node.settings.max_requests() && !is_readiness_check {
+            self.node.record_limit(Limit::Requests, "callers", None);
+            return unavailable_response(DEFAULT_DEADLINE);
+        }
+        self.route(request).await
     }
 
     fn error_response(&self, fault: &Fault) -> Response {
--- a/crates/scheduler/src/front/cancel.rs
+++ b/crates/scheduler/src/front/cancel.rs
@@ -103,14 +103,14 @@
         if basis.job.is_none() {
             let version = stored.version;
             for service in request.home.clone().with(&queue.service).services {
-                self.notify_owner(early_message(&request, service, &stored));
+                self.notify_owner(early_message(&request, service, &stored), None);
             }
             return self.not_cancelled(&request, gone(), &"not_found", &basis, version);
         }
         self.log_cancelled(&request, &basis, Some(stored.version));
         self.node.metrics.count(Counter::JobsCancelled);
         let service = request.service_of(&basis);
-        self.notify_owner(Question::Cancelled { service, id });
+        self.notify_owner(Question::Cancelled { service, id }, None);
         status_response(StatusCode::Ok)
     }
 
--- a/crates/scheduler/src/front/context.rs
+++ b/crates/scheduler/src/front/context.rs
@@ -13,19 +13,35 @@
 /// Deadline of requests that give none.
 pub(crate) const DEFAULT_DEADLINE: Duration = Duration::from_millis(3000);
 
+/// Longest part of a caller's text in a log line, in characters.
+const MAX_LOGGED_LEN: usize = 128;
+
+/// The beginning of a caller's text, for log lines: the log's queue is bounded by lines.
+pub(crate) fn shorten(text: &str) -> String {
+    text.chars().take(MAX_LOGGED_LEN).collect()
+}
+
 /// Counts a request as in flight until dropped.
-pub(crate) struct InFlight<'a>(&'a Node);
+pub(crate) struct InFlight<'a> {
+    node: &'a Node,
+    position: u64,
+}
 
 impl<'a> InFlight<'a> {
     pub(crate) fn new(node: &'a Node) -> Self {
-        node.in_flight.fetch_add(1, Ordering::SeqCst);
-        Self(node)
+        let others = node.in_flight.fetch_add(1, Ordering::SeqCst);
+        Self { node, position: others + 1 }
+    }
+
+    /// Number of requests that were in flight when it began, itself included.
+    pub(crate) fn position(&self) -> u64 {
+        self.position
     }
 }
 
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
+        self.node.in_flight.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
@@ -48,7 +64,7 @@
             .map_or(DEFAULT_DEADLINE, Duration::from_millis);
         let began = clock::now();
         Self {
-            request_id: request.header(submission::REQUEST_ID_HEADER).unwrap_or("-").into(),
+            request_id: shorten(request.header(submission::REQUEST_ID_HEADER).unwrap_or("-")),
             origin,
             deadline: began + usable_time(deadline),
             began,
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -19,6 +19,8 @@
     JobsAccepted,
     /// Submissions refused; the job is certainly not run.
     JobsRefused,
+    /// Submissions refused because there is too little memory for their request or their job.
+    SubmissionsOverLimit,
     /// Submissions whose acceptance is unknown.
     JobsUnknown,
     /// Calls without a valid key.
