Refuse jobs that need more of a resource than sums can hold

What callers saw: nothing at first. A job with amounts near the largest integer was accepted, and its owner's questions about demand panicked where overflow is checked; in a release build the products wrap, so its pool's demand could be anything.

A task that needs more than 2^32 of a resource (millicores, MiB, accelerators), far above any minion, is refused with 400, since it can never run. A job's estimated work counts as 2^48 core-milliseconds at most, so sums over jobs fit. The tests of crowds now check that no task of a process has panicked.

--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -6,6 +6,7 @@
 use crate::cell::quota::{AccountId, Charge};
 use crate::job::{
     Accepted, Definition, Id, Progress, State, Step, TaskName, TrialPlace, Trials, core_ms,
+    total_core_ms,
 };
 use crate::time::Time;
 use smallvec::SmallVec;
@@ -130,12 +131,7 @@
         let step_core_ms = |(number, step): (usize, &Step)| core_ms(count_open(number), step);
         Self {
             critical_path_ms: definition.critical_path_ms(|step| count_open(step) > 0),
-            core_ms: definition
-                .steps
-                .iter()
-                .enumerate()
-                .map(step_core_ms)
-                .fold(0, u64::saturating_add),
+            core_ms: total_core_ms(definition.steps.iter().enumerate().map(step_core_ms)),
         }
     }
 }
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -24,6 +24,13 @@
 /// The largest known job has 1,280: eight occurrences of five steps with 32 tasks each.
 pub const MAX_TASKS: u64 = 50_000;
 
+/// Largest amount of a resource that a task may need, far above that of any minion.  Sums over all
+/// jobs don't overflow.
+pub const MAX_AMOUNT: u64 = 1 << 32;
+
+/// Largest estimated work of a job in core-milliseconds; more counts as this much.
+const MAX_CORE_MS: u64 = 1 << 48;
+
 /// A job's id: 16 hexadecimal digits, chosen by its caller.
 #[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct Id([u8; ID_DIGITS]);
@@ -227,6 +234,11 @@
     u64::from(tasks).saturating_mul(step.need.cpu).saturating_mul(step.estimate_ms) / 1000
 }
 
+/// Estimated work of a job, from that of its steps.
+pub(crate) fn total_core_ms(steps: impl Iterator<Item = u64>) -> u64 {
+    steps.fold(0, u64::saturating_add).min(MAX_CORE_MS)
+}
+
 /// When a job's occurrences are due.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Schedule {
@@ -288,6 +300,14 @@
         /// The step that it depends on.
         after: u32,
     },
+    /// A task needs more than [`MAX_AMOUNT`] of a resource.
+    #[snafu(display("a task of step {step} needs {need}, more than {MAX_AMOUNT} of a resource"))]
+    OutOfRange {
+        /// The step.
+        step: u32,
+        /// What each of its tasks needs.
+        need: Resources,
+    },
 }
 
 impl Definition {
@@ -304,7 +324,10 @@
             return TooLargeSnafu { tasks }.fail();
         }
         for (number, step) in self.steps.iter().enumerate() {
-            let number = number as u32;
+            let (number, need) = (number as u32, step.need);
+            if need.cpu.max(need.memory_mb).max(need.gpu) > MAX_AMOUNT {
+                return OutOfRangeSnafu { step: number, need }.fail();
+            }
             if let Some(after) = step.after.iter().find(|after| **after >= number) {
                 return OrderSnafu { step: number, after: *after }.fail();
             }
@@ -336,7 +359,7 @@
 
     /// Estimated work of one occurrence in core-milliseconds.
     pub fn core_ms(&self) -> u64 {
-        self.steps.iter().map(Step::core_ms).fold(0, u64::saturating_add)
+        total_core_ms(self.steps.iter().map(Step::core_ms))
     }
 
     /// Estimated duration in milliseconds of the critical path; steps for which `open` returns
--- a/tests/crowds/deployment.rs
+++ b/tests/crowds/deployment.rs
@@ -137,6 +137,7 @@
         let Machine { memory, descriptors } = self.machine;
         let process = &mut self.entries[entry].process;
         assert!(process.is_alive(), "the process has ended");
+        assert_eq!(process.panics(), Vec::<String>::new());
         let (used, opened) = (process.peak_memory(), process.peak_descriptors());
         println!("{} KiB of memory and {opened} descriptors at the peak", used >> 10);
         assert!(used <= memory.0, "{} KiB of memory, more than {memory}", used >> 10);
--- a/tests/crowds/process.rs
+++ b/tests/crowds/process.rs
@@ -56,6 +56,8 @@
     settings: PathBuf,
     peak: Arc<Peak>,
     lines: Arc<Mutex<Vec<Value>>>,
+    /// Its messages on standard error that tell of a panic.
+    panics: Arc<Mutex<Vec<String>>>,
 }
 
 impl Process {
@@ -70,6 +72,7 @@
             .arg("--settings")
             .arg(&path)
             .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
             .spawn()
             .unwrap();
         let (peak, lines) = (Arc::<Peak>::default(), Arc::<Mutex<Vec<Value>>>::default());
@@ -82,7 +85,15 @@
                 sink.lock().unwrap().push(line);
             });
         });
-        Self { child, settings: path, peak, lines }
+        let panics = Arc::<Mutex<Vec<String>>>::default();
+        let (sink, errors) = (panics.clone(), child.stderr.take().unwrap());
+        thread::spawn(move || {
+            let lines = BufReader::new(errors).lines().map_while(Result::ok);
+            lines.filter(|line| line.contains("panicked")).for_each(|line| {
+                sink.lock().unwrap().push(line);
+            });
+        });
+        Self { child, settings: path, peak, lines, panics }
     }
 
     /// The address at which callers reach it, once it listens.
@@ -114,6 +125,11 @@
         self.child.try_wait().unwrap().is_none()
     }
 
+    /// The panics of its tasks.
+    pub(crate) fn panics(&self) -> Vec<String> {
+        self.panics.lock().unwrap().clone()
+    }
+
     /// Highest anonymous resident memory that was seen, in bytes.
     pub(crate) fn peak_memory(&self) -> u64 {
         self.peak.memory.load(Ordering::SeqCst)
--- a/tests/crowds/requests.rs
+++ b/tests/crowds/requests.rs
@@ -126,3 +126,31 @@
     deployment.check_ordinary_request();
     deployment.check_machines();
 }
+
+/// Guards against sums of callers' numbers that overflow at an owner: of numbers without bound, and of
+/// the largest that are accepted.
+#[test]
+fn jobs_with_the_largest_numbers_are_held() {
+    let mut deployment = Deployment::start(2, Machine::default());
+    let step = |amount: u64| {
+        format!(
+            r#"{{"count":500,"cpu":{amount},"memMb":{amount},"gpu":{amount},"estimateMs":1e300,"targetMs":1e300}}"#
+        )
+    };
+    let times = [
+        String::new(),
+        format!(r#","repetitions":3,"startAtMs":1e300,"intervalMs":{LATER_MS}"#),
+        r#","repetitions":3,"intervalMs":1e300"#.to_owned(),
+    ];
+    let messages = (0..30).map(|number| {
+        let step = step([u64::MAX, 1 << 32][number % 2]);
+        let body = format!(r#"{{"steps":[{step},{step}]{}}}"#, times[number % times.len()]);
+        submission(&id(number), body.as_bytes())
+    });
+    let mut crowd = Crowd::connect(deployment.entries[0].callers, messages);
+    crowd.send(AT_ONCE);
+    crowd.receive_for(ANSWER_TIME);
+    assert_eq!(crowd.statuses().len(), 30, "each is answered");
+    deployment.check_ordinary_request();
+    deployment.check_machines();
+}
