Accept jobs only within the memory of their owner

Cause: an owner holds every accepted job and a record of each of its tasks until the job's retention has passed, and nothing bounded their sum. The entry that accepts a job isn't its owner and knew nothing of the owner's memory; a later owner must read all that was accepted before.

`engine::cell::footprint` tells a job's memory from its definition, before the job is stored. The owner promises it from a quarter of the instance's memory (`engine::admission`), over all cells that it owns, so entries that accept at the same time don't exceed it together. Jobs above 1/128 of that part are asked for before they are stored, and leave a quarter of the part to smaller ones. Smaller ones cost no message until the part is half used; the owner's answers then say so, and entries ask for all jobs. A refused job gets 503 with Retry-After, unless the store has it from an earlier request: then it is accepted, and stays one job.

Related paths: submissions through a peer and retries pass the same question; a takeover loads everything and accepts nothing until it is below its part again; the fleet's cell holds no jobs. Not changed: equal steps don't share one form, and ended jobs keep their tasks until their retention has passed.

The new tests of the engine fail without the module.

--- a/crates/engine/src/cell.rs
+++ b/crates/engine/src/cell.rs
@@ -13,6 +13,7 @@
 //! - [`ranking`]: ranks the waiting jobs
 //! - [`cancellation`]: cancels jobs
 //! - [`retention`]: removes ended jobs
+//! - [`footprint`]: estimates the memory that a job takes
 //! - [`persist`]: tracks what must be persisted before a run end may be acknowledged
 //! - [`policies`]: holds the policies of queues and workspaces
 //! - [`advice`]: holds tickets
@@ -43,6 +44,7 @@
 mod evacuation;
 mod event;
 mod failure;
+pub mod footprint;
 pub mod idle;
 mod load;
 pub mod minion;
@@ -102,6 +104,8 @@
     pub(crate) generation: u32,
     pub(crate) policies: policies::Policies,
     pub(crate) jobs: BTreeMap<Id, Job>,
+    /// Memory of the jobs, in bytes.
+    pub(crate) footprint: u64,
     /// Jobs that have not ended.
     pub(crate) active_jobs: BTreeSet<Id>,
     /// Jobs with changes that are not persisted.
@@ -171,6 +175,7 @@
             generation,
             policies: policies::Policies::default(),
             jobs: BTreeMap::new(),
+            footprint: 0,
             active_jobs: BTreeSet::new(),
             changed_jobs: BTreeSet::new(),
             early_cancellations: BTreeMap::new(),
@@ -241,6 +246,7 @@
         } else {
             self.active_jobs.insert(id);
         }
+        self.footprint += job.footprint;
         self.jobs.insert(id, job);
         if failed {
             self.record_failure(&id, FailureReason::Acceptance);
@@ -279,6 +285,11 @@
         self.active_jobs.iter().filter(is_queued).count()
     }
 
+    /// Memory of the jobs that it keeps, in bytes; at most this much while they run.
+    pub fn footprint(&self) -> u64 {
+        self.footprint
+    }
+
     /// Takes the recorded events.
     pub fn take_events(&mut self) -> Vec<Event> {
         std::mem::take(&mut self.events)
--- a/crates/engine/src/cell/retention.rs
+++ b/crates/engine/src/cell/retention.rs
@@ -27,6 +27,7 @@
             self.jobs.iter().filter(|(_, job)| is_expired(job)).map(|(id, _)| *id).collect();
         for id in &ids {
             if let Some(job) = self.jobs.remove(id) {
+                self.footprint -= job.footprint;
                 let accepted_at_ms = job.accepted.at_ms;
                 self.removed_jobs.insert(*id, Removed { accepted_at_ms, rows_deleted_at: None });
             }
--- a/crates/engine/src/cell/work.rs
+++ b/crates/engine/src/cell/work.rs
@@ -1,6 +1,7 @@
 //! A job and its tasks, as held by the cell's owner.
 
 use crate::cell::crash::Suspicion;
+use crate::cell::footprint;
 use crate::cell::minion::MinionId;
 use crate::cell::quarantine::Outcomes;
 use crate::cell::quota::{AccountId, Charge};
@@ -110,6 +111,8 @@
     pub(crate) total: Estimate,
     /// Estimate of its remaining work.
     pub(crate) remaining: Estimate,
+    /// Memory that it takes, in bytes.
+    pub(crate) footprint: u64,
 }
 
 /// Estimated work of a job's steps, or of those that are not done.
@@ -156,6 +159,7 @@
             core_ms: definition.core_ms(),
         };
         let remaining = Estimate::of(definition, &open_counts);
+        let footprint = footprint::of(definition);
         Self {
             accepted,
             inherited,
@@ -177,6 +181,7 @@
             outcomes: Outcomes::default(),
             total,
             remaining,
+            footprint,
         }
     }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -15,9 +15,11 @@
 //! as demand changes, and [`release`] decides who may order a machine while the store is
 //! unavailable; [`timeout`] adapts timeouts to the latency of answers, [`outage`] detects that a
 //! service is unavailable, [`submission`] decides when to stop retrying a caller's submission, and
-//! [`cancellation`] limits the cancellations of unknown jobs.
+//! [`cancellation`] limits the cancellations of unknown jobs; [`admission`] refuses jobs that their
+//! owner has no memory for.
 
 pub mod absence;
+pub mod admission;
 pub mod cancellation;
 pub mod cell;
 pub mod delegation;
--- a/crates/engine/tests/all/main.rs
+++ b/crates/engine/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the engine's rules, without a network or clocks.
 
+mod admission;
 mod attempts;
 mod availability;
 mod cancellations;
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Startup and graceful shutdown of the daemon.
 
+use crate::admission;
 use crate::clock;
 use crate::follow::{self, MinionSink, OperatorSink};
 use crate::front::CallerHandler;
@@ -224,10 +225,14 @@
         let lines = format!(
             "celerythread_lines_dropped_total {}\n\
              celerythread_request_memory_bytes{{kind=\"reserved\"}} {}\n\
-             celerythread_request_memory_bytes{{kind=\"limit\"}} {}\n",
+             celerythread_request_memory_bytes{{kind=\"limit\"}} {}\n\
+             celerythread_job_memory_bytes{{kind=\"held\"}} {}\n\
+             celerythread_job_memory_bytes{{kind=\"limit\"}} {}\n",
             node.journal.dropped(),
             node.request_memory.reserved(),
             node.settings.request_memory(),
+            admission::held(node),
+            node.settings.job_memory(),
         );
         response.set_body(node.metrics.page() + &lines);
         response
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -4,6 +4,7 @@
 mod cancel;
 mod context;
 
+use crate::admission;
 use crate::home;
 use crate::metrics::Counter;
 use crate::node::Node;
@@ -219,6 +220,7 @@
             let service = question.service().to_owned();
             let answer = peers::ask_owner(&node, &service, question.clone()).await;
             cancel::log_unheard(&node, &question, answer.as_ref());
+            admission::record_answer(&node, &service, answer.as_ref());
             drop(memory);
         });
     }
--- a/crates/scheduler/src/front/accept.rs
+++ b/crates/scheduler/src/front/accept.rs
@@ -3,14 +3,19 @@
 
 use super::context::Context;
 use super::{
-    CallerHandler, Target, accepted_response, service_of, status_response, unavailable_response,
+    CallerHandler, READ_TIMEOUT, Target, accepted_response, service_of, status_response,
+    unavailable_response,
 };
+use crate::admission::{self, NotAdmitted};
 use crate::clock;
 use crate::home;
 use crate::metrics::{Counter, Timing};
+use crate::rows;
 use crate::submit::{self, Job, WriteOutcome};
 use celerythread_adapter::configuration::Queue;
+use celerythread_adapter::store::Error;
 use celerythread_adapter::submission::{self, Body};
+use celerythread_engine::cell::footprint;
 use celerythread_engine::job::{Accepted, DefinitionError, Id, encode, max_steps};
 use celerythread_http::memory::Reservation;
 use celerythread_wire::job::Question;
@@ -26,6 +31,8 @@
 pub(super) struct Prepared {
     /// Its encoded row.
     pub(super) row: Vec<u8>,
+    /// Memory that its owner needs for it, in bytes.
+    pub(super) footprint: u64,
     /// The memory that storing it takes.
     pub(super) memory: Reservation,
 }
@@ -45,7 +52,12 @@
             Ok(home) => {
                 let partition = home.partition;
                 let job = Job { partition: &partition, id, row, deadline: context.deadline };
-                let written = submit::write(node, &job).await;
+                let service = &queue.service;
+                let written = match admission::request(node, service, id, prepared.footprint).await
+                {
+                    Ok(()) => submit::write(node, &job).await,
+                    Err(reason) => self.refuse_unstored(&job, &reason).await,
+                };
                 (partition, written)
             }
             // Nothing was written for the job.
@@ -111,21 +123,22 @@
         (body, body_memory): (Vec<u8>, Reservation),
     ) -> Result<Prepared, Box<Response>> {
         let node = &self.node;
-        let row = self.encode_row(context, target, id, &body)?;
+        let (row, footprint) = self.encode_row(context, target, id, &body)?;
         drop((body, body_memory));
         let size = row.len() as u64 * WAITING_MEMORY_FACTOR;
         let memory = node.request_memory.reserve(size, Instant::now());
         let memory = memory.map_err(|error| self.refuse(context, target, id, &error))?;
-        Ok(Prepared { row, memory })
+        Ok(Prepared { row, footprint, memory })
     }
 
+    /// The row of a job, and the memory that its owner needs for it.
     fn encode_row(
         &self,
         context: &Context,
         target: &Target,
         id: Id,
         body: &[u8],
-    ) -> Result<Vec<u8>, Box<Response>> {
+    ) -> Result<(Vec<u8>, u64), Box<Response>> {
         let node = &self.node;
         let row_bytes = node.settings.row_bytes as usize;
         let reject = |status, reason: &dyn Display| -> Box<Response> {
@@ -149,6 +162,7 @@
             };
             reject(status, &problem)
         })?;
+        let footprint = footprint::of(&definition);
         let row = encode(&Accepted {
             queue: target.queue.name.as_str().into(),
             at_ms: clock::wall_ms(),
@@ -161,7 +175,22 @@
             let reason = format!("a row of {} bytes, of at most {row_bytes}", row.len());
             return Err(reject(StatusCode::PayloadTooLarge, &reason));
         }
-        Ok(row)
+        Ok((row, footprint))
+    }
+
+    /// Refuses a job that its owner has no memory for, unless an earlier request has stored it.
+    async fn refuse_unstored(&self, job: &Job<'_>, reason: &NotAdmitted) -> WriteOutcome {
+        let node = &self.node;
+        let name = rows::job(job.partition, &job.id);
+        let stored = node.store.get(&name.table, &name.part, &name.key, READ_TIMEOUT).await;
+        node.record_store_result(&stored);
+        match stored {
+            Ok(Some(row)) => WriteOutcome::Accepted(row.value),
+            Ok(None) | Err(_) => {
+                node.metrics.count(Counter::SubmissionsOverLimit);
+                WriteOutcome::Refused(Error::Refused { reason: reason.to_string() })
+            }
+        }
     }
 
     /// Refuses a job for a limit of this entry.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Path of a job: [`front`] reads it from its caller, has [`submit`] write its row, and answers.
 //! The owner of its service's cell learns of it by a message or by following the table, and
-//! [`owner`] runs it with the decisions of `celerythread-engine`.  At peak load [`delegate`] makes
+//! [`owner`] runs it with the decisions of `celerythread-engine`; [`admission`] refuses jobs that it
+//! has no memory for.  At peak load [`delegate`] makes
 //! calls to minions for owners on other entries.
 //!
 //! State shared between entries: [`membership`] renews this entry's row, follows the other members'
@@ -19,6 +20,7 @@
 //! gracefully; [`journal`] and [`metrics`] are the output for monitoring; [`status`] reads the
 //! shared state for operators.
 
+mod admission;
 mod clock;
 mod confirm;
 pub mod daemon;
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -3,7 +3,8 @@
 //! # Lock order
 //!
 //! An owner's `delegation` → `in_force` → `view` → `directory` → `minions` → `waves` → `owners` →
-//! an owner's `cell` → an owner's `jobs_recency` → `links`.  A lock may only be taken while holding locks that precede it in
+//! an owner's `cell` → an owner's `jobs_recency` → `links`; `admission` and `nearly_full` are taken
+//! without any other.  A lock may only be taken while holding locks that precede it in
 //! this list, and no lock is held across an await.
 
 mod view;
@@ -20,6 +21,7 @@
 use celerythread_adapter::configuration::Configuration;
 use celerythread_adapter::wave::Wave;
 use celerythread_adapter::{HttpClient, Service, advice, machine, minion, store};
+use celerythread_engine::admission::{Admission, NearlyFull};
 use celerythread_engine::cell::Permit;
 use celerythread_engine::outage::Outage;
 use celerythread_engine::ownership;
@@ -130,6 +132,10 @@
     pub(crate) in_flight: AtomicU64,
     /// Memory for the requests that are being received or processed.
     pub(crate) request_memory: Budget,
+    /// Memory for the jobs of the cells that this entry owns.
+    pub(crate) admission: Mutex<Admission>,
+    /// Services whose owners' memory for jobs is nearly used up.
+    pub(crate) nearly_full: Mutex<NearlyFull>,
     /// Stops the background tasks.
     pub(crate) stop: StopToken,
 }
@@ -143,6 +149,7 @@
             .advice
             .map(|address| async_std::sync::Mutex::new(advice::Client::new(service(address))));
         let request_memory = Budget::new(settings.request_memory());
+        let admission = Mutex::new(Admission::new(settings.job_memory()));
         Self {
             advice,
             entry_id: format!("{}.{:08x}", settings.name, rand::random::<u32>()),
@@ -174,6 +181,8 @@
             stopping: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
             request_memory,
+            admission,
+            nearly_full: Mutex::default(),
             stop,
         }
     }
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -257,6 +257,7 @@
             let is_new = cell.add_job(id, accepted, None, false, job_age, now);
             cell.state(&id).filter(|_| is_new)
         });
+        self.node.admission.lock().record_known(&id);
         if let Some(state) = added.flatten() {
             self.node.journal.info(
                 "job_known",
--- a/crates/scheduler/src/owner/answer.rs
+++ b/crates/scheduler/src/owner/answer.rs
@@ -2,6 +2,7 @@
 
 use super::cancellation::{ReceivedCancellation, Source};
 use super::{Owner, release};
+use crate::admission;
 use celerythread_wire::job::{Answer, Question};
 
 impl Owner {
@@ -14,7 +15,10 @@
         match question {
             Question::Accepted { id, row, .. } => {
                 self.add_job(*id, row, None);
-                Some(Answer::Noted)
+                Some(admission::acknowledge(&self.node))
+            }
+            Question::Admit { id, bytes, .. } => {
+                Some(Answer::Admitted(admission::admit(self, *id, *bytes)))
             }
             Question::Cancelled { id, .. } => {
                 self.cancel_job(*id, Source::Message, &ReceivedCancellation::of_stored_job());
--- a/crates/wire/src/job.rs
+++ b/crates/wire/src/job.rs
@@ -81,6 +81,15 @@
         /// The version of the row.
         version: u64,
     },
+    /// Asks for memory for a job that is about to be stored.
+    Admit {
+        /// Its service.
+        service: String,
+        /// The job.
+        id: Id,
+        /// Memory that its owner needs for it, in bytes.
+        bytes: u64,
+    },
 }
 
 impl Question {
@@ -91,6 +100,7 @@
             | Question::Submit { service, .. }
             | Question::Cancelled { service, .. }
             | Question::CancelledEarly { service, .. }
+            | Question::Admit { service, .. }
             | Question::State { service, .. }
             | Question::Pending { service, .. }
             | Question::Load { service }
@@ -143,4 +153,9 @@
         /// Their minions, which are empty.
         permitted: Vec<String>,
     },
+    /// Whether memory is promised to a job that is about to be stored.
+    Admitted(bool),
+    /// The notification of a job was processed, and the memory for jobs is nearly used up, so that
+    /// entries must ask for memory before they store another one.
+    NotedNearlyFull,
 }
--- a/tests/all/faults.rs
+++ b/tests/all/faults.rs
@@ -1,5 +1,6 @@
 //! The list of faults and the tests that cover them, from which `docs/FAULTS.md` is printed.
 
+mod clients;
 mod fleet;
 mod jobs;
 mod platform;
@@ -337,7 +338,7 @@
 /// The guarantees of the product's own interface, then those on the users' platform.
 fn guarantees() -> impl Iterator<Item = &'static Guarantee> {
     let on_platform = platform::GUARANTEES.iter().chain(jobs::GUARANTEES);
-    GUARANTEES.iter().chain(on_platform).chain(fleet::GUARANTEES)
+    GUARANTEES.iter().chain(on_platform).chain(fleet::GUARANTEES).chain(clients::GUARANTEES)
 }
 
 /// The names of all tests in the list.
