--- a/tests/crowds/client.rs
+++ b/tests/crowds/client.rs
@@ -15,6 +15,9 @@
 /// Longest time in which a crowd sends its bytes; what isn't taken by then isn't sent.
 const SEND_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Longest wait for the answers to a crowd.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// The head of a request that submits a job.
 pub(crate) fn submission_head(id: &str, framing: &str) -> String {
     format!("POST /q/{id} HTTP/1.1\r\nHost: jobs.example\r\n{framing}\r\n\r\n")
@@ -149,6 +152,16 @@
         }
     }
 
+    /// Reads until each connection has its answer or is closed.
+    pub(crate) fn receive_answers(&mut self) {
+        let began = Instant::now();
+        let is_waiting = |member: &Member| !member.is_closed && parse(&member.answer).is_none();
+        while began.elapsed() < ANSWER_TIMEOUT && self.0.iter().any(is_waiting) {
+            self.0.iter_mut().filter(|member| is_waiting(member)).for_each(Member::receive);
+            thread::sleep(ROUND_INTERVAL);
+        }
+    }
+
     /// Sends all messages and keeps the connections until `is_over`, or until all are closed.
     pub(crate) fn hold(&mut self, piece: usize, is_over: impl Fn() -> bool) {
         while !is_over() && self.0.iter().any(|member| !member.is_closed) {
