Tests of crowds: ports that no client's connection takes, and the errors of a process that ends

Likely the port for its metrics or readiness check, which the test had found to be free, was taken before the daemon bound it: with five crowds at a time thousands of connections are opened from the same address meanwhile.

Each test process takes such ports on a loopback address of its own, and a process that ends while it starts fails the test with its errors.

--- a/tests/crowds/deployment.rs
+++ b/tests/crowds/deployment.rs
@@ -5,7 +5,7 @@
 use celerythread_model::unit::Bytes;
 use celerythread_standin::site::Site;
 use serde_json::json;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -81,8 +81,11 @@
             self.site.store_address(),
             self.site.machine_address(),
         );
-        let process = Process::start(name, &settings);
-        let callers = eventually("the entry listens", || process.callers());
+        let mut process = Process::start(name, &settings);
+        let callers = eventually("the entry listens", || {
+            assert!(process.is_alive(), "the process has ended: {:?}", process.errors());
+            process.callers()
+        });
         eventually("the entry is ready", || {
             (client::get(readiness, "/-/ready")? == 200).then_some(())
         });
@@ -145,9 +148,12 @@
     }
 }
 
-/// An address that nothing listens at.
+/// An address that nothing listens at.  Its host is this process's own, so that no connection that a
+/// client opens meanwhile takes the port.
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, 1, high, low);
+    TcpListener::bind((host, 0)).unwrap().local_addr().unwrap()
 }
 
 /// Polls until a value is returned; fails after [`WAIT_TIMEOUT`].
--- a/tests/crowds/process.rs
+++ b/tests/crowds/process.rs
@@ -56,8 +56,8 @@
     settings: PathBuf,
     peak: Arc<Peak>,
     lines: Arc<Mutex<Vec<Value>>>,
-    /// Its messages on standard error that tell of a panic.
-    panics: Arc<Mutex<Vec<String>>>,
+    /// Its lines on standard error.
+    errors: Arc<Mutex<Vec<String>>>,
 }
 
 impl Process {
@@ -85,15 +85,13 @@
                 sink.lock().unwrap().push(line);
             });
         });
-        let panics = Arc::<Mutex<Vec<String>>>::default();
-        let (sink, errors) = (panics.clone(), child.stderr.take().unwrap());
+        let errors = Arc::<Mutex<Vec<String>>>::default();
+        let (sink, output) = (errors.clone(), child.stderr.take().unwrap());
         thread::spawn(move || {
-            let lines = BufReader::new(errors).lines().map_while(Result::ok);
-            lines.filter(|line| line.contains("panicked")).for_each(|line| {
-                sink.lock().unwrap().push(line);
-            });
+            let lines = BufReader::new(output).lines().map_while(Result::ok);
+            lines.for_each(|line| sink.lock().unwrap().push(line));
         });
-        Self { child, settings: path, peak, lines, panics }
+        Self { child, settings: path, peak, lines, errors }
     }
 
     /// The address at which callers reach it, once it listens.
@@ -127,7 +125,14 @@
 
     /// The panics of its tasks.
     pub(crate) fn panics(&self) -> Vec<String> {
-        self.panics.lock().unwrap().clone()
+        let mut errors = self.errors();
+        errors.retain(|line| line.contains("panicked"));
+        errors
+    }
+
+    /// Its lines on standard error.
+    pub(crate) fn errors(&self) -> Vec<String> {
+        self.errors.lock().unwrap().clone()
     }
 
     /// Highest anonymous resident memory that was seen, in bytes.
