Don't show a running job as queued while its owner changes

What callers saw: after the owner of a job was lost, a job that they had seen as `running` read as `queued` until its next owner answered, about a second in the tests.

Cause: a job without ended tasks has no stored progress. An entry whose question to the owner was not answered took the lack of progress for a job that hasn't started. A new owner, too, reported an inherited job as queued before it had heard from the minions that may run it.

Fix: an entry that gets no answer reads from the store who holds the cell, and asks that entry if it is a later holder. Only an owner that answers and doesn't know the job makes it `queued`; where nobody can tell, the answer is 503, as during an outage of the store. An owner doesn't report an inherited job as queued before it has heard from all minions that may run it, or their leases must have expired.

--- a/crates/engine/src/cell/takeover.rs
+++ b/crates/engine/src/cell/takeover.rs
@@ -3,8 +3,8 @@
 //! A new owner finds them on the minions.  Until each minion of its predecessor has answered, or its
 //! leases must have expired, a task that was not found may still run.
 
-use crate::cell::{Cell, FailureReason, Minion};
-use crate::job::{Id, TaskName};
+use crate::cell::{Cell, FailureReason, Job, Minion};
+use crate::job::{Id, State, TaskName};
 use crate::time::Time;
 use std::time::Duration;
 
@@ -16,6 +16,13 @@
         inherited.all(|minion| minion.answered || self.have_former_leases_expired(minion, now))
     }
 
+    /// Whether a job's state can be told.  Until the takeover is complete, a task of an inherited job
+    /// may run on a minion that has not answered.
+    pub fn is_state_known(&self, id: &Id) -> bool {
+        let is_uncertain = |job: &Job| job.inherited && job.state() == State::Queued;
+        self.takeover_completed_at.is_some() || !self.jobs.get(id).is_some_and(is_uncertain)
+    }
+
     /// Whether the leases of everything that former owners started on a minion which doesn't answer
     /// must have expired.
     pub(crate) fn have_former_leases_expired(&self, minion: &Minion, now: Time) -> bool {
--- a/crates/engine/tests/all/takeover.rs
+++ b/crates/engine/tests/all/takeover.rs
@@ -37,6 +37,23 @@
     assert_eq!(harness.cell.state(&id(1)), Some(State::Running));
 }
 
+/// Guards against showing a job as queued while a task of it may run on a minion that hasn't answered
+/// the new owner yet.
+#[test]
+fn the_state_of_an_inherited_job_is_unknown_until_its_tasks_were_looked_for() {
+    let mut harness = successor(2);
+    harness.add_job(1, definition(vec![step(1)]), true);
+    harness.submit(2, definition(vec![step(1), step(1)]));
+    harness.answer(0, Report::default());
+    harness.start_all();
+    assert!(!harness.cell.is_state_known(&id(1)));
+    assert!(harness.cell.is_state_known(&id(2)), "the former owner can't have started it");
+    assert!(harness.cell.is_state_known(&id(3)), "the job doesn't exist");
+    harness.answer(1, Report::default());
+    harness.start_all();
+    assert!(harness.cell.is_state_known(&id(1)));
+}
+
 #[test]
 fn inherited_tasks_start_after_the_former_owners_leases_have_expired() {
     let mut harness = successor(1);
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -3,22 +3,20 @@
 mod accept;
 mod cancel;
 mod context;
+mod state;
 
 use crate::admission;
 use crate::home;
 use crate::metrics::Counter;
 use crate::node::Node;
-use crate::owner::load::decode_progress;
 use crate::peers;
-use crate::rows;
 use crate::terms;
 use async_trait::async_trait;
 use celerythread_adapter::configuration::{Queue, Refusal};
 use celerythread_adapter::credential;
-use celerythread_adapter::store::Error;
 use celerythread_adapter::submission;
 use celerythread_engine::cancellation::Limiter;
-use celerythread_engine::job::{Accepted, Cancellation, Id, Origin, State, Terms};
+use celerythread_engine::job::{Accepted, Id, Origin, Terms};
 use celerythread_engine::submission::retry_after_s;
 use celerythread_http::memory::Reservation;
 use celerythread_http::server::{Handler, Request};
@@ -225,99 +223,6 @@
         });
     }
 
-    /// Asks the owner of a service's jobs for the state of one; none if it doesn't know the job.
-    async fn ask_state(&self, context: &Context, service: &str, id: Id) -> Option<State> {
-        let origin = context.origin.clone();
-        let question = Question::State { service: service.into(), id, origin };
-        match peers::ask_owner(&self.node, service, question).await {
-            Some(Answer::State(state)) => state,
-            _ => None,
-        }
-    }
-
-    async fn state(&self, context: &Context, queue: &Queue, id: Id) -> Response {
-        let state = match self.ask_state(context, &queue.service, id).await {
-            Some(state) => Ok(Some(state)),
-            // The state cannot be determined now; the caller asks again.
-            _ if self.node.is_outage_ongoing() => return unavailable_response(context.remaining()),
-            // A job that the owner does not know may just have been accepted.
-            _ => self.read_state(context, queue, id).await,
-        };
-        match state {
-            Ok(Some(state)) => {
-                let mut response = status_response(StatusCode::Ok);
-                set_json(&mut response, submission::state_body(state));
-                response
-            }
-            Ok(None) => {
-                self.node.journal.info(
-                    "job_not_found",
-                    &[("job", &id), ("request", &context.request_id), ("queue", &queue.name)],
-                );
-                status_response(StatusCode::Gone)
-            }
-            Err(error) => {
-                self.node.journal.warn(
-                    "state_unread",
-                    &[("job", &id), ("request", &context.request_id), ("reason", &error)],
-                );
-                unavailable_response(context.remaining())
-            }
-        }
-    }
-
-    /// Reads a job's state from the store; none if the job was never accepted or is inaccessible.
-    async fn read_state(
-        &self,
-        context: &Context,
-        queue: &Queue,
-        id: Id,
-    ) -> Result<Option<State>, Error> {
-        let node = &self.node;
-        let partition = &home::find_or_default(node, queue).await?.partition;
-        let get = async |name: celerythread_adapter::store::Name| {
-            let row = node.store.get(&name.table, &name.part, &name.key, READ_TIMEOUT).await;
-            node.record_store_result(&row);
-            row
-        };
-        let Some(job) = get(rows::job(partition, &id)).await? else { return Ok(None) };
-        if !self.may_access(context, id, &job.value) {
-            return Ok(None);
-        }
-        // The configuration may have sent the queue to another service since.
-        let service = service_of(&job.value, partition);
-        if service != queue.service
-            && let Some(state) = self.ask_state(context, &service, id).await
-        {
-            return Ok(Some(state));
-        }
-        let progress = get(rows::progress(&service, &id)).await?;
-        let progress = progress.and_then(|row| decode_progress(node, &row));
-        if let Some(outcome) = progress.as_ref().and_then(|progress| progress.outcome) {
-            return Ok(Some(outcome));
-        }
-        let cancellation = get(rows::cancel(partition, &id)).await?;
-        if cancellation.is_some_and(|row| self.is_cancelled(id, &job.value, &row.value)) {
-            return Ok(Some(State::Cancelled));
-        }
-        self.notify_owner(Question::Accepted { service, id, row: job.value }, None);
-        Ok(Some(if progress.is_some() { State::Running } else { State::Queued }))
-    }
-
-    /// Whether the stored cancellation applies to the stored job.  An unreadable one does.
-    fn is_cancelled(&self, id: Id, job: &[u8], cancellation: &[u8]) -> bool {
-        let owner = Accepted::decode(job).map(|accepted| accepted.origin).unwrap_or_default();
-        match Cancellation::decode(cancellation) {
-            Ok(cancellation) => cancellation.applies_to(&owner),
-            Err(error) => {
-                let fields: [(&'static str, &dyn std::fmt::Display); 2] =
-                    [("job", &id), ("reason", &error)];
-                self.node.journal.warn("cancellation_unreadable", &fields);
-                true
-            }
-        }
-    }
-
     async fn pending(&self, queue: &Queue) -> Response {
         let Ok(home) = home::find_or_default(&self.node, queue).await else {
             return unavailable_response(DEFAULT_DEADLINE);
--- a/crates/scheduler/src/front/cancel.rs
+++ b/crates/scheduler/src/front/cancel.rs
@@ -190,7 +190,7 @@
         }
     }
 
-    async fn read(&self, name: &Name) -> Result<Option<Row>, Error> {
+    pub(super) async fn read(&self, name: &Name) -> Result<Option<Row>, Error> {
         let row = self.node.store.get(&name.table, &name.part, &name.key, READ_TIMEOUT).await;
         self.node.record_store_result(&row);
         row
--- a/crates/scheduler/src/owner/answer.rs
+++ b/crates/scheduler/src/owner/answer.rs
@@ -7,7 +7,7 @@
 
 impl Owner {
     /// Answers a question of another entry or of this entry's HTTP interface; none while the cell
-    /// is not loaded.
+    /// is not loaded, or while it can't tell.
     pub(crate) fn answer(&self, question: &Question) -> Option<Answer> {
         if self.is_stopped() || self.cell.lock().is_none() {
             return None;
@@ -29,9 +29,11 @@
                 self.cancel_job(*id, Source::Message, &notice);
                 Some(Answer::Noted)
             }
-            Question::State { id, origin, .. } => {
-                self.with(|cell| Answer::State(cell.state_for(id, origin)))
-            }
+            Question::State { id, origin, .. } => self
+                .with(|cell| {
+                    cell.is_state_known(id).then(|| Answer::State(cell.state_for(id, origin)))
+                })
+                .flatten(),
             // Any entry answers these, not only the owner.
             Question::Submit { .. } | Question::Configuration { .. } => None,
             Question::Load { .. } => release::load(self, None).map(Answer::Load),
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -7,6 +7,7 @@
 use crate::node::Node;
 use crate::rows;
 use async_std::future::timeout;
+use celerythread_adapter::store::{Name, Row};
 use celerythread_wire::job::{Answer, Question};
 use celerythread_wire::{Channel, Endpoint, Frame, Link};
 use futures::FutureExt;
@@ -27,6 +28,9 @@
 /// machines.
 const LOAD_ANSWER_TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// Longest wait for a read of who holds a cell.
+const READ_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// How long a peer is not asked after an unanswered question.
 const UNANSWERED_BACKOFF: Duration = Duration::from_millis(1500);
 
@@ -222,3 +226,37 @@
     }
     answer
 }
+
+/// Like [`ask_owner`], but when the holder that this entry knows doesn't answer, asks the successor
+/// that the store names.  The directory shows a new holder only some hundred milliseconds later.
+pub(crate) async fn ask_current_owner(
+    node: &Node,
+    service: &str,
+    question: Question,
+) -> Option<Answer> {
+    let known_token = node.holder(service).map_or(0, |route| route.token);
+    match ask_owner(node, service, question.clone()).await {
+        None | Some(Answer::NotOwner) => {}
+        answer => return answer,
+    }
+    let successor = read_successor(node, service, known_token).await?;
+    node.peers.ask(successor, question).await.ok()
+}
+
+/// Reads the address of the entry that has held a cell since `known_token`; none if there is no such
+/// entry, or if it is this one.
+async fn read_successor(node: &Node, cell: &str, known_token: u64) -> Option<SocketAddr> {
+    let row = read(node, rows::cell(cell)).await.filter(|row| row.version > known_token)?;
+    let holder = rows::Cell::decode(&row.value).ok()?.holder;
+    if holder == node.entry_id {
+        return None;
+    }
+    let row = read(node, rows::entry(&holder)).await?;
+    Some(rows::Entry::decode(&row.value).ok()?.peer)
+}
+
+async fn read(node: &Node, name: Name) -> Option<Row> {
+    let row = node.store.get(&name.table, &name.part, &name.key, READ_TIMEOUT).await;
+    node.record_store_result(&row);
+    row.ok().flatten()
+}
--- a/tests/all/faults/platform.rs
+++ b/tests/all/faults/platform.rs
@@ -126,6 +126,16 @@
                 "engine::cell::Cell::is_takeover_complete",
                 "inherited_tasks_wait_until_every_minion_has_answered",
             ),
+            (
+                "no job reads as queued while a task of it may run where nobody has looked",
+                "engine::cell::Cell::is_state_known",
+                "the_state_of_an_inherited_job_is_unknown_until_its_tasks_were_looked_for",
+            ),
+            (
+                "the same while its owner does not answer, or only its successor knows it",
+                "scheduler::peers::ask_current_owner",
+                "a_running_job_is_never_queued_again_after_its_owner_was_lost",
+            ),
             (
                 "a minion whose machine runs another one is not waited for",
                 "engine::termination::has_terminated",
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -16,6 +16,7 @@
 mod moves;
 mod scale;
 mod soak;
+mod states;
 mod store;
 mod workspaces;
 
