Bound what clients that read slowly or not at all make an entry hold

What callers saw: nothing yet; found by a new test. A client that sends requests on and reads no answers made the kernel hold 53 KB for its connection in the test, and up to the kernel's limit of 4 MiB if it sends more. 600 such connections at an instance of 48 MiB took 56 MB, 25 MB of them the process's own memory. Connections whose clients read a few bytes from time to time were kept for good, also when their places were needed.

Cause: the receive buffer had 32 KiB, which the kernel doubles, the send buffer no size, and neither was reckoned with a connection's memory. A connection never lost its place while its response was written, and only each write had a longest time.

Fix: both buffers have 8 KiB at the platform's entries, 64 KiB at the product's own interface, which forwards bodies of megabytes. A connection can lose its place once its response has been written for 2 s, and a response of known length has the time that a request's body of its size has; both are logged and counted as limits, with the client.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -19,7 +19,7 @@
 use async_std::future::timeout;
 use async_std::net::TcpListener;
 use celerythread_http::connections::Places;
-use celerythread_http::listener::{self, Server};
+use celerythread_http::listener::{self, KernelBuffers, Server};
 use celerythread_http::memory::Budget;
 use celerythread_http::server::{Limits, Stop};
 use celerythread_model::event::Kind;
@@ -55,6 +55,9 @@
 /// Most connections of callers at once, and of operators.
 const MAX_CONNECTIONS: usize = 4096;
 
+/// Kernel buffers of a connection: bodies and answers may have megabytes.
+const KERNEL_BUFFERS: KernelBuffers = KernelBuffers { receive: 64 * 1024, send: 64 * 1024 };
+
 /// Why a daemon could not start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -107,8 +110,8 @@
         platform: Platform,
         identity: &Identity,
     ) -> Result<Self, Error> {
-        let callers = listen(settings.caller_listen).await?;
-        let operators = listen(settings.operator_listen).await?;
+        let callers = listen(settings.caller_listen)?;
+        let operators = listen(settings.operator_listen)?;
         let endpoint =
             Endpoint::bind(settings.peer_listen, identity, &endpoint::Settings::default())
                 .context(PeersSnafu)?;
@@ -242,8 +245,8 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address).await.context(ListenSnafu { address })
+fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    listener::bind(address, KERNEL_BUFFERS).context(ListenSnafu { address })
 }
 
 fn local_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, Error> {
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -21,16 +21,19 @@
     Head,
     /// A request's body is being received.
     Body,
+    /// A response is being written, and its client may read it slowly.
+    Responding,
     /// A request is being answered.  It never loses its place.
     Answering,
 }
 
 /// The phases in which a connection can lose its place, with the time after which it can.
-const CLOSABLE_PHASES: [(Phase, Duration); 4] = [
+const CLOSABLE_PHASES: [(Phase, Duration); 5] = [
     (Phase::Waiting, Duration::ZERO),
     (Phase::Discarding, Duration::ZERO),
     (Phase::Head, Duration::from_secs(1)),
     (Phase::Body, Duration::from_secs(2)),
+    (Phase::Responding, Duration::from_secs(2)),
 ];
 
 /// The places of a listener's connections.
--- a/crates/http/src/fault.rs
+++ b/crates/http/src/fault.rs
@@ -14,6 +14,8 @@
     Connections,
     /// Time for receiving a whole body.
     BodyTime,
+    /// Time for sending a whole response.
+    ResponseTime,
     /// Requests that are being processed.
     Requests,
 }
--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -5,6 +5,9 @@
 use crate::memory::Budget;
 use crate::server::{self, Handler, Limits, Resources, Stop};
 use async_std::net::{TcpListener, TcpStream};
+use socket2::SockRef;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use stop_token::future::FutureExt;
@@ -13,6 +16,33 @@
 /// freed as connections end.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Sizes of the kernel's buffers of a connection, in bytes; the kernel allots twice as much for its
+/// own records.  Unset, each grows to megabytes, for what a client sends while its earlier request is
+/// processed, and for answers that it doesn't read.
+#[derive(Clone, Copy, Debug)]
+pub struct KernelBuffers {
+    /// For what was received and not read yet.
+    pub receive: usize,
+    /// For what was written and not acknowledged yet.
+    pub send: usize,
+}
+
+/// Listens at an address; accepted connections inherit the sizes of the buffers.
+///
+/// # Errors
+/// When the address can't be bound.
+pub fn bind(address: SocketAddr, buffers: KernelBuffers) -> io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    let socket = SockRef::from(&listener);
+    let set = socket
+        .set_recv_buffer_size(buffers.receive)
+        .and_then(|()| socket.set_send_buffer_size(buffers.send));
+    if let Err(error) = set {
+        log::warn!(reason:% = error; "kernel_buffers_unset");
+    }
+    Ok(listener.into())
+}
+
 /// State shared by the connections of a listener.
 #[derive(Clone)]
 pub struct Server {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -7,6 +7,7 @@
 use crate::Limit;
 use crate::body;
 use crate::connections::{Phase, Place, Places};
+use crate::fault;
 use crate::head::{self, Length};
 use crate::memory::{Budget, Reservation};
 use crate::stream::{Duplex, Stream};
@@ -32,8 +33,8 @@
 /// Memory beside its body for the requests of a connection that shares nothing.
 const UNSHARED_MEMORY: u64 = 256 * 1024;
 
-/// Bytes per second from which on a body has more than [`Limits::body_timeout`]: larger bodies may
-/// take as long as they do at this rate, and that time.
+/// Bytes per second of a body, of a request or a response, for which it has time beside
+/// [`Limits::body_timeout`].
 const MIN_BODY_RATE: f64 = 64.0 * 1024.0;
 
 /// Longest time for which the rest of a refused request is discarded.
@@ -50,10 +51,18 @@
     pub head_timeout: Span,
     /// Longest wait for each read of a body and each write of a response.
     pub progress_timeout: Span,
-    /// Longest time for receiving a whole body, apart from the time for its size.
+    /// Longest time for receiving a whole body, and for sending a whole response of known length,
+    /// apart from the time for its size.
     pub body_timeout: Span,
 }
 
+impl Limits {
+    /// Longest time for a body of this length.
+    fn body_time(&self, length: u64) -> Duration {
+        self.body_timeout.0 + Duration::from_secs_f64(length as f64 / MIN_BODY_RATE)
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
@@ -216,8 +225,7 @@
         // A stopping server announces the close on its last response, so that the client does
         // not send another request on a connection that is about to close.
         let keep_alive = keep_alive && !self.is_closing();
-        write_response(&mut self.stream, response, method, keep_alive, self.limits).await.is_ok()
-            && keep_alive
+        self.respond(response, method, keep_alive).await.is_ok() && keep_alive
     }
 
     /// Waits for the first byte of a request; false if there will be none.
@@ -254,8 +262,7 @@
             Length::Exact(length) => length.min(self.limits.max_body.0),
             Length::Chunked | Length::UntilClose => self.limits.max_body.0,
         };
-        let time = Duration::from_secs_f64(length as f64 / MIN_BODY_RATE);
-        let deadline = Instant::now() + self.limits.body_timeout.0 + time;
+        let deadline = Instant::now() + self.limits.body_time(length);
         let progress_timeout = self.limits.progress_timeout.0;
         body::Reader::new(framing.length, progress_timeout).with_deadline(deadline)
     }
@@ -307,14 +314,43 @@
             self.handler.limit_reached(limit, self.resources.peer);
         }
         let response = self.handler.error_response(fault);
-        let written =
-            write_response(&mut self.stream, response, Method::Get, false, self.limits).await;
+        let written = self.respond(response, Method::Get, false).await;
         if let (Ok(()), Some(rest), Fault::Overloaded { .. }) = (written, rest, fault) {
             self.discard(rest).await;
         }
         false
     }
 
+    /// Sends a response.  The connection can't carry another request if that fails.
+    async fn respond(
+        &mut self,
+        response: Response,
+        method: Method,
+        keep_alive: bool,
+    ) -> Result<(), Fault> {
+        self.enter(Phase::Responding);
+        let closed = self.resources.place.closed();
+        // A response of unknown length may be sent for as long as it is produced.
+        let time = response.len().map(|length| self.limits.body_time(length as u64));
+        let writing = write_response(&mut self.stream, response, method, keep_alive, self.limits);
+        let writing = unless_closed(writing, closed);
+        let written = match time {
+            Some(time) => timeout(time, writing)
+                .await
+                .unwrap_or_else(|_| fault::TimeoutSnafu { operation: "sending a response" }.fail()),
+            None => writing.await,
+        };
+        let limit = match &written {
+            Err(Fault::Overloaded { limit }) => Some(*limit),
+            Err(Fault::Timeout { .. }) => Some(Limit::ResponseTime),
+            _ => None,
+        };
+        if let Some(limit) = limit {
+            self.handler.limit_reached(limit, self.resources.peer);
+        }
+        written
+    }
+
     /// Discards the rest of a request for a while: closing a connection with unread bytes resets it,
     /// and the response could be lost.
     async fn discard(&mut self, mut rest: body::Reader) {
@@ -334,8 +370,7 @@
         let framing = &head.framing;
         let keep_alive = framing.keep_alive && !framing.expects_continue && !self.is_closing();
         let mut reader = self.body_reader(framing);
-        let written =
-            write_response(&mut self.stream, response, method, keep_alive, self.limits).await;
+        let written = self.respond(response, method, keep_alive).await;
         if written.is_err() || !keep_alive {
             return false;
         }
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -20,7 +20,7 @@
 use celerythread_adapter::store::{Name, Transaction};
 use celerythread_engine::job::{decode, encode};
 use celerythread_http::connections::Places;
-use celerythread_http::listener::{self, Server};
+use celerythread_http::listener::{self, KernelBuffers, Server};
 use celerythread_http::server::{Handler, Limits, Request, Stop};
 use celerythread_http::{Fault, Limit};
 use celerythread_model::unit::{Bytes, Span};
@@ -44,9 +44,9 @@
 /// Part of the stop bound that is left for the process to exit.
 const PROCESS_EXIT_MARGIN: Duration = Duration::from_millis(800);
 
-/// Size of the kernel's receive buffer of a client's connection: what a client sends while its
-/// earlier request is processed stays there.  Unset, the kernel lets it grow to megabytes.
-const RECEIVE_BUFFER_LEN: usize = 32 * 1024;
+/// Kernel buffers of a client's connection.  Answers to callers are some 100 bytes; a body of the
+/// largest size takes some 20 round trips.
+const KERNEL_BUFFERS: KernelBuffers = KernelBuffers { receive: 8 * 1024, send: 8 * 1024 };
 
 /// Delay before a failed startup call, or an incomplete handover, is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -342,14 +342,8 @@
     }
 }
 
-/// Listens at an address; accepted connections inherit the size of the receive buffer.
 fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    let listener = std::net::TcpListener::bind(address).context(ListenSnafu { address })?;
-    let set = socket2::SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_LEN);
-    if let Err(error) = set {
-        log::warn!(reason:% = error; "receive_buffer_unset");
-    }
-    Ok(listener.into())
+    listener::bind(address, KERNEL_BUFFERS).context(ListenSnafu { address })
 }
 
 fn local_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, Error> {
--- a/tests/all/faults/clients.rs
+++ b/tests/all/faults/clients.rs
@@ -57,10 +57,27 @@
             "crowds of all kinds beside signals, restarts and outages of the store",
             &["crowds_overlap_with_faults"],
         ),
-        ("answers that nobody reads, while more requests are sent", UNPROVED),
+        (
+            "answers that nobody reads, while more requests are sent",
+            &["answers_that_nobody_reads_are_held_within_the_memory"],
+        ),
+        (
+            "answers that are read a few bytes at a time",
+            &["slow_readers_of_the_metrics_leave_connections"],
+        ),
         ("the product's own interface: forwarded bodies", UNPROVED),
     ],
     guards: &[
+        (
+            "a response has a longest time",
+            "http::server::Session::respond",
+            "a_response_has_a_longest_time",
+        ),
+        (
+            "a slow reader loses its place to a new connection",
+            "http::connections::Places::take",
+            "a_slow_reader_loses_its_place_to_a_new_connection",
+        ),
         (
             "bodies are received into reserved memory",
             "http::memory::Incoming::append",
--- a/tests/crowds/client.rs
+++ b/tests/crowds/client.rs
@@ -1,7 +1,8 @@
 //! Clients that write raw bytes, and ordinary ones.
 
 use serde_json::Value;
-use std::io::{ErrorKind, Read, Write};
+use socket2::{Domain, Socket, Type};
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -115,8 +116,29 @@
 impl Crowd {
     /// Opens a connection for each message.  Those that are refused are left out.
     pub(crate) fn connect(address: SocketAddr, messages: impl Iterator<Item = Vec<u8>>) -> Self {
+        Self::connect_with(address, messages, |_| Ok(()))
+    }
+
+    /// The same with receive buffers of a length, so that the crowd's kernel takes little of the
+    /// answers that the crowd doesn't read.
+    pub(crate) fn connect_with_buffers(
+        address: SocketAddr,
+        messages: impl Iterator<Item = Vec<u8>>,
+        length: usize,
+    ) -> Self {
+        Self::connect_with(address, messages, |socket| socket.set_recv_buffer_size(length))
+    }
+
+    fn connect_with(
+        address: SocketAddr,
+        messages: impl Iterator<Item = Vec<u8>>,
+        prepare: impl Fn(&Socket) -> io::Result<()>,
+    ) -> Self {
         let connect = |bytes| {
-            let stream = TcpStream::connect_timeout(&address, TIMEOUT).ok()?;
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).ok()?;
+            prepare(&socket).ok()?;
+            socket.connect_timeout(&address.into(), TIMEOUT).ok()?;
+            let stream = TcpStream::from(socket);
             stream.set_nonblocking(true).ok()?;
             Some(Member { stream, bytes, sent: 0, answer: Vec::new(), is_closed: false })
         };
@@ -143,6 +165,46 @@
         }
     }
 
+    /// Sends all messages, `piece` bytes of each in turn, and reads nothing, until no connection has
+    /// taken any bytes for a time.
+    pub(crate) fn send_unread(&mut self, piece: usize, time: Duration) {
+        let began = Instant::now();
+        let mut last_sent = began;
+        while last_sent.elapsed() < time && began.elapsed() < SEND_TIMEOUT {
+            for member in self.0.iter_mut().filter(|member| !member.is_closed) {
+                let sent = member.sent;
+                member.send(piece);
+                if member.sent > sent {
+                    last_sent = Instant::now();
+                }
+            }
+            thread::sleep(ROUND_INTERVAL);
+        }
+    }
+
+    /// Sends all messages, and reads up to `piece` bytes of each connection's answers in turn, with a
+    /// pause after each round, until `is_over`, or until all connections are closed.
+    pub(crate) fn read_slowly(
+        &mut self,
+        piece: usize,
+        pause: Duration,
+        is_over: impl Fn() -> bool,
+    ) {
+        let mut buffer = vec![0; piece];
+        while !is_over() && self.0.iter().any(|member| !member.is_closed) {
+            for member in self.0.iter_mut().filter(|member| !member.is_closed) {
+                if member.sent < member.bytes.len() {
+                    member.send(usize::MAX / 2);
+                }
+                match member.stream.read(&mut buffer) {
+                    Ok(count) => member.is_closed = count == 0,
+                    Err(error) => member.is_closed = error.kind() != ErrorKind::WouldBlock,
+                }
+            }
+            thread::sleep(pause);
+        }
+    }
+
     /// Reads what is answered during a time.
     pub(crate) fn receive_for(&mut self, time: Duration) {
         let began = Instant::now();
--- a/tests/crowds/deployment.rs
+++ b/tests/crowds/deployment.rs
@@ -135,6 +135,14 @@
         (0..self.entries.len()).for_each(|entry| self.check_machine(entry));
     }
 
+    /// Checks that the memory of a process and what the kernel held for it were within its machine.
+    pub(crate) fn check_memory(&self, entry: usize, held: u64) {
+        let memory = self.machine.memory;
+        let used = self.entries[entry].process.peak_memory() + held;
+        println!("{} KiB at the peak, {} of them held by the kernel", used >> 10, held >> 10);
+        assert!(used <= memory.0, "{} KiB of memory, more than {memory}", used >> 10);
+    }
+
     /// Checks that a process lives and has stayed within its machine.
     pub(crate) fn check_machine(&mut self, entry: usize) {
         let Machine { memory, descriptors } = self.machine;
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -6,11 +6,13 @@
 //! machine for itself: this is a test binary of its own, and [`deployment::Deployment::start`] holds
 //! a lock until the deployment is dropped.  No test asserts a time or a share of served requests.
 
+mod answers;
 mod bodies;
 mod client;
 mod connections;
 mod deployment;
 mod jobs;
+mod kernel;
 mod process;
 mod requests;
 mod soak;
