Let a large job wait for its owner's answer

What callers saw: a single job of 2,500 steps was refused with 503 at an idle entry.

Cause: the owner is asked for memory before a large job is stored, and the job was refused as soon as one question had no answer: for seconds after the loss of an owner, while an entry doesn't know the owner yet, and when an answer takes longer than 350 ms.

Fix: the question is repeated until an owner answers or the client's deadline is near, as storing a job is; the successor of an owner that doesn't answer is read from the store. A job that its owner has no memory for is still refused at once.

--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -8,8 +8,16 @@
 use crate::owner::Owner;
 use crate::peers;
 use celerythread_engine::job::Id;
+use celerythread_engine::time::Time;
 use celerythread_wire::job::{Answer, Question};
 use snafu::Snafu;
+use std::time::Duration;
+
+/// Delay before an owner that gave no answer is asked again.
+const RETRY_DELAY: Duration = Duration::from_millis(250);
+
+/// Time before the deadline that is left for storing the job.
+const STORE_TIME: Duration = Duration::from_millis(700);
 
 /// Why a job isn't admitted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
@@ -22,7 +30,9 @@
     OwnerUnknown,
 }
 
-/// Asks for memory for a job that is about to be stored, where that is needed.
+/// Asks for memory for a job that is about to be stored, where that is needed.  For a large job, asks
+/// until an owner answers or a deadline is near: an owner that was lost has a successor within
+/// seconds.
 ///
 /// # Errors
 /// When the job must not be stored.
@@ -31,6 +41,7 @@
     service: &str,
     id: Id,
     bytes: u64,
+    deadline: Time,
 ) -> Result<(), NotAdmitted> {
     let is_large = node.admission.lock().is_large(bytes);
     let is_owner = node.owner(service).is_some();
@@ -38,11 +49,21 @@
         return Ok(());
     }
     let question = Question::Admit { service: service.into(), id, bytes };
-    match peers::ask_owner(node, service, question).await {
-        Some(Answer::Admitted(true)) => Ok(()),
-        Some(Answer::Admitted(false)) => Err(NotAdmitted::Full),
-        _ if is_large => Err(NotAdmitted::OwnerUnknown),
-        _ => Ok(()),
+    if !is_large {
+        return match peers::ask_owner(node, service, question).await {
+            Some(Answer::Admitted(false)) => Err(NotAdmitted::Full),
+            _ => Ok(()),
+        };
+    }
+    loop {
+        match peers::ask_current_owner(node, service, question.clone()).await {
+            Some(Answer::Admitted(true)) => return Ok(()),
+            Some(Answer::Admitted(false)) => return Err(NotAdmitted::Full),
+            _ if clock::now() + RETRY_DELAY + STORE_TIME >= deadline => {
+                return Err(NotAdmitted::OwnerUnknown);
+            }
+            _ => async_std::task::sleep(RETRY_DELAY).await,
+        }
     }
 }
 
--- a/crates/scheduler/src/front/accept.rs
+++ b/crates/scheduler/src/front/accept.rs
@@ -53,8 +53,9 @@
                 let partition = home.partition;
                 let job = Job { partition: &partition, id, row, deadline: context.deadline };
                 let service = &queue.service;
-                let written = match admission::request(node, service, id, prepared.footprint).await
-                {
+                let bytes = prepared.footprint;
+                let deadline = context.deadline;
+                let written = match admission::request(node, service, id, bytes, deadline).await {
                     Ok(()) => submit::write(node, &job).await,
                     Err(reason) => self.refuse_unstored(&job, &reason).await,
                 };
--- a/tests/crowds/client.rs
+++ b/tests/crowds/client.rs
@@ -33,9 +33,18 @@
 
 /// A request of an ordinary client; the status and the body, or `None` without an answer.
 fn exchange(address: SocketAddr, request: &[u8]) -> Option<(u16, Vec<u8>)> {
-    let mut stream = TcpStream::connect_timeout(&address, TIMEOUT).ok()?;
-    stream.set_read_timeout(Some(TIMEOUT)).ok()?;
-    stream.set_write_timeout(Some(TIMEOUT)).ok()?;
+    exchange_within(address, request, TIMEOUT)
+}
+
+/// The same with a longest wait for each step.
+fn exchange_within(
+    address: SocketAddr,
+    request: &[u8],
+    max_wait: Duration,
+) -> Option<(u16, Vec<u8>)> {
+    let mut stream = TcpStream::connect_timeout(&address, max_wait).ok()?;
+    stream.set_read_timeout(Some(max_wait)).ok()?;
+    stream.set_write_timeout(Some(max_wait)).ok()?;
     stream.write_all(request).ok()?;
     let mut answer = Vec::new();
     let mut piece = [0; 4096];
@@ -72,6 +81,16 @@
     exchange(address, &submission(id, body)).map(|(status, _)| status)
 }
 
+/// Submits a job as a client that waits for the answer for as long as it may.
+pub(crate) fn submit_patiently(address: SocketAddr, id: &str, body: &[u8]) -> Option<u16> {
+    let deadline = ANSWER_TIMEOUT.as_millis();
+    let framing =
+        format!("X-Celerythread-Deadline-Ms: {deadline}\r\nContent-Length: {}", body.len());
+    let mut request = submission_head(id, &framing).into_bytes();
+    request.extend_from_slice(body);
+    exchange_within(address, &request, ANSWER_TIMEOUT).map(|(status, _)| status)
+}
+
 /// The body of the answer to an ordinary question for a job's state.
 pub(crate) fn state(address: SocketAddr, id: &str) -> Option<Value> {
     let request = format!("GET /q/{id} HTTP/1.1\r\nHost: jobs.example\r\n\r\n");
--- a/tests/crowds/jobs.rs
+++ b/tests/crowds/jobs.rs
@@ -1,6 +1,6 @@
 //! Crowds of accepted jobs, which their owner and each owner after it must hold.
 
-use crate::client::{Crowd, submission};
+use crate::client::{self, Crowd, submission};
 use crate::deployment::{Deployment, Machine, eventually};
 use crate::requests::scheduled_job;
 
@@ -74,9 +74,24 @@
     for entry in 0..2 {
         let callers = deployment.entries[entry].callers;
         let id = format!("{entry:016x}");
-        let status = crate::client::submit(callers, &id, &scheduled_job(STEPS, ""));
+        let status = client::submit(callers, &id, &scheduled_job(STEPS, ""));
         assert_eq!(status, Some(200));
     }
     deployment.check_ordinary_request();
     deployment.check_machines();
 }
+
+/// Guards against a limit that refuses a single job at once because its owner was just lost and can't
+/// be asked for memory: the next owner can, within the time that the client waits.
+#[test]
+fn a_single_job_of_many_steps_waits_for_the_next_owner() {
+    let mut deployment = Deployment::start(2, Machine::default());
+    deployment.check_ordinary_request();
+    let owner = deployment.owner().unwrap();
+    deployment.lose(owner);
+    let callers = deployment.entries[0].callers;
+    let status = client::submit_patiently(callers, &"1".repeat(16), &scheduled_job(STEPS, ""));
+    assert_eq!(status, Some(200));
+    deployment.check_ordinary_request();
+    deployment.check_machines();
+}
