Name the listener and the client of every reached limit

What operators saw: `limit_reached` with `client` `-` where too many requests were processed at the same time, and with `callers` for connections to the readiness check's own address, so neither told whom to stop.

Cause: a handler didn't know the client of a request, and the readiness check shares the callers' handler.

Fix: a request carries its client's address, and the readiness check's listener has a handler of its own that names it.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -85,6 +85,8 @@
     pub head_memory: Reservation,
     /// Memory that is reserved for the body.
     pub body_memory: Reservation,
+    /// The address of the client, if known.
+    pub peer: Option<SocketAddr>,
 }
 
 impl Request {
@@ -273,6 +275,7 @@
         reader: &mut body::Reader,
     ) -> Result<(Request, bool), Fault> {
         let Head { framing, decoded, reserved } = head;
+        let peer = self.resources.peer;
         if framing.expects_continue {
             // async-h1 would write this after the final response.
             let timeout = self.limits.progress_timeout.0;
@@ -280,8 +283,8 @@
         }
         if framing.length == Length::Exact(0) {
             let body_memory = self.resources.memory.nothing();
-            let request =
-                Request { head: decoded, body: Vec::new(), head_memory: reserved, body_memory };
+            let (body, head_memory) = (Vec::new(), reserved);
+            let request = Request { head: decoded, body, head_memory, body_memory, peer };
             return Ok((request, framing.keep_alive));
         }
         let limit = self.limits.max_body.0;
@@ -298,7 +301,7 @@
         })?;
         let whole = incoming.finish().map_err(|_| Fault::Overloaded { limit: Limit::Memory });
         let (body, body_memory) = whole?;
-        let request = Request { head: decoded, body, head_memory: reserved, body_memory };
+        let request = Request { head: decoded, body, head_memory: reserved, body_memory, peer };
         Ok((request, framing.keep_alive))
     }
 
--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -101,7 +101,7 @@
         let callers = Arc::new(CallerHandler::new(daemon.node.clone()));
         daemon.serve(caller_listener, callers.clone(), callers_places);
         if let Some(listener) = readiness {
-            daemon.serve(listener, callers, readiness_places);
+            daemon.serve(listener, Arc::new(ReadinessCheck(callers)), readiness_places);
         }
         if let Some(listener) = metrics {
             daemon.serve(listener, Arc::new(MetricsPage(daemon.node.clone())), metrics_places);
@@ -214,6 +214,28 @@
     }
 }
 
+/// Serves callers at the address of the readiness check.
+struct ReadinessCheck(Arc<CallerHandler>);
+
+#[async_trait::async_trait]
+impl Handler for ReadinessCheck {
+    fn admit(&self, head: &http_types::Request) -> Option<Response> {
+        self.0.admit(head)
+    }
+
+    async fn handle(&self, request: Request) -> Response {
+        self.0.handle(request).await
+    }
+
+    fn error_response(&self, fault: &Fault) -> Response {
+        self.0.error_response(fault)
+    }
+
+    fn limit_reached(&self, limit: Limit, client: Option<SocketAddr>) {
+        self.0.record_limit(limit, "readiness", client);
+    }
+}
+
 /// Serves the metrics page.
 struct MetricsPage(Arc<Node>);
 
--- a/crates/scheduler/src/front.rs
+++ b/crates/scheduler/src/front.rs
@@ -62,6 +62,11 @@
         Self { node, early_cancellations: Mutex::default() }
     }
 
+    /// Records that a client has reached a limit at a listener.
+    pub(crate) fn record_limit(&self, limit: Limit, listener: &str, client: Option<SocketAddr>) {
+        self.node.record_limit(limit, listener, client);
+    }
+
     fn readiness(&self) -> Response {
         let node = &self.node;
         let ready =
@@ -262,7 +267,7 @@
         let in_flight = InFlight::new(&self.node);
         let is_readiness_check = request.path() == submission::READY_PATH;
         if in_flight.position() > self.node.settings.max_requests() && !is_readiness_check {
-            self.node.record_limit(Limit::Requests, "callers", None);
+            self.node.record_limit(Limit::Requests, "callers", request.peer);
             return unavailable_response(DEFAULT_DEADLINE);
         }
         self.route(request).await
@@ -282,7 +287,7 @@
     }
 
     fn limit_reached(&self, limit: Limit, client: Option<SocketAddr>) {
-        self.node.record_limit(limit, "callers", client);
+        self.record_limit(limit, "callers", client);
     }
 }
 
--- a/tests/all/faults/clients.rs
+++ b/tests/all/faults/clients.rs
@@ -53,6 +53,10 @@
                 "the_next_owner_holds_the_accepted_jobs",
             ],
         ),
+        (
+            "a large job right after the loss of its owner",
+            &["a_single_job_of_many_steps_waits_for_the_next_owner"],
+        ),
         (
             "crowds of all kinds beside signals, restarts and outages of the store",
             &["crowds_overlap_with_faults"],
--- a/tests/crowds/deployment.rs
+++ b/tests/crowds/deployment.rs
@@ -135,6 +135,15 @@
         (0..self.entries.len()).for_each(|entry| self.check_machine(entry));
     }
 
+    /// Checks that an entry has logged a reached limit with the listener and the client's address.
+    pub(crate) fn check_limit_line(&self, entry: usize, listener: &str) {
+        let field = |field| self.entries[entry].process.logged("limit_reached", field);
+        eventually("a reached limit is logged", || field("limit"));
+        assert_eq!(field("listener").as_deref(), Some(listener));
+        let client = field("client").unwrap();
+        assert!(client.parse::<SocketAddr>().is_ok(), "no address of a client: {client}");
+    }
+
     /// Checks that the memory of a process and what the kernel held for it were within its machine.
     pub(crate) fn check_memory(&self, entry: usize, held: u64) {
         let memory = self.machine.memory;
--- a/tests/crowds/requests.rs
+++ b/tests/crowds/requests.rs
@@ -120,6 +120,7 @@
     crowd.receive_answers();
     deployment.site.store.set_fault_mode(FaultMode::None);
     deployment.check_ordinary_request();
+    deployment.check_limit_line(0, "callers");
     deployment.check_machines();
 }
 
