--- a/crates/scheduler/src/daemon.rs
+++ b/crates/scheduler/src/daemon.rs
@@ -44,8 +44,8 @@
 /// Part of the stop bound that is left for the process to exit.
 const PROCESS_EXIT_MARGIN: Duration = Duration::from_millis(800);
 
-/// Kernel buffers of a client's connection.  Answers to callers are some 100 bytes; a body of the
-/// largest size takes some 20 round trips.
+/// Kernel buffers of a client's connection.  They aren't reckoned with its memory, so they are small:
+/// a large body or metrics page takes more round trips instead.
 const KERNEL_BUFFERS: KernelBuffers = KernelBuffers { receive: 8 * 1024, send: 8 * 1024 };
 
 /// Delay before a failed startup call, or an incomplete handover, is retried.
