Log the client of requests over the limit in a test of its own

Cause: the check of the log line that added to that test was wrong. The store is silent there, and an entry that knows of an outage refuses requests at once without processing them. Where the crowd needs longer to connect than the entry needs to notice the outage, the limit of requests is never reached, so there is no line.

Fix: the former test is as it was before that check, with its crowd and bounds. `requests_beyond_the_limit_are_logged_with_their_client` checks the line: the store answers slowly, so requests overlap until the limit is reached, and it checks also that the limit is that of requests.

--- a/tests/crowds/requests.rs
+++ b/tests/crowds/requests.rs
@@ -1,7 +1,7 @@
 //! Crowds of whole requests, and single requests that can't be served.
 
 use crate::client::{self, Crowd, submission};
-use crate::deployment::{Deployment, Machine};
+use crate::deployment::{Deployment, Machine, eventually};
 use celerythread_standin::site::store::FaultMode;
 
 /// Connections of a crowd.
@@ -41,6 +41,12 @@
     crowd.statuses()
 }
 
+/// Questions for the states of as many jobs that were never submitted.
+fn questions(count: usize) -> impl Iterator<Item = Vec<u8>> {
+    let question = |id| format!("GET /q/{id} HTTP/1.1\r\nHost: jobs.example\r\n\r\n").into_bytes();
+    (0..count).map(move |number| question(id(number)))
+}
+
 /// Guards against a process that runs out of memory because it encodes and stores jobs that the
 /// platform's protocol doesn't allow.
 #[test]
@@ -112,15 +118,35 @@
 fn requests_that_read_the_store_leave_descriptors() {
     let machine = Machine { descriptors: 700, ..Machine::default() };
     let mut deployment = Deployment::start(2, machine);
-    let question = |number| format!("GET /q/{} HTTP/1.1\r\nHost: jobs.example\r\n\r\n", id(number));
-    let messages = (0..370).map(|number| question(number).into_bytes());
     deployment.site.store.set_fault_mode(FaultMode::Silent);
-    let mut crowd = Crowd::connect(deployment.entries[0].callers, messages);
+    let mut crowd = Crowd::connect(deployment.entries[0].callers, questions(370));
     crowd.send(AT_ONCE);
     crowd.receive_answers();
     deployment.site.store.set_fault_mode(FaultMode::None);
     deployment.check_ordinary_request();
+    deployment.check_machines();
+}
+
+/// Guards against operators who can't tell which client sends more requests than an entry processes
+/// at the same time.
+///
+/// The store answers slowly rather than not at all: an entry that knows of an outage refuses requests
+/// at once, and then few overlap.  On a slow machine it may take several crowds until enough do.
+#[test]
+fn requests_beyond_the_limit_are_logged_with_their_client() {
+    let machine = Machine { descriptors: 360, ..Machine::default() };
+    let mut deployment = Deployment::start(2, machine);
+    deployment.site.store.set_fault_mode(FaultMode::Slow);
+    let limit = eventually("more requests than the limit overlap", || {
+        let mut crowd = Crowd::connect(deployment.entries[0].callers, questions(110));
+        crowd.send(AT_ONCE);
+        crowd.receive_answers();
+        deployment.entries[0].process.logged("limit_reached", "limit")
+    });
+    assert_eq!(limit, "requests");
+    deployment.site.store.set_fault_mode(FaultMode::None);
     deployment.check_limit_line(0, "callers");
+    deployment.check_ordinary_request();
     deployment.check_machines();
 }
 
