Share the reads of an owner's successor between requests

Cause: since each question that an owner didn't answer read the cell's row and its holder's row from the store, for every request, and large jobs did so again every 250 ms. The number of reads grew with that of the requests that waited, just when the store is needed for takeovers.

Fix: `sync::Lookups` gives all tasks the outcome of one lookup of a key that began within an interval. An entry reads a cell's successor at most once in 250 ms, not at all while it knows that the store is unavailable, and not if it has heard of the successor meanwhile.

--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -11,6 +11,7 @@
 use celerythread_engine::time::Time;
 use celerythread_wire::job::{Answer, Question};
 use snafu::Snafu;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Delay before an owner that gave no answer is asked again.
@@ -37,7 +38,7 @@
 /// # Errors
 /// When the job must not be stored.
 pub(crate) async fn request(
-    node: &Node,
+    node: &Arc<Node>,
     service: &str,
     id: Id,
     bytes: u64,
--- a/crates/scheduler/src/peers.rs
+++ b/crates/scheduler/src/peers.rs
@@ -8,6 +8,7 @@
 use crate::rows;
 use async_std::future::timeout;
 use celerythread_adapter::store::{Name, Row};
+use celerythread_sync::Lookups;
 use celerythread_wire::job::{Answer, Question};
 use celerythread_wire::{Channel, Endpoint, Frame, Link};
 use futures::FutureExt;
@@ -31,6 +32,11 @@
 /// Longest wait for a read of who holds a cell.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Shortest time between the beginnings of two reads of who holds a cell, which all requests that
+/// wait for its owner share.  When many owners are lost at the same time, a read for each request
+/// would be more than the store can answer.
+const SUCCESSOR_INTERVAL: Duration = Duration::from_millis(250);
+
 /// How long a peer is not asked after an unanswered question.
 const UNANSWERED_BACKOFF: Duration = Duration::from_millis(1500);
 
@@ -53,7 +59,6 @@
 type Dial = Shared<BoxFuture<'static, Option<Link>>>;
 
 /// The links to other entries.
-#[derive(Default)]
 pub(crate) struct Peers {
     endpoint: RwLock<Option<Arc<Endpoint>>>,
     links: Mutex<HashMap<SocketAddr, Link>>,
@@ -68,6 +73,21 @@
     backing_off: Mutex<HashMap<SocketAddr, std::time::Instant>>,
     /// Consecutive unanswered questions.
     misses: Mutex<HashMap<SocketAddr, u32>>,
+    /// The present holders of cells whose known holder didn't answer.
+    successors: Lookups<String, Option<rows::Route>>,
+}
+
+impl Default for Peers {
+    fn default() -> Self {
+        Self {
+            endpoint: RwLock::default(),
+            links: Mutex::default(),
+            dials: Mutex::default(),
+            backing_off: Mutex::default(),
+            misses: Mutex::default(),
+            successors: Lookups::new(SUCCESSOR_INTERVAL),
+        }
+    }
 }
 
 impl Peers {
@@ -227,32 +247,45 @@
     answer
 }
 
-/// Like [`ask_owner`], but when the holder that this entry knows doesn't answer, asks the successor
-/// that the store names.  The directory shows a new holder only some hundred milliseconds later.
+/// Like [`ask_owner`], but when the holder that this entry knows doesn't answer, asks its successor:
+/// the one that this entry has heard of meanwhile, or else the one that the store names.  The
+/// directory shows a new holder only some hundred milliseconds after its takeover.
 pub(crate) async fn ask_current_owner(
-    node: &Node,
+    node: &Arc<Node>,
     service: &str,
     question: Question,
 ) -> Option<Answer> {
-    let known_token = node.holder(service).map_or(0, |route| route.token);
+    let known_token = || node.holder(service).map_or(0, |route| route.token);
+    let asked_token = known_token();
     match ask_owner(node, service, question.clone()).await {
         None | Some(Answer::NotOwner) => {}
         answer => return answer,
     }
-    let successor = read_successor(node, service, known_token).await?;
-    node.peers.ask(successor, question).await.ok()
+    if known_token() > asked_token {
+        return ask_owner(node, service, question).await;
+    }
+    if node.is_outage_ongoing() {
+        return None;
+    }
+    let lookup = || read_successor(node.clone(), service.to_owned());
+    let successor = node.peers.successors.get(service.to_owned(), lookup).await?;
+    if successor.token <= asked_token {
+        return None;
+    }
+    node.peers.ask(successor.peer, question).await.ok()
 }
 
-/// Reads the address of the entry that has held a cell since `known_token`; none if there is no such
-/// entry, or if it is this one.
-async fn read_successor(node: &Node, cell: &str, known_token: u64) -> Option<SocketAddr> {
-    let row = read(node, rows::cell(cell)).await.filter(|row| row.version > known_token)?;
-    let holder = rows::Cell::decode(&row.value).ok()?.holder;
-    if holder == node.entry_id {
+/// Reads which other entry holds a cell now, if it isn't the one that this entry knows.
+async fn read_successor(node: Arc<Node>, cell: String) -> Option<rows::Route> {
+    let row = read(&node, rows::cell(&cell)).await?;
+    let (token, holder) = (row.version, rows::Cell::decode(&row.value).ok()?.holder);
+    let known_token = node.holder(&cell).map_or(0, |route| route.token);
+    if holder == node.entry_id || token <= known_token {
         return None;
     }
-    let row = read(node, rows::entry(&holder)).await?;
-    Some(rows::Entry::decode(&row.value).ok()?.peer)
+    let row = read(&node, rows::entry(&holder)).await?;
+    let peer = rows::Entry::decode(&row.value).ok()?.peer;
+    Some(rows::Route { holder, peer, token })
 }
 
 async fn read(node: &Node, name: Name) -> Option<Row> {
--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -1,5 +1,10 @@
-//! [`Wake`], the notification between tasks of the daemons.  It isn't lost if no task waits for it
-//! yet, and several notifications before a wait count as one.
+//! What the daemons' tasks wait with: [`Wake`], a notification that isn't lost if no task waits for
+//! it yet, and of which several before a wait count as one; and [`Lookups`], calls whose outcome
+//! several tasks share.
+
+mod lookup;
+
+pub use lookup::Lookups;
 
 use async_std::channel::{self, Receiver, Sender};
 use std::time::Duration;
--- a/tests/all/site/states.rs
+++ b/tests/all/site/states.rs
@@ -58,3 +58,22 @@
         deployment.wait_for_state(entry, &id(1), "queued").await;
     }
 }
+
+/// Guards against reads of the store that grow in number with the requests that wait for an owner:
+/// after the loss of many owners at the same time the store couldn't answer them.
+#[async_std::test]
+async fn questions_without_an_owner_share_their_reads_of_its_successor() {
+    const QUESTIONS: u64 = 200;
+    let mut deployment = Deployment::start("state-reads", 2, 0).await;
+    let owner = deployment.owner().unwrap();
+    assert_eq!(deployment.submit(owner, &id(1), 1, "ms=50").await, 200);
+    deployment.wait_for_state(1 - owner, &id(1), "queued").await;
+    drop(deployment.entries.remove(owner));
+    // The control table has the rows of the cells and of their holders.
+    let before = deployment.site.store.traffic("control").calls;
+    let job = id(1);
+    let questions = (0..QUESTIONS).map(|_| deployment.state(0, &job));
+    futures::future::join_all(questions).await;
+    let reads = deployment.site.store.traffic("control").calls - before;
+    assert!(reads <= QUESTIONS / 4, "{reads} reads for {QUESTIONS} questions");
+}
