Store the progress of the largest jobs

Cause: the list of done tasks in the row of its progress takes up to three bytes a task. At some 27,000 the row is longer than `rowBytes`, the store refuses it each time, and with it the whole batch.

`the_progress_of_the_largest_job_fits_into_a_row` couldn't be met: the list of 42,857 of 50,000 tasks is longer than a row.

Fix: a row that would be too long has a set of bits instead of the list, at most 6,250 bytes, and leaves out the checkpoints that don't fit. A row that fits is encoded as before, since earlier releases don't know the set. A batch whose rows are more than a transaction may hold is taken again with half of them; this was reckoned from the protocol's 1 MB and not played.

Left: some 10,000 failed tasks of one job exceed a row, by reckoning (docs/design/limits.md).

--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -3,11 +3,13 @@
 mod cancellation;
 mod format;
 mod home;
+mod progress;
 mod terms;
 
 pub use cancellation::Cancellation;
 pub use format::{FormatError, decode, decode_extended, encode};
 pub use home::Home;
+pub use progress::{Progress, TrialPlace, Trials};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use snafu::Snafu;
@@ -458,59 +460,3 @@
         matches!(self, State::Completed | State::Failed | State::Cancelled)
     }
 }
-
-/// The stored progress of a job.
-///
-/// Tasks are identified by their flat number within the job.  Failures are stored by the number of
-/// the run, so that an end that is reported again after a change of owner isn't counted twice.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Progress {
-    /// The final state, once the job has one.
-    pub outcome: Option<State>,
-    /// The tasks that are done.
-    pub done: Vec<u32>,
-    /// Tasks and the numbers of their failed runs.
-    pub failed: Vec<(u32, SmallVec<[u32; 2]>)>,
-    /// Tasks and their newest checkpoints.
-    pub checkpoints: Vec<(u32, Box<str>)>,
-    /// Tasks and the suspicion points that they got from crashes of their minions.
-    pub suspicions: Vec<(u32, u8)>,
-    /// Trials of these tasks.
-    pub trials: Vec<(u32, Trials)>,
-    /// Where their last uncertain trials are, as far as known.
-    pub trial_places: Vec<(u32, TrialPlace)>,
-    /// Evidence that these tasks crash their minions.
-    pub evidence: Vec<(u32, u8)>,
-}
-
-/// Starts of a task that ended with the loss of its minion, or may have.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Trials {
-    /// Starts whose minion certainly crashed.
-    pub crashed: u8,
-    /// Starts whose minion may only have been disconnected, or whose owner was lost before it
-    /// learned the result.
-    pub uncertain: u8,
-}
-
-/// Where a task may crash its minion.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct TrialPlace {
-    /// The minion.
-    pub minion: Box<str>,
-    /// Its incarnation.
-    pub incarnation: u64,
-    /// Whether it became silent after it had started the task.
-    pub silent: bool,
-}
-
-impl Progress {
-    /// Decodes stored progress.  Rows of releases that stored no suspicions, trials, places or evidence
-    /// end before that field.
-    ///
-    /// # Errors
-    /// Returns an error if the bytes are malformed.
-    pub fn decode(bytes: &[u8]) -> Result<Self, FormatError> {
-        decode_extended(bytes)
-    }
-}
--- a/crates/engine/src/job/format.rs
+++ b/crates/engine/src/job/format.rs
@@ -5,9 +5,9 @@
 use snafu::Snafu;
 
 /// Most fields appended to a stored value since its first release.
-const MAX_MISSING_FIELDS: usize = 4;
+const MAX_MISSING_FIELDS: usize = 5;
 
-/// Decodes a value whose last fields, at most four, older releases didn't write.
+/// Decodes a value whose last fields, at most five, older releases didn't write.
 ///
 /// The appended zero bytes decode as the defaults of these fields.  After a complete value they
 /// aren't read.
--- a/crates/engine/tests/all/jobs.rs
+++ b/crates/engine/tests/all/jobs.rs
@@ -2,7 +2,7 @@
 
 use crate::fixture::*;
 use celerythread_engine::cell::{EndReason, Refusal, Report, Settings, StartResult};
-use celerythread_engine::job::{Progress, State, Step, TrialPlace, Trials, encode};
+use celerythread_engine::job::{MAX_TASKS, Progress, State, Step, TrialPlace, Trials, encode};
 use std::time::Duration;
 
 #[test]
@@ -301,6 +301,36 @@
     }
 }
 
+/// Guards against a job whose progress no row of the store can hold: nothing of its service would be
+/// stored any more.
+#[test]
+fn the_progress_of_the_largest_job_fits_into_a_row() {
+    const ROW_BYTES: usize = 65_536;
+    let done: Vec<u32> = (0..MAX_TASKS as u32).filter(|task| task % 7 != 3).collect();
+    let checkpoints: Vec<_> =
+        (0..2000).map(|step| (step * 7 + 3, "00".repeat(50).into())).collect();
+    let progress = Progress { done: done.clone(), checkpoints, ..Progress::default() };
+    assert!(encode(&progress).len() > ROW_BYTES, "the list of done tasks is too long");
+    let row = progress.encode(ROW_BYTES);
+    assert!(row.len() <= ROW_BYTES, "{} bytes", row.len());
+    let read = Progress::decode(&row).unwrap();
+    assert_eq!(read.done, done);
+    let kept = read.checkpoints.len();
+    assert!(kept > 0, "checkpoints that fit are kept");
+    assert_eq!(read.checkpoints, progress.checkpoints[..kept]);
+}
+
+/// Guards against rows that an earlier release can't read although they fit without the set of done
+/// tasks, which it doesn't know.
+#[test]
+fn progress_that_fits_is_stored_as_before() {
+    let progress = Progress { done: vec![0, 7], ..Progress::default() };
+    let bytes = encode(&progress);
+    assert_eq!(progress.encode(bytes.len()), bytes);
+    let compact = progress.encode(bytes.len() - 1);
+    assert_eq!(Progress::decode(&compact).unwrap(), progress);
+}
+
 /// Guards against leaving the rest of a gang running after a minion refused one member for lack of
 /// capacity that the owner had recorded as free.  The others would hold their cores for seconds,
 /// waiting for it, and then end without it.
--- a/crates/scheduler/src/owner/persist.rs
+++ b/crates/scheduler/src/owner/persist.rs
@@ -6,7 +6,7 @@
 use crate::owner::events;
 use crate::owner::load::write_ledger;
 use crate::rows;
-use celerythread_adapter::store::{Error, Name, Transaction};
+use celerythread_adapter::store::{self, Error, Name, Transaction};
 use celerythread_engine::cell::Batch;
 use celerythread_engine::job::{Id, Progress, decode, encode};
 use std::sync::Arc;
@@ -16,6 +16,9 @@
 /// which may be the ledger's and that of the policies.
 const MAX_ROWS: usize = 90;
 
+/// Most bytes of one batch's rows; the rest of a transaction is for the ledger's row.
+const MAX_BYTES: usize = store::MAX_TRANSACTION_BYTES - 4096;
+
 /// How long ended runs are collected for one transaction.  Every transaction costs a call to the
 /// store, and ended runs that complete no job can wait this long without anybody noticing.
 const BATCH_WINDOW: Duration = Duration::from_millis(80);
@@ -66,17 +69,13 @@
     loop {
         {
             let mut ledger = owner.ledger.lock().await;
-            let Some(Some(batch)) = owner.with(|cell| cell.unpersisted_batch(MAX_ROWS)) else {
-                return true;
-            };
+            let Some((batch, change)) = next_batch(owner) else { return true };
             if owner.is_stopped() {
                 return false;
             }
             // The owner may be stopped, or lost, before its next plan.
             events::log_events(owner);
-            if batch.is_write_free()
-                || commit_locked(owner, &mut ledger, progress_transaction(owner, &batch)).await
-            {
+            if batch.is_write_free() || commit_locked(owner, &mut ledger, change).await {
                 finish_batch(owner, &batch);
                 continue;
             }
@@ -87,9 +86,23 @@
     }
 }
 
+/// The progress to persist now and its transaction; none if everything is persisted.
+fn next_batch(owner: &Owner) -> Option<(Batch, Transaction)> {
+    let mut max_rows = MAX_ROWS;
+    loop {
+        let batch = owner.with(|cell| cell.unpersisted_batch(max_rows))??;
+        let change = progress_transaction(owner, &batch);
+        if change.bytes() <= MAX_BYTES || batch.rows.len() <= 1 {
+            return Some((batch, change));
+        }
+        max_rows = batch.rows.len() / 2;
+    }
+}
+
 fn progress_transaction(owner: &Owner, batch: &Batch) -> Transaction {
+    let max_len = owner.node.settings.row_bytes as usize;
     let row = |(id, _, progress): &(Id, u64, Progress)| {
-        (rows::progress(&owner.service, id), encode(progress))
+        (rows::progress(&owner.service, id), progress.encode(max_len))
     };
     let policies = batch.policies.iter().map(|policies| {
         (Name::new(rows::JOBS, &owner.service, rows::POLICIES_KEY), encode(policies))
