Hold the body of a forwarded request once

What callers saw: nothing yet; the product's own interface held each body that it forwarded in two more forms, which weren't reserved (docs/design/ limits.md, "Left"), so that a crowd of large bodies to slow minions could take three times the memory that its limit allows.

Cause: each attempt copied the body, and `Connection::send` encoded the whole request before it wrote a byte.

The copies of attempts were found by reading.

Fix: attempts share the body, which is reserved until the request is answered, and a request is encoded and written 16 KiB at a time. A request up to that length is still written at once.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -5,7 +5,7 @@
 use crate::router::{self, Denied, Slot, SlotRequest};
 use celerythread_http::Fault;
 use celerythread_http::body;
-use celerythread_http::client::{self, Connection, Failure, ResponseHead};
+use celerythread_http::client::{self, Connection, Failure, ResponseHead, SharedBody};
 use celerythread_http::head::Length;
 use celerythread_http::stream::Stream;
 use celerythread_model::code::Code;
@@ -50,7 +50,7 @@
     pub(crate) method: Method,
     pub(crate) target: String,
     pub(crate) headers: Vec<(String, String)>,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: SharedBody,
 }
 
 /// A minion's answer.
@@ -258,7 +258,7 @@
     for (name, value) in &prepared.headers {
         request.append_header(name.as_str(), value.as_str());
     }
-    request.set_body(prepared.body.clone());
+    request.set_body(prepared.body.to_body());
     Ok(request)
 }
 
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -144,7 +144,7 @@
         key: &str,
     ) -> Result<Response, Problem> {
         let fingerprint =
-            claims::fingerprint(prepared.method.as_ref(), &prepared.target, &prepared.body);
+            claims::fingerprint(prepared.method.as_ref(), &prepared.target, prepared.body.as_ref());
         let service = &prepared.service.service;
         match claims::claim(&self.node, service, key, fingerprint).await {
             ClaimResult::Run(owned) => self.run_claimed(prepared, owned).await,
@@ -318,7 +318,7 @@
         method,
         target,
         headers: forwarded_headers(&request),
-        body: request.body,
+        body: request.body.into(),
     };
     let memory = [request.head_memory, request.body_memory];
     Ok(CheckedRequest { prepared, team, key, _memory: memory })
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -9,14 +9,18 @@
 use async_std::io::Cursor;
 use async_std::io::ReadExt;
 use async_std::net::TcpStream;
-use http_types::{Method, Request, Response, Url};
+use http_types::{Body, Method, Request, Response, Url};
 use snafu::ResultExt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Most interim (1xx) responses before the final one.
 const MAX_INTERIM_RESPONSES: usize = 8;
 
+/// Most bytes of a request that are encoded at a time.
+const MAX_PIECE_LEN: usize = 16 * 1024;
+
 /// How far a request had got when it failed; decides what may be reported about it and whether it
 /// may be resent.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -42,6 +46,29 @@
     pub fault: Fault,
 }
 
+/// The body of a request, which all attempts at the request share, so that it is held once.
+#[derive(Clone, Debug, Default)]
+pub struct SharedBody(Arc<Vec<u8>>);
+
+impl From<Vec<u8>> for SharedBody {
+    fn from(bytes: Vec<u8>) -> Self {
+        Self(bytes.into())
+    }
+}
+
+impl AsRef<[u8]> for SharedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl SharedBody {
+    /// The body for one attempt.
+    pub fn to_body(&self) -> Body {
+        Body::from_reader(Cursor::new(self.clone()), Some(self.0.len()))
+    }
+}
+
 /// The head of a response whose body has not been read yet.
 #[derive(Debug)]
 pub struct ResponseHead {
@@ -143,13 +170,20 @@
         phase: &mut Phase,
     ) -> Result<(), Fault> {
         let mut encoder = async_h1::client::Encoder::new(request);
-        let mut bytes = Vec::new();
-        encoder.read_to_end(&mut bytes).await.context(fault::IoSnafu)?;
-        let mut written = 0;
-        while written < bytes.len() {
-            let count = self.stream.write_some(&bytes[written..], progress_timeout).await?;
-            written += count;
-            *phase = Phase::PartWritten;
+        let mut piece = Vec::new();
+        loop {
+            piece.clear();
+            let mut rest = (&mut encoder).take(MAX_PIECE_LEN as u64);
+            rest.read_to_end(&mut piece).await.context(fault::IoSnafu)?;
+            let mut written = 0;
+            while written < piece.len() {
+                let count = self.stream.write_some(&piece[written..], progress_timeout).await?;
+                written += count;
+                *phase = Phase::PartWritten;
+            }
+            if piece.len() < MAX_PIECE_LEN {
+                break;
+            }
         }
         *phase = Phase::AllWritten;
         self.stream.write_all(&[], progress_timeout).await
@@ -171,7 +205,7 @@
             let decoded = async_h1::client::decode(Cursor::new(head.bytes)).await;
             return match decoded {
                 Ok(mut response) => {
-                    response.set_body(http_types::Body::empty());
+                    response.set_body(Body::empty());
                     Ok(ResponseHead {
                         head: response,
                         length: head.length,
