--- a/review/kit-3/src/entry.rs
+++ b/review/kit-3/src/entry.rs
@@ -65,7 +65,7 @@
         machines: SocketAddr,
         bounds: &Value,
     ) -> Self {
-        let ip = format!("127.77.{}.{}", std::process::id() % 250 + 1, number + 1);
+        let ip = crate::next_ip();
         let (frontend, readiness) = (crate::free_address(&ip), crate::free_address(&ip));
         let name = format!("edge-med-a-{number}");
         let fields = json!({
--- a/review/kit-3/src/main.rs
+++ b/review/kit-3/src/main.rs
@@ -15,6 +15,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -57,6 +58,13 @@
     std::env::temp_dir().join(format!("review-3-{}", std::process::id()))
 }
 
+/// A loopback address that this process uses for nothing else.
+pub fn next_ip() -> String {
+    static LAST: AtomicU32 = AtomicU32::new(0);
+    let number = LAST.fetch_add(1, Ordering::SeqCst) + 1;
+    format!("127.{}.{}.{number}", 70 + std::process::id() / 250 % 50, std::process::id() % 250 + 1)
+}
+
 /// An address of this host that nothing listens at.
 pub fn free_address(ip: &str) -> SocketAddr {
     let listener = TcpListener::bind((ip, 0)).expect("a free port");
--- a/review/kit-3/src/minion.rs
+++ b/review/kit-3/src/minion.rs
@@ -207,7 +207,8 @@
         store: &Arc<Store>,
         record: &Arc<Record>,
     ) -> Arc<Self> {
-        let address = crate::free_address("127.0.0.1");
+        // An address of its own, so that no client takes the port while the minion is down.
+        let address = crate::free_address(&crate::next_ip());
         Arc::new(Self {
             name: name.into(),
             zone: "med-a".into(),
