--- a/review/kit-3/src/entry.rs
+++ b/review/kit-3/src/entry.rs
@@ -73,7 +73,7 @@
             "internalPorts": [crate::free_port(&ip)],
             "limits": { "cpuShare": 0.25, "memoryMb": 260, "maxFds": 4100 },
             "listenAddrs": { "frontend": frontend.to_string(), "readiness": readiness.to_string() },
-            "platform": { "address": store.to_string(), "rowBytes": 65536 },
+            "platform": { "address": store.to_string(), "rowBytes": crate::store::ROW_BYTES },
             "cloudApi": { "address": machines.to_string(), "dutyPerS": 64 },
             "bounds": bounds,
         });
--- a/review/kit-3/src/main.rs
+++ b/review/kit-3/src/main.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod entry;
 mod http;
+mod large;
 mod minion;
 mod record;
 mod store;
@@ -43,7 +44,9 @@
             .stderr(Stdio::null())
             .status();
     }
-    let _ = std::fs::remove_dir_all(scratch());
+    if std::env::var_os("KEEP").is_none() {
+        let _ = std::fs::remove_dir_all(scratch());
+    }
     std::process::exit(status);
 }
 
@@ -161,6 +164,7 @@
     let rig = Rig::new(Path::new(folder));
     let is_broken = match case.as_str() {
         "crashes" => crashes::run(&rig),
+        "large" => large::run(&rig),
         _ => could_not_run("no such case"),
     };
     rig.record.line(if is_broken { "result: broken" } else { "result: held" });
--- a/review/kit-3/src/minion.rs
+++ b/review/kit-3/src/minion.rs
@@ -72,10 +72,10 @@
         state.ends.push((state.ended, task.to_owned(), run.number, how));
         let closed = state.closed.entry(task.to_owned()).or_default();
         *closed = (*closed).max(run.number);
-        self.record.line(&format!(
-            "run_ended task={task} run={} minion={} how={how}",
-            run.number, self.id
-        ));
+        self.record.run(
+            task,
+            &format!("run_ended task={task} run={} minion={} how={how}", run.number, self.id),
+        );
     }
 
     fn advance(&self, state: &mut State) {
@@ -121,10 +121,10 @@
         let spec = body["spec"].as_str().unwrap_or_default();
         let work = spec.strip_prefix("work=").and_then(|text| text.parse().ok());
         let run = Run { number, began: Instant::now(), work: work.map(Duration::from_millis) };
-        self.record.line(&format!(
-            "run_began task={task} run={number} minion={} token={}",
-            self.id, state.token
-        ));
+        self.record.run(
+            &task,
+            &format!("run_began task={task} run={number} minion={} token={}", self.id, state.token),
+        );
         state.runs.insert(task, run);
         (200, json!({ "clockMs": self.clock_ms() }))
     }
@@ -309,7 +309,23 @@
         let tasks: Vec<String> = state.runs.keys().cloned().collect();
         drop(state);
         server.kill();
-        self.record.line(&format!("minion_crashed id={} runs={}", life.id, tasks.join(",")));
+        let runs = if tasks.len() > 20 { tasks.len().to_string() } else { tasks.join(",") };
+        self.record.line(&format!("minion_crashed id={} runs={runs}", life.id));
+    }
+
+    /// Number of runs there.
+    pub fn run_count(&self) -> usize {
+        let life = self.life.lock().unwrap();
+        life.as_ref().map_or(0, |(life, _)| life.state.lock().unwrap().runs.len())
+    }
+
+    /// Number of ends that its minion has listed, and of those that aren't taken note of.
+    pub fn ends(&self) -> (u64, u64) {
+        let life = self.life.lock().unwrap();
+        life.as_ref().map_or((0, 0), |(life, _)| {
+            let state = life.state.lock().unwrap();
+            (state.ended, state.ends.len() as u64)
+        })
     }
 
     /// Whether a task runs there.
--- a/review/kit-3/src/record.rs
+++ b/review/kit-3/src/record.rs
@@ -18,6 +18,14 @@
         Self { began: Instant::now(), file: Mutex::new(file) }
     }
 
+    /// Writes a line about a run, but for a job's tasks from the thousandth on.
+    pub fn run(&self, task: &str, text: &str) {
+        let index = task.rsplit('.').next().and_then(|index| index.parse::<u32>().ok());
+        if index.is_none_or(|index| index < 1000) {
+            self.line(text);
+        }
+    }
+
     /// Writes a line with the time since the beginning in milliseconds.
     pub fn line(&self, text: &str) {
         let at = self.began.elapsed().as_millis();
--- a/review/kit-3/src/store.rs
+++ b/review/kit-3/src/store.rs
@@ -13,6 +13,9 @@
 /// Time that a transaction takes.
 const TRANSACTION: Duration = Duration::from_millis(4);
 
+/// Longest value of a row, `rowBytes` of the settings.
+pub const ROW_BYTES: usize = 65536;
+
 /// Rows in one answer.
 const PAGE: usize = 500;
 
@@ -37,6 +40,8 @@
     state: Mutex<State>,
     changed: Condvar,
     began: Instant,
+    /// Rows that were refused for their length: the number, and the last one's key and length.
+    refused: Mutex<(u64, String, usize)>,
 }
 
 fn name(value: &Value) -> Name {
@@ -57,7 +62,12 @@
 
 impl Store {
     pub fn new() -> Arc<Self> {
-        Arc::new(Self { state: Mutex::default(), changed: Condvar::new(), began: Instant::now() })
+        Arc::new(Self {
+            state: Mutex::default(),
+            changed: Condvar::new(),
+            began: Instant::now(),
+            refused: Mutex::default(),
+        })
     }
 
     fn now_ms(&self) -> u64 {
@@ -92,6 +102,12 @@
         state.rows.get(&(table.into(), part.into(), key.into())).map(|(value, _)| value.clone())
     }
 
+    /// The rows that were refused for their length, as text.
+    pub fn refused(&self) -> String {
+        let (count, key, length) = self.refused.lock().unwrap().clone();
+        format!("{count} transactions refused for a long row, the last {key} of {length} bytes")
+    }
+
     fn transact(&self, body: &Value) -> (u16, Value) {
         thread::sleep(TRANSACTION);
         let none = Vec::new();
@@ -104,6 +120,16 @@
             .iter()
             .all(|one| version_of(&state, &name(one)) == one["ver"].as_u64().unwrap_or(0));
         let (ver, now) = (state.version, self.now_ms());
+        let values = list("writes");
+        let length_of = |one: &Value| {
+            let value = STANDARD.decode(one["value"].as_str().unwrap_or_default());
+            value.map_or(0, |value| value.len())
+        };
+        if let Some(long) = values.iter().find(|one| length_of(one) > ROW_BYTES) {
+            let mut refused = self.refused.lock().unwrap();
+            *refused = (refused.0 + 1, format!("{:?}", name(long)), length_of(long));
+            return (400, json!({ "ver": ver, "nowMs": now }));
+        }
         if !holds {
             let rows: Vec<Value> = expected
                 .iter()
@@ -115,7 +141,7 @@
             return (412, json!({ "rows": rows, "ver": ver, "nowMs": now }));
         }
         state.version += 1;
-        for one in list("writes") {
+        for one in values {
             let value = STANDARD.decode(one["value"].as_str().unwrap_or_default());
             write(&mut state, name(&one), value.unwrap_or_default());
         }
