--- a/review/kit-3/src/entry.rs
+++ b/review/kit-3/src/entry.rs
@@ -5,13 +5,12 @@
 use std::fs::{self, File};
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::thread;
 use std::time::Duration;
 
-/// A running entry, killed when it is dropped.
+/// A running entry.
 pub struct Entry {
-    pub child: Child,
     pub frontend: SocketAddr,
     pub readiness: SocketAddr,
 }
@@ -80,12 +79,13 @@
         let template = fs::read_to_string(root.join("deploy/entry.ini")).expect("the template");
         let settings = folder.join(format!("{name}.ini"));
         fs::write(&settings, render(&template, &fields)).expect("the settings can be written");
-        let mut entry = Self { child: spawn(root, folder, &name), frontend, readiness };
+        spawn(root, folder, &name);
+        let entry = Self { frontend, readiness };
         entry.wait_until_ready();
         entry
     }
 
-    fn wait_until_ready(&mut self) {
+    fn wait_until_ready(&self) {
         for _ in 0..400 {
             let wait = Duration::from_millis(300);
             let answer =
@@ -99,14 +99,7 @@
     }
 }
 
-impl Drop for Entry {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-fn spawn(root: &Path, folder: &Path, name: &str) -> Child {
+fn spawn(root: &Path, folder: &Path, name: &str) {
     let log = File::options().create(true).append(true).open(folder.join(format!("{name}.log")));
     let child = Command::new(root.join("target/release/celerythreadd"))
         .env("CELERYTHREAD_SETTINGS", folder.join(format!("{name}.ini")))
@@ -115,6 +108,5 @@
         .stderr(Stdio::null())
         .spawn()
         .expect("the daemon starts");
-    crate::record_child(child.id());
-    child
+    crate::record_child(child);
 }
--- a/review/kit-3/src/main.rs
+++ b/review/kit-3/src/main.rs
@@ -15,7 +15,7 @@
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Command, Stdio};
+use std::process::Child;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -29,20 +29,18 @@
 const LIMIT: Duration = Duration::from_secs(112);
 
 /// The processes that the case has started.
-static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
 /// Records a process that the case has started.
-pub fn record_child(id: u32) {
-    CHILDREN.lock().expect("the list of processes").push(id);
+pub fn record_child(child: Child) {
+    CHILDREN.lock().expect("the list of processes").push(child);
 }
 
 /// Ends all processes that the case has started, and this one.
 fn end(status: i32) -> ! {
-    for id in CHILDREN.lock().expect("the list of processes").drain(..) {
-        let _ = Command::new("kill")
-            .args(["-s", "KILL", &id.to_string()])
-            .stderr(Stdio::null())
-            .status();
+    for mut child in CHILDREN.lock().expect("the list of processes").drain(..) {
+        let _ = child.kill();
+        let _ = child.wait();
     }
     if std::env::var_os("KEEP").is_none() {
         let _ = std::fs::remove_dir_all(scratch());
